--- /dev/null
+++ b/cmd/caperlatch/main.go
@@ -0,0 +1,98 @@
+// Command caperlatch runs and inspects a controller node.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime/debug"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"caperlatch"
+	"caperlatch/internal/settings"
+)
+
+func main() {
+	root := rootCommand()
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "caperlatch:", err)
+		os.Exit(1)
+	}
+}
+
+func rootCommand() *cobra.Command {
+	var config string
+	run := func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), config) }
+	root := &cobra.Command{
+		Use: "caperlatch", Short: "A cluster scheduler that rents its machines",
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs, RunE: run,
+	}
+	root.Flags().StringVar(&config, "config", "", "settings file (TOML)")
+	runCmd := &cobra.Command{Use: "run", Short: "Run a node until it is killed", Args: cobra.NoArgs, RunE: run}
+	runCmd.Flags().StringVar(&config, "config", "", "settings file (TOML)")
+	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionCommand())
+	return root
+}
+
+func runNode(ctx context.Context, config string) error {
+	if config == "" {
+		return fmt.Errorf("--config is missing")
+	}
+	setLogLevel()
+	s, err := settings.Read(config)
+	if err != nil {
+		return err
+	}
+	t, err := settings.ReadTuning()
+	if err != nil {
+		return err
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	return caperlatch.NewNode(s, t).Run(ctx)
+}
+
+func setLogLevel() {
+	level := slog.LevelInfo
+	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE", Short: "Check a settings file and the tuning file, if one is named", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := settings.Read(args[0])
+			if err != nil {
+				return err
+			}
+			if _, err := settings.ReadTuning(); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "ok: member %s of %d nodes, %d teams\n", s.Member, len(s.Peers)+1, len(s.Params.Teams))
+			return nil
+		},
+	}
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			version, goVersion := "(devel)", ""
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version, goVersion = info.Main.Version, info.GoVersion
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "caperlatch", version, goVersion)
+		},
+	}
+}
--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,332 @@
+// Package api answers users, workers and health checks.
+package api
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/failsafe-go/failsafe-go/adaptivelimiter"
+	"github.com/labstack/echo/v4"
+
+	"caperlatch/internal/leader"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/statestore"
+	"caperlatch/internal/wire"
+)
+
+// Node is what the handlers ask of the node they run on.
+type Node interface {
+	// Leading is this node's leader if it leads, else nil.
+	Leading() *leader.Leader
+	// LeaderMember names the leader as known here, if any.
+	LeaderMember() string
+	// Ready tells whether the node can take requests.
+	Ready() bool
+	// Counts shows how far a job is, as well as it is known here.
+	Counts(id string) (done, running int)
+	// Explain asks the leader about a job.
+	Explain(ctx context.Context, id string) (leader.Explanation, error)
+}
+
+// Handler holds what the handlers work with.
+type Handler struct {
+	Node     Node
+	Settings *settings.Settings
+	Store    *statestore.Client
+	Batch    *statestore.Batcher
+	Replica  *replica.Replica
+}
+
+// New makes the HTTP handler.
+func New(h *Handler) http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		code := http.StatusInternalServerError
+		var he *echo.HTTPError
+		if errors.As(err, &he) {
+			code = he.Code
+		} else {
+			slog.Error("request", "path", c.Path(), "error", err)
+		}
+		if !c.Response().Committed {
+			if err := c.NoContent(code); err != nil {
+				slog.Debug("answer", "error", err)
+			}
+		}
+	}
+	intake, polls := newLimiter(), newLimiter()
+	e.POST("/v1/jobs", h.submit, limited(intake))
+	e.GET("/v1/jobs/:id", h.poll, limited(polls))
+	e.POST("/v1/jobs/:id/abort", h.abort, limited(intake))
+	e.GET("/v1/jobs/:id/why", h.explain, limited(polls))
+	e.GET("/ready", h.ready)
+	e.POST("/hello", h.report)
+	return e
+}
+
+// newLimiter makes a limit on requests in progress that adjusts itself to the
+// times they take. It starts above what the brief's bursts bring and never
+// closes altogether.
+func newLimiter() adaptivelimiter.AdaptiveLimiter[any] {
+	return adaptivelimiter.NewBuilder[any]().WithLimits(16, 256, 64).Build()
+}
+
+// limited sheds users' requests over the limit; workers' reports and health
+// checks do not pass here.
+func limited(l adaptivelimiter.AdaptiveLimiter[any]) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			permit, ok := l.TryAcquirePermit()
+			if !ok {
+				return unavailable(c, http.StatusTooManyRequests)
+			}
+			err := next(c)
+			// What is refused says nothing of how long work takes.
+			if c.Response().Status >= http.StatusInternalServerError {
+				permit.Drop()
+			} else {
+				permit.Record()
+			}
+			return err
+		}
+	}
+}
+
+func reply(c echo.Context, code int, v any) error {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return c.Blob(code, wire.ContentType, b)
+}
+
+// unavailable tells a user at once to come back.
+func unavailable(c echo.Context, code int) error {
+	c.Response().Header().Set("Retry-After", strconv.Itoa(int(statestore.RetryAfter/micros.Second)))
+	return reply(c, code, wire.ErrorBody{Error: "come back later"})
+}
+
+func bad(c echo.Context, code int, err error) error {
+	return reply(c, code, wire.ErrorBody{Error: err.Error()})
+}
+
+// userTimeout is within what users wait for a poll.
+const userTimeout = 1800 * micros.Millisecond
+
+// known finds a job as it is now: a job that is over stays so, anything else
+// is only known after a read barrier.
+func (h *Handler) known(ctx context.Context, id string) (j replica.Job, stamp uint64, ok bool, err error) {
+	if j, stamp, ok = h.Replica.Job(id); ok && j.Final() {
+		return j, stamp, ok, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, userTimeout.Duration())
+	defer cancel()
+	if err := h.Replica.Barrier(ctx); err != nil {
+		return j, stamp, false, err
+	}
+	j, stamp, ok = h.Replica.Job(id)
+	return j, stamp, ok, nil
+}
+
+func (h *Handler) status(id string, j replica.Job) wire.JobStatus {
+	s := wire.JobStatus{ID: id, Status: j.State}
+	if !j.Final() {
+		done, running := h.Node.Counts(id)
+		s.Done, s.Running = &done, &running
+		if running > 0 {
+			s.Status = wire.JobRunning
+		}
+	}
+	return s
+}
+
+func (h *Handler) submit(c echo.Context) error {
+	ctx := c.Request().Context()
+	body, err := wire.ReadBody(c.Request().Body)
+	if err != nil {
+		return bad(c, http.StatusBadRequest, err)
+	}
+	id := wire.SubmittedID(body)
+	if id == "" {
+		return bad(c, http.StatusBadRequest, errors.New("no map with a good id"))
+	}
+	if !h.Replica.Loaded() {
+		return unavailable(c, http.StatusServiceUnavailable)
+	}
+	if _, _, ok := h.Replica.Job(id); ok {
+		return h.answerKnown(c, id)
+	}
+	spec, err := wire.ParseJob(body)
+	code := http.StatusBadRequest
+	if err == nil && !h.Store.FitsValue(replica.Job{Spec: &spec, SubmittedAt: micros.Wall(), State: wire.JobPending}) {
+		err = errors.New("the description is too long")
+	}
+	if err == nil {
+		var catalog wire.Catalog
+		stamp, cerr := h.Replica.Get(replica.CatalogKey, &catalog)
+		if cerr != nil {
+			return cerr
+		}
+		if stamp == 0 {
+			return unavailable(c, http.StatusServiceUnavailable)
+		}
+		code, err = http.StatusUnprocessableEntity, Runnable(&spec, catalog.Types, h.Settings.Params.Teams)
+	}
+	if err != nil {
+		// An id that was accepted elsewhere keeps its answer whatever its
+		// repeat says.
+		if _, _, ok, kerr := h.known(ctx, id); kerr != nil {
+			return unavailable(c, http.StatusServiceUnavailable)
+		} else if ok {
+			return h.answerKnown(c, id)
+		}
+		return bad(c, code, err)
+	}
+	job := replica.Job{Spec: &spec, SubmittedAt: micros.Wall(), State: wire.JobPending}
+	key := replica.JobPrefix + id
+	rev, err := h.put(ctx, key, 0, job)
+	switch {
+	case err == nil:
+		h.Replica.Wrote(key, job, rev)
+		return reply(c, http.StatusCreated, wire.JobStatus{ID: id, Status: wire.JobPending})
+	case errors.Is(err, statestore.ErrConflict):
+		return h.answerKnown(c, id)
+	}
+	slog.Debug("submission", "job", id, "error", err)
+	return unavailable(c, http.StatusServiceUnavailable)
+}
+
+func (h *Handler) answerKnown(c echo.Context, id string) error {
+	j, _, ok, err := h.known(c.Request().Context(), id)
+	if err != nil || !ok {
+		return unavailable(c, http.StatusServiceUnavailable)
+	}
+	return reply(c, http.StatusOK, h.status(id, j))
+}
+
+// put writes one key. A refusal for the rate limit passes soon; after a lost
+// answer one more try tells whether the first was carried out, as both have
+// the same condition.
+func (h *Handler) put(ctx context.Context, key string, stamp uint64, value any) (rev uint64, err error) {
+	for try := 0; try < 2; try++ {
+		rev, err = h.Batch.Put(ctx, key, stamp, value)
+		if err == nil || errors.Is(err, statestore.ErrConflict) || ctx.Err() != nil || errors.Is(err, statestore.ErrUnavailable) {
+			return rev, err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After((100 * micros.Millisecond).Duration()):
+		}
+	}
+	return rev, err
+}
+
+func (h *Handler) poll(c echo.Context) error {
+	id := c.Param("id")
+	if !wire.ValidJobID(id) {
+		return bad(c, http.StatusNotFound, errors.New("no such job"))
+	}
+	j, _, ok, err := h.known(c.Request().Context(), id)
+	switch {
+	case err != nil:
+		slog.Debug("poll", "job", id, "error", err)
+		return unavailable(c, http.StatusServiceUnavailable)
+	case !ok:
+		return bad(c, http.StatusNotFound, errors.New("no such job"))
+	}
+	return reply(c, http.StatusOK, h.status(id, j))
+}
+
+func (h *Handler) abort(c echo.Context) error {
+	id := c.Param("id")
+	ctx := c.Request().Context()
+	if !wire.ValidJobID(id) {
+		return bad(c, http.StatusNotFound, errors.New("no such job"))
+	}
+	for range 4 {
+		j, stamp, ok, err := h.known(ctx, id)
+		switch {
+		case err != nil:
+			return unavailable(c, http.StatusServiceUnavailable)
+		case !ok:
+			return bad(c, http.StatusNotFound, errors.New("no such job"))
+		case j.Final():
+			return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: j.State})
+		}
+		final := replica.Job{SubmittedAt: j.SubmittedAt, State: wire.JobCancelled, Reason: "cancelled by its user"}
+		key := replica.JobPrefix + id
+		rev, err := h.put(ctx, key, stamp, final)
+		switch {
+		case err == nil:
+			h.Replica.Wrote(key, final, rev)
+			return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: wire.JobCancelled})
+		case !errors.Is(err, statestore.ErrConflict):
+			slog.Debug("abort", "job", id, "error", err)
+			return unavailable(c, http.StatusServiceUnavailable)
+		}
+	}
+	return unavailable(c, http.StatusServiceUnavailable)
+}
+
+func (h *Handler) ready(c echo.Context) error {
+	if !h.Node.Ready() {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+// report answers a worker; a node that is not the leader sends it there.
+func (h *Handler) report(c echo.Context) error {
+	body, err := wire.ReadBody(c.Request().Body)
+	if err != nil {
+		return bad(c, http.StatusBadRequest, err)
+	}
+	var r wire.Report
+	if err := wire.Unmarshal(body, &r); err != nil {
+		return bad(c, http.StatusBadRequest, err)
+	}
+	if l := h.Node.Leading(); l != nil {
+		answer, err := l.Report(&r)
+		if err != nil {
+			return bad(c, http.StatusServiceUnavailable, err)
+		}
+		return reply(c, http.StatusOK, answer)
+	}
+	member := h.Node.LeaderMember()
+	if member == "" || member == h.Settings.Member {
+		return bad(c, http.StatusServiceUnavailable, errors.New("no leader known"))
+	}
+	return reply(c, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: member})
+}
+
+func (h *Handler) explain(c echo.Context) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), userTimeout.Duration())
+	defer cancel()
+	id := c.Param("id")
+	if !wire.ValidJobID(id) {
+		return bad(c, http.StatusNotFound, errors.New("no such job"))
+	}
+	j, _, ok, err := h.known(ctx, id)
+	switch {
+	case err != nil:
+		return unavailable(c, http.StatusServiceUnavailable)
+	case !ok:
+		return bad(c, http.StatusNotFound, errors.New("no such job"))
+	}
+	e, err := h.Node.Explain(ctx, id)
+	if err != nil && !j.Final() {
+		return unavailable(c, http.StatusServiceUnavailable)
+	}
+	e.Job = id
+	if j.Final() {
+		e.Why = append(e.Why, "it is "+j.State+": "+j.Reason)
+	}
+	return reply(c, http.StatusOK, e)
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,135 @@
+// Package cloud is the client of the cloud's interface.
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"golang.org/x/time/rate"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/wire"
+)
+
+// ErrNoCapacity says that the cloud has no machine of the asked type, zone and
+// kind.
+var ErrNoCapacity = errors.New("no capacity")
+
+// Limits of the interface.
+const (
+	MaxRent   = 50
+	MaxReturn = 100
+	maxList   = 500
+	timeout   = 5 * micros.Second
+)
+
+// Client talks to the cloud. Any error but ErrNoCapacity leaves open whether
+// the request was or will be carried out.
+type Client struct {
+	base  string
+	http  *http.Client
+	calls *rate.Limiter
+}
+
+// New makes a client for the cloud at addr. Only the leader calls it often, so
+// it takes most of the limit.
+func New(addr string, limits settings.Cloud) *Client {
+	return &Client{
+		base:  "http://" + addr,
+		http:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}},
+		calls: rate.NewLimiter(rate.Limit(limits.RPS*0.75), max(1, int(limits.RPS))),
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	if err := c.calls.Wait(ctx); err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		b, err := wire.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("cloud: %w", err)
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", wire.ContentType)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		var e wire.ErrorBody
+		if wire.Unmarshal(b, &e) == nil && resp.StatusCode == http.StatusServiceUnavailable && e.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+		return fmt.Errorf("cloud: %s answered %d %s", path, resp.StatusCode, e.Error)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := wire.Unmarshal(b, out); err != nil {
+		return fmt.Errorf("cloud: %w", err)
+	}
+	return nil
+}
+
+// Catalog reads the machine types.
+func (c *Client) Catalog(ctx context.Context) (wire.Catalog, error) {
+	var out wire.Catalog
+	err := c.call(ctx, http.MethodGet, "/catalog", nil, &out)
+	return out, err
+}
+
+// Rent asks for machines; the same request name gets the same answer.
+func (c *Client) Rent(ctx context.Context, r wire.Rental) ([]string, error) {
+	var out wire.Names
+	err := c.call(ctx, http.MethodPost, "/hosts", r, &out)
+	return out.Machines, err
+}
+
+// Return gives machines back. After a nil error they and all that was on them
+// are gone.
+func (c *Client) Return(ctx context.Context, ids []string) error {
+	return c.call(ctx, http.MethodPost, "/hosts/return", wire.Names{Machines: ids}, nil)
+}
+
+// List reads the whole list of machines, which may be old.
+func (c *Client) List(ctx context.Context) ([]wire.ListedMachine, error) {
+	var all []wire.ListedMachine
+	after := ""
+	for {
+		q := url.Values{"most": {fmt.Sprint(maxList)}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		var page wire.MachineList
+		if err := c.call(ctx, http.MethodGet, "/hosts?"+q.Encode(), nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Machines...)
+		if !page.More || len(page.Machines) == 0 {
+			return all, nil
+		}
+		after = page.Machines[len(page.Machines)-1].ID
+	}
+}
--- /dev/null
+++ b/internal/leader/fleet.go
@@ -0,0 +1,276 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"caperlatch/internal/cloud"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/wire"
+)
+
+// offer is what can be rented: a type, in a zone, of a kind.
+type offer struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// offerState remembers refusals.
+type offerState struct {
+	refusals int
+	until    micros.Micros // not asked before
+}
+
+// booking is a stored rental: before the cloud is asked, with its machines
+// afterwards. It is kept until all its machines are gone, so that every later
+// leader knows which machines may hold tasks.
+type booking struct {
+	id       string
+	Type     string        `json:"type"`
+	Zone     string        `json:"zone"`
+	Spot     bool          `json:"spot"`
+	Count    int           `json:"count"`
+	At       micros.Micros `json:"at"` // time of day
+	Answered bool          `json:"answered"`
+	Machines []string      `json:"machines"`
+	Up       []string      `json:"up"` // those that may have got tasks
+
+	storedUp map[string]bool
+	asking   bool
+	dropped  bool
+}
+
+func (l *Leader) markBooking(b *booking) {
+	l.dirty[replica.BookingPrefix+b.id] = true
+	l.wakeFlush()
+}
+
+func (l *Leader) buildBooking(w write, id string) (write, bool) {
+	b := l.bookings[id]
+	if b == nil || b.dropped {
+		w.stored = func() { delete(l.bookings, id) }
+		return w, l.Replica.Stamp(w.key) != 0
+	}
+	snapshot := *b
+	snapshot.Machines, snapshot.Up = slices.Clone(b.Machines), slices.Clone(b.Up)
+	w.value = snapshot
+	w.stored = func() {
+		b.storedUp = map[string]bool{}
+		for _, m := range snapshot.Up {
+			b.storedUp[m] = true
+		}
+		l.replan = true
+		if !b.Answered && !b.asking {
+			b.asking = true
+			go l.rent(context.Background(), id)
+		}
+	}
+	return w, true
+}
+
+// markUp has it stored that a machine may get tasks.
+func (l *Leader) markUp(m *machine) {
+	m.up = true
+	if !slices.Contains(m.booking.Up, m.id) {
+		m.booking.Up = append(m.booking.Up, m.id)
+		l.markBooking(m.booking)
+	}
+}
+
+// openBookings lists the bookings without an answer.
+func (l *Leader) openBookings() (ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, b := range l.bookings {
+		if !b.Answered && !b.asking {
+			b.asking = true
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// book begins a rental: it is asked of the cloud once it is stored.
+func (l *Leader) book(o offer, count int) {
+	l.bookingSeq++
+	b := &booking{
+		id:   fmt.Sprintf("r-%d-%d", l.Token, l.bookingSeq),
+		Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: min(count, cloud.MaxRent), At: micros.Wall(),
+	}
+	slog.Info("renting", "booking", b.id, "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", b.Count)
+	l.bookings[b.id] = b
+	l.markBooking(b)
+}
+
+// rent asks the cloud for a stored booking until it answers. The same booking
+// rents once however often it is asked.
+func (l *Leader) rent(ctx context.Context, id string) {
+	for wait := 500 * micros.Millisecond; ; wait = min(2*wait, 8*micros.Second) {
+		l.mu.Lock()
+		b := l.bookings[id]
+		over := b == nil || !l.Term.Sure()
+		var r wire.Rental
+		if b != nil {
+			r = wire.Rental{Request: id, Type: b.Type, Zone: b.Zone, Spot: b.Spot, Count: b.Count}
+			if over {
+				b.asking = false
+			}
+		}
+		l.mu.Unlock()
+		if over {
+			return
+		}
+		ids, err := l.Cloud.Rent(ctx, r)
+		l.mu.Lock()
+		switch {
+		case err == nil:
+			l.rented(b, ids)
+		case errors.Is(err, cloud.ErrNoCapacity):
+			l.refused(offer{b.Type, b.Zone, b.Spot})
+			b.dropped = true
+			b.Answered = true
+			l.markBooking(b)
+		default:
+			slog.Debug("rent", "booking", id, "error", err)
+		}
+		answered := b.Answered
+		l.mu.Unlock()
+		if answered {
+			return
+		}
+		time.Sleep(wait.Duration())
+	}
+}
+
+func (l *Leader) rented(b *booking, ids []string) {
+	now := micros.Now()
+	o := offer{b.Type, b.Zone, b.Spot}
+	if len(ids) < b.Count {
+		l.refused(o)
+	} else {
+		delete(l.offers, o)
+	}
+	b.Answered = true
+	b.asking = false
+	for _, id := range ids {
+		if l.machines[id] != nil || l.gone[id] {
+			continue
+		}
+		b.Machines = append(b.Machines, id)
+		l.addMachine(id, b, now)
+	}
+	l.markBooking(b)
+	b.dropped = len(b.Machines) == 0
+}
+
+// refused backs off from an offer.
+func (l *Leader) refused(o offer) {
+	s := l.offers[o]
+	if s == nil {
+		s = &offerState{}
+		l.offers[o] = s
+	}
+	s.refusals++
+	s.until = micros.Now() + min(40*micros.Second, 5*micros.Second<<min(s.refusals-1, 4))
+}
+
+// giveUp returns a machine to the cloud. Its tasks count as being on it until
+// the cloud has answered.
+func (l *Leader) giveUp(ctx context.Context, m *machine, why string) {
+	slog.Info("returning", "machine", m.id, "type", m.kind.Type, "spot", m.kind.Spot, "tasks", len(m.tasks), "why", why)
+	m.leaving = true
+	m.planned = nil
+	for _, a := range m.tasks {
+		a.why = "its machine is returned: " + why
+	}
+	go func() {
+		for wait := 500 * micros.Millisecond; ; wait = min(2*wait, 8*micros.Second) {
+			if err := l.Cloud.Return(ctx, []string{m.id}); err == nil {
+				break
+			} else if ctx.Err() != nil {
+				return
+			} else {
+				slog.Debug("return", "machine", m.id, "error", err)
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(wait.Duration()):
+			}
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.returned(m)
+	}()
+}
+
+// returned forgets a machine that is gone.
+func (l *Leader) returned(m *machine) {
+	l.lose(m, "its machine was returned")
+	delete(l.machines, m.id)
+	l.gone[m.id] = true
+	b := m.booking
+	b.Machines = slices.DeleteFunc(b.Machines, func(id string) bool { return id == m.id })
+	b.Up = slices.DeleteFunc(b.Up, func(id string) bool { return id == m.id })
+	b.dropped = b.Answered && len(b.Machines) == 0
+	l.markBooking(b)
+}
+
+// listLoop compares the cloud's list with the known machines.
+func (l *Leader) listLoop(ctx context.Context) {
+	lag := micros.FromSeconds(l.Settings.Params.Cloud.ListLagS)
+	every(ctx, max(4*micros.Second, lag), func() {
+		list, err := l.Cloud.List(ctx)
+		if err != nil {
+			slog.Debug("list", "error", err)
+			return
+		}
+		l.listedMachines(ctx, list, lag)
+	})
+}
+
+// listedMachines returns what nobody knows of and what has failed. The list
+// is late, so it proves nothing about tasks.
+func (l *Leader) listedMachines(ctx context.Context, list []wire.ListedMachine, lag micros.Micros) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := micros.Now()
+	open := false
+	for _, b := range l.bookings {
+		open = open || !b.Answered
+	}
+	seen := map[string]bool{}
+	for _, x := range list {
+		m := l.machines[x.ID]
+		switch {
+		case m != nil && x.State == wire.MachineFailed && !m.leaving:
+			l.giveUp(ctx, m, "failed")
+		case m != nil || open:
+		default:
+			seen[x.ID] = true
+			since, ok := l.strays[x.ID]
+			if !ok {
+				l.strays[x.ID] = now
+			} else if now-since > 3*lag+10*micros.Second {
+				// Nobody uses it: a rental carried out late, or a return lost.
+				delete(l.strays, x.ID)
+				go func() {
+					slog.Info("returning a stray machine", "machine", x.ID)
+					if err := l.Cloud.Return(ctx, []string{x.ID}); err != nil {
+						slog.Debug("return", "machine", x.ID, "error", err)
+					}
+				}()
+			}
+		}
+	}
+	for id := range l.strays {
+		if !seen[id] {
+			delete(l.strays, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/flush.go
@@ -0,0 +1,206 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/statestore"
+	"caperlatch/internal/wire"
+)
+
+// write is one key's change on its way to the state service.
+type write struct {
+	key    string
+	value  any // nil removes the key
+	stored func()
+}
+
+// flushPause lets changes gather, since writes are scarce.
+const flushPause = 150 * micros.Millisecond
+
+func (l *Leader) wakeFlush() {
+	select {
+	case l.flushNow <- struct{}{}:
+	default:
+	}
+}
+
+// flushLoop writes what is dirty. There is one transaction at a time, so a
+// key's writes cannot overtake each other.
+func (l *Leader) flushLoop(ctx context.Context) {
+	t := time.NewTicker(micros.Second.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.flushNow:
+		case <-t.C:
+		}
+		for ctx.Err() == nil && l.flush(ctx) {
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(flushPause.Duration()):
+		}
+	}
+}
+
+// flush writes one transaction and tells whether more is waiting.
+func (l *Leader) flush(ctx context.Context) (more bool) {
+	if !l.Term.Sure() {
+		return false
+	}
+	l.mu.Lock()
+	ws, more := l.gather()
+	l.mu.Unlock()
+	if len(ws) == 0 {
+		return false
+	}
+	// Each write is conditioned on its key's version as well as on the
+	// leadership: a transaction that got no answer may be applied late, and
+	// must not undo a newer one.
+	t := wire.Txn{If: []wire.Condition{{Key: replica.LeaderKey, Stamp: l.Stamp}}}
+	for _, w := range ws {
+		t.If = append(t.If, wire.Condition{Key: w.key, Stamp: l.Replica.Stamp(w.key)})
+		op := wire.Op{Write: w.key, Value: w.value}
+		if w.value == nil {
+			op = wire.Op{Remove: w.key}
+		}
+		t.Then = append(t.Then, op)
+	}
+	rev, err := l.Store.Commit(ctx, t)
+	var conflict *statestore.Conflict
+	switch {
+	case err == nil:
+		for _, w := range ws {
+			if w.value == nil {
+				l.Replica.Removed(w.key, rev)
+			} else {
+				l.Replica.Wrote(w.key, w.value, rev)
+			}
+		}
+		l.mu.Lock()
+		for _, w := range ws {
+			if w.stored != nil {
+				w.stored()
+			}
+		}
+		l.mu.Unlock()
+		return more
+	case errors.As(err, &conflict) && slices.Contains(conflict.Keys, replica.LeaderKey):
+		slog.Info("a newer term has begun")
+		l.lostOnce.Do(func() { close(l.lost) })
+		return false
+	default:
+		slog.Debug("flush", "error", err)
+	}
+	// Either a version is not as thought, or nobody knows: look, and try again.
+	l.mu.Lock()
+	for _, w := range ws {
+		l.dirty[w.key] = true
+	}
+	l.mu.Unlock()
+	if err := l.Replica.Barrier(ctx); err != nil {
+		slog.Debug("flush", "error", err)
+	}
+	l.wakeFlush()
+	return false
+}
+
+// gather takes the most urgent dirty keys that fit into one transaction.
+func (l *Leader) gather() (ws []write, more bool) {
+	keys := make([]string, 0, len(l.dirty))
+	for key := range l.dirty {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b string) int {
+		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(a, b))
+	})
+	size := 4096
+	for _, key := range keys {
+		w, ok := l.build(key)
+		if !ok {
+			delete(l.dirty, key)
+			continue
+		}
+		s := wire.JSONSize(w.value) + 3*len(key) + 128
+		if len(ws) == l.Store.MaxOps() || len(ws) > 0 && size+s > wire.MaxBody {
+			return ws, true
+		}
+		size += s
+		delete(l.dirty, key)
+		ws = append(ws, w)
+	}
+	return ws, false
+}
+
+func urgency(key string) int {
+	for i, prefix := range []string{replica.BookingPrefix, replica.JobPrefix, replica.ProgressPrefix} {
+		if strings.HasPrefix(key, prefix) {
+			return i
+		}
+	}
+	return 3
+}
+
+// build makes a dirty key's present value.
+func (l *Leader) build(key string) (write, bool) {
+	w := write{key: key}
+	if id, ok := strings.CutPrefix(key, replica.BookingPrefix); ok {
+		return l.buildBooking(w, id)
+	}
+	if id, ok := strings.CutPrefix(key, replica.JobPrefix); ok {
+		final, ok := l.finals[id]
+		w.value = final
+		w.stored = func() { l.finalStored(id) }
+		return w, ok
+	}
+	if strings.HasPrefix(key, replica.ProgressPrefix) {
+		id, chunk, err := parseProgressKey(key)
+		j := l.jobs[id]
+		if err != nil || j == nil {
+			return w, l.Replica.Stamp(key) != 0 // the job is over
+		}
+		if _, finishing := l.finals[id]; finishing {
+			return w, false // the final state says it all
+		}
+		w.value = j.progress(chunk)
+		snapshot := slices.Clone(j.done.part(chunk))
+		w.stored = func() { copy(j.stored.part(chunk), snapshot) }
+		return w, true
+	}
+	if key == replica.StaffingKey {
+		w.value = l.staffingRecord()
+		return w, true
+	}
+	return w, false
+}
+
+// finishIfDone has a job's end stored once all its tasks are done.
+func (l *Leader) finishIfDone(j *job) {
+	if j.over || j.ndone < j.spec.Tasks {
+		return
+	}
+	id := j.spec.ID
+	if _, ok := l.finals[id]; ok {
+		return
+	}
+	l.finals[id] = replica.Job{SubmittedAt: j.submitted, State: wire.JobDone, Reason: "all tasks done"}
+	l.dirty[replica.JobPrefix+id] = true
+	l.wakeFlush()
+}
+
+func (l *Leader) finalStored(id string) {
+	if j := l.jobs[id]; j != nil {
+		l.forget(j, wire.JobDone)
+	}
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,362 @@
+// Package leader is what the leading node does: it keeps the picture of
+// machines and tasks, gives workers their orders, and rents and returns
+// machines.
+package leader
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"caperlatch/internal/cloud"
+	"caperlatch/internal/election"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/statestore"
+	"caperlatch/internal/wire"
+	"caperlatch/placement"
+	"caperlatch/staffing"
+)
+
+// Term is the part of an election's term that the leader needs.
+type Term interface {
+	Sure() bool
+	Confirmed() micros.Micros
+}
+
+var _ Term = (*election.Term)(nil)
+
+// Config is what a leader works with.
+type Config struct {
+	Settings *settings.Settings
+	Tuning   settings.Tuning
+	Store    *statestore.Client
+	Cloud    *cloud.Client
+	Replica  *replica.Replica
+	Term     Term
+	Token    uint64
+	Stamp    uint64 // of the leader key
+}
+
+// Leader acts for one term.
+type Leader struct {
+	Config
+	began micros.Micros
+
+	mu         sync.Mutex
+	ready      bool // the picture has been rebuilt
+	jobs       map[string]*job
+	machines   map[string]*machine
+	bookings   map[string]*booking
+	strays     map[string]micros.Micros // listed machines that no booking explains, since when
+	gone       map[string]bool          // machines that the cloud took back from us
+	types      map[string]*machineType
+	typeOrder  []string
+	teams      map[string]settings.Team
+	dirty      map[string]bool // keys to be written
+	finals     map[string]replica.Job
+	attempts   uint64
+	bookingSeq uint64
+	replan     bool
+	planTook   micros.Micros
+	plannedAt  micros.Micros
+	offers     map[offer]*offerState
+	correction map[string]*ratio // run time over estimate, by class
+	lastStops  []StopNote
+	flushNow   chan struct{}
+	lost       chan struct{} // closed when a write proved that the term is over
+	lostOnce   sync.Once
+}
+
+// machineType is a type of the catalog with its staffing.
+type machineType struct {
+	wire.MachineType
+	capacity placement.Resources
+	m        float64
+	window   *staffing.Window
+	service  staffing.Service
+	finished int
+	target   int // the formula's, held for an interval
+	heldTill micros.Micros
+}
+
+// New makes a leader for a term.
+func New(c Config) *Leader {
+	l := &Leader{
+		Config: c, began: micros.Now(),
+		jobs: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
+		strays: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
+		teams: map[string]settings.Team{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
+		offers: map[offer]*offerState{}, correction: map[string]*ratio{},
+		flushNow: make(chan struct{}, 1), lost: make(chan struct{}),
+	}
+	for _, t := range c.Settings.Params.Teams {
+		l.teams[t.Name] = t
+	}
+	return l
+}
+
+// Run leads until ctx ends or a write shows that the term is over.
+func (l *Leader) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		// All that earlier terms stored must be seen before the picture is
+		// built: their writes fail from this term's leader key on.
+		err := l.Replica.Barrier(ctx)
+		if err == nil {
+			err = l.loadCatalog(ctx)
+		}
+		if err == nil {
+			break
+		}
+		slog.Debug("take-over waits", "error", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After((200 * micros.Millisecond).Duration()):
+		}
+	}
+	if err := l.rebuild(); err != nil {
+		slog.Error("take-over", "error", err)
+		return
+	}
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){l.flushLoop, l.tickLoop, l.listLoop, l.catalogLoop} {
+		wg.Go(func() { f(ctx) })
+	}
+	for _, id := range l.openBookings() {
+		go l.rent(ctx, id)
+	}
+	select {
+	case <-ctx.Done():
+	case <-l.lost:
+		cancel()
+	}
+	wg.Wait()
+}
+
+// loadCatalog uses the stored catalog or else asks the cloud.
+func (l *Leader) loadCatalog(ctx context.Context) error {
+	var c wire.Catalog
+	stamp, err := l.Replica.Get(replica.CatalogKey, &c)
+	if err != nil {
+		return err
+	}
+	if stamp != 0 {
+		l.setCatalog(c)
+		return nil
+	}
+	return l.refreshCatalog(ctx)
+}
+
+// refreshCatalog asks the cloud for the present prices and stores a catalog
+// that is new.
+func (l *Leader) refreshCatalog(ctx context.Context) error {
+	c, err := l.Cloud.Catalog(ctx)
+	if err != nil {
+		return err
+	}
+	var stored wire.Catalog
+	stamp, err := l.Replica.Get(replica.CatalogKey, &stored)
+	if err != nil {
+		return err
+	}
+	l.setCatalog(c)
+	if stamp != 0 && sameTypes(stored, c) {
+		return nil
+	}
+	rev, err := l.Store.Commit(ctx, wire.Txn{
+		If:   []wire.Condition{{Key: replica.LeaderKey, Stamp: l.Stamp}, {Key: replica.CatalogKey, Stamp: stamp}},
+		Then: []wire.Op{{Write: replica.CatalogKey, Value: c}},
+	})
+	if err != nil {
+		return err
+	}
+	l.Replica.Wrote(replica.CatalogKey, c, rev)
+	return nil
+}
+
+// sameTypes compares what decides whether a job can ever run.
+func sameTypes(a, b wire.Catalog) bool {
+	if len(a.Types) != len(b.Types) {
+		return false
+	}
+	for i, x := range a.Types {
+		y := b.Types[i]
+		if x.Name != y.Name || x.CPUs != y.CPUs || x.GPUs != y.GPUs || x.MemoryGB != y.MemoryGB ||
+			strings.Join(x.Zones, " ") != strings.Join(y.Zones, " ") {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Leader) setCatalog(c wire.Catalog) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.typeOrder = l.typeOrder[:0]
+	for _, t := range c.Types {
+		l.typeOrder = append(l.typeOrder, t.Name)
+		mt := l.types[t.Name]
+		if mt == nil {
+			mt = &machineType{window: staffing.NewWindow(l.Tuning.Window, micros.Now())}
+			l.types[t.Name] = mt
+		}
+		mt.MachineType = t
+		mt.capacity = placement.Resources{CPU: floor(t.CPUs), GPU: floor(t.GPUs), Mem: floor(t.MemoryGB)}
+	}
+}
+
+func (l *Leader) catalogLoop(ctx context.Context) {
+	every(ctx, 60*micros.Second, func() {
+		if err := l.refreshCatalog(ctx); err != nil {
+			slog.Debug("catalog", "error", err)
+		}
+	})
+}
+
+func every(ctx context.Context, d micros.Micros, f func()) {
+	t := time.NewTicker(d.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
+
+// rebuild makes the picture from what is stored. What machines hold is not
+// known until each has answered with this term's token.
+func (l *Leader) rebuild() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := micros.Now()
+	for _, key := range l.Replica.Keys(replica.BookingPrefix) {
+		var b booking
+		if _, err := l.Replica.Get(key, &b); err != nil {
+			return err
+		}
+		b.id = strings.TrimPrefix(key, replica.BookingPrefix)
+		l.bookings[b.id] = &b
+		for _, id := range b.Machines {
+			l.addMachine(id, &b, now)
+		}
+	}
+	for _, id := range l.Replica.TakeChanged(true) {
+		l.jobChanged(id, true)
+	}
+	for _, key := range l.Replica.Keys(replica.ProgressPrefix) {
+		id, chunk, err := parseProgressKey(key)
+		if err != nil {
+			return err
+		}
+		j := l.jobs[id]
+		if j == nil {
+			l.dirty[key] = true // of a job that is over
+			continue
+		}
+		var p progress
+		if _, err := l.Replica.Get(key, &p); err != nil {
+			return err
+		}
+		if err := j.restore(chunk, p); err != nil {
+			return fmt.Errorf("stored %s: %w", key, err)
+		}
+		l.finishIfDone(j)
+	}
+	if err := l.restoreStaffing(now); err != nil {
+		return err
+	}
+	l.ready = true
+	l.replan = true
+	slog.Info("take-over", "token", l.Token, "jobs", len(l.jobs), "machines", len(l.machines), "unresolved", l.unresolved())
+	return nil
+}
+
+// tickLoop does what time alone brings.
+func (l *Leader) tickLoop(ctx context.Context) {
+	changed := l.Replica.Changed()
+	t := time.NewTicker((200 * micros.Millisecond).Duration())
+	defer t.Stop()
+	var staffed micros.Micros
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			changed = l.Replica.Changed()
+		case <-t.C:
+		}
+		now := micros.Now()
+		l.mu.Lock()
+		for _, id := range l.Replica.TakeChanged(false) {
+			l.jobChanged(id, false)
+		}
+		l.watchMachines(ctx, now)
+		l.planIfNeeded(ctx, now)
+		if now-staffed >= micros.Second {
+			staffed = now
+			l.staff(ctx, now)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// jobChanged takes over a change that the replica saw. Old jobs are those
+// that an earlier term may have started tasks of.
+func (l *Leader) jobChanged(id string, old bool) {
+	r, _, ok := l.Replica.Job(id)
+	if !ok {
+		return
+	}
+	j := l.jobs[id]
+	switch {
+	case r.Final() && j != nil:
+		l.forget(j, r.State)
+	case !r.Final() && j == nil:
+		if _, finishing := l.finals[id]; finishing {
+			return
+		}
+		j = newJob(r, old)
+		l.jobs[id] = j
+		l.demand(j)
+		l.replan = true
+	}
+}
+
+// forget drops a job that is over; its tasks are stopped.
+func (l *Leader) forget(j *job, state string) {
+	j.over = true
+	delete(l.jobs, j.spec.ID)
+	delete(l.finals, j.spec.ID)
+	delete(l.dirty, replica.JobPrefix+j.spec.ID)
+	for chunk := range j.chunks() {
+		key := progressKey(j.spec.ID, chunk)
+		delete(l.dirty, key)
+		if l.Replica.Stamp(key) != 0 {
+			l.dirty[key] = true
+		}
+	}
+	for _, a := range j.on {
+		l.stop(a, 0, "job is "+state)
+	}
+	l.replan = true
+}
+
+func floor(v float64) int64 { return int64(v*1000 + 1e-6) }
+
+func ceil(v float64) int64 {
+	n := int64(v * 1000)
+	if float64(n) < v*1000-1e-6 {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/leader/machine.go
@@ -0,0 +1,220 @@
+package leader
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+	"caperlatch/placement"
+)
+
+// machine is a rented machine.
+type machine struct {
+	id       string
+	booking  *booking
+	kind     offer
+	address  string
+	session  uint64
+	seq      uint64
+	up       bool          // stored as up: only then may it get tasks
+	first    micros.Micros // first report in this term, 0 if none
+	resolved bool          // its tasks are known: it reported with this term's token
+	rentedAt micros.Micros
+	reported micros.Micros // last newer report
+	answered micros.Micros // last answer that may have renewed its lease
+	tasks    map[string]*attempt
+	clears   []wire.Command
+	planned  []*plannedStart
+	images   imageCache
+	draining string // why it gets no more tasks
+	leaving  bool   // a return has been asked for
+	recallAt micros.Micros
+	failures int             // errors since the last success
+	failed   map[string]bool // jobs of these
+	notUntil micros.Micros   // no starts before
+	busyTill micros.Micros   // idle since, for returns
+}
+
+type plannedStart struct {
+	job  *job
+	task int
+}
+
+// held is what its tasks hold.
+func (m *machine) held() (r placement.Resources) {
+	for _, a := range m.tasks {
+		r = r.Plus(a.job.need, 1)
+	}
+	return r
+}
+
+func (l *Leader) addMachine(id string, b *booking, now micros.Micros) *machine {
+	m := &machine{
+		id: id, booking: b, kind: offer{b.Type, b.Zone, b.Spot},
+		up: slices.Contains(b.Up, id), tasks: map[string]*attempt{},
+		rentedAt: now - max(0, micros.Wall()-b.At), failed: map[string]bool{}, busyTill: now,
+	}
+	m.resolved = !m.up // it cannot have got tasks from an earlier term
+	l.machines[id] = m
+	return m
+}
+
+// unresolved counts the machines that may hold tasks of earlier terms.
+func (l *Leader) unresolved() int {
+	n := 0
+	for _, m := range l.machines {
+		if !m.resolved {
+			n++
+		}
+	}
+	return n
+}
+
+// leaseOver tells when a silent machine has surely ended its tasks.
+func (l *Leader) leaseOver(m *machine) micros.Micros {
+	w := l.Settings.Params.Workers
+	if !m.resolved {
+		// Another node may have renewed the lease until RenewFor after it
+		// last saw itself entitled, which was before this term began.
+		end := l.began + w.RenewFor() + w.Lease()
+		end = max(end, m.answered+w.Lease())
+		return end + micros.Drift(w.Cancel()) + micros.Second
+	}
+	return m.answered + w.Lease() + micros.Drift(w.Lease()) + micros.Second
+}
+
+// silentLimit is how long a machine may be silent before it is returned to
+// the cloud, which proves its tasks gone and stops its cost.
+func (l *Leader) silentLimit(m *machine) micros.Micros {
+	w := l.Settings.Params.Workers
+	few := 3*w.Report() + 4*micros.Second
+	if !m.resolved {
+		return few
+	}
+	return max(few, min(w.Lease(), 20*micros.Second))
+}
+
+// watchMachines acts on silence, notices and stops that take too long.
+func (l *Leader) watchMachines(ctx context.Context, now micros.Micros) {
+	w := l.Settings.Params.Workers
+	for _, m := range l.sortedMachines() {
+		if (len(m.tasks) > 0 || !m.resolved) && now > l.leaseOver(m) {
+			slog.Info("lease ended", "machine", m.id, "tasks", len(m.tasks))
+			l.lose(m, "its lease ended")
+		}
+		since := max(m.reported, l.began)
+		switch {
+		case m.leaving:
+		case m.up && now-since > l.silentLimit(m):
+			l.giveUp(ctx, m, "silent")
+		case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*w.Report():
+			l.giveUp(ctx, m, "did not boot")
+		case m.draining != "" && len(m.tasks) == 0 && m.resolved:
+			l.giveUp(ctx, m, m.draining)
+		}
+		for _, a := range m.tasks {
+			// A stop that is not obeyed well before cancel_s ends with the
+			// machine's return.
+			if a.stopped != 0 && a.job.over && now-a.stopped > (w.Cancel()-w.Lease())/2 && !m.leaving {
+				l.giveUp(ctx, m, "a cancelled task does not stop")
+			}
+		}
+	}
+}
+
+// bootLimit is when a machine that has not come up counts as stuck.
+func (l *Leader) bootLimit(m *machine) micros.Micros {
+	boot := 30 * micros.Second
+	if t := l.types[m.kind.Type]; t != nil {
+		boot = micros.FromSeconds(t.BootS)
+	}
+	return boot*2 + 10*micros.Second
+}
+
+func (l *Leader) sortedMachines() []*machine {
+	ms := make([]*machine, 0, len(l.machines))
+	for _, m := range l.machines {
+		ms = append(ms, m)
+	}
+	slices.SortFunc(ms, func(a, b *machine) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	return ms
+}
+
+// lose frees all tasks of a machine that are surely gone.
+func (l *Leader) lose(m *machine, why string) {
+	for _, a := range m.tasks {
+		l.ended(a, why)
+	}
+	m.resolved = true
+	m.planned = nil
+	l.replan = true
+}
+
+// ended frees a task that is no longer on its machine.
+func (l *Leader) ended(a *attempt, why string) {
+	delete(a.machine.tasks, taskName(a.job.spec.ID, a.task))
+	if len(a.machine.tasks) == 0 {
+		a.machine.busyTill = micros.Now()
+	}
+	if a.job.on[a.task] == a {
+		delete(a.job.on, a.task)
+		a.job.giveBack(a.task)
+	}
+	if a.why != "" {
+		why = a.why
+	}
+	if !a.job.over && !a.job.done.has(a.task) {
+		l.note(a, why)
+	}
+	l.replan = true
+}
+
+// stop tells a task to stop.
+func (l *Leader) stop(a *attempt, grace micros.Micros, why string) {
+	if a.stopped != 0 && grace >= a.grace {
+		return
+	}
+	if a.stopped == 0 {
+		a.stopped = micros.Now()
+	}
+	a.grace, a.why = grace, why
+	l.direct(a.machine, wire.Command{Verb: wire.VerbStop, Task: taskName(a.job.spec.ID, a.task), Attempt: a.n, GraceS: seconds(grace)})
+}
+
+func seconds(m micros.Micros) *float64 {
+	s := m.Seconds()
+	return &s
+}
+
+// imageCache guesses which images a machine has, from what ran on it.
+type imageCache struct {
+	names []string // least recently used first
+	gb    map[string]float64
+}
+
+func (c *imageCache) use(name string, gb, limit float64) {
+	if c.gb == nil {
+		c.gb = map[string]float64{}
+	}
+	if i := slices.Index(c.names, name); i >= 0 {
+		c.names = slices.Delete(c.names, i, i+1)
+	}
+	c.names = append(c.names, name)
+	c.gb[name] = gb
+	sum := 0.0
+	for _, n := range c.names {
+		sum += c.gb[n]
+	}
+	for sum > limit && len(c.names) > 1 {
+		sum -= c.gb[c.names[0]]
+		delete(c.gb, c.names[0])
+		c.names = c.names[1:]
+	}
+}
--- /dev/null
+++ b/internal/leader/report.go
@@ -0,0 +1,335 @@
+package leader
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+)
+
+// ErrNotEntitled says that this node must not answer a report now.
+var ErrNotEntitled = errors.New("not entitled to answer")
+
+// maxOrders keeps an answer to a worker well within wire.MaxBody.
+const maxOrders = 300
+
+// Report takes a worker's report and answers with its orders.
+func (l *Leader) Report(r *wire.Report) (wire.ReportAnswer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := micros.Now()
+	answer := wire.ReportAnswer{Token: l.Token, Commands: []wire.Command{}}
+	if r.Token > l.Token {
+		l.lostOnce.Do(func() { close(l.lost) })
+		return answer, ErrNotEntitled
+	}
+	if !l.ready || now >= l.Term.Confirmed()+l.Settings.Params.Workers.RenewFor() {
+		return answer, ErrNotEntitled
+	}
+	m := l.machines[r.Machine]
+	if m == nil {
+		return answer, l.unknown(r, now)
+	}
+	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
+		// A late copy. Its worker gave up waiting for the answer.
+		return answer, ErrNotEntitled
+	}
+	if m.session != 0 && r.Session > m.session {
+		l.lose(m, "the worker's session ended")
+	}
+	m.session, m.seq, m.address = r.Session, r.Seq, r.Address
+	m.reported = now
+	m.answered = now
+	m.recallAt = 0
+	if r.NoticeS != nil {
+		m.recallAt = now + micros.FromSeconds(*r.NoticeS)
+	}
+	if m.first == 0 {
+		m.first = now
+	}
+	if !m.up {
+		l.markUp(m)
+	}
+	if r.Token == l.Token {
+		l.picture(m, r, now)
+	}
+	l.drainOnNotice(m, now)
+	l.planIfNeeded(context.Background(), now)
+	answer.Commands = l.orders(m, now)
+	return answer, nil
+}
+
+// picture compares a report with what should be on the machine. The report
+// carries this term's token, so the worker made it after it had accepted an
+// answer of this term: starts of earlier terms can no longer be executed.
+func (l *Leader) picture(m *machine, r *wire.Report, now micros.Micros) {
+	if !m.resolved {
+		m.resolved = true
+		l.replan = true
+	}
+	listed := make(map[string]bool, len(r.Tasks))
+	m.clears = m.clears[:0]
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		listed[t.Task] = true
+		l.listed(m, t, now)
+	}
+	for name, a := range m.tasks {
+		// A worker has one report in flight, and drops late answers: if the
+		// start that went with an earlier report's answer does not show in a
+		// newer report, it never will.
+		if !listed[name] && a.sentAt < r.Seq {
+			l.ended(a, "the start was lost")
+		}
+	}
+}
+
+// listed takes over one task of a report.
+func (l *Leader) listed(m *machine, t *wire.ReportTask, now micros.Micros) {
+	a := m.tasks[t.Task]
+	if a != nil && t.State == wire.TaskExited && a.n != t.Attempt && t.Cause != wire.CauseDone {
+		// An older attempt that was not cleared yet, or a refusal of a newer
+		// one that never ran; what should be on the machine is not it.
+		if t.Attempt > a.n && t.Cause != wire.CauseBusy {
+			l.ended(a, "the worker shows another attempt")
+		}
+		m.clears = append(m.clears, clearCommand(t))
+		return
+	}
+	id, task, err := parseTask(t.Task)
+	j := l.jobs[id]
+	if a != nil {
+		j = a.job
+	}
+	if err != nil || j == nil || task >= j.spec.Tasks {
+		if t.State == wire.TaskExited {
+			m.clears = append(m.clears, clearCommand(t))
+		} else {
+			l.direct(m, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
+			m.clears = append(m.clears, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
+		}
+		return
+	}
+	if t.State != wire.TaskExited {
+		if a == nil {
+			if other := j.on[task]; other != nil && other.machine != m || j.done.has(task) || j.over {
+				m.clears = append(m.clears, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
+				return
+			}
+			a = &attempt{job: j, task: task, machine: m, began: now}
+			m.tasks[t.Task] = a
+			j.on[task] = a
+			l.replan = true
+		}
+		a.n = t.Attempt
+		if t.State == wire.TaskRunning && a.running == 0 {
+			a.running = now
+			if mt := l.types[m.kind.Type]; mt != nil {
+				m.images.use(j.spec.Image, j.spec.ImageGB, mt.CacheGB)
+			}
+		}
+		a.state = t.State
+		return
+	}
+	l.exited(m, j, task, a, t, now)
+}
+
+// exited takes over a task that has ended on its machine.
+func (l *Leader) exited(m *machine, j *job, task int, a *attempt, t *wire.ReportTask, now micros.Micros) {
+	if t.Cause == wire.CauseDone {
+		m.failures = 0
+		clear(m.failed)
+		j.failures = 0
+		if !j.done.has(task) && !j.over {
+			j.done.set(task)
+			j.ndone++
+			if a != nil {
+				l.finishedTask(j, m, a, now)
+			}
+			l.dirty[progressKey(j.spec.ID, task/chunkTasks)] = true
+		}
+		if a != nil {
+			l.ended(a, "")
+		}
+		if other := j.on[task]; other != nil {
+			l.stop(other, 0, "done elsewhere")
+		}
+		l.finishIfDone(j)
+		// The worker keeps the result until it is surely stored.
+		if j.over || j.stored.has(task) {
+			m.clears = append(m.clears, clearCommand(t))
+		}
+		l.wakeFlush()
+		return
+	}
+	m.clears = append(m.clears, clearCommand(t))
+	if a == nil {
+		return
+	}
+	switch t.Cause {
+	case wire.CauseError:
+		l.blame(m, j, now)
+	case wire.CauseNoRoom:
+		// Our count of what is free was wrong: wait for the next reports.
+		m.notUntil = now + 2*l.Settings.Params.Workers.Report()
+	case wire.CauseNoSuch:
+		// The worker cannot find the job yet.
+		j.notBefore = now + 5*micros.Second
+		j.waitsFor = "the workers do not find its description"
+	case wire.CauseBusy:
+		// Another attempt of the task is there; the report lists it too.
+	}
+	l.ended(a, "ended: "+t.Cause)
+}
+
+// blame decides whether a failure speaks against the machine or the job. A
+// machine is judged on several jobs, or on a job that succeeds elsewhere; a
+// job that fails on several machines waits longer and longer.
+func (l *Leader) blame(m *machine, j *job, now micros.Micros) {
+	m.failures++
+	m.failed[j.spec.ID] = true
+	j.failures++
+	j.errors[m.id] = true
+	m.notUntil = now + micros.Micros(min(m.failures, 10))*micros.Second
+	if m.failures >= 2 && (len(m.failed) >= 2 || j.ndone > 0) && m.draining == "" {
+		m.draining = "tasks fail on it"
+		slog.Info("machine is faulty", "machine", m.id, "jobs", len(m.failed))
+	}
+	if len(j.errors) >= 3 && j.ndone == 0 {
+		j.notBefore = now + min(60*micros.Second, micros.Second<<min(j.failures, 10))
+		j.waitsFor = "its tasks failed on several machines"
+	}
+}
+
+func clearCommand(t *wire.ReportTask) wire.Command {
+	return wire.Command{Verb: wire.VerbClear, Task: t.Task, Attempt: t.Attempt}
+}
+
+// orders are the commands for a machine that has just reported.
+func (l *Leader) orders(m *machine, now micros.Micros) []wire.Command {
+	orders := make([]wire.Command, 0, len(m.clears)+len(m.planned))
+	orders = append(orders, m.clears[:min(len(m.clears), maxOrders)]...)
+	for name, a := range m.tasks {
+		if a.stopped != 0 && len(orders) < maxOrders && a.n != 0 {
+			orders = append(orders, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: a.n, GraceS: seconds(a.grace)})
+		}
+	}
+	if !l.mayStart(m, now) {
+		return orders
+	}
+	for _, p := range m.planned {
+		j := p.job
+		if len(orders) >= maxOrders || j.over {
+			continue
+		}
+		task, ok := j.take()
+		if !ok {
+			continue
+		}
+		l.attempts++
+		// Rising across terms without a write: the term's token stands above.
+		n := l.Token<<32 | l.attempts
+		a := &attempt{job: j, task: task, n: n, machine: m, sentAt: m.seq, began: now}
+		name := taskName(j.spec.ID, task)
+		m.tasks[name] = a
+		j.on[task] = a
+		orders = append(orders, wire.Command{Verb: wire.VerbStart, Task: name, Attempt: n})
+	}
+	m.planned = nil
+	return orders
+}
+
+// mayStart tells whether tasks may be started on a machine now.
+func (l *Leader) mayStart(m *machine, now micros.Micros) bool {
+	return m.up && m.resolved && m.booking.storedUp[m.id] && !m.leaving && m.draining == "" &&
+		m.recallAt == 0 && now >= m.notUntil && l.Term.Sure()
+}
+
+// drainOnNotice empties a machine that the cloud will take.
+func (l *Leader) drainOnNotice(m *machine, now micros.Micros) {
+	if m.recallAt == 0 {
+		return
+	}
+	if m.draining == "" {
+		m.draining = "spot notice"
+		l.replan = true
+	}
+	for _, a := range m.tasks {
+		s := a.job.spec
+		if s.CheckpointS > 0 && a.stopped == 0 {
+			l.stop(a, max(micros.FromSeconds(s.SaveS), m.recallAt-now), "its spot machine is being taken")
+		}
+	}
+}
+
+// unknown handles a machine that no answered booking explains: a rental
+// carried out late.
+func (l *Leader) unknown(r *wire.Report, now micros.Micros) error {
+	if l.gone[r.Machine] {
+		return ErrNotEntitled
+	}
+	for _, b := range l.bookings {
+		if !b.Answered && b.Type == r.Type && b.Zone == r.Zone && b.Spot == r.Spot {
+			return nil // the booking's answer will name it
+		}
+	}
+	b := &booking{
+		id: "x-" + r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: 1, Answered: true,
+		Machines: []string{r.Machine}, At: micros.Wall(),
+	}
+	slog.Info("adopting a machine", "machine", r.Machine)
+	l.bookings[b.id] = b
+	l.addMachine(r.Machine, b, now)
+	l.markBooking(b)
+	return nil
+}
+
+// direct sends a stop straight to a worker. It is also part of the answers to
+// the worker's reports until it is obeyed, so a failure here needs no care.
+// The answer is not used: a report made there may be newer than the last and
+// still lack a start that is on its way.
+func (l *Leader) direct(m *machine, c wire.Command) {
+	if m.address == "" || !l.Term.Sure() {
+		return
+	}
+	body, err := wire.Marshal(wire.DirectCommands{Token: l.Token, Session: m.session, Commands: []wire.Command{c}})
+	if err != nil {
+		slog.Error("encode commands", "error", err)
+		return
+	}
+	address := m.address
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		if err := post(ctx, "http://"+address+"/commands", body); err != nil {
+			slog.Debug("direct command", "machine", address, "error", err)
+		}
+	}()
+}
+
+var workers = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+
+func post(ctx context.Context, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", wire.ContentType)
+	resp, err := workers.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("answered %d", resp.StatusCode)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/leader/staff.go
@@ -0,0 +1,338 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math"
+	"slices"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/wire"
+	"caperlatch/placement"
+	"caperlatch/staffing"
+)
+
+// ratio is a class's mean of run time over estimate.
+type ratio struct{ sum, weight float64 }
+
+// corrected is by what a class's estimates are to be multiplied.
+func (l *Leader) corrected(class string) float64 {
+	r := l.correction[class]
+	if r == nil {
+		return 1
+	}
+	// A few tasks' worth of trust in the owner to start with.
+	return (r.sum + 5) / (r.weight + 5)
+}
+
+// finishedTask learns from a task that completed in one go here.
+func (l *Leader) finishedTask(j *job, m *machine, a *attempt, now micros.Micros) {
+	t := l.types[m.kind.Type]
+	if t == nil || a.sentAt == 0 {
+		return // adopted: nobody here saw it start
+	}
+	t.finished++
+	t.service.Finished(fraction(t, j.need), (now - a.began).Seconds())
+	if a.running != 0 && j.spec.EstimateS > 0 && j.spec.CheckpointS == 0 {
+		r := l.correction[j.spec.Class]
+		if r == nil {
+			r = &ratio{}
+			l.correction[j.spec.Class] = r
+		}
+		const keep = 0.98
+		r.sum = r.sum*keep + (now-a.running).Seconds()/j.spec.EstimateS
+		r.weight = r.weight*keep + 1
+	}
+}
+
+// fraction is the part of a machine that a task holds.
+func fraction(t *machineType, need placement.Resources) float64 {
+	f := 0.0
+	for _, p := range [...][2]int64{{need.CPU, t.capacity.CPU}, {need.GPU, t.capacity.GPU}, {need.Mem, t.capacity.Mem}} {
+		if p[1] > 0 {
+			f = math.Max(f, float64(p[0])/float64(p[1]))
+		}
+	}
+	return f
+}
+
+// offersFor lists what could be rented for a job, the cheapest work first.
+func (l *Leader) offersFor(s *wire.Job, need placement.Resources) []offer {
+	type priced struct {
+		offer
+		price float64
+	}
+	var out []priced
+	for _, name := range l.typeOrder {
+		t := l.types[name]
+		per := t.capacity.Times(need, 1<<20)
+		if per == 0 {
+			continue
+		}
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				probe := placement.Job{Types: s.Types, Zone: s.Zone, Spot: s.Spot}
+				if placement.Allowed(&probe, name, zone, spot) {
+					out = append(out, priced{offer{name, zone, spot}, price * fraction(t, need)})
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b priced) int { return cmp.Compare(a.price, b.price) })
+	offers := make([]offer, len(out))
+	for i, p := range out {
+		offers[i] = p.offer
+	}
+	return offers
+}
+
+// typeFor is the machine type that a job's demand is counted for: the
+// cheapest that has not refused lately, else the cheapest.
+func (l *Leader) typeFor(j *job, now micros.Micros) *machineType {
+	offers := l.offersFor(j.spec, j.need)
+	for _, o := range offers {
+		if s := l.offers[o]; s == nil || now >= s.until {
+			return l.types[o.Type]
+		}
+	}
+	if len(offers) == 0 {
+		return nil
+	}
+	return l.types[offers[0].Type]
+}
+
+// demand counts a job that came in.
+func (l *Leader) demand(j *job) {
+	now := micros.Now()
+	t := l.typeFor(j, now)
+	if t == nil {
+		return
+	}
+	work := float64(j.waiting()) * fraction(t, j.need)
+	if !j.old {
+		t.window.Add(now, work)
+	}
+	t.service.Estimate(work, j.spec.EstimateS*l.corrected(j.spec.Class)+j.spec.ImageGB/math.Max(t.FetchGBPerS, 0.01))
+}
+
+// staff steps the model and rents or returns toward the target.
+func (l *Leader) staff(ctx context.Context, now micros.Micros) {
+	if !l.ready {
+		return
+	}
+	busy, have := map[string]float64{}, map[string]int{}
+	for _, m := range l.machines {
+		if m.leaving || m.draining != "" {
+			continue
+		}
+		have[m.kind.Type]++
+		if len(m.tasks) > 0 || len(m.planned) > 0 {
+			busy[m.kind.Type]++
+		}
+	}
+	for _, b := range l.bookings {
+		if !b.Answered {
+			have[b.Type] += b.Count
+		}
+	}
+	need := l.waitingNeed(now)
+	excess := 0.0 // CPUs that cheaper types could not give
+	for _, t := range l.byPrice() {
+		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
+		t.m = staffing.Step(t.m, lambda, mu, 1)
+		if t.m < 0.05 {
+			t.target = 0
+		} else if s := staffing.Peak(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds(), l.Tuning.Z, 1); now >= t.heldTill || s > t.target {
+			t.target = s
+			t.heldTill = now + l.Tuning.ReviewInterval
+		}
+		floor := int(busy[t.Name] + math.Ceil(need[t.Name]-0.01))
+		target := max(t.target, floor) + int(math.Ceil(excess/math.Max(t.CPUs, 0.001)-0.01))
+		short := target - have[t.Name]
+		if short > 0 {
+			short -= l.rentMore(t, short, now)
+			excess = math.Max(0, float64(short)*t.CPUs)
+		} else {
+			excess = 0
+			l.returnIdle(ctx, t, -short, now)
+		}
+	}
+	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
+		l.dirty[replica.StaffingKey] = true
+		l.wakeFlush()
+	}
+}
+
+// byPrice orders the types by what a CPU costs.
+func (l *Leader) byPrice() []*machineType {
+	ts := make([]*machineType, 0, len(l.typeOrder))
+	for _, name := range l.typeOrder {
+		ts = append(ts, l.types[name])
+	}
+	slices.SortStableFunc(ts, func(a, b *machineType) int {
+		return cmp.Compare(a.SpotPrice/a.CPUs, b.SpotPrice/b.CPUs)
+	})
+	return ts
+}
+
+// waitingNeed is how many machines the waiting tasks need, by type. What the
+// machines that are coming up will take is part of what there is.
+func (l *Leader) waitingNeed(now micros.Micros) map[string]float64 {
+	need := map[string]float64{}
+	for _, j := range l.jobs {
+		if j.waiting() <= 0 || now < j.notBefore {
+			continue
+		}
+		n := j.waiting()
+		if t := l.teams[j.spec.Team]; t.CPUsMax > 0 && j.need.CPU > 0 {
+			n = min(n, int(floor(t.CPUsMax)/j.need.CPU))
+		}
+		if t := l.typeFor(j, now); t != nil {
+			need[t.Name] += float64(n) * fraction(t, j.need)
+		}
+	}
+	return need
+}
+
+// rentMore books up to n machines of a type, the cheapest kind first and
+// spread over the zones, and tells how many.
+func (l *Leader) rentMore(t *machineType, n int, now micros.Micros) int {
+	if !l.Term.Sure() {
+		return n
+	}
+	inZone := map[string]int{}
+	for _, m := range l.machines {
+		if m.kind.Type == t.Name {
+			inZone[m.kind.Zone]++
+		}
+	}
+	booked := 0
+	for _, spot := range []bool{true, false} {
+		var open []offer
+		for _, zone := range t.Zones {
+			o := offer{t.Name, zone, spot}
+			s := l.offers[o]
+			if (s == nil || now >= s.until) && !l.pending(o) {
+				open = append(open, o)
+			} else if l.pending(o) {
+				return n // its answer comes first
+			}
+		}
+		slices.SortStableFunc(open, func(a, b offer) int { return cmp.Compare(inZone[a.Zone], inZone[b.Zone]) })
+		for i, o := range open {
+			left := n - booked
+			count := (left + len(open) - i - 1) / (len(open) - i)
+			if count > 0 {
+				l.book(o, count)
+				booked += min(count, 50)
+			}
+		}
+		if booked >= n || len(open) > 0 {
+			return booked
+		}
+	}
+	return booked
+}
+
+// pending tells whether a booking of an offer waits for its answer.
+func (l *Leader) pending(o offer) bool {
+	for _, b := range l.bookings {
+		if !b.Answered && (offer{b.Type, b.Zone, b.Spot}) == o {
+			return true
+		}
+	}
+	return false
+}
+
+// minPaid is how long a machine is paid for at least.
+const minPaid = 60 * micros.Second
+
+// returnIdle returns up to n idle machines, the dearest first, but none
+// before its paid time is used.
+func (l *Leader) returnIdle(ctx context.Context, t *machineType, n int, now micros.Micros) {
+	var idle []*machine
+	for _, m := range l.sortedMachines() {
+		if m.kind.Type == t.Name && len(m.tasks) == 0 && len(m.planned) == 0 && m.resolved && !m.leaving && m.draining == "" &&
+			now-m.rentedAt > minPaid-3*micros.Second && now-m.busyTill > 10*micros.Second {
+			idle = append(idle, m)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b *machine) int {
+		return cmp.Compare(price(t, b.kind.Spot), price(t, a.kind.Spot))
+	})
+	for _, m := range idle[:min(n, len(idle))] {
+		l.giveUp(ctx, m, "not needed")
+	}
+}
+
+func price(t *machineType, spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// staffingRecord is what a new leader goes on from.
+type staffingRecord struct {
+	Types map[string]typeRecord `json:"types"`
+}
+
+type typeRecord struct {
+	Lambda   float64 `json:"lambda"`
+	M        float64 `json:"m"`
+	Mu       float64 `json:"mu"`
+	Finished int     `json:"finished"`
+	Target   int     `json:"target"`
+	InFlight int     `json:"in_flight"`
+}
+
+func (l *Leader) staffingRecord() staffingRecord {
+	now := micros.Now()
+	r := staffingRecord{Types: map[string]typeRecord{}}
+	for _, t := range l.types {
+		r.Types[t.Name] = typeRecord{Lambda: t.window.Rate(now), M: t.m, Mu: t.service.Mu(t.finished), Finished: t.finished, Target: t.target}
+	}
+	for _, b := range l.bookings {
+		if x := r.Types[b.Type]; !b.Answered {
+			x.InFlight += b.Count
+			r.Types[b.Type] = x
+		}
+	}
+	return r
+}
+
+// restoreStaffing goes on from the record and raises m to the machines that
+// may be busy.
+func (l *Leader) restoreStaffing(now micros.Micros) error {
+	var r staffingRecord
+	if _, err := l.Replica.Get(replica.StaffingKey, &r); err != nil {
+		return err
+	}
+	up := map[string]float64{}
+	for _, m := range l.machines {
+		if m.up {
+			up[m.kind.Type]++
+		}
+	}
+	for name, t := range l.types {
+		x, ok := r.Types[name]
+		t.m = math.Max(x.M, up[name])
+		if !ok {
+			continue
+		}
+		t.window.Seed(now, x.Lambda)
+		t.target, t.heldTill = x.Target, now+l.Tuning.ReviewInterval
+		if x.Mu > 0 {
+			t.service.Finished(1, 1/x.Mu)
+			t.finished = x.Finished
+		}
+	}
+	slog.Debug("staffing restored", "types", len(r.Types))
+	return nil
+}
--- /dev/null
+++ b/internal/micros/micros.go
@@ -0,0 +1,43 @@
+// Package micros holds the time type of the code: whole microseconds.
+package micros
+
+import (
+	"math"
+	"time"
+)
+
+// Micros is a duration, or an instant on one of the two clocks below, in whole
+// microseconds.
+type Micros int64
+
+// Common durations.
+const (
+	Millisecond Micros = 1000
+	Second      Micros = 1000 * Millisecond
+)
+
+var epoch = time.Now()
+
+// Now reads the steady clock. Only differences of two readings in one process
+// mean anything.
+func Now() Micros { return Micros(time.Since(epoch) / time.Microsecond) }
+
+// Wall reads the time of day, counted from 1970.
+func Wall() Micros { return Micros(time.Now().UnixMicro()) }
+
+// FromSeconds converts a wire amount; what is beyond the type's range is cut
+// to about 31 years, so that sums stay in range.
+func FromSeconds(s float64) Micros {
+	const most = 1e15
+	return Micros(math.Max(-most, math.Min(most, math.Round(s*1e6))))
+}
+
+// Seconds is the duration as the wire and the equations want it.
+func (m Micros) Seconds() float64 { return float64(m) / 1e6 }
+
+// Duration converts for the standard library's timers and contexts.
+func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
+
+// Drift is how far two machines' steady clocks may run apart over m: the
+// protocol's 0.05%, doubled because each side may be off, plus a timer step.
+func Drift(m Micros) Micros { return m/1000 + 20*Millisecond }
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,392 @@
+// Package replica keeps a node's copy of what the state service holds for
+// caperlatch, fed by one watch.
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/statestore"
+	"caperlatch/internal/wire"
+)
+
+// Keys of the state service, all below Prefix.
+const (
+	Prefix         = "c/"
+	LeaderKey      = "c/leader"
+	TokenKey       = "c/token"
+	CatalogKey     = "c/catalog"
+	StaffingKey    = "c/staffing"
+	JobPrefix      = "c/j/"
+	ProgressPrefix = "c/p/"
+	BookingPrefix  = "c/b/"
+)
+
+// Job is a stored job. A job that is over keeps no description.
+type Job struct {
+	Spec        *wire.Job     `json:"job,omitempty"`
+	SubmittedAt micros.Micros `json:"at"` // time of day
+	State       string        `json:"state"`
+	Reason      string        `json:"why,omitempty"` // why it ended
+}
+
+// Final tells whether the job is over.
+func (j *Job) Final() bool { return j.State != wire.JobPending }
+
+// Leader is the content of LeaderKey. Hold lets a restarted member end what
+// its earlier life held.
+type Leader struct {
+	Member string `json:"member"`
+	Token  uint64 `json:"token"`
+	Hold   uint64 `json:"hold"`
+}
+
+// Token is the content of TokenKey: the highest fencing token given out.
+type Token struct {
+	Token uint64 `json:"token"`
+}
+
+type item struct {
+	value wire.Raw
+	stamp uint64
+}
+
+type storedJob struct {
+	job   Job
+	stamp uint64
+}
+
+// Replica is safe for concurrent use.
+type Replica struct {
+	store *statestore.Client
+
+	mu       sync.Mutex
+	loaded   bool
+	revision uint64
+	items    map[string]item
+	jobs     map[string]storedJob
+	changed  map[string]bool // jobs changed since the last TakeChanged
+	wake     chan struct{}   // closed at the next change
+
+	barrierMu sync.Mutex
+	running   bool
+	next      *round
+}
+
+type round struct {
+	done chan struct{}
+	err  error
+}
+
+// New makes an empty replica.
+func New(store *statestore.Client) *Replica {
+	return &Replica{store: store, items: map[string]item{}, jobs: map[string]storedJob{},
+		changed: map[string]bool{}, wake: make(chan struct{})}
+}
+
+// Times between two requests, so that a busy day does not use up the state
+// service's shared limit.
+const (
+	watchWait    = 10 * micros.Second
+	watchPause   = 100 * micros.Millisecond
+	barrierPause = 150 * micros.Millisecond
+	retryPause   = 250 * micros.Millisecond
+)
+
+// Run loads the replica and follows the changes until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.load(ctx)
+		for err == nil {
+			var e wire.Events
+			e, err = r.store.Watch(ctx, Prefix, r.Revision(), watchWait)
+			switch {
+			case err == nil:
+				r.Apply(e)
+				pause(ctx, watchPause)
+			case errors.Is(err, statestore.ErrCompacted):
+			case ctx.Err() == nil:
+				slog.Debug("watch failed", "error", err)
+				pause(ctx, retryPause)
+				err = nil
+			}
+		}
+		slog.Debug("replica must load", "error", err)
+		pause(ctx, retryPause)
+	}
+}
+
+func pause(ctx context.Context, d micros.Micros) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d.Duration()):
+	}
+}
+
+// load reads every key. The pages are not of one revision: the watch goes on
+// from the first page's, and what a page already showed is recognised by its
+// stamp.
+func (r *Replica) load(ctx context.Context) error {
+	var first uint64
+	after := ""
+	var all []wire.Entry
+	for {
+		page, err := r.store.List(ctx, Prefix, after)
+		if err != nil {
+			return fmt.Errorf("load: %w", err)
+		}
+		if after == "" {
+			first = page.Revision
+		}
+		all = append(all, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			break
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	have := make(map[string]bool, len(all))
+	for _, e := range all {
+		have[e.Key] = true
+		r.put(e.Key, e.Value, e.Stamp)
+	}
+	for key, it := range r.items {
+		if !have[key] && it.stamp <= first {
+			delete(r.items, key)
+		}
+	}
+	r.revision = max(r.revision, first)
+	r.loaded = true
+	r.notify()
+	return nil
+}
+
+// put takes a value over unless what is known is as new.
+func (r *Replica) put(key string, value wire.Raw, stamp uint64) {
+	id, isJob := strings.CutPrefix(key, JobPrefix)
+	if !isJob {
+		if stamp > r.items[key].stamp {
+			r.items[key] = item{value, stamp}
+		}
+		return
+	}
+	if stamp <= r.jobs[id].stamp {
+		return
+	}
+	var j Job
+	if err := wire.Unmarshal(value, &j); err != nil {
+		slog.Error("stored job is unreadable", "job", id, "error", err)
+		return
+	}
+	r.jobs[id] = storedJob{j, stamp}
+	r.changed[id] = true
+}
+
+func (r *Replica) notify() {
+	close(r.wake)
+	r.wake = make(chan struct{})
+}
+
+// Apply takes over the answer of a watch that began at or before the present
+// revision. Answers may overlap and come in any order.
+func (r *Replica) Apply(e wire.Events) {
+	slices.SortStableFunc(e.Events, func(a, b wire.Event) int {
+		if a.Stamp < b.Stamp {
+			return -1
+		}
+		if a.Stamp > b.Stamp {
+			return 1
+		}
+		return 0
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.revision
+	for _, ev := range e.Events {
+		switch {
+		case ev.Stamp <= before:
+		case ev.Write != "":
+			r.put(ev.Write, ev.Value, ev.Stamp)
+		case ev.Remove != "" && r.items[ev.Remove].stamp < ev.Stamp:
+			delete(r.items, ev.Remove)
+		}
+	}
+	r.revision = max(r.revision, e.Revision)
+	if len(e.Events) > 0 {
+		r.notify()
+	}
+}
+
+// Wrote takes over a write of this node's own that was committed.
+func (r *Replica) Wrote(key string, value any, revision uint64) {
+	raw, err := wire.Marshal(value)
+	if err != nil {
+		slog.Error("encode own write", "key", key, "error", err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.put(key, raw, revision)
+	r.notify()
+}
+
+// Removed takes over a removal of this node's own.
+func (r *Replica) Removed(key string, revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.items[key].stamp < revision {
+		delete(r.items, key)
+	}
+}
+
+// Loaded tells whether the replica has been filled.
+func (r *Replica) Loaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
+// Revision is what the replica has seen at least.
+func (r *Replica) Revision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
+// Changed is closed at the next change.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.wake
+}
+
+// Job returns a job as far as it is known here.
+func (r *Replica) Job(id string) (j Job, stamp uint64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.jobs[id]
+	return s.job, s.stamp, ok
+}
+
+// TakeChanged returns the jobs that changed since the last call; with all it
+// returns every job that is not over.
+func (r *Replica) TakeChanged(all bool) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	if all {
+		for id, s := range r.jobs {
+			if !s.job.Final() {
+				ids = append(ids, id)
+			}
+		}
+	} else {
+		for id := range r.changed {
+			ids = append(ids, id)
+		}
+	}
+	clear(r.changed)
+	slices.Sort(ids)
+	return ids
+}
+
+// Get decodes another key's value into v and returns its stamp, 0 if there is
+// no such key.
+func (r *Replica) Get(key string, v any) (uint64, error) {
+	r.mu.Lock()
+	it, ok := r.items[key]
+	r.mu.Unlock()
+	if !ok {
+		return 0, nil
+	}
+	if err := wire.Unmarshal(it.value, v); err != nil {
+		return 0, fmt.Errorf("stored %s: %w", key, err)
+	}
+	return it.stamp, nil
+}
+
+// Stamp is a key's version as known here.
+func (r *Replica) Stamp(key string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id, ok := strings.CutPrefix(key, JobPrefix); ok {
+		return r.jobs[id].stamp
+	}
+	return r.items[key].stamp
+}
+
+// Keys lists the keys with a prefix, jobs aside.
+func (r *Replica) Keys(prefix string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var keys []string
+	for key := range r.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Barrier returns once the replica has seen all that was committed before the
+// call. Calls share requests: one that comes while a request is under way
+// waits for the next, since that one's answer may be older than the call.
+func (r *Replica) Barrier(ctx context.Context) error {
+	r.barrierMu.Lock()
+	if r.next == nil {
+		r.next = &round{done: make(chan struct{})}
+	}
+	mine := r.next
+	if !r.running {
+		r.running = true
+		go r.barriers()
+	}
+	r.barrierMu.Unlock()
+	select {
+	case <-mine.done:
+		return mine.err
+	case <-ctx.Done():
+		return fmt.Errorf("barrier: %w", ctx.Err())
+	}
+}
+
+// barriers runs rounds until nobody waits for one.
+func (r *Replica) barriers() {
+	for {
+		r.barrierMu.Lock()
+		this := r.next
+		r.next = nil
+		if this == nil {
+			r.running = false
+			r.barrierMu.Unlock()
+			return
+		}
+		r.barrierMu.Unlock()
+		this.err = r.barrier()
+		close(this.done)
+		time.Sleep(barrierPause.Duration())
+	}
+}
+
+func (r *Replica) barrier() error {
+	if !r.Loaded() {
+		return errors.New("barrier: nothing loaded yet")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statestore.Timeout.Duration())
+	defer cancel()
+	e, err := r.store.Watch(ctx, Prefix, r.Revision(), 0)
+	if err != nil {
+		return fmt.Errorf("barrier: %w", err)
+	}
+	r.Apply(e)
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,208 @@
+// Package settings reads and checks the platform's TOML file and the
+// operators' optional XML file.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"caperlatch/internal/micros"
+)
+
+// Settings is the checked content of the platform's file.
+type Settings struct {
+	Member       string `toml:"member"`
+	Zone         string `toml:"zone"`
+	ClientListen string `toml:"client_listen"`
+	PeerListen   string `toml:"peer_bind"`
+	Peers        []Peer `toml:"seeds"`
+	External     struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"external"`
+	Params Params `toml:"params"`
+}
+
+// Peer is another controller node.
+type Peer struct {
+	Member string `toml:"member"`
+	Zone   string `toml:"zone"`
+	Addr   string `toml:"addr"`
+}
+
+// Params describes the deployment.
+type Params struct {
+	Nodes        int         `toml:"initial_size"`
+	Zones        []string    `toml:"zones"`
+	ClockErrorMS float64     `toml:"clock_error_ms"`
+	Teams        []Team      `toml:"teams"`
+	Objectives   []Objective `toml:"objectives"`
+	Workers      Workers     `toml:"workers"`
+	State        State       `toml:"state"`
+	Cloud        Cloud       `toml:"cloud"`
+	Limits       Limits      `toml:"limits"`
+}
+
+// Team has a guarantee and a limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is an aim on starting or finishing.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+	WithinS float64 `toml:"within_s"`
+}
+
+// Workers holds the times that workers keep.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// Lease is the worker lease.
+func (w Workers) Lease() micros.Micros { return micros.FromSeconds(w.LeaseS) }
+
+// Report is the usual time between two reports.
+func (w Workers) Report() micros.Micros { return micros.FromSeconds(w.ReportS) }
+
+// Cancel is how soon a cancelled job's tasks must be gone.
+func (w Workers) Cancel() micros.Micros { return micros.FromSeconds(w.CancelS) }
+
+// RenewFor is how long after the last contact with the state service a node
+// may still renew worker leases: a lease renewed at the end of it runs out
+// before a cancellation that the node could not see is due.
+func (w Workers) RenewFor() micros.Micros {
+	return max(0, w.Cancel()-w.Lease()-micros.Drift(w.Cancel())-2*micros.Second)
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the cloud's limits.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits is what the process may take of its machine.
+type Limits struct {
+	CPU        float64 `toml:"cpu"`
+	MemoryMB   float64 `toml:"mem_mb"`
+	MaxSockets int     `toml:"max_sockets"`
+}
+
+// Read reads and checks the file at path.
+func Read(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(b)
+}
+
+// Parse reads and checks a file's content. Unknown fields are ignored.
+func Parse(b []byte) (*Settings, error) {
+	var s Settings
+	if err := toml.Unmarshal(b, &s); err != nil {
+		var field *toml.DecodeError
+		if errors.As(err, &field) {
+			row, _ := field.Position()
+			return nil, fmt.Errorf("settings: %v (line %d): %w", field.Key(), row, err)
+		}
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	c := &checker{}
+	c.text("member", s.Member)
+	c.addr("client_listen", s.ClientListen)
+	c.addr("peer_bind", s.PeerListen)
+	c.addr("external.cloud", s.External.Cloud)
+	c.addr("external.state", s.External.State)
+	seen := map[string]bool{s.Member: true}
+	for i, p := range s.Peers {
+		name := fmt.Sprintf("seeds[%d].member", i)
+		c.text(name, p.Member)
+		c.that(!seen[p.Member], name, "stands there twice")
+		seen[p.Member] = true
+		c.addr(fmt.Sprintf("seeds[%d].addr", i), p.Addr)
+	}
+	p := &s.Params
+	c.that(len(p.Zones) > 0, "params.zones", "is missing")
+	c.amount("params.clock_error_ms", p.ClockErrorMS, 0)
+	c.that(len(p.Teams) > 0, "params.teams", "is missing")
+	teams := map[string]bool{}
+	for i, t := range p.Teams {
+		at := fmt.Sprintf("params.teams[%d].", i)
+		c.text(at+"name", t.Name)
+		c.that(!teams[t.Name], at+"name", "stands there twice")
+		teams[t.Name] = true
+		c.amount(at+"cpus", t.CPUs, 0)
+		c.amount(at+"cpus_max", t.CPUsMax, 0)
+		c.amount(at+"gpus", t.GPUs, 0)
+		c.amount(at+"gpus_max", t.GPUsMax, 0)
+		c.that(t.CPUsMax == 0 || t.CPUs <= t.CPUsMax, at+"cpus", "is over cpus_max")
+		c.that(t.GPUsMax == 0 || t.GPUs <= t.GPUsMax, at+"gpus", "is over gpus_max")
+	}
+	const little = 1e-3
+	c.amount("params.workers.report_s", p.Workers.ReportS, little)
+	c.amount("params.workers.lease_s", p.Workers.LeaseS, little)
+	c.amount("params.workers.cancel_s", p.Workers.CancelS, little)
+	c.that(p.Workers.CancelS > p.Workers.LeaseS, "params.workers.cancel_s", "must be over lease_s")
+	c.amount("params.state.rps", p.State.RPS, little)
+	c.amount("params.state.write_rps", p.State.WriteRPS, little)
+	c.amount("params.state.value_kb", p.State.ValueKB, 3)
+	c.that(p.State.TxnOps >= 3, "params.state.txn_ops", "must be at least 3")
+	c.amount("params.cloud.rps", p.Cloud.RPS, little)
+	c.amount("params.cloud.list_lag_s", p.Cloud.ListLagS, 0)
+	c.amount("params.limits.cpu", p.Limits.CPU, little)
+	c.amount("params.limits.mem_mb", p.Limits.MemoryMB, 16)
+	c.that(p.Limits.MaxSockets >= 16, "params.limits.max_sockets", "must be at least 16")
+	return c.err
+}
+
+// checker keeps the first thing found wrong.
+type checker struct{ err error }
+
+func (c *checker) that(ok bool, field, wrong string) {
+	if c.err == nil && !ok {
+		c.err = fmt.Errorf("%s %s", field, wrong)
+	}
+}
+
+func (c *checker) text(field, v string) { c.that(v != "", field, "is missing") }
+
+func (c *checker) addr(field, v string) {
+	c.text(field, v)
+	_, _, err := net.SplitHostPort(v)
+	c.that(err == nil, field, "is no address with a port")
+}
+
+func (c *checker) amount(field string, v, least float64) {
+	c.that(!math.IsNaN(v) && !math.IsInf(v, 0) && v >= least, field,
+		fmt.Sprintf("must be a number of at least %v", least))
+}
--- /dev/null
+++ b/internal/statestore/batch.go
@@ -0,0 +1,127 @@
+package statestore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+)
+
+// Batcher lets single-key writes share transactions: writes come in bursts,
+// and the service's requests are scarcer than its changes.
+type Batcher struct {
+	client *Client
+
+	mu      sync.Mutex
+	waiting []*put
+	running bool
+}
+
+type put struct {
+	key   string
+	stamp uint64
+	value any
+	size  int
+	done  chan struct{}
+	rev   uint64
+	err   error
+}
+
+// NewBatcher makes a batcher over client.
+func NewBatcher(client *Client) *Batcher { return &Batcher{client: client} }
+
+// Put writes value under key if the key has the given version (0: if there is
+// no such key). It returns the write's revision.
+func (b *Batcher) Put(ctx context.Context, key string, stamp uint64, value any) (uint64, error) {
+	p := &put{key: key, stamp: stamp, value: value, size: wire.JSONSize(value) + 2*len(key) + 96, done: make(chan struct{})}
+	b.mu.Lock()
+	b.waiting = append(b.waiting, p)
+	if !b.running {
+		b.running = true
+		go b.run()
+	}
+	b.mu.Unlock()
+	select {
+	case <-p.done:
+		return p.rev, p.err
+	case <-ctx.Done():
+		return 0, fmt.Errorf("put %s: %w", key, ctx.Err())
+	}
+}
+
+// run sends transactions until nothing waits.
+func (b *Batcher) run() {
+	for {
+		b.mu.Lock()
+		if len(b.waiting) == 0 {
+			b.running = false
+			b.mu.Unlock()
+			return
+		}
+		n, size := 0, 4096
+		keys := map[string]bool{}
+		for n < len(b.waiting) && n < b.client.MaxOps() {
+			p := b.waiting[n]
+			size += p.size
+			if n > 0 && size > wire.MaxBody || keys[p.key] {
+				break
+			}
+			keys[p.key] = true
+			n++
+		}
+		batch := slices.Clone(b.waiting[:n])
+		b.waiting = slices.Delete(b.waiting, 0, n)
+		b.mu.Unlock()
+		b.send(batch)
+	}
+}
+
+// send commits a batch; writes whose condition fails leave it, and the others
+// go on without them.
+func (b *Batcher) send(batch []*put) {
+	ctx, cancel := context.WithTimeout(context.Background(), (2 * Timeout).Duration())
+	defer cancel()
+	for len(batch) > 0 {
+		var t wire.Txn
+		for _, p := range batch {
+			t.If = append(t.If, wire.Condition{Key: p.key, Stamp: p.stamp})
+			t.Then = append(t.Then, wire.Op{Write: p.key, Value: p.value})
+		}
+		rev, err := b.client.Commit(ctx, t)
+		var conflict *Conflict
+		if !errors.As(err, &conflict) {
+			for _, p := range batch {
+				p.finish(rev, err)
+			}
+			return
+		}
+		rest := batch[:0:0]
+		for _, p := range batch {
+			if slices.Contains(conflict.Keys, p.key) {
+				p.finish(0, err)
+			} else {
+				rest = append(rest, p)
+			}
+		}
+		if len(rest) == len(batch) { // it named none of ours
+			for _, p := range batch {
+				p.finish(0, err)
+			}
+			return
+		}
+		batch = rest
+	}
+}
+
+func (p *put) finish(rev uint64, err error) {
+	p.rev, p.err = rev, err
+	close(p.done)
+}
+
+// RetryAfter is when a user whose request found the service unable may come
+// again.
+const RetryAfter = micros.Second
--- /dev/null
+++ b/internal/statestore/statestore.go
@@ -0,0 +1,210 @@
+// Package statestore is the client of the state service.
+package statestore
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"golang.org/x/time/rate"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/wire"
+)
+
+// Errors that callers tell apart. Any other error means that nobody knows
+// whether the request was or will be executed.
+var (
+	ErrConflict    = errors.New("a condition failed")
+	ErrNoHold      = errors.New("no such hold")
+	ErrNotExecuted = errors.New("not executed") // refused, or never sent
+	ErrUnavailable = fmt.Errorf("%w: unavailable", ErrNotExecuted)
+	ErrCompacted   = errors.New("revision too old")
+)
+
+// Conflict carries the keys whose conditions failed.
+type Conflict struct{ Keys []string }
+
+func (c *Conflict) Error() string { return "conditions failed: " + strings.Join(c.Keys, " ") }
+
+// Unwrap makes errors.Is(err, ErrConflict) true.
+func (c *Conflict) Unwrap() error { return ErrConflict }
+
+// Timeout bounds a request. The service usually takes under 10 ms and at times
+// a few hundred, so an answer later than this is taken for lost.
+const Timeout = 1500 * micros.Millisecond
+
+// Client talks to the state service within a share of its rate limits.
+type Client struct {
+	base    string
+	http    *http.Client
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	maxOps  int
+	valueKB float64
+}
+
+// New makes a client for the service at addr. All nodes share the service's
+// limits; each keeps to half of them, as they are rarely all busy, and takes a
+// 429 as a sign to wait.
+func New(addr string, limits settings.State) *Client {
+	return &Client{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 8, DisableCompression: true,
+		}},
+		reads:   rate.NewLimiter(rate.Limit(limits.RPS/2), max(1, int(limits.RPS/2))),
+		writes:  rate.NewLimiter(rate.Limit(limits.WriteRPS/2), max(limits.TxnOps, int(limits.WriteRPS/2))),
+		maxOps:  limits.TxnOps,
+		valueKB: limits.ValueKB,
+	}
+}
+
+// MaxOps is the most changes in a transaction.
+func (c *Client) MaxOps() int { return c.maxOps }
+
+// FitsValue tells whether v may be stored under one key.
+func (c *Client) FitsValue(v any) bool { return float64(wire.JSONSize(v)) <= c.valueKB*1024 }
+
+// call sends one request and decodes a 200 into out.
+func (c *Client) call(ctx context.Context, method, path string, in, out any, timeout micros.Micros) (int, error) {
+	if err := c.reads.Wait(ctx); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotExecuted, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		b, err := wire.Marshal(in)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrNotExecuted, err)
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotExecuted, err)
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", wire.ContentType)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("state service: %w", err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, fmt.Errorf("state service: %w", err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusConflict:
+		if out != nil {
+			if err := wire.Unmarshal(b, out); err != nil {
+				return 0, fmt.Errorf("state service: %w", err)
+			}
+		}
+	case http.StatusServiceUnavailable:
+		return resp.StatusCode, fmt.Errorf("state service: %w", ErrUnavailable)
+	case http.StatusTooManyRequests:
+		return resp.StatusCode, fmt.Errorf("state service: %w: too many requests", ErrNotExecuted)
+	case http.StatusBadRequest:
+		var e wire.ErrorBody
+		if wire.Unmarshal(b, &e) == nil && e.Error == "no such lease" {
+			return resp.StatusCode, ErrNoHold
+		}
+		return resp.StatusCode, fmt.Errorf("state service: %w: %s", ErrNotExecuted, e.Error)
+	}
+	return resp.StatusCode, nil
+}
+
+// List reads a page of keys.
+func (c *Client) List(ctx context.Context, prefix, after string) (wire.EntryPage, error) {
+	q := url.Values{"starts": {prefix}, "most": {"500"}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	var page wire.EntryPage
+	code, err := c.call(ctx, http.MethodGet, "/store?"+q.Encode(), nil, &page, 2*Timeout)
+	if err == nil && code != http.StatusOK {
+		err = fmt.Errorf("state service: list answered %d", code)
+	}
+	return page, err
+}
+
+// Commit carries out a transaction and returns its revision.
+func (c *Client) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	if err := c.writes.WaitN(ctx, min(max(1, len(t.Then)), c.writes.Burst())); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotExecuted, err)
+	}
+	var a wire.TxnAnswer
+	code, err := c.call(ctx, http.MethodPost, "/txn", t, &a, Timeout)
+	switch {
+	case err != nil:
+		return 0, err
+	case code == http.StatusConflict:
+		return a.Revision, &Conflict{Keys: a.Failed}
+	case code != http.StatusOK:
+		return 0, fmt.Errorf("state service: transaction answered %d", code)
+	}
+	return a.Revision, nil
+}
+
+// Watch returns the changes of keys with the prefix after a revision, waiting
+// at most wait for one. With no wait it is a read barrier.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait micros.Micros) (wire.Events, error) {
+	q := url.Values{"starts": {prefix}, "after": {strconv.FormatUint(after, 10)},
+		"wait_ms": {strconv.FormatInt(int64(wait/micros.Millisecond), 10)}}
+	var e wire.Events
+	code, err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, &e, wait+Timeout)
+	switch {
+	case err != nil:
+		return e, err
+	case code == http.StatusGone:
+		return e, ErrCompacted
+	case code != http.StatusOK:
+		return e, fmt.Errorf("state service: watch answered %d", code)
+	}
+	return e, nil
+}
+
+// Hold asks for a hold of the given life.
+func (c *Client) Hold(ctx context.Context, life micros.Micros) (uint64, error) {
+	var a wire.HoldAnswer
+	code, err := c.call(ctx, http.MethodPost, "/holds", wire.HoldRequest{LifeMS: int64(life / micros.Millisecond)}, &a, Timeout)
+	if err == nil && code != http.StatusOK {
+		err = fmt.Errorf("state service: hold answered %d", code)
+	}
+	return a.Hold, err
+}
+
+// Extend renews a hold.
+func (c *Client) Extend(ctx context.Context, hold uint64) error {
+	code, err := c.call(ctx, http.MethodPost, fmt.Sprintf("/holds/%d/extend", hold), map[string]any{}, nil, Timeout)
+	return holdResult(code, err)
+}
+
+// Release ends a hold at once.
+func (c *Client) Release(ctx context.Context, hold uint64) error {
+	code, err := c.call(ctx, http.MethodDelete, fmt.Sprintf("/holds/%d", hold), nil, nil, Timeout)
+	return holdResult(code, err)
+}
+
+func holdResult(code int, err error) error {
+	switch {
+	case err != nil:
+		return err
+	case code == http.StatusNotFound:
+		return ErrNoHold
+	case code != http.StatusOK && code != http.StatusNoContent:
+		return fmt.Errorf("state service: hold answered %d", code)
+	}
+	return nil
+}
--- /dev/null
+++ b/staffing/staffing.go
@@ -0,0 +1,122 @@
+// Package staffing holds the equations by which the fleet is sized, after
+// Jennings, Mandelbaum, Massey and Whitt, "Server Staffing To Meet Time-Varying
+// Demand". It is pure: the same inputs give the same outputs.
+package staffing
+
+import (
+	"math"
+
+	"caperlatch/internal/micros"
+)
+
+// Step carries the infinite-server mean m over dt seconds of the paper's
+// equation (12), m' = λ - μm, with λ and μ constant. The closed form is exact
+// for any dt, so a late timer does not distort m.
+func Step(m, lambda, mu, dt float64) float64 {
+	if mu <= 0 {
+		return m + lambda*dt
+	}
+	rest := lambda / mu
+	return rest + (m-rest)*math.Exp(-mu*dt)
+}
+
+// Servers is the paper's formula (4), ⌈m + 0.5 + z√v⌉, where ⌈x⌉ is the least
+// integer greater than x.
+func Servers(m, v, z float64) int {
+	return int(math.Floor(m+0.5+z*math.Sqrt(math.Max(0, v)))) + 1
+}
+
+// Peak is the largest value of formula (4) over the next interval seconds when
+// λ stays as it is. m moves monotonically toward λ/μ, so the peak is at one
+// of the interval's ends. peakedness is the paper's z(t): v = peakedness * m.
+func Peak(m, lambda, mu, interval, z, peakedness float64) int {
+	m = math.Max(m, Step(m, lambda, mu, interval))
+	return Servers(m, peakedness*m, z)
+}
+
+// Window measures a rate: the weight that came in over the last length.
+type Window struct {
+	length  micros.Micros
+	started micros.Micros
+	entries []entry
+	sum     float64
+}
+
+type entry struct {
+	at     micros.Micros
+	weight float64
+}
+
+// NewWindow starts measuring at now.
+func NewWindow(length, now micros.Micros) *Window {
+	return &Window{length: length, started: now}
+}
+
+// Add counts weight at an instant not before the last one.
+func (w *Window) Add(at micros.Micros, weight float64) {
+	w.entries = append(w.entries, entry{at, weight})
+	w.sum += weight
+}
+
+// Rate is the weight a second over the window or, in the beginning, over what
+// has passed of it, though never less than a quarter of it: a first arrival
+// right after the start is no sign of a high rate.
+func (w *Window) Rate(now micros.Micros) float64 {
+	n := 0
+	for n < len(w.entries) && w.entries[n].at <= now-w.length {
+		w.sum -= w.entries[n].weight
+		n++
+	}
+	w.entries = w.entries[n:]
+	if len(w.entries) == 0 {
+		w.sum = 0
+	}
+	passed := max(w.length/4, min(w.length, now-w.started))
+	return math.Max(0, w.sum) / passed.Seconds()
+}
+
+// MinTasks is how many tasks must have finished before their run times are
+// used instead of the owners' estimates.
+const MinTasks = 20
+
+// Service keeps the mean time that work holds its share of a machine.
+type Service struct {
+	estimate, measured mean
+}
+
+type mean struct{ weight, sum float64 }
+
+func (m *mean) add(weight, seconds float64) {
+	// Old work counts for less and less, so the mean follows the day.
+	const keep = 0.995
+	m.weight = m.weight*keep + weight
+	m.sum = m.sum*keep + weight*seconds
+}
+
+// Estimate counts what owners say of work that came in.
+func (s *Service) Estimate(weight, seconds float64) { s.estimate.add(weight, seconds) }
+
+// Finished counts a finished task.
+func (s *Service) Finished(weight, seconds float64) { s.measured.add(weight, seconds) }
+
+// Mu is one over the mean time; finished says how many tasks have finished.
+func (s *Service) Mu(finished int) float64 {
+	m := s.estimate
+	if finished >= MinTasks && s.measured.weight > 0 || m.weight == 0 {
+		m = s.measured
+	}
+	if m.weight <= 0 || m.sum <= 0 {
+		return 0
+	}
+	return m.weight / m.sum
+}
+
+// Seed starts a new window with a rate that was measured before, as if it had
+// come in evenly.
+func (w *Window) Seed(now micros.Micros, rate float64) {
+	const parts = 10
+	w.entries, w.sum, w.started = nil, 0, now-w.length
+	for i := range parts {
+		w.Add(now-w.length+w.length*micros.Micros(i+1)/parts, rate*w.length.Seconds()/parts)
+	}
+}
