Adopted machines count as stored after a take-over

Cause: storedUp was filled only by this term's own writes, so after a take-over no adopted machine got tasks (debug line 'picture': usable_cpus 36 of 330).

--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -117,3 +118,33 @@
 	}
 	return j.ndone, running, true
 }
+
+// logPicture shows now and then what the leader sees.
+func (l *Leader) logPicture(now micros.Micros) {
+	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	states := map[string]int{}
+	waiting, held, cpus, open := 0, int64(0), int64(0), 0
+	for _, j := range l.jobs {
+		waiting += j.waiting()
+		if j.waiting() > 0 && now >= j.notBefore {
+			open++
+		}
+	}
+	for _, m := range l.machines {
+		for _, a := range m.tasks {
+			states[a.state]++
+			held += a.job.need.CPU
+		}
+		if t := l.types[m.kind.Type]; t != nil && l.mayStart(m, now) {
+			cpus += t.capacity.CPU
+		}
+	}
+	targets := map[string]string{}
+	for _, t := range l.types {
+		targets[t.Name] = fmt.Sprintf("m=%.1f target=%d", t.m, t.target)
+	}
+	slog.Debug("picture", "jobs", len(l.jobs), "waiting", waiting, "open", open, "states", states,
+		"held_cpus", held/1000, "usable_cpus", cpus/1000, "machines", len(l.machines), "unresolved", l.unresolved(), "targets", targets)
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -246,6 +246,11 @@
 		}
 		b.id = strings.TrimPrefix(key, replica.BookingPrefix)
 		l.bookings[b.id] = &b
+		// What is read here is stored: its machines may get tasks at once.
+		b.storedUp = map[string]bool{}
+		for _, id := range b.Up {
+			b.storedUp[id] = true
+		}
 		for _, id := range b.Machines {
 			l.addMachine(id, &b, now)
 		}
@@ -286,7 +291,7 @@
 	changed := l.Replica.Changed()
 	t := time.NewTicker((200 * micros.Millisecond).Duration())
 	defer t.Stop()
-	var staffed micros.Micros
+	var staffed, shown micros.Micros
 	for {
 		select {
 		case <-ctx.Done():
@@ -306,6 +311,10 @@
 			staffed = now
 			l.staff(ctx, now)
 		}
+		if now-shown >= 5*micros.Second {
+			shown = now
+			l.logPicture(now)
+		}
 		l.mu.Unlock()
 	}
 }
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -7,7 +7,6 @@
 
 	"caperlatch/internal/micros"
 	"caperlatch/internal/wire"
-	"caperlatch/placement"
 )
 
 // machine is a rented machine.
@@ -26,7 +25,7 @@
 	answered micros.Micros // last answer that may have renewed its lease
 	tasks    map[string]*attempt
 	clears   []wire.Command
-	planned  []*plannedStart
+	planned  []*job // one entry a start
 	images   imageCache
 	draining string // why it gets no more tasks
 	leaving  bool   // a return has been asked for
@@ -37,19 +36,6 @@
 	busyTill micros.Micros   // idle since, for returns
 }
 
-type plannedStart struct {
-	job  *job
-	task int
-}
-
-// held is what its tasks hold.
-func (m *machine) held() (r placement.Resources) {
-	for _, a := range m.tasks {
-		r = r.Plus(a.job.need, 1)
-	}
-	return r
-}
-
 func (l *Leader) addMachine(id string, b *booking, now micros.Micros) *machine {
 	m := &machine{
 		id: id, booking: b, kind: offer{b.Type, b.Zone, b.Spot},
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -38,7 +38,7 @@
 	}
 	for _, s := range starts {
 		for range s.Count {
-			ms[s.Machine].planned = append(ms[s.Machine].planned, &plannedStart{job: queue[s.Job].job})
+			ms[s.Machine].planned = append(ms[s.Machine].planned, queue[s.Job].job)
 		}
 	}
 	for _, s := range stops {
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -224,8 +224,7 @@
 	if !l.mayStart(m, now) {
 		return orders
 	}
-	for _, p := range m.planned {
-		j := p.job
+	for _, j := range m.planned {
 		if len(orders) >= maxOrders || j.over {
 			continue
 		}
