--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -81,6 +81,7 @@
 	service  staffing.Service
 	finished int
 	target   int // the formula's, held for an interval
+	dear     int // the same with the z of ordinary machines
 	heldTill micros.Micros
 }
 
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -147,16 +147,18 @@
 		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
 		t.m = staffing.Step(t.m, lambda, mu, 1)
 		if t.m < 0.05 {
-			t.target = 0
-		} else if s := staffing.Peak(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds(), l.Tuning.Z, 1); now >= t.heldTill || s > t.target {
-			t.target = s
+			t.target, t.dear = 0, 0
+		} else if s := l.peak(t, lambda, mu, true); now >= t.heldTill || s > t.target {
+			t.target, t.dear = s, l.peak(t, lambda, mu, false)
 			t.heldTill = now + l.Tuning.ReviewInterval
 		}
 		floor := int(busy[t.Name] + math.Ceil(need[t.Name]-0.01))
-		target := max(t.target, floor) + int(math.Ceil(excess/math.Max(t.CPUs, 0.001)-0.01))
+		spill := int(math.Ceil(excess/math.Max(t.CPUs, 0.001) - 0.01))
+		target := max(t.target, floor) + spill
 		short := target - have[t.Name]
 		if short > 0 {
-			short -= l.rentMore(t, short, now)
+			dear := max(t.dear, floor) + spill - have[t.Name]
+			short -= l.rentMore(t, short, dear, now)
 			excess = math.Max(0, float64(short)*t.CPUs)
 		} else {
 			excess = 0
@@ -169,6 +171,17 @@
 	}
 }
 
+// peak is the formula's target for a type, with the z of its spot or of its
+// ordinary price.
+func (l *Leader) peak(t *machineType, lambda, mu float64, spot bool) int {
+	least := math.Inf(1)
+	for _, x := range l.types {
+		least = math.Min(least, math.Min(x.Price, x.SpotPrice)/x.CPUs)
+	}
+	z := staffing.PricedZ(l.Tuning.Z, price(t, spot)/t.CPUs/least)
+	return staffing.Peak(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds(), z, 1)
+}
+
 // byPrice orders the types by what a CPU costs.
 func (l *Leader) byPrice() []*machineType {
 	ts := make([]*machineType, 0, len(l.typeOrder))
@@ -200,9 +213,9 @@
 	return need
 }
 
-// rentMore books up to n machines of a type, the cheapest kind first and
-// spread over the zones, and tells how many.
-func (l *Leader) rentMore(t *machineType, n int, now micros.Micros) int {
+// rentMore books up to n machines of a type spread over the zones, spot ones
+// first and not more than dear ordinary ones, and tells how many.
+func (l *Leader) rentMore(t *machineType, n, dear int, now micros.Micros) int {
 	if !l.Term.Sure() {
 		return n
 	}
@@ -214,6 +227,9 @@
 	}
 	booked := 0
 	for _, spot := range []bool{true, false} {
+		if !spot {
+			n = min(n, dear)
+		}
 		var open []offer
 		for _, zone := range t.Zones {
 			o := offer{t.Name, zone, spot}
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -34,6 +34,15 @@
 	return Servers(m, peakedness*m, z)
 }
 
+// PricedZ is z for machines that cost k times as much as the cheapest. The
+// paper leaves α to the user; spare machines are worth their price as long as
+// the chance that they are needed is in proportion to it, so α grows with k,
+// up to an even chance (z = 0, no spare machines).
+func PricedZ(z, k float64) float64 {
+	alpha := math.Min(0.5, math.Max(1, k)*math.Erfc(z/math.Sqrt2)/2)
+	return math.Sqrt2 * math.Erfinv(1-2*alpha)
+}
+
 // Window measures a rate: the weight that came in over the last length.
 type Window struct {
 	length  micros.Micros
