--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -16,6 +16,7 @@
 type job struct {
 	spec      *wire.Job
 	submitted micros.Micros // time of day
+	seen      micros.Micros // when this term saw it
 	need      placement.Resources
 	priority  int
 	old       bool // an earlier term may have started tasks of it
@@ -50,7 +51,7 @@
 func newJob(r replica.Job, old bool) *job {
 	s := r.Spec
 	return &job{
-		spec: s, submitted: r.SubmittedAt, old: old,
+		spec: s, submitted: r.SubmittedAt, seen: micros.Now(), old: old,
 		need:     placement.Resources{CPU: ceil(s.CPUs), GPU: ceil(s.GPUs), Mem: ceil(s.MemoryGB)},
 		priority: wire.PriorityRank(s.Priority),
 		done:     newBitset(s.Tasks), stored: newBitset(s.Tasks),
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -142,7 +142,7 @@
 		}
 	}
 	need := l.waitingNeed(now)
-	excess := 0.0 // CPUs that cheaper types could not give
+	excess, urgent := 0.0, 0.0 // CPUs that cheaper types could not give
 	for _, t := range l.byPrice() {
 		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
 		t.m = staffing.Step(t.m, lambda, mu, 1)
@@ -153,15 +153,16 @@
 			t.heldTill = now + l.Tuning.ReviewInterval
 		}
 		floor := int(busy[t.Name] + math.Ceil(need[t.Name]-0.01))
-		spill := int(math.Ceil(excess/math.Max(t.CPUs, 0.001) - 0.01))
-		target := max(t.target, floor) + spill
+		spill := func(cpus float64) int { return int(math.Ceil(cpus/math.Max(t.CPUs, 0.001) - 0.01)) }
+		target := max(t.target, floor) + spill(excess)
+		dear := max(t.dear, floor) + spill(urgent) - have[t.Name]
 		short := target - have[t.Name]
 		if short > 0 {
-			dear := max(t.dear, floor) + spill - have[t.Name]
-			short -= l.rentMore(t, short, dear, now)
-			excess = math.Max(0, float64(short)*t.CPUs)
+			booked := l.rentMore(t, short, dear, now)
+			excess = math.Max(0, float64(short-booked)*t.CPUs)
+			urgent = math.Max(0, float64(dear-booked)*t.CPUs)
 		} else {
-			excess = 0
+			excess, urgent = 0, 0
 			l.returnIdle(ctx, t, -short, now)
 		}
 	}
@@ -194,21 +195,50 @@
 	return ts
 }
 
-// waitingNeed is how many machines the waiting tasks need, by type. What the
-// machines that are coming up will take is part of what there is.
+// waitingNeed is how many machines the waiting tasks need, by type. What will
+// have ended by the time that a new machine is up makes room without one, so
+// only the rest of the backlog counts, unless it has waited that long already.
 func (l *Leader) waitingNeed(now micros.Micros) map[string]float64 {
-	need := map[string]float64{}
+	need, fresh := map[string]float64{}, map[string]float64{}
+	planned := map[*job]int{}
+	for _, m := range l.machines {
+		for _, j := range m.planned {
+			planned[j]++
+		}
+	}
+	freshCPUs := 0.0
 	for _, j := range l.jobs {
-		if j.waiting() <= 0 || now < j.notBefore {
+		n := j.waiting() - planned[j]
+		if n <= 0 || now < j.notBefore {
 			continue
 		}
-		n := j.waiting()
 		if t := l.teams[j.spec.Team]; t.CPUsMax > 0 && j.need.CPU > 0 {
 			n = min(n, int(floor(t.CPUsMax)/j.need.CPU))
 		}
-		if t := l.typeFor(j, now); t != nil {
+		t := l.typeFor(j, now)
+		if t == nil {
+			continue
+		}
+		if now-j.seen > micros.FromSeconds(t.BootS) {
 			need[t.Name] += float64(n) * fraction(t, j.need)
+		} else {
+			fresh[t.Name] += float64(n) * fraction(t, j.need)
+			freshCPUs += float64(n) * j.spec.CPUs
+		}
+	}
+	for name, n := range fresh {
+		free := 0.0
+		for _, m := range l.machines {
+			mt := l.types[m.kind.Type]
+			if mt == nil || !m.up || m.draining != "" || m.leaving {
+				continue
+			}
+			ends := 1 - math.Exp(-mt.service.Mu(mt.finished)*l.types[name].BootS)
+			for _, a := range m.tasks {
+				free += a.job.spec.CPUs * ends
+			}
 		}
+		need[name] += n * math.Max(0, 1-free/math.Max(freshCPUs, 0.001))
 	}
 	return need
 }
