--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -187,7 +187,8 @@
 			ID: m.id, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.kind.Spot,
 			Free:  t.capacity,
 			Delay: max(0, m.reported+report-now), Idle: len(m.tasks) == 0,
-			Images: map[string]int{}, GBPerS: t.FetchGBPerS, Price: t.Price,
+			Images: map[string]int{}, GBPerS: t.FetchGBPerS,
+			Dear: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
 		}
 		for _, image := range m.images.names {
 			p.Images[image]++
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -175,12 +175,17 @@
 // peak is the formula's target for a type, with the z of its spot or of its
 // ordinary price.
 func (l *Leader) peak(t *machineType, lambda, mu float64, spot bool) int {
+	z := staffing.PricedZ(l.Tuning.Z, l.priceRatio(t, spot))
+	return staffing.Peak(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds(), z, 1)
+}
+
+// priceRatio is a kind's price a CPU over the cheapest there is.
+func (l *Leader) priceRatio(t *machineType, spot bool) float64 {
 	least := math.Inf(1)
 	for _, x := range l.types {
 		least = math.Min(least, math.Min(x.Price, x.SpotPrice)/x.CPUs)
 	}
-	z := staffing.PricedZ(l.Tuning.Z, price(t, spot)/t.CPUs/least)
-	return staffing.Peak(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds(), z, 1)
+	return math.Max(1, price(t, spot)/t.CPUs/least)
 }
 
 // byPrice orders the types by what a CPU costs.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -41,7 +41,7 @@
 	Idle           bool           // no task is on it
 	Images         map[string]int // cached or being fetched
 	GBPerS         float64        // image fetch
-	Price          float64        // per hour and CPU
+	Dear           micros.Micros  // wait that is put up with to leave it idle
 	Victims        []Victim       // running tasks that could be stopped
 }
 
@@ -156,7 +156,7 @@
 }
 
 // cost is how long a task would wait for its start on m, with a little for
-// leaving large holes and empty machines as they are.
+// leaving dear and empty machines as they are, and large holes.
 func cost(m *Machine, j *Job) micros.Micros {
 	c := m.Delay
 	if _, ok := m.Images[j.Image]; !ok && m.GBPerS > 0 {
@@ -166,7 +166,7 @@
 		c += micros.Second / 2
 	}
 	left := m.Free.CPU - j.Need.CPU
-	return c + micros.Micros(left)*micros.Millisecond/1000*10
+	return c + m.Dear + micros.Micros(left)*micros.Millisecond/1000*10
 }
 
 func room(t *Team, need Resources, limit int) int {
