--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -143,7 +143,7 @@
 	}
 	targets := map[string]string{}
 	for _, t := range l.types {
-		targets[t.Name] = fmt.Sprintf("m=%.1f target=%d", t.m, t.target)
+		targets[t.Name] = fmt.Sprintf("m=%.1f want=%.1f target=%d", t.m, t.want, t.target)
 	}
 	slog.Debug("picture", "jobs", len(l.jobs), "waiting", waiting, "open", open, "states", states,
 		"held_cpus", held/1000, "usable_cpus", cpus/1000, "machines", len(l.machines), "unresolved", l.unresolved(), "targets", targets)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -80,8 +80,9 @@
 	window   *staffing.Window
 	service  staffing.Service
 	finished int
-	target   int // the formula's, held for an interval
-	dear     int // the same with the z of ordinary machines
+	want     float64 // the formula's, held for an interval
+	dear     float64 // the same with the z of ordinary machines
+	target   int     // what the fleet is steered toward
 	heldTill micros.Micros
 }
 
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -142,29 +142,38 @@
 		}
 	}
 	need := l.waitingNeed(now)
-	excess, urgent := 0.0, 0.0 // CPUs that cheaper types could not give
-	for _, t := range l.byPrice() {
-		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
-		t.m = staffing.Step(t.m, lambda, mu, 1)
-		if t.m < 0.05 {
-			t.target, t.dear = 0, 0
-		} else if s := l.peak(t, lambda, mu, true); now >= t.heldTill || s > t.target {
-			t.target, t.dear = s, l.peak(t, lambda, mu, false)
-			t.heldTill = now + l.Tuning.ReviewInterval
+	types := l.byPrice()
+	l.stepModel(types, now)
+	// What a type cannot give, and fractions of machines, pass on to the next
+	// dearer one, in CPUs; urgent is the part that may be ordinary machines.
+	excess, urgent := 0.0, 0.0
+	for i, t := range types {
+		size := math.Max(t.CPUs, 0.001)
+		round := math.Floor
+		if i == len(types)-1 {
+			// Formula (4) takes the least integer above; so does the last type.
+			round = func(v float64) float64 {
+				if v < 0.05 {
+					return 0
+				}
+				return math.Floor(v+0.5) + 1
+			}
 		}
-		floor := int(busy[t.Name] + math.Ceil(need[t.Name]-0.01))
-		spill := func(cpus float64) int { return int(math.Ceil(cpus/math.Max(t.CPUs, 0.001) - 0.01)) }
-		target := max(t.target, floor) + spill(excess)
-		dear := max(t.dear, floor) + spill(urgent) - have[t.Name]
+		floor := busy[t.Name] + math.Ceil(need[t.Name]-0.01)
+		want, dearWant := t.want+excess/size, t.dear+urgent/size
+		target := int(math.Max(round(want), floor))
+		dear := int(math.Max(round(dearWant), floor)) - have[t.Name]
 		short := target - have[t.Name]
+		t.target = target
+		booked := 0
 		if short > 0 {
-			booked := l.rentMore(t, short, dear, now)
-			excess = math.Max(0, float64(short-booked)*t.CPUs)
-			urgent = math.Max(0, float64(dear-booked)*t.CPUs)
+			booked = l.rentMore(t, short, dear, now)
 		} else {
-			excess, urgent = 0, 0
 			l.returnIdle(ctx, t, -short, now)
 		}
+		given := float64(have[t.Name] + booked)
+		excess = math.Max(0, math.Max(want, floor)-given) * size
+		urgent = math.Max(0, math.Max(dearWant, floor)-given) * size
 	}
 	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
 		l.dirty[replica.StaffingKey] = true
@@ -172,11 +181,24 @@
 	}
 }
 
-// peak is the formula's target for a type, with the z of its spot or of its
-// ordinary price.
-func (l *Leader) peak(t *machineType, lambda, mu float64, spot bool) int {
-	z := staffing.PricedZ(l.Tuning.Z, l.priceRatio(t, spot))
-	return staffing.Peak(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds(), z, 1)
+// stepModel steps each type's mean and sets what the formula wants, which
+// holds for an interval unless it rises.
+func (l *Leader) stepModel(types []*machineType, now micros.Micros) {
+	means, sizes := make([]float64, len(types)), make([]float64, len(types))
+	for i, t := range types {
+		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
+		t.m = staffing.Step(t.m, lambda, mu, 1)
+		means[i], sizes[i] = staffing.PeakMean(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds()), t.CPUs
+	}
+	for i, t := range types {
+		share := func(spot bool) float64 {
+			return means[i] + staffing.Shares(staffing.PricedZ(l.Tuning.Z, l.priceRatio(t, spot)), means, sizes)[i]
+		}
+		if want := share(true); now >= t.heldTill || want > t.want {
+			t.want, t.dear = want, share(false)
+			t.heldTill = now + l.Tuning.ReviewInterval
+		}
+	}
 }
 
 // priceRatio is a kind's price a CPU over the cheapest there is.
@@ -339,6 +361,7 @@
 	M        float64 `json:"m"`
 	Mu       float64 `json:"mu"`
 	Finished int     `json:"finished"`
+	Want     float64 `json:"want"`
 	Target   int     `json:"target"`
 	InFlight int     `json:"in_flight"`
 }
@@ -347,7 +370,7 @@
 	now := micros.Now()
 	r := staffingRecord{Types: map[string]typeRecord{}}
 	for _, t := range l.types {
-		r.Types[t.Name] = typeRecord{Lambda: t.window.Rate(now), M: t.m, Mu: t.service.Mu(t.finished), Finished: t.finished, Target: t.target}
+		r.Types[t.Name] = typeRecord{Lambda: t.window.Rate(now), M: t.m, Mu: t.service.Mu(t.finished), Finished: t.finished, Want: t.want, Target: t.target}
 	}
 	for _, b := range l.bookings {
 		if x := r.Types[b.Type]; !b.Answered {
@@ -378,7 +401,7 @@
 			continue
 		}
 		t.window.Seed(now, x.Lambda)
-		t.target, t.heldTill = x.Target, now+l.Tuning.ReviewInterval
+		t.want, t.dear, t.heldTill = x.Want, x.Want, now+l.Tuning.ReviewInterval
 		if x.Mu > 0 {
 			t.service.Finished(1, 1/x.Mu)
 			t.finished = x.Finished
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -26,12 +26,28 @@
 	return int(math.Floor(m+0.5+z*math.Sqrt(math.Max(0, v)))) + 1
 }
 
-// Peak is the largest value of formula (4) over the next interval seconds when
-// λ stays as it is. m moves monotonically toward λ/μ, so the peak is at one
-// of the interval's ends. peakedness is the paper's z(t): v = peakedness * m.
-func Peak(m, lambda, mu, interval, z, peakedness float64) int {
-	m = math.Max(m, Step(m, lambda, mu, interval))
-	return Servers(m, peakedness*m, z)
+// PeakMean is the largest m over the next interval seconds when λ stays as it
+// is: m moves monotonically toward λ/μ, so it is at one of the interval's ends.
+func PeakMean(m, lambda, mu, interval float64) float64 {
+	return math.Max(m, Step(m, lambda, mu, interval))
+}
+
+// Shares splits the margin z√v of formula (4) among machine types that stand in
+// for each other. With sizes c and means m (in machines of their type), one
+// pool has the variance v = Σ m·c² in units of size, and a type's share of z√v
+// is its share of v. A single type gets z√m.
+func Shares(z float64, m, c []float64) []float64 {
+	v := 0.0
+	for i := range m {
+		v += m[i] * c[i] * c[i]
+	}
+	out := make([]float64, len(m))
+	for i := range m {
+		if v > 0 {
+			out[i] = z * m[i] * c[i] / math.Sqrt(v)
+		}
+	}
+	return out
 }
 
 // PricedZ is z for machines that cost k times as much as the cheapest. The
