--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -79,6 +79,7 @@
 	m        float64
 	window   *staffing.Window
 	service  staffing.Service
+	lumps    staffing.Lumps
 	finished int
 	want     float64 // the formula's, held for an interval
 	dear     float64 // the same with the z of ordinary machines
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -115,6 +115,7 @@
 		return
 	}
 	work := float64(j.waiting()) * fraction(t, j.need)
+	t.lumps.Add(float64(j.spec.Tasks)*fraction(t, j.need), j.spec.Tasks)
 	if !j.old {
 		t.window.Add(now, work)
 	}
@@ -184,15 +185,16 @@
 // stepModel steps each type's mean and sets what the formula wants, which
 // holds for an interval unless it rises.
 func (l *Leader) stepModel(types []*machineType, now micros.Micros) {
-	means, sizes := make([]float64, len(types)), make([]float64, len(types))
+	means, peaks, sizes := make([]float64, len(types)), make([]float64, len(types)), make([]float64, len(types))
 	for i, t := range types {
 		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
 		t.m = staffing.Step(t.m, lambda, mu, 1)
-		means[i], sizes[i] = staffing.PeakMean(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds()), t.CPUs
+		means[i] = staffing.PeakMean(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds())
+		peaks[i], sizes[i] = t.lumps.Peakedness(), t.CPUs
 	}
 	for i, t := range types {
 		share := func(spot bool) float64 {
-			return means[i] + staffing.Shares(staffing.PricedZ(l.Tuning.Z, l.priceRatio(t, spot)), means, sizes)[i]
+			return means[i] + staffing.Shares(staffing.PricedZ(l.Tuning.Z, l.priceRatio(t, spot)), means, peaks, sizes)[i]
 		}
 		if want := share(true); now >= t.heldTill || want > t.want {
 			t.want, t.dear = want, share(false)
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -32,19 +32,26 @@
 	return math.Max(m, Step(m, lambda, mu, interval))
 }
 
+// Peakedness is the paper's z(t), formulas (17) to (19), for work that comes in
+// lumps. A job that brings w machines' worth of tasks at once counts w times
+// over in the variance of arrivals, so c² = Σw²/Σw; as service times are
+// taken for exponential, ∫(1-G)² is half their mean. A single task of size f
+// adds the other half.
+func Peakedness(lumps, taskSize float64) float64 { return (lumps + taskSize) / 2 }
+
 // Shares splits the margin z√v of formula (4) among machine types that stand in
-// for each other. With sizes c and means m (in machines of their type), one
-// pool has the variance v = Σ m·c² in units of size, and a type's share of z√v
-// is its share of v. A single type gets z√m.
-func Shares(z float64, m, c []float64) []float64 {
+// for each other. With sizes c, means m and peakednesses p (both in machines
+// of their type), one pool has the variance v = Σ p·m·c² in units of size, and
+// a type's share of z√v is its share of v. A single type gets z√(p·m).
+func Shares(z float64, m, p, c []float64) []float64 {
 	v := 0.0
 	for i := range m {
-		v += m[i] * c[i] * c[i]
+		v += p[i] * m[i] * c[i] * c[i]
 	}
 	out := make([]float64, len(m))
 	for i := range m {
 		if v > 0 {
-			out[i] = z * m[i] * c[i] / math.Sqrt(v)
+			out[i] = z * p[i] * m[i] * c[i] / math.Sqrt(v)
 		}
 	}
 	return out
@@ -121,6 +128,28 @@
 // Estimate counts what owners say of work that came in.
 func (s *Service) Estimate(weight, seconds float64) { s.estimate.add(weight, seconds) }
 
+// Lumps keeps what jobs bring at once, for the peakedness.
+type Lumps struct{ sum, squares, tasks float64 }
+
+// Add counts a job that brings weight machines' worth of work in tasks tasks.
+func (l *Lumps) Add(weight float64, tasks int) {
+	if tasks <= 0 {
+		return
+	}
+	const keep = 0.98
+	l.sum = l.sum*keep + weight
+	l.squares = l.squares*keep + weight*weight
+	l.tasks = l.tasks*keep + weight*weight/float64(tasks)
+}
+
+// Peakedness of what came in; 1, the paper's default, while nothing has.
+func (l *Lumps) Peakedness() float64 {
+	if l.sum <= 0 {
+		return 1
+	}
+	return Peakedness(l.squares/l.sum, l.tasks/l.sum)
+}
+
 // Finished counts a finished task.
 func (s *Service) Finished(weight, seconds float64) { s.measured.add(weight, seconds) }
 
