--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -31,6 +31,8 @@
 	failures  int              // since the last success
 	notBefore micros.Micros
 	waitsFor  string
+	lastStart micros.Micros // time of day
+	longest   micros.Micros // run of a task
 }
 
 // attempt is a task that may be on a machine.
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -32,6 +32,11 @@
 	for i, q := range queue {
 		jobs[i] = &q.Job
 	}
+	cpus := 0.0
+	for _, t := range machines {
+		cpus += float64(l.types[t.Type].capacity.CPU) / 1000
+	}
+	placement.SetAside(jobs, cpus, micros.Wall())
 	starts, stops := placement.Plan(machines, jobs, teams)
 	for _, m := range l.machines {
 		m.planned = m.planned[:0]
@@ -58,6 +63,7 @@
 // may have started waits until no machine's tasks are unknown.
 func (l *Leader) queue(now micros.Micros, unresolved bool) []*queued {
 	covered := l.covered()
+	wall := micros.Wall()
 	out := make([]*queued, 0, len(l.jobs))
 	for _, j := range l.jobs {
 		if j.waiting() <= 0 || now < j.notBefore || j.old && unresolved {
@@ -66,9 +72,11 @@
 		s := j.spec
 		q := &queued{job: j, Job: placement.Job{
 			ID: s.ID, Team: s.Team, Image: s.Image, Priority: j.priority, Covered: covered[j],
-			Due: l.due(j), Need: j.need, Waiting: j.waiting(), Total: s.Tasks, Types: s.Types, Zone: s.Zone,
+			Need: j.need, Waiting: j.waiting(), Total: s.Tasks, Types: s.Types, Zone: s.Zone,
 			OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, ImageGB: s.ImageGB,
 		}}
+		q.Due, q.Late = l.due(j, wall)
+		q.Work = float64(q.Waiting) * s.CPUs * s.EstimateS * l.corrected(s.Class)
 		if s.OneZone || s.Spread {
 			q.PerZone = map[string]int{}
 			for _, a := range j.on {
@@ -81,14 +89,22 @@
 	return out
 }
 
-// due is when a job's next start becomes late, by what is expected of it.
-func (l *Leader) due(j *job) micros.Micros {
+// due is when the last of a job's tasks should have started, by the next thing
+// expected of it that can still be met; late if there is none.
+func (l *Leader) due(j *job, wall micros.Micros) (due micros.Micros, late bool) {
 	s := j.spec
 	run := micros.FromSeconds(s.EstimateS * l.corrected(s.Class))
 	const never = 365 * 24 * 3600 * micros.Second
-	due := never
+	due = never
+	expected := false
+	consider := func(limit micros.Micros) {
+		expected = true
+		if j.submitted+limit >= wall {
+			due = min(due, limit)
+		}
+	}
 	if s.DeadlineS != nil {
-		due = micros.FromSeconds(*s.DeadlineS) - run
+		consider(micros.FromSeconds(*s.DeadlineS) - run)
 	}
 	for _, o := range l.Settings.Params.Objectives {
 		if o.Class != s.Class {
@@ -96,15 +112,17 @@
 		}
 		switch o.Kind {
 		case "wait":
-			due = min(due, micros.FromSeconds(o.WithinS))
+			if len(j.on)+j.ndone == 0 {
+				consider(micros.FromSeconds(o.WithinS))
+			}
 		case "finished":
-			due = min(due, micros.FromSeconds(o.WithinS)-run)
+			consider(micros.FromSeconds(o.WithinS) - run)
 		}
 	}
-	if due == never {
+	if !expected {
 		due = 600 * micros.Second
 	}
-	return j.submitted + due
+	return j.submitted + due, expected && due == never
 }
 
 // covered tells which jobs fit into their team's guarantee together with the
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -131,6 +131,7 @@
 		a.n = t.Attempt
 		if t.State == wire.TaskRunning && a.running == 0 {
 			a.running = now
+			j.lastStart = micros.Wall()
 			if mt := l.types[m.kind.Type]; mt != nil {
 				m.images.use(j.spec.Image, j.spec.ImageGB, mt.CacheGB)
 			}
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -29,6 +29,9 @@
 
 // finishedTask learns from a task that completed in one go here.
 func (l *Leader) finishedTask(j *job, m *machine, a *attempt, now micros.Micros) {
+	if a.running != 0 {
+		j.longest = max(j.longest, now-a.running)
+	}
 	t := l.types[m.kind.Type]
 	if t == nil || a.sentAt == 0 {
 		return // adopted: nobody here saw it start
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -60,8 +60,10 @@
 type Job struct {
 	ID, Team, Image string
 	Priority        int
-	Covered         bool // within its team's guarantee
-	Due             micros.Micros
+	Covered         bool          // within its team's guarantee
+	Due             micros.Micros // latest good start of its last task
+	Work            float64       // CPU seconds that wait, as estimated
+	Late            bool          // cannot be in time any more, or set aside
 	Need            Resources
 	Waiting         int
 	Total           int
@@ -87,16 +89,51 @@
 	For     string // job that needs the room
 }
 
-// Less is the queue's order: guarantees, then priorities, then what is due
-// first.
+// Less is the queue's order: guarantees, then priorities, then what can still
+// be in time, and of that what is due first.
 func Less(a, b *Job) int {
 	return cmp.Or(
 		cmp.Compare(rank(a.Covered), rank(b.Covered)),
 		cmp.Compare(b.Priority, a.Priority),
+		cmp.Compare(rank(!a.Late), rank(!b.Late)),
 		cmp.Compare(a.Due, b.Due),
 		cmp.Compare(a.ID, b.ID))
 }
 
+// SetAside marks as late the jobs that too much work keeps from being in time,
+// as few as possible: going through the queue, whenever the work so far would
+// take a job past its due time, the job with the most work of the same claim is
+// put off (Moore's algorithm). Without it, serving by due time makes every job
+// of an overload a little late. cpus is what the machines have.
+func SetAside(jobs []*Job, cpus float64, now micros.Micros) {
+	order := slices.Clone(jobs)
+	slices.SortFunc(order, func(a, b *Job) int { return Less(a, b) })
+	if cpus <= 0 {
+		return
+	}
+	ahead := 0.0
+	var kept []*Job // of the present claim, by work
+	for i, j := range order {
+		if i > 0 && (j.Covered != order[i-1].Covered || j.Priority != order[i-1].Priority) {
+			kept = kept[:0]
+		}
+		if j.Late {
+			continue
+		}
+		ahead += j.Work
+		at, _ := slices.BinarySearchFunc(kept, j, func(a, b *Job) int {
+			return cmp.Or(cmp.Compare(a.Work, b.Work), cmp.Compare(a.ID, b.ID))
+		})
+		kept = slices.Insert(kept, at, j)
+		if now+micros.FromSeconds(ahead/cpus) > j.Due {
+			most := kept[len(kept)-1]
+			most.Late = true
+			ahead -= most.Work
+			kept = kept[:len(kept)-1]
+		}
+	}
+}
+
 func rank(first bool) int {
 	if first {
 		return 0
