--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -18,7 +18,8 @@
 // write is one key's change on its way to the state service.
 type write struct {
 	key    string
-	value  any // nil removes the key
+	stamp  uint64 // the version that the value replaces
+	value  any    // nil removes the key
 	stored func()
 }
 
@@ -70,7 +71,7 @@
 	// must not undo a newer one.
 	t := wire.Txn{If: []wire.Condition{{Key: replica.LeaderKey, Stamp: l.Stamp}}}
 	for _, w := range ws {
-		t.If = append(t.If, wire.Condition{Key: w.key, Stamp: l.Replica.Stamp(w.key)})
+		t.If = append(t.If, wire.Condition{Key: w.key, Stamp: w.stamp})
 		op := wire.Op{Write: w.key, Value: w.value}
 		if w.value == nil {
 			op = wire.Op{Remove: w.key}
@@ -154,13 +155,19 @@
 
 // build makes a dirty key's present value.
 func (l *Leader) build(key string) (write, bool) {
-	w := write{key: key}
+	w := write{key: key, stamp: l.Replica.Stamp(key)}
 	if id, ok := strings.CutPrefix(key, replica.BookingPrefix); ok {
 		return l.buildBooking(w, id)
 	}
 	if id, ok := strings.CutPrefix(key, replica.JobPrefix); ok {
 		final, ok := l.finals[id]
-		w.value = final
+		// The version and the state go together: were the version read later,
+		// a cancellation that came in between would be overwritten.
+		known, stamp, _ := l.Replica.Job(id)
+		if known.Final() {
+			return w, false
+		}
+		w.value, w.stamp = final, stamp
 		w.stored = func() { l.finalStored(id) }
 		return w, ok
 	}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -29,6 +29,7 @@
 	cursor    int              // tasks from here on have not been started
 	errors    map[string]bool  // machines where a task failed
 	failures  int              // since the last success
+	resumed   map[int]bool     // tasks that ran before, whose next run is shorter
 	notBefore micros.Micros
 	waitsFor  string
 	lastStart micros.Micros // time of day
@@ -57,7 +58,7 @@
 		need:     placement.Resources{CPU: ceil(s.CPUs), GPU: ceil(s.GPUs), Mem: ceil(s.MemoryGB)},
 		priority: wire.PriorityRank(s.Priority),
 		done:     newBitset(s.Tasks), stored: newBitset(s.Tasks),
-		on: map[int]*attempt{}, errors: map[string]bool{},
+		on: map[int]*attempt{}, errors: map[string]bool{}, resumed: map[int]bool{},
 	}
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -65,7 +65,7 @@
 	planTook   micros.Micros
 	plannedAt  micros.Micros
 	offers     map[offer]*offerState
-	correction map[string]*ratio // run time over estimate, by class
+	estimates  map[string]*staffing.Estimate // by class
 	lastStops  []StopNote
 	flushNow   chan struct{}
 	lost       chan struct{} // closed when a write proved that the term is over
@@ -94,7 +94,7 @@
 		jobs: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
 		strays: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
 		teams: map[string]settings.Team{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
-		offers: map[offer]*offerState{}, correction: map[string]*ratio{},
+		offers: map[offer]*offerState{}, estimates: map[string]*staffing.Estimate{},
 		flushNow: make(chan struct{}, 1), lost: make(chan struct{}),
 	}
 	for _, t := range c.Settings.Params.Teams {
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -152,6 +152,9 @@
 	if a.job.on[a.task] == a {
 		delete(a.job.on, a.task)
 		a.job.giveBack(a.task)
+		if a.running != 0 && !a.job.done.has(a.task) {
+			a.job.resumed[a.task] = true
+		}
 	}
 	if a.why != "" {
 		why = a.why
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -76,7 +76,7 @@
 			OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, ImageGB: s.ImageGB,
 		}}
 		q.Due, q.Late = l.due(j, wall)
-		q.Work = float64(q.Waiting) * s.CPUs * s.EstimateS * l.corrected(s.Class)
+		q.Work = float64(q.Waiting) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
 			q.PerZone = map[string]int{}
 			for _, a := range j.on {
@@ -93,7 +93,7 @@
 // expected of it that can still be met; late if there is none.
 func (l *Leader) due(j *job, wall micros.Micros) (due micros.Micros, late bool) {
 	s := j.spec
-	run := micros.FromSeconds(s.EstimateS * l.corrected(s.Class))
+	run := micros.FromSeconds(l.expected(s))
 	const never = 365 * 24 * 3600 * micros.Second
 	due = never
 	expected := false
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -14,17 +14,13 @@
 	"caperlatch/staffing"
 )
 
-// ratio is a class's mean of run time over estimate.
-type ratio struct{ sum, weight float64 }
-
-// corrected is by what a class's estimates are to be multiplied.
-func (l *Leader) corrected(class string) float64 {
-	r := l.correction[class]
-	if r == nil {
-		return 1
-	}
-	// A few tasks' worth of trust in the owner to start with.
-	return (r.sum + 5) / (r.weight + 5)
+// expected is how long a job's tasks should run, by the owner's estimate and
+// what the class has taken so far.
+func (l *Leader) expected(s *wire.Job) float64 {
+	if e := l.estimates[s.Class]; e != nil {
+		return e.Corrected(s.EstimateS)
+	}
+	return s.EstimateS
 }
 
 // finishedTask learns from a task that completed in one go here.
@@ -38,15 +34,13 @@
 	}
 	t.finished++
 	t.service.Finished(fraction(t, j.need), (now - a.began).Seconds())
-	if a.running != 0 && j.spec.EstimateS > 0 && j.spec.CheckpointS == 0 {
-		r := l.correction[j.spec.Class]
-		if r == nil {
-			r = &ratio{}
-			l.correction[j.spec.Class] = r
+	if a.running != 0 && (j.spec.CheckpointS == 0 || !j.resumed[a.task]) {
+		e := l.estimates[j.spec.Class]
+		if e == nil {
+			e = &staffing.Estimate{}
+			l.estimates[j.spec.Class] = e
 		}
-		const keep = 0.98
-		r.sum = r.sum*keep + (now-a.running).Seconds()/j.spec.EstimateS
-		r.weight = r.weight*keep + 1
+		e.Observe(j.spec.EstimateS, (now - a.running).Seconds())
 	}
 }
 
@@ -122,7 +116,7 @@
 	if !j.old {
 		t.window.Add(now, work)
 	}
-	t.service.Estimate(work, j.spec.EstimateS*l.corrected(j.spec.Class)+j.spec.ImageGB/math.Max(t.FetchGBPerS, 0.01))
+	t.service.Estimate(work, l.expected(j.spec)+j.spec.ImageGB/math.Max(t.FetchGBPerS, 0.01))
 }
 
 // staff steps the model and rents or returns toward the target.
--- /dev/null
+++ b/staffing/estimate.go
@@ -0,0 +1,39 @@
+package staffing
+
+import "math"
+
+// Estimate corrects a class's estimated run times by what ran. Owners are wrong
+// by a factor, so it is a line through logarithms: a slope below one draws
+// extreme estimates toward the class's middle, and the line's height removes a
+// bias that a day's estimates have in common.
+type Estimate struct {
+	n, x, y, xx, xy float64 // decayed sums
+}
+
+// Observe counts a task that ran in one go.
+func (e *Estimate) Observe(estimated, ran float64) {
+	if estimated <= 0 || ran <= 0 {
+		return
+	}
+	const keep = 0.99
+	x, y := math.Log(estimated), math.Log(ran)
+	e.n = e.n*keep + 1
+	e.x = e.x*keep + x
+	e.y = e.y*keep + y
+	e.xx = e.xx*keep + x*x
+	e.xy = e.xy*keep + x*y
+}
+
+// Corrected is the run time to be expected for an estimate. With few tasks
+// seen the owner is trusted nearly in full.
+func (e *Estimate) Corrected(estimated float64) float64 {
+	if estimated <= 0 || e.n == 0 {
+		return estimated
+	}
+	const trust = 5 // tasks' worth of belief that estimates are right
+	mx, my := e.x/e.n, e.y/e.n
+	vxx, vxy := e.xx/e.n-mx*mx, e.xy/e.n-mx*my
+	slope := math.Max(0, math.Min(1, (vxy*e.n+trust*0.1)/(vxx*e.n+trust*0.1)))
+	bias := (my - mx) * e.n / (e.n + trust)
+	return math.Exp(mx + bias + slope*(math.Log(estimated)-mx))
+}
