--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -39,10 +39,10 @@
 
 // New makes a client for the cloud at addr. Only the leader calls it often, so
 // it takes most of the limit.
-func New(addr string, limits settings.Cloud) *Client {
+func New(addr string, limits settings.Cloud, transport http.RoundTripper) *Client {
 	return &Client{
 		base:  "http://" + addr,
-		http:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}},
+		http:  &http.Client{Transport: transport},
 		calls: rate.NewLimiter(rate.Limit(limits.RPS*0.75), max(1, int(limits.RPS))),
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -40,6 +41,7 @@
 	Term     Term
 	Token    uint64
 	Stamp    uint64 // of the leader key
+	Workers  *http.Client
 }
 
 // Leader acts for one term.
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -308,21 +308,19 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		if err := post(ctx, "http://"+address+"/commands", body); err != nil {
+		if err := l.post(ctx, "http://"+address+"/commands", body); err != nil {
 			slog.Debug("direct command", "machine", address, "error", err)
 		}
 	}()
 }
 
-var workers = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-
-func post(ctx context.Context, url string, body []byte) error {
+func (l *Leader) post(ctx context.Context, url string, body []byte) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Content-Type", wire.ContentType)
-	resp, err := workers.Do(req)
+	resp, err := l.Workers.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/micros/micros.go
+++ b/internal/micros/micros.go
@@ -18,9 +18,13 @@
 
 var epoch = time.Now()
 
+// base keeps readings far above zero, which stands for "never" in many places,
+// also under the test clock, which is decades behind epoch.
+const base Micros = 1 << 50
+
 // Now reads the steady clock. Only differences of two readings in one process
 // mean anything.
-func Now() Micros { return Micros(time.Since(epoch) / time.Microsecond) }
+func Now() Micros { return base + Micros(time.Since(epoch)/time.Microsecond) }
 
 // Wall reads the time of day, counted from 1970.
 func Wall() Micros { return Micros(time.Now().UnixMicro()) }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"caperlatch/internal/micros"
+)
+
+const file = `
+member = "host-0"
+zone = "north"
+client_listen = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+colour = "blue"
+[[seeds]]
+member = "host-1"
+addr = "127.0.0.2:8081"
+[external]
+cloud = "127.0.0.3:1"
+state = "127.0.0.3:2"
+[params]
+zones = ["north"]
+clock_error_ms = 5.0
+[[params.teams]]
+name = "ops"
+cpus = 4.0
+cpus_max = 8.0
+[params.workers]
+report_s = 2.0
+lease_s = 16.0
+cancel_s = 41.0
+[params.state]
+rps = 60.0
+write_rps = 15.0
+value_kb = 8.0
+txn_ops = 12
+[params.cloud]
+rps = 8.0
+list_lag_s = 4.0
+[params.limits]
+cpu = 0.144
+mem_mb = 125.0
+max_sockets = 1200
+`
+
+func TestParse(t *testing.T) {
+	cases := []struct{ name, old, new, field string }{
+		{"as it should be, with an unknown field", "", "", ""},
+		{"no member", `member = "host-0"`, "", "member"},
+		{"a listen address without a port", "127.0.0.1:8080", "127.0.0.1", "client_listen"},
+		{"no state service", `state = "127.0.0.3:2"`, "", "external.state"},
+		{"the member among its peers", `"host-1"`, `"host-0"`, "seeds[0].member"},
+		{"no teams", "[[params.teams]]", "[[params.crews]]", "params.teams"},
+		{"a guarantee over the limit", "cpus = 4.0", "cpus = 9.0", "params.teams[0].cpus"},
+		{"text for a number", "lease_s = 16.0", `lease_s = "16"`, "lease_s"},
+		{"no lease", "lease_s = 16.0", "", "params.workers.lease_s"},
+		{"a cancellation within the lease", "cancel_s = 41.0", "cancel_s = 10.0", "params.workers.cancel_s"},
+		{"not a number", "rps = 60.0", "rps = nan", "params.state.rps"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(file, c.old, c.new, 1)))
+			if c.field == "" {
+				if err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), c.field) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("error %q, want one line naming %s", err, c.field)
+			}
+		})
+	}
+}
+
+func TestRenewFor(t *testing.T) {
+	// A lease renewed at the very end must run out before cancel_s.
+	for _, w := range []Workers{{ReportS: 2, LeaseS: 16, CancelS: 41}, {ReportS: 3, LeaseS: 45, CancelS: 75}, {ReportS: 1, LeaseS: 10, CancelS: 11}} {
+		if end := w.RenewFor() + w.Lease() + micros.Drift(w.Lease()); end > w.Cancel() {
+			t.Errorf("%+v: leases may last until %v s", w, end.Seconds())
+		}
+	}
+}
+
+func TestParseTuning(t *testing.T) {
+	wrap := func(s string) string { return "<caperlatch><staffing>" + s + "</staffing></caperlatch>" }
+	cases := []struct {
+		name, text string
+		ok         bool
+	}{
+		{"all", wrap("<z>2</z><review_s>10</review_s><window_s>90</window_s><record_s>5</record_s>"), true},
+		{"some", wrap("<z>2</z>"), true},
+		{"none", "<caperlatch/>", true},
+		{"an unknown element", wrap("<zz>2</zz>"), false},
+		{"an element in the wrong place", "<caperlatch><z>2</z></caperlatch>", false},
+		{"an element twice", wrap("<z>2</z><z>3</z>"), false},
+		{"no number", wrap("<z>two</z>"), false},
+		{"out of range", wrap("<review_s>0</review_s>"), false},
+		{"another root", "<other/>", false},
+		{"broken off", "<caperlatch><staffing>", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := ParseTuning(strings.NewReader(c.text))
+			if (err == nil) != c.ok {
+				t.Fatalf("error %v, want ok %v", err, c.ok)
+			}
+			if strings.Contains(c.text, "<z>2</z>") && c.ok && (got.Z != 2 || got.RecordInterval != 5*micros.Second) {
+				t.Errorf("read %+v", got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+
+	"caperlatch/internal/wire"
+)
+
+// Cloud is a stand-in of the cloud: one type, one zone, machines up at once.
+type Cloud struct {
+	Net     *Net
+	Nodes   []string // hosts of the controllers
+	RunFor  func(task string) float64
+	ReportS float64
+	LeaseS  float64
+
+	mu       sync.Mutex
+	bookings map[string][]string
+	machines map[string]*Worker
+	next     int
+	sites    map[string]string // task -> machine that has it
+	broken   []string
+	starts   int
+	rented   int
+}
+
+// NewCloud makes a cloud without machines.
+func NewCloud(n *Net, nodes []string, reportS, leaseS float64, runFor func(string) float64) *Cloud {
+	return &Cloud{Net: n, Nodes: nodes, RunFor: runFor, ReportS: reportS, LeaseS: leaseS,
+		bookings: map[string][]string{}, machines: map[string]*Worker{}, sites: map[string]string{}}
+}
+
+// Catalog is what this cloud offers.
+func Catalog() wire.Catalog {
+	return wire.Catalog{Types: []wire.MachineType{{
+		Name: "m4", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 2, Zones: []string{"a"},
+	}}}
+}
+
+// ServeHTTP implements http.Handler.
+func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := wire.ReadBody(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch r.Method + r.URL.Path {
+	case "GET/catalog":
+		send(w, http.StatusOK, Catalog())
+	case "GET/hosts":
+		send(w, http.StatusOK, wire.MachineList{Machines: []wire.ListedMachine{}})
+	case "POST/hosts":
+		var q wire.Rental
+		if wire.Unmarshal(body, &q) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		ids, known := c.bookings[q.Request]
+		for i := 0; i < q.Count && !known; i++ {
+			id := fmt.Sprintf("i-%06d", c.next)
+			c.next++
+			c.rented++
+			ids = append(ids, id)
+			wk := newWorker(c, id, q)
+			c.machines[id] = wk
+			c.Net.Handle(wk.address, wk)
+		}
+		c.bookings[q.Request] = ids
+		send(w, http.StatusOK, wire.Names{Machines: ids})
+	case "POST/hosts/return":
+		var q wire.Names
+		if wire.Unmarshal(body, &q) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		for _, id := range q.Machines {
+			if wk := c.machines[id]; wk != nil {
+				wk.stop()
+				delete(c.machines, id)
+				c.release(id)
+			}
+		}
+	default:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+// release forgets what a machine has; the caller holds the lock.
+func (c *Cloud) release(id string) {
+	for task, m := range c.sites {
+		if m == id {
+			delete(c.sites, task)
+		}
+	}
+}
+
+func (c *Cloud) started(task, machine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts++
+	if m, ok := c.sites[task]; ok && m != machine {
+		c.broken = append(c.broken, fmt.Sprintf("ran_twice: %s on %s and %s", task, m, machine))
+	}
+	c.sites[task] = machine
+}
+
+func (c *Cloud) left(task, machine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sites[task] == machine {
+		delete(c.sites, task)
+	}
+}
+
+// Broken lists the rules broken so far.
+func (c *Cloud) Broken() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.broken...)
+}
+
+// Starts counts the tasks started, Rented the machines rented.
+func (c *Cloud) Starts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts
+}
+
+// Rented counts the machines rented so far.
+func (c *Cloud) Rented() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rented
+}
+
+// OnMachines lists the tasks that are on machines.
+func (c *Cloud) OnMachines() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for task := range c.sites {
+		out = append(out, task)
+	}
+	return out
+}
+
+// Workers lists the machines that are up.
+func (c *Cloud) Workers() []*Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*Worker
+	for _, w := range c.machines {
+		out = append(out, w)
+	}
+	return out
+}
+
+// Close ends all machines.
+func (c *Cloud) Close() {
+	for _, w := range c.Workers() {
+		w.stop()
+	}
+}
--- /dev/null
+++ b/internal/standin/net.go
@@ -0,0 +1,111 @@
+// Package standin holds small stand-ins of the state service, the cloud and
+// the workers, for tests of whole nodes in one process. They keep to the
+// protocol as far as the tests need it and watch the rules.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+)
+
+// Fault is what happens to a request on its way.
+type Fault int
+
+// The faults. With LostAnswer the request is carried out and nobody hears of
+// it; with Late it is carried out after the caller has given up.
+const (
+	Pass Fault = iota
+	Refused
+	LostRequest
+	LostAnswer
+	Late
+)
+
+// lateBy is when a late request is carried out.
+const lateBy = 8 * time.Second
+
+// Net carries requests to handlers by host.
+type Net struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	fault    func(from string, r *http.Request) Fault
+	late     sync.WaitGroup
+}
+
+// NewNet makes a network without faults.
+func NewNet() *Net { return &Net{handlers: map[string]http.Handler{}} }
+
+// Handle puts a handler at a host; nil takes it away.
+func (n *Net) Handle(host string, h http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[host] = h
+}
+
+// SetFault decides what happens to requests from now on; nil lets all pass.
+func (n *Net) SetFault(f func(from string, r *http.Request) Fault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fault = f
+}
+
+// WaitLate waits until all late requests have been carried out.
+func (n *Net) WaitLate() { n.late.Wait() }
+
+// From is the network as seen by one sender.
+func (n *Net) From(name string) http.RoundTripper { return &transport{n, name} }
+
+type transport struct {
+	net  *Net
+	from string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.net.mu.Lock()
+	h := t.net.handlers[r.URL.Host]
+	fault := Pass
+	if t.net.fault != nil {
+		fault = t.net.fault(t.from, r)
+	}
+	t.net.mu.Unlock()
+	if h == nil {
+		return nil, errors.New("connection refused")
+	}
+	var body []byte
+	if r.Body != nil {
+		var err error
+		if body, err = io.ReadAll(r.Body); err != nil {
+			return nil, err
+		}
+		r.Body.Close()
+	}
+	serve := func(ctx context.Context) *http.Response {
+		rec := httptest.NewRecorder()
+		in := r.Clone(ctx)
+		in.Body = io.NopCloser(bytes.NewReader(body))
+		h.ServeHTTP(rec, in)
+		return rec.Result()
+	}
+	switch fault {
+	case Refused:
+		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Header: http.Header{}, Request: r}, nil
+	case LostAnswer:
+		serve(r.Context())
+	case Late:
+		t.net.late.Go(func() {
+			time.Sleep(lateBy)
+			serve(context.Background())
+		})
+	case Pass:
+		return serve(r.Context()), nil
+	}
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,231 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"caperlatch/internal/wire"
+)
+
+// State is a stand-in of the state service.
+type State struct {
+	mu       sync.Mutex
+	revision uint64
+	keys     map[string]wire.Entry
+	log      []wire.Event
+	holds    map[uint64]*hold
+	nextHold uint64
+	changed  chan struct{}
+}
+
+type hold struct {
+	life  time.Duration
+	timer *time.Timer
+}
+
+// NewState makes an empty state service.
+func NewState() *State {
+	return &State{keys: map[string]wire.Entry{}, holds: map[uint64]*hold{}, changed: make(chan struct{})}
+}
+
+// Get reads a key.
+func (s *State) Get(key string) (wire.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.keys[key]
+	return e, ok
+}
+
+// Close ends the holds' timers.
+func (s *State) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holds {
+		h.timer.Stop()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := wire.ReadBody(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	path := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
+	switch {
+	case r.Method == http.MethodGet && r.URL.Path == "/store":
+		s.list(w, r)
+	case r.Method == http.MethodGet && r.URL.Path == "/watch":
+		s.watch(w, r)
+	case r.URL.Path == "/txn":
+		s.txn(w, body)
+	case path[0] == "holds":
+		s.hold(w, r, path[1:], body)
+	default:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+func send(w http.ResponseWriter, code int, v any) {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	w.WriteHeader(code)
+	w.Write(b)
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	prefix, after := r.URL.Query().Get("starts"), r.URL.Query().Get("after")
+	page := wire.EntryPage{Entries: []wire.Entry{}, Revision: s.revision}
+	for key, e := range s.keys {
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Entries = append(page.Entries, e)
+		}
+	}
+	slices.SortFunc(page.Entries, func(a, b wire.Entry) int { return strings.Compare(a.Key, b.Key) })
+	const most = 3 // small, so that every test goes through several pages
+	if len(page.Entries) > most {
+		page.Entries, page.More = page.Entries[:most], true
+	}
+	send(w, http.StatusOK, page)
+}
+
+func (s *State) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		s.mu.Lock()
+		answer := wire.Events{Revision: s.revision, Events: []wire.Event{}}
+		for _, e := range s.log {
+			if e.Stamp > after && strings.HasPrefix(e.Write+e.Remove, q.Get("starts")) {
+				answer.Events = append(answer.Events, e)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(answer.Events) > 0 || wait == 0 {
+			send(w, http.StatusOK, answer)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-deadline.C:
+			wait = 0
+		case <-changed:
+		}
+	}
+}
+
+func (s *State) txn(w http.ResponseWriter, body []byte) {
+	var t struct {
+		If   []wire.Condition `json:"when"`
+		Then []struct {
+			Write  string   `json:"write"`
+			Value  wire.Raw `json:"data"`
+			Hold   uint64   `json:"permit"`
+			Remove string   `json:"remove"`
+		} `json:"then"`
+	}
+	if wire.Unmarshal(body, &t) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, op := range t.Then {
+		if op.Hold != 0 && s.holds[op.Hold] == nil {
+			send(w, http.StatusBadRequest, wire.ErrorBody{Error: "no such lease"})
+			return
+		}
+	}
+	var failed []string
+	for _, c := range t.If {
+		if s.keys[c.Key].Stamp != c.Stamp {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		send(w, http.StatusConflict, wire.TxnAnswer{Revision: s.revision, Failed: failed})
+		return
+	}
+	s.revision++
+	for _, op := range t.Then {
+		if op.Remove != "" {
+			s.remove(op.Remove)
+			continue
+		}
+		s.keys[op.Write] = wire.Entry{Key: op.Write, Value: op.Value, Stamp: s.revision, Hold: op.Hold}
+		s.log = append(s.log, wire.Event{Write: op.Write, Value: op.Value, Stamp: s.revision})
+	}
+	s.wake()
+	send(w, http.StatusOK, wire.TxnAnswer{Revision: s.revision})
+}
+
+func (s *State) remove(key string) {
+	if _, ok := s.keys[key]; ok {
+		delete(s.keys, key)
+		s.log = append(s.log, wire.Event{Remove: key, Stamp: s.revision})
+	}
+}
+
+func (s *State) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *State) hold(w http.ResponseWriter, r *http.Request, path []string, body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(path) == 0 {
+		var q wire.HoldRequest
+		if wire.Unmarshal(body, &q) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		s.nextHold++
+		id := s.nextHold
+		life := time.Duration(q.LifeMS) * time.Millisecond
+		s.holds[id] = &hold{life, time.AfterFunc(life, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.end(id)
+		})}
+		send(w, http.StatusOK, wire.HoldAnswer{Hold: id})
+		return
+	}
+	id, _ := strconv.ParseUint(path[0], 10, 64)
+	h := s.holds[id]
+	switch {
+	case h == nil:
+		w.WriteHeader(http.StatusNotFound)
+	case r.Method == http.MethodDelete:
+		h.timer.Stop()
+		s.end(id)
+	default:
+		h.timer.Reset(h.life)
+	}
+}
+
+// end removes a hold and its keys.
+func (s *State) end(id uint64) {
+	delete(s.holds, id)
+	s.revision++
+	for key, e := range s.keys {
+		if e.Hold == id {
+			s.remove(key)
+		}
+	}
+	s.wake()
+}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -54,12 +54,10 @@
 // New makes a client for the service at addr. All nodes share the service's
 // limits; each keeps to half of them, as they are rarely all busy, and takes a
 // 429 as a sign to wait.
-func New(addr string, limits settings.State) *Client {
+func New(addr string, limits settings.State, transport http.RoundTripper) *Client {
 	return &Client{
-		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 8, DisableCompression: true,
-		}},
+		base:    "http://" + addr,
+		http:    &http.Client{Transport: transport},
 		reads:   rate.NewLimiter(rate.Limit(limits.RPS/2), max(1, int(limits.RPS/2))),
 		writes:  rate.NewLimiter(rate.Limit(limits.WriteRPS/2), max(limits.TxnOps, int(limits.WriteRPS/2))),
 		maxOps:  limits.TxnOps,
--- a/node.go
+++ b/node.go
@@ -32,15 +32,24 @@
 
 	mu      sync.Mutex
 	leading *leader.Leader
+
+	workers *http.Client
 }
 
 var _ api.Node = (*Node)(nil)
 
 // NewNode makes a node from checked settings.
 func NewNode(s *settings.Settings, t settings.Tuning) *Node {
-	n := &Node{settings: s, tuning: t}
-	n.store = statestore.New(s.External.State, s.Params.State)
-	n.cloud = cloud.New(s.External.Cloud, s.Params.Cloud)
+	return newNode(s, t,
+		&http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true},
+		&http.Transport{DisableKeepAlives: true, DisableCompression: true})
+}
+
+// newNode takes the transports to the services and to the workers.
+func newNode(s *settings.Settings, t settings.Tuning, services, workers http.RoundTripper) *Node {
+	n := &Node{settings: s, tuning: t, workers: &http.Client{Transport: workers}}
+	n.store = statestore.New(s.External.State, s.Params.State, services)
+	n.cloud = cloud.New(s.External.Cloud, s.Params.Cloud, services)
 	n.replica = replica.New(n.store)
 	n.election = election.New(s.Member, n.store, n.replica, n.lead)
 	return n
@@ -57,14 +66,10 @@
 	if err != nil {
 		return fmt.Errorf("client_listen: %w", err)
 	}
-	handler := api.New(&api.Handler{
-		Node: n, Settings: n.settings, Store: n.store, Batch: statestore.NewBatcher(n.store), Replica: n.replica,
-	})
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
+	server := &http.Server{Handler: n.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
 		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
 	var wg sync.WaitGroup
-	wg.Go(func() { n.replica.Run(ctx) })
-	wg.Go(func() { n.election.Run(ctx) })
+	wg.Go(func() { n.work(ctx) })
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	slog.Info("node started", "member", n.settings.Member, "listen", ln.Addr().String())
@@ -76,11 +81,25 @@
 	return nil
 }
 
+func (n *Node) handler() http.Handler {
+	return api.New(&api.Handler{
+		Node: n, Settings: n.settings, Store: n.store, Batch: statestore.NewBatcher(n.store), Replica: n.replica,
+	})
+}
+
+// work does all that is not an answer to a request, until ctx ends.
+func (n *Node) work(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { n.replica.Run(ctx) })
+	wg.Go(func() { n.election.Run(ctx) })
+	wg.Wait()
+}
+
 // lead is called by the election for each term.
 func (n *Node) lead(ctx context.Context, t *election.Term) {
 	l := leader.New(leader.Config{
 		Settings: n.settings, Tuning: n.tuning, Store: n.store, Cloud: n.cloud, Replica: n.replica,
-		Term: t, Token: t.Token, Stamp: t.Stamp,
+		Term: t, Token: t.Token, Stamp: t.Stamp, Workers: n.workers,
 	})
 	n.setLeading(l)
 	defer n.setLeading(nil)
--- /dev/null
+++ b/node_test.go
@@ -0,0 +1,428 @@
+package caperlatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/settings"
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+const (
+	reportS = 1.0
+	leaseS  = 8.0
+	cancelS = 25.0
+)
+
+// cluster is three nodes with stand-ins for all around them.
+type cluster struct {
+	t     *testing.T
+	net   *standin.Net
+	state *standin.State
+	cloud *standin.Cloud
+	user  *http.Client
+
+	mu    sync.Mutex
+	dead  map[string]bool // senders that are no more
+	fault func(from string, r *http.Request) standin.Fault
+	stops []func()
+	lives []int
+}
+
+func nodeSettings(i int) *settings.Settings {
+	s := &settings.Settings{Member: fmt.Sprintf("host-%d", i), ClientListen: "unused"}
+	s.External.State, s.External.Cloud = "state", "cloud"
+	s.Params = settings.Params{
+		Zones:   []string{"a"},
+		Teams:   []settings.Team{{Name: "blue"}, {Name: "small", CPUs: 2, CPUsMax: 4}},
+		Workers: settings.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS},
+		State:   settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 6},
+		Cloud:   settings.Cloud{RPS: 20, ListLagS: 1},
+		Limits:  settings.Limits{CPU: 1, MemoryMB: 1000, MaxSockets: 1000},
+	}
+	for p := range 3 {
+		if p != i {
+			s.Peers = append(s.Peers, settings.Peer{Member: fmt.Sprintf("host-%d", p)})
+		}
+	}
+	return s
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, net: standin.NewNet(), state: standin.NewState(), dead: map[string]bool{},
+		stops: make([]func(), 3), lives: make([]int, 3)}
+	c.net.SetFault(func(from string, r *http.Request) standin.Fault {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.dead[from] {
+			return standin.LostRequest
+		}
+		if c.fault != nil {
+			return c.fault(from, r)
+		}
+		return standin.Pass
+	})
+	nodes := []string{"host-0:8080", "host-1:8080", "host-2:8080"}
+	c.cloud = standin.NewCloud(c.net, nodes, reportS, leaseS, func(string) float64 { return 5 })
+	c.net.Handle("state", c.state)
+	c.net.Handle("cloud", c.cloud)
+	c.user = &http.Client{Transport: c.net.From("user")}
+	for i := range 3 {
+		c.start(i)
+	}
+	return c
+}
+
+// start begins a new life of a node.
+func (c *cluster) start(i int) {
+	c.lives[i]++
+	name := fmt.Sprintf("host-%d/%d", i, c.lives[i])
+	n := newNode(nodeSettings(i), settings.DefaultTuning(), c.net.From(name), c.net.From(name))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.work(ctx)
+	}()
+	host := fmt.Sprintf("host-%d:8080", i)
+	c.net.Handle(host, n.handler())
+	c.stops[i] = func() {
+		c.net.Handle(host, nil)
+		c.mu.Lock()
+		c.dead[name] = true
+		c.mu.Unlock()
+		cancel()
+		<-done
+	}
+}
+
+// kill ends a node as a crash would: nothing that it sends arrives any more.
+func (c *cluster) kill(i int) { c.stops[i]() }
+
+func (c *cluster) setFault(f func(from string, r *http.Request) standin.Fault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault = f
+}
+
+func (c *cluster) close() {
+	c.setFault(nil)
+	for i := range 3 {
+		c.kill(i)
+	}
+	c.cloud.Close()
+	c.state.Close()
+	c.net.WaitLate()
+	time.Sleep(time.Minute) // all that still waits for an answer gives up
+}
+
+// leader is the index of the node that the state service names.
+func (c *cluster) leader() int {
+	for range 100 {
+		var l struct {
+			Member string `json:"member"`
+		}
+		if e, ok := c.state.Get("c/leader"); ok && wire.Unmarshal(e.Value, &l) == nil {
+			var i int
+			if _, err := fmt.Sscanf(l.Member, "host-%d", &i); err == nil {
+				return i
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.t.Fatal("nobody leads")
+	return -1
+}
+
+func (c *cluster) request(method string, node int, path string, body any) (int, wire.JobStatus) {
+	var r io.Reader
+	if body != nil {
+		b, err := wire.Marshal(body)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		r = bytes.NewReader(b)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://host-%d:8080%s", node, path), r)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	resp, err := c.user.Do(req)
+	if err != nil {
+		return 0, wire.JobStatus{}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, wire.JobStatus{}
+	}
+	var s wire.JobStatus
+	if len(b) > 0 {
+		_ = wire.Unmarshal(b, &s) // an error body has no status, which the callers see
+	}
+	return resp.StatusCode, s
+}
+
+func testJob(id string, tasks int) map[string]any {
+	return map[string]any{
+		"id": id, "lane": "l", "desk": "blue", "shape": "sweep", "rank": "normal", "pieces": tasks, "vcpus": 1.0, "cards": 0.0,
+		"memory_gb": 1.0, "bundle": "img", "pull_gb": 1.0, "builds": nil, "hall": nil, "together": false, "scatter": false,
+		"standby": true, "expect_s": 5.0, "save_every_s": 0.0, "store_s": 0.0,
+	}
+}
+
+// submit repeats a submission, each time at the next node, until it is taken.
+func (c *cluster) submit(id string, tasks int) {
+	for try := range 60 {
+		if code, _ := c.request(http.MethodPost, try%3, "/v1/jobs", testJob(id, tasks)); code == http.StatusCreated || code == http.StatusOK {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	c.t.Fatalf("%s was not accepted", id)
+}
+
+// await polls, each time at the next node, until a job has a status.
+func (c *cluster) await(id, status string, within time.Duration) {
+	c.t.Helper()
+	var last wire.JobStatus
+	code := 0
+	for begun, try := time.Now(), 0; time.Since(begun) < within; try++ {
+		code, last = c.request(http.MethodGet, try%3, "/v1/jobs/"+id, nil)
+		if code == http.StatusNotFound {
+			c.t.Fatalf("%s was forgotten", id)
+		}
+		if last.Status == status {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	c.t.Fatalf("%s is %q (%d) after %v, want %s", id, last.Status, code, within, status)
+}
+
+func isState(r *http.Request) bool { return r.URL.Host == "state" }
+
+// nth lets every nth request of a kind meet a fault.
+func nth(n int, fault standin.Fault, match func(*http.Request) bool) func(string, *http.Request) standin.Fault {
+	count := 0
+	return func(from string, r *http.Request) standin.Fault {
+		if strings.HasPrefix(from, "host") && match(r) {
+			if count++; count%n == 0 {
+				return fault
+			}
+		}
+		return standin.Pass
+	}
+}
+
+// TestNodes runs whole clusters through failures. In each case three jobs of
+// five tasks are accepted before or during the trouble and must be done after
+// it, with no task on two machines at a time.
+func TestNodes(t *testing.T) {
+	cases := []struct {
+		name    string
+		trouble func(c *cluster)
+	}{
+		{"quiet", func(*cluster) {}},
+		{"the leader crashes", func(c *cluster) {
+			i := c.leader()
+			time.Sleep(2 * time.Second)
+			c.kill(i)
+			time.Sleep(10 * time.Second)
+			c.start(i)
+		}},
+		// A restart within the hold's life must not wait for its end, and the
+		// old life's token must not be used again.
+		{"the leader restarts at once", func(c *cluster) {
+			i := c.leader()
+			time.Sleep(2 * time.Second)
+			c.kill(i)
+			c.start(i)
+		}},
+		{"all nodes crash", func(c *cluster) {
+			time.Sleep(2 * time.Second)
+			for i := range 3 {
+				c.kill(i)
+			}
+			time.Sleep(5 * time.Second)
+			for i := range 3 {
+				c.start(i)
+			}
+		}},
+		// What gets no answer may have been done.
+		{"answers of the state service are lost", func(c *cluster) {
+			c.setFault(nth(4, standin.LostAnswer, isState))
+			time.Sleep(20 * time.Second)
+		}},
+		// What got no answer may be done later, after newer writes.
+		{"transactions are applied late", func(c *cluster) {
+			c.setFault(nth(3, standin.Late, func(r *http.Request) bool { return isState(r) && r.URL.Path == "/txn" }))
+			time.Sleep(25 * time.Second)
+		}},
+		{"rentals are answered late", func(c *cluster) {
+			c.setFault(nth(2, standin.Late, func(r *http.Request) bool { return r.URL.Path == "/hosts" && r.Method == http.MethodPost }))
+			time.Sleep(20 * time.Second)
+		}},
+		{"the state service is down", func(c *cluster) {
+			time.Sleep(time.Second)
+			c.setFault(nth(1, standin.Refused, isState))
+			time.Sleep(8 * time.Second)
+		}},
+		// The old leader is cut off while the others elect a new one.
+		{"the leader is cut off from the state service", func(c *cluster) {
+			prefix := fmt.Sprintf("host-%d/", c.leader())
+			time.Sleep(2 * time.Second)
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if strings.HasPrefix(from, prefix) && isState(r) {
+					return standin.Refused
+				}
+				return standin.Pass
+			})
+			time.Sleep(15 * time.Second)
+		}},
+		{"a machine's reports are lost", func(c *cluster) {
+			time.Sleep(3 * time.Second)
+			if ws := c.cloud.Workers(); len(ws) > 0 {
+				id := ws[0].ID
+				c.setFault(func(from string, _ *http.Request) standin.Fault {
+					if from == id {
+						return standin.LostRequest
+					}
+					return standin.Pass
+				})
+			}
+			time.Sleep(30 * time.Second)
+		}},
+		{"answers to reports are lost", func(c *cluster) {
+			count := 0
+			c.setFault(func(from string, _ *http.Request) standin.Fault {
+				if strings.HasPrefix(from, "i-") {
+					if count++; count%3 == 0 {
+						return standin.LostAnswer
+					}
+				}
+				return standin.Pass
+			})
+			time.Sleep(20 * time.Second)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				ids := []string{"j-000001", "j-000002", "j-000003"}
+				c.submit(ids[0], 5)
+				c.submit(ids[1], 5)
+				tc.trouble(c)
+				c.setFault(nil)
+				c.submit(ids[2], 5)
+				for _, id := range ids {
+					c.await(id, wire.JobDone, 90*time.Second)
+				}
+				if broken := c.cloud.Broken(); broken != nil {
+					t.Error(broken)
+				}
+				if starts := c.cloud.Starts(); starts < 15 {
+					t.Errorf("%d tasks were started for 15 that are done", starts)
+				}
+			})
+		})
+	}
+}
+
+// TestDoubleSubmission has one job submitted at two nodes at once: it is one
+// job, each of whose tasks runs once.
+func TestDoubleSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.submit("j-000009", 1) // the catalog is known from here on
+		codes := make([]int, 2)
+		var wg sync.WaitGroup
+		for i := range codes {
+			wg.Go(func() { codes[i], _ = c.request(http.MethodPost, i, "/v1/jobs", testJob("j-000001", 4)) })
+		}
+		wg.Wait()
+		if codes[0]+codes[1] != http.StatusCreated+http.StatusOK {
+			t.Errorf("answers %v, want one 201 and one 200", codes)
+		}
+		c.await("j-000001", wire.JobDone, time.Minute)
+		if n := c.cloud.Starts(); n != 5 {
+			t.Errorf("%d starts for 5 tasks", n)
+		}
+		// A repeat gets 200 whatever else it says, also after the end.
+		if code, s := c.request(http.MethodPost, 2, "/v1/jobs", map[string]any{"id": "j-000001"}); code != http.StatusOK || s.Status != wire.JobDone {
+			t.Errorf("repeat answered %d %q", code, s.Status)
+		}
+		if code, _ := c.request(http.MethodGet, 1, "/v1/jobs/j-777777", nil); code != http.StatusNotFound {
+			t.Errorf("unknown job answered %d", code)
+		}
+	})
+}
+
+// TestAbort cancels a job whose tasks run and whose starts are on their way:
+// they are gone within cancel_s, and the job stays cancelled everywhere.
+func TestAbort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.cloud.RunFor = func(string) float64 { return 300 }
+		c.submit("j-000001", 12)
+		for i := 0; i < 60 && c.cloud.Starts() == 0; i++ {
+			time.Sleep(500 * time.Millisecond)
+		}
+		if c.cloud.Starts() == 0 {
+			t.Fatal("nothing was started")
+		}
+		if code, s := c.request(http.MethodPost, 1, "/v1/jobs/j-000001/abort", nil); code != http.StatusOK || s.Status != wire.JobCancelled {
+			t.Fatalf("abort answered %d %q", code, s.Status)
+		}
+		for i := range 3 {
+			if _, s := c.request(http.MethodGet, i, "/v1/jobs/j-000001", nil); s.Status != wire.JobCancelled {
+				t.Errorf("node %d says %q right after the abort", i, s.Status)
+			}
+		}
+		time.Sleep(time.Duration(cancelS) * time.Second)
+		if on := c.cloud.OnMachines(); len(on) > 0 {
+			t.Errorf("still on machines: %v", on)
+		}
+		c.await("j-000001", wire.JobCancelled, 5*time.Second)
+	})
+}
+
+// TestTeamLimit has a team with room for four CPUs and a job of more.
+func TestTeamLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.submit("j-000009", 1)
+		job := testJob("j-000001", 12)
+		job["desk"] = "small"
+		if code, _ := c.request(http.MethodPost, 0, "/v1/jobs", job); code != http.StatusCreated {
+			t.Fatalf("submission answered %d", code)
+		}
+		most := 0
+		for range 240 { // a minute
+			time.Sleep(250 * time.Millisecond)
+			own := slices.DeleteFunc(c.cloud.OnMachines(), func(task string) bool { return !strings.HasPrefix(task, "j-000001/") })
+			most = max(most, len(own))
+		}
+		c.await("j-000001", wire.JobDone, time.Minute)
+		if most > 4 {
+			t.Errorf("%d tasks of a team with a limit of 4 at once", most)
+		}
+	})
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"caperlatch/internal/micros"
+)
+
+func cpus(n int64) Resources { return Resources{CPU: n * 1000} }
+
+func machine(id, zone string, free int64) Machine {
+	return Machine{ID: id, Type: "m", Zone: zone, Free: cpus(free), GBPerS: 1, Images: map[string]int{}}
+}
+
+func job(id string, waiting int, edit func(*Job)) *Job {
+	j := &Job{ID: id, Team: "t", Image: "img", Priority: 1, Need: cpus(1), Waiting: waiting, Total: waiting, Spot: true}
+	if edit != nil {
+		edit(j)
+	}
+	return j
+}
+
+func TestPlan(t *testing.T) {
+	cases := []struct {
+		name     string
+		machines []Machine
+		jobs     []*Job
+		team     *Team
+		starts   []string // job@machine*count
+		stops    []string // job/task
+	}{
+		{"packs onto the fuller machine", []Machine{machine("a", "z", 8), machine("b", "z", 3)},
+			[]*Job{job("j", 2, nil)}, nil, []string{"j@b*2"}, nil},
+		{"where the image is", []Machine{machine("a", "z", 4), func() Machine {
+			m := machine("b", "z", 8)
+			m.Images["img"] = 1
+			return m
+		}()}, []*Job{job("j", 1, func(j *Job) { j.ImageGB = 5 })}, nil, []string{"j@b*1"}, nil},
+		{"the higher priority first", []Machine{machine("a", "z", 1)},
+			[]*Job{job("low", 1, nil), job("high", 1, func(j *Job) { j.Priority = 2 })}, nil, []string{"high@a*1"}, nil},
+		{"a guarantee before a priority", []Machine{machine("a", "z", 1)},
+			[]*Job{job("cov", 1, func(j *Job) { j.Covered = true }), job("high", 1, func(j *Job) { j.Priority = 2 })}, nil, []string{"cov@a*1"}, nil},
+		{"due first", []Machine{machine("a", "z", 1)},
+			[]*Job{job("b", 1, func(j *Job) { j.Due = 5 }), job("c", 1, func(j *Job) { j.Due = 3 })}, nil, []string{"c@a*1"}, nil},
+		{"the team's limit", []Machine{machine("a", "z", 10)},
+			[]*Job{job("j", 9, nil)}, &Team{Used: cpus(2), Limit: cpus(5)}, []string{"j@a*3"}, nil},
+		{"not on spot machines", []Machine{func() Machine { m := machine("a", "z", 4); m.Spot = true; return m }(), machine("b", "z", 4)},
+			[]*Job{job("j", 1, func(j *Job) { j.Spot = false })}, nil, []string{"j@b*1"}, nil},
+		{"only its types and zone", []Machine{machine("a", "z", 4), machine("b", "y", 4)},
+			[]*Job{job("j", 1, func(j *Job) { j.Zone, j.Types = "y", []string{"m"} }), job("k", 1, func(j *Job) { j.Types = []string{"x"} })},
+			nil, []string{"j@b*1"}, nil},
+		{"together", []Machine{machine("a", "z", 2), machine("b", "y", 2)},
+			[]*Job{job("j", 4, func(j *Job) { j.OneZone = true })}, nil, []string{"j@a*2"}, nil},
+		{"together with what runs", []Machine{machine("a", "z", 2), machine("b", "y", 2)},
+			[]*Job{job("j", 4, func(j *Job) { j.OneZone, j.PerZone = true, map[string]int{"y": 1} })}, nil, []string{"j@b*2"}, nil},
+		{"scatter: at most 3 of 5 in a zone", []Machine{machine("a", "z", 9), machine("b", "y", 1)},
+			[]*Job{job("j", 5, func(j *Job) { j.Spread = true })}, nil, []string{"j@b*1", "j@a*3"}, nil},
+		{"stops lower work for higher, what loses least", []Machine{func() Machine {
+			m := machine("a", "z", 0)
+			m.Victims = []Victim{{Job: "x", Task: 0, Priority: 1, Need: cpus(1), Lost: 9}, {Job: "x", Task: 1, Priority: 1, Need: cpus(1), Lost: 4}}
+			return m
+		}()}, []*Job{job("j", 1, func(j *Job) { j.Priority = 2 })}, nil, nil, []string{"x/1"}},
+		{"does not stop equals", []Machine{func() Machine {
+			m := machine("a", "z", 0)
+			m.Victims = []Victim{{Job: "x", Priority: 1, Need: cpus(1)}}
+			return m
+		}()}, []*Job{job("j", 1, nil)}, nil, nil, nil},
+		{"takes back what another team borrowed", []Machine{func() Machine {
+			m := machine("a", "z", 0)
+			m.Victims = []Victim{{Job: "x", Team: "u", Priority: 2, Need: cpus(1)}}
+			return m
+		}()}, []*Job{job("j", 1, func(j *Job) { j.Covered = true })}, nil, nil, []string{"x/0"}},
+		{"waits for what is being stopped already", []Machine{func() Machine {
+			m := machine("a", "z", 0)
+			m.Soon = cpus(1)
+			m.Victims = []Victim{{Job: "x", Priority: 0, Need: cpus(1)}}
+			return m
+		}()}, []*Job{job("j", 1, nil)}, nil, nil, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			starts, stops := Plan(c.machines, c.jobs, map[string]*Team{"t": c.team})
+			var got, stopped []string
+			for _, s := range starts {
+				got = append(got, fmt.Sprintf("%s@%s*%d", c.jobs[s.Job].ID, c.machines[s.Machine].ID, s.Count))
+			}
+			for _, s := range stops {
+				stopped = append(stopped, fmt.Sprintf("%s/%d", s.Victim.Job, s.Victim.Task))
+			}
+			if !slices.Equal(got, c.starts) {
+				t.Errorf("starts %v, want %v", got, c.starts)
+			}
+			if !slices.Equal(stopped, c.stops) {
+				t.Errorf("stops %v, want %v", stopped, c.stops)
+			}
+		})
+	}
+}
+
+// TestSetAside has three jobs of which only two can be in time: the largest
+// is put off, not the one that is due last.
+func TestSetAside(t *testing.T) {
+	s := micros.Second
+	jobs := []*Job{
+		job("big", 1, func(j *Job) { j.Due, j.Work = 10*s, 9 }),
+		job("mid", 1, func(j *Job) { j.Due, j.Work = 11*s, 5 }),
+		job("small", 1, func(j *Job) { j.Due, j.Work = 12*s, 4 }),
+		job("urgent", 1, func(j *Job) { j.Priority, j.Due, j.Work = 2, 1*s, 1 }),
+	}
+	SetAside(jobs, 1, 0)
+	for _, j := range jobs {
+		if j.Late != (j.ID == "big") {
+			t.Errorf("%s: late is %v", j.ID, j.Late)
+		}
+	}
+}
+
+// TestPlanCost has 100,000 tasks wait on full machines and on some with room.
+func TestPlanCost(t *testing.T) {
+	var machines []Machine
+	for i := range 40 {
+		machines = append(machines, machine(fmt.Sprint("i-", i), "z", int64(i%3)*2))
+	}
+	var jobs []*Job
+	for i := range 1000 {
+		jobs = append(jobs, job(fmt.Sprintf("j-%06d", i), 100, nil))
+	}
+	begun := time.Now()
+	Plan(machines, jobs, nil)
+	if took := time.Since(begun); took > time.Second {
+		t.Errorf("planning took %v", took)
+	}
+}
--- /dev/null
+++ b/staffing/staffing_test.go
@@ -0,0 +1,151 @@
+package staffing
+
+import (
+	"math"
+	"testing"
+
+	"caperlatch/internal/micros"
+)
+
+// TestServers checks formula (4) against the paper's start-up example (its
+// section 7): λ = 100, μ = 1, α = 0.05, so m(t) = 100(1 - e^-t).
+func TestServers(t *testing.T) {
+	m := 0.0
+	for k, want := range []int{77, 103, 112, 115, 117, 117, 117} {
+		m = Step(m, 100, 1, 1)
+		if got := Servers(m, m, 1.645); got != want {
+			t.Errorf("interval %d: %d servers, the paper has %d", k+1, got, want)
+		}
+	}
+	cases := []struct {
+		name    string
+		m, v, z float64
+		want    int
+	}{
+		{"the steady state of that example", 100, 100, 1.645, 117},
+		{"an integer is not the least one above itself", 9.5, 0, 1, 11},
+		{"nothing to serve", 0, 0, 1.282, 1},
+		{"twice the variance", 100, 200, 1.645, 124},
+	}
+	for _, c := range cases {
+		if got := Servers(c.m, c.v, c.z); got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-3*math.Max(1, math.Abs(b)) }
+
+func TestStep(t *testing.T) {
+	cases := []struct {
+		name                 string
+		m, lambda, mu, dt, w float64
+	}{
+		{"toward the offered load", 0, 2, 0.1, 1e4, 20},
+		{"decay", 10, 0, 0.1, 10, 10 / math.E},
+		{"many small steps are one large", Step(Step(3, 1, 0.5, 1), 1, 0.5, 1), 1, 0.5, 0, Step(3, 1, 0.5, 2)},
+		{"nothing ever ends", 1, 2, 0, 3, 7},
+	}
+	for _, c := range cases {
+		if got := Step(c.m, c.lambda, c.mu, c.dt); !near(got, c.w) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.w)
+		}
+	}
+	if got := PeakMean(5, 10, 1, 30); !near(got, 10) {
+		t.Errorf("rising mean: peak %v, want 10", got)
+	}
+	if got := PeakMean(10, 0, 1, 30); got != 10 {
+		t.Errorf("falling mean: peak %v, want 10", got)
+	}
+}
+
+func TestMargin(t *testing.T) {
+	if got := Shares(1.282, []float64{9}, []float64{1}, []float64{16})[0]; !near(got, 1.282*3) {
+		t.Errorf("one type alone: %v, want z√m", got)
+	}
+	// Two types of one size are one pool: together z√(m1+m2).
+	s := Shares(2, []float64{9, 16}, []float64{1, 1}, []float64{4, 4})
+	if !near(s[0]+s[1], 10) {
+		t.Errorf("two types: %v, want 10 together", s)
+	}
+	// Poisson arrivals of whole machines: the paper's default v = m.
+	var single Lumps
+	single.Add(1, 1)
+	single.Add(1, 1)
+	if got := single.Peakedness(); !near(got, 1) {
+		t.Errorf("single arrivals: peakedness %v, want 1", got)
+	}
+	// Lumps of four whole machines: (4+1)/2.
+	var lumps Lumps
+	lumps.Add(4, 4)
+	if got := lumps.Peakedness(); !near(got, 2.5) {
+		t.Errorf("lumps of four: peakedness %v, want 2.5", got)
+	}
+	for _, c := range []struct{ z, k, want float64 }{{1.282, 1, 1.282}, {1.282, 3, 0.524}, {1.282, 5, 0}, {1.282, 50, 0}} {
+		if got := PricedZ(c.z, c.k); math.Abs(got-c.want) > 2e-3 {
+			t.Errorf("z %v at %v times the price: %v, want %v", c.z, c.k, got, c.want)
+		}
+	}
+}
+
+func TestWindow(t *testing.T) {
+	s := micros.Second
+	w := NewWindow(60*s, 100*s)
+	for i := range 60 {
+		w.Add(100*s+micros.Micros(i)*s, 2)
+	}
+	for _, c := range []struct {
+		at   micros.Micros
+		want float64
+	}{{160 * s, 2}, {190 * s, 1}, {300 * s, 0}} {
+		if got := w.Rate(c.at); math.Abs(got-c.want) > 0.05 {
+			t.Errorf("rate at %v: %v, want %v", c.at, got, c.want)
+		}
+	}
+	w = NewWindow(60*s, 0)
+	w.Add(s, 30)
+	if got := w.Rate(s); got != 2 {
+		t.Errorf("right after the start: %v, want 30 over a quarter of the window", got)
+	}
+	w.Seed(500*s, 3)
+	if got := w.Rate(500 * s); !near(got, 3) {
+		t.Errorf("seeded: %v, want 3", got)
+	}
+}
+
+func TestService(t *testing.T) {
+	var s Service
+	s.Estimate(1, 50)
+	s.Finished(1, 20)
+	for _, c := range []struct {
+		finished int
+		want     float64
+	}{{MinTasks - 1, 1.0 / 50}, {MinTasks, 1.0 / 20}} {
+		if got := s.Mu(c.finished); !near(got, c.want) {
+			t.Errorf("after %d tasks: μ %v, want %v", c.finished, got, c.want)
+		}
+	}
+}
+
+// TestEstimate has owners who are wrong by a factor two either way, on a day
+// when all estimates are three times too high.
+func TestEstimate(t *testing.T) {
+	var e Estimate
+	if got := e.Corrected(40); got != 40 {
+		t.Errorf("nothing seen: %v, want the owner's 40", got)
+	}
+	for range 100 {
+		for _, x := range []struct{ est, ran float64 }{{60, 40}, {240, 40}, {120, 40}, {30, 20}, {120, 20}, {60, 20}} {
+			e.Observe(x.est, x.ran)
+		}
+	}
+	if got := e.Corrected(120); got < 25 || got > 45 {
+		t.Errorf("120 corrected to %v, want about 35", got)
+	}
+	if got := e.Corrected(2000); got > 200 {
+		t.Errorf("an absurd estimate stays at %v", got)
+	}
+	if lo, hi := e.Corrected(30), e.Corrected(240); lo >= hi {
+		t.Errorf("a longer estimate is not longer: %v, %v", lo, hi)
+	}
+}
