--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -163,6 +163,7 @@
 		dear := int(math.Max(round(dearWant), floor)) - have[t.Name]
 		short := target - have[t.Name]
 		t.target = target
+		slog.Debug("staff", "type", t.Name, "m", t.m, "want", t.want, "dear", t.dear, "busy", busy[t.Name], "need", need[t.Name], "excess", excess, "urgent", urgent, "have", have[t.Name])
 		booked := 0
 		if short > 0 {
 			booked = l.rentMore(t, short, dear, now)
