--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -112,7 +112,8 @@
 		return
 	}
 	work := float64(j.waiting()) * fraction(t, j.need)
-	t.lumps.Add(float64(j.spec.Tasks)*fraction(t, j.need), j.spec.Tasks)
+	due, _ := l.due(j, j.submitted)
+	t.lumps.Add(float64(j.spec.Tasks)*fraction(t, j.need), j.spec.Tasks, (due-j.submitted).Seconds() > t.BootS)
 	if !j.old {
 		t.window.Add(now, work)
 	}
@@ -157,7 +158,10 @@
 				return math.Floor(v+0.5) + 1
 			}
 		}
-		floor := busy[t.Name] + math.Ceil(need[t.Name]-0.01)
+		floor := busy[t.Name]
+		if need[t.Name] > 0.01 {
+			floor = float64(have[t.Name]) + math.Ceil(need[t.Name]-0.01)
+		}
 		want, dearWant := t.want+excess/size, t.dear+urgent/size
 		target := int(math.Max(round(want), floor))
 		dear := int(math.Max(round(dearWant), floor)) - have[t.Name]
@@ -222,18 +226,35 @@
 	return ts
 }
 
-// waitingNeed is how many machines the waiting tasks need, by type. What will
-// have ended by the time that a new machine is up makes room without one, so
-// only the rest of the backlog counts, unless it has waited that long already.
+// waitingNeed is how many machines beyond the fleet the waiting tasks need to
+// be in time, by type.
 func (l *Leader) waitingNeed(now micros.Micros) map[string]float64 {
-	need, fresh := map[string]float64{}, map[string]float64{}
+	var waiting []staffing.Demand
+	var running []staffing.Running
+	work := map[string]float64{} // by the type it is best for
+	total, supply, boot := 0.0, 0.0, math.Inf(1)
 	planned := map[*job]int{}
 	for _, m := range l.machines {
+		t := l.types[m.kind.Type]
+		if t == nil || m.leaving || m.draining != "" {
+			continue
+		}
+		supply += t.CPUs
 		for _, j := range m.planned {
 			planned[j]++
 		}
+		for _, a := range m.tasks {
+			// A task that has outlasted its estimate takes some time more.
+			left := l.expected(a.job.spec) - (now - a.began).Seconds()
+			running = append(running, staffing.Running{CPUs: a.job.spec.CPUs, Left: math.Max(left, l.expected(a.job.spec)/4)})
+		}
+	}
+	for _, b := range l.bookings {
+		if t := l.types[b.Type]; t != nil && !b.Answered {
+			supply += t.CPUs * float64(b.Count)
+		}
 	}
-	freshCPUs := 0.0
+	wall := micros.Wall()
 	for _, j := range l.jobs {
 		n := j.waiting() - planned[j]
 		if n <= 0 || now < j.notBefore {
@@ -246,26 +267,21 @@
 		if t == nil {
 			continue
 		}
-		if now-j.seen > micros.FromSeconds(t.BootS) {
-			need[t.Name] += float64(n) * fraction(t, j.need)
-		} else {
-			fresh[t.Name] += float64(n) * fraction(t, j.need)
-			freshCPUs += float64(n) * j.spec.CPUs
-		}
-	}
-	for name, n := range fresh {
-		free := 0.0
-		for _, m := range l.machines {
-			mt := l.types[m.kind.Type]
-			if mt == nil || !m.up || m.draining != "" || m.leaving {
-				continue
-			}
-			ends := 1 - math.Exp(-mt.service.Mu(mt.finished)*l.types[name].BootS)
-			for _, a := range m.tasks {
-				free += a.job.spec.CPUs * ends
-			}
-		}
-		need[name] += n * math.Max(0, 1-free/math.Max(freshCPUs, 0.001))
+		boot = math.Min(boot, t.BootS)
+		due, _ := l.due(j, wall)
+		w := float64(n) * j.spec.CPUs * l.expected(j.spec)
+		// What is late is to be done soon all the same.
+		waiting = append(waiting, staffing.Demand{Work: w, Due: math.Min((due - wall).Seconds(), 600)})
+		work[t.Name] += w
+		total += w
+	}
+	need := map[string]float64{}
+	if total == 0 {
+		return need
+	}
+	short := staffing.Backlog(waiting, running, supply, boot)
+	for name, w := range work {
+		need[name] = short * w / total / math.Max(l.types[name].CPUs, 0.001)
 	}
 	return need
 }
@@ -332,7 +348,7 @@
 	var idle []*machine
 	for _, m := range l.sortedMachines() {
 		if m.kind.Type == t.Name && len(m.tasks) == 0 && len(m.planned) == 0 && m.resolved && !m.leaving && m.draining == "" &&
-			now-m.rentedAt > minPaid-3*micros.Second && now-m.busyTill > 10*micros.Second {
+			now-m.rentedAt > minPaid-3*micros.Second && now-m.busyTill > micros.FromSeconds(t.BootS) {
 			idle = append(idle, m)
 		}
 	}
--- /dev/null
+++ b/staffing/backlog.go
@@ -0,0 +1,41 @@
+package staffing
+
+import "math"
+
+// Demand is waiting work: CPU seconds that should have been served within Due
+// seconds from now.
+type Demand struct{ Work, Due float64 }
+
+// Running is a running task: the CPUs that it holds, and for how many seconds
+// more by estimate.
+type Running struct{ CPUs, Left float64 }
+
+// Backlog is how many CPUs beyond supply are needed for all waiting work to be
+// served in time. The paper's m decays for waiting work as well, so a backlog
+// must be added: within any horizon h, the work due by then takes up Work/h
+// CPUs on average besides what the running tasks still hold. Nothing rented now
+// helps before boot seconds have passed, so no horizon is shorter.
+func Backlog(waiting []Demand, running []Running, supply, boot float64) float64 {
+	worst := 0.0
+	for h := math.Max(1, boot); h < 3600; h *= 1.5 {
+		work, all := 0.0, true
+		for _, d := range waiting {
+			if d.Due <= h {
+				work += d.Work
+			} else {
+				all = false
+			}
+		}
+		if work == 0 && !all {
+			continue
+		}
+		for _, r := range running {
+			work += r.CPUs * math.Min(r.Left, h)
+		}
+		worst = math.Max(worst, work/h-supply)
+		if all {
+			break
+		}
+	}
+	return worst
+}
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -132,14 +132,18 @@
 type Lumps struct{ sum, squares, tasks float64 }
 
 // Add counts a job that brings weight machines' worth of work in tasks tasks.
-func (l *Lumps) Add(weight float64, tasks int) {
+// Spare machines are for those who cannot wait until one has booted; a job that
+// can counts in the mean alone.
+func (l *Lumps) Add(weight float64, tasks int, canWait bool) {
 	if tasks <= 0 {
 		return
 	}
 	const keep = 0.98
-	l.sum = l.sum*keep + weight
-	l.squares = l.squares*keep + weight*weight
-	l.tasks = l.tasks*keep + weight*weight/float64(tasks)
+	l.sum, l.squares, l.tasks = l.sum*keep+weight, l.squares*keep, l.tasks*keep
+	if !canWait {
+		l.squares += weight * weight
+		l.tasks += weight * weight / float64(tasks)
+	}
 }
 
 // Peakedness of what came in; 1, the paper's default, while nothing has.
--- a/staffing/staffing_test.go
+++ b/staffing/staffing_test.go
@@ -70,14 +70,14 @@
 	}
 	// Poisson arrivals of whole machines: the paper's default v = m.
 	var single Lumps
-	single.Add(1, 1)
-	single.Add(1, 1)
+	single.Add(1, 1, false)
+	single.Add(1, 1, false)
 	if got := single.Peakedness(); !near(got, 1) {
 		t.Errorf("single arrivals: peakedness %v, want 1", got)
 	}
 	// Lumps of four whole machines: (4+1)/2.
 	var lumps Lumps
-	lumps.Add(4, 4)
+	lumps.Add(4, 4, false)
 	if got := lumps.Peakedness(); !near(got, 2.5) {
 		t.Errorf("lumps of four: peakedness %v, want 2.5", got)
 	}
