--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -348,7 +348,7 @@
 	var idle []*machine
 	for _, m := range l.sortedMachines() {
 		if m.kind.Type == t.Name && len(m.tasks) == 0 && len(m.planned) == 0 && m.resolved && !m.leaving && m.draining == "" &&
-			now-m.rentedAt > minPaid-3*micros.Second && now-m.busyTill > micros.FromSeconds(t.BootS) {
+			now-m.rentedAt > minPaid-3*micros.Second && now-m.busyTill > l.idleLimit(t, m.kind.Spot) {
 			idle = append(idle, m)
 		}
 	}
@@ -360,6 +360,13 @@
 	}
 }
 
+// idleLimit is how long an idle machine is kept in case it is needed again. As
+// much time as a new one takes to boot costs about what returning it in error
+// would; a dear one is not worth that while spot machines can be had.
+func (l *Leader) idleLimit(t *machineType, spot bool) micros.Micros {
+	return micros.FromSeconds(t.BootS / l.priceRatio(t, spot))
+}
+
 func price(t *machineType, spot bool) float64 {
 	if spot {
 		return t.SpotPrice
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -24,7 +24,7 @@
 
 // DefaultTuning is what DESIGN starts with.
 func DefaultTuning() Tuning {
-	return Tuning{Z: 1.282, ReviewInterval: 30 * micros.Second, Window: 120 * micros.Second, RecordInterval: 5 * micros.Second}
+	return Tuning{Z: 1.282, ReviewInterval: 30 * micros.Second, Window: 60 * micros.Second, RecordInterval: 5 * micros.Second}
 }
 
 // ReadTuning reads the file named by the environment, if there is one.
