--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/failsafe-go/failsafe-go/adaptivelimiter"
@@ -30,6 +31,8 @@
 	Ready() bool
 	// Counts shows how far a job is, as well as it is known here.
 	Counts(id string) (done, running int)
+	// Relay asks the leader for its answer to a report.
+	Relay(ctx context.Context, r *wire.Report) (wire.ReportAnswer, error)
 	// Explain asks the leader about a job.
 	Explain(ctx context.Context, id string) (leader.Explanation, error)
 }
@@ -41,6 +44,9 @@
 	Store    *statestore.Client
 	Batch    *statestore.Batcher
 	Replica  *replica.Replica
+
+	mu         sync.Mutex
+	redirected map[string]micros.Micros // machines sent to the leader, when
 }
 
 // New makes the HTTP handler.
@@ -260,7 +266,7 @@
 		case j.Final():
 			return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: j.State})
 		}
-		final := replica.Job{SubmittedAt: j.SubmittedAt, State: wire.JobCancelled, Reason: "cancelled by its user"}
+		final := replica.Job{SubmittedAt: j.SubmittedAt, State: wire.JobCancelled, Reason: "cancelled by its user", EndedAt: micros.Wall()}
 		key := replica.JobPrefix + id
 		rev, err := h.put(ctx, key, stamp, final)
 		switch {
@@ -303,9 +309,47 @@
 	if member == "" || member == h.Settings.Member {
 		return bad(c, http.StatusServiceUnavailable, errors.New("no leader known"))
 	}
+	if h.cameBack(r.Machine) {
+		ctx, cancel := context.WithTimeout(c.Request().Context(), relayTimeout.Duration())
+		defer cancel()
+		answer, err := h.Node.Relay(ctx, &r)
+		if err != nil {
+			return bad(c, http.StatusServiceUnavailable, err)
+		}
+		return reply(c, http.StatusOK, answer)
+	}
 	return reply(c, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: member})
 }
 
+// Times of relaying: a worker that comes back so soon after it was redirected
+// cannot reach the leader; its answer must come well before it gives up.
+const (
+	comesBackWithin = 15 * micros.Second
+	relayTimeout    = 2500 * micros.Millisecond
+)
+
+// cameBack tells whether a worker was sent to the leader a short while ago.
+// A worker that is relayed for stays; now and then it is sent again.
+func (h *Handler) cameBack(machine string) bool {
+	now := micros.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.redirected == nil {
+		h.redirected = map[string]micros.Micros{}
+	}
+	since, ok := h.redirected[machine]
+	if !ok || now-since > comesBackWithin {
+		for id, at := range h.redirected {
+			if now-at > comesBackWithin {
+				delete(h.redirected, id)
+			}
+		}
+		h.redirected[machine] = now
+		return false
+	}
+	return now-since > micros.Second
+}
+
 func (h *Handler) explain(c echo.Context) error {
 	ctx, cancel := context.WithTimeout(c.Request().Context(), userTimeout.Duration())
 	defer cancel()
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -24,8 +24,18 @@
 	retryEvery  = 200 * micros.Millisecond
 )
 
+// Peers is what the election asks of the other nodes' words.
+type Peers interface {
+	// Confirmed is when all peers last were without a higher token, and
+	// Promised until when all of them promise not to try to lead.
+	Confirmed(token uint64) micros.Micros
+	Promised(token uint64) micros.Micros
+}
+
 // Term is one leadership.
 type Term struct {
+	peers Peers
+
 	Token uint64
 	Stamp uint64 // of the leader key; every write of the term is conditioned on it
 	hold  uint64
@@ -35,21 +45,35 @@
 	over      bool
 }
 
-// Confirmed is the send time of the last request that proved the leadership.
+// Confirmed is when the leadership was last proved: by the state service, at
+// the request's send time, or by the words of all peers.
 func (t *Term) Confirmed() micros.Micros {
+	peers := t.peers.Confirmed(t.Token)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.confirmed
+	return max(t.confirmed, peers)
 }
 
-// Sure tells whether nobody else can be leader now: the hold has not ended,
-// even if the service's clock runs fast.
-func (t *Term) Sure() bool {
+// Held tells whether the hold has not ended, even if the service's clock runs
+// fast.
+func (t *Term) Held() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return !t.over && micros.Now() < t.confirmed+Life-micros.Drift(Life)
 }
 
+// Sure tells whether nobody else can be leader now: the hold has not ended, or
+// all others, who cannot reach the state service either, promise not to try.
+func (t *Term) Sure() bool {
+	if t.Held() {
+		return true
+	}
+	t.mu.Lock()
+	over := t.over
+	t.mu.Unlock()
+	return !over && micros.Now() < t.peers.Promised(t.Token)
+}
+
 func (t *Term) confirm(sent micros.Micros) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -67,13 +91,79 @@
 	member  string
 	store   *statestore.Client
 	replica *replica.Replica
+	peers   Peers
 	lead    func(ctx context.Context, t *Term)
+	began   micros.Micros
+	// forgotten is how long a promise of an earlier life may bind.
+	forgotten micros.Micros
+
+	mu       sync.Mutex
+	promised micros.Micros // until then this node must not try to lead
+	trying   bool          // a campaign's outcome is open
+	highest  replica.Leader
 }
 
 // New makes an election; lead is called for each term and must return soon
 // after its context ends.
-func New(member string, store *statestore.Client, r *replica.Replica, lead func(context.Context, *Term)) *Election {
-	return &Election{member: member, store: store, replica: r, lead: lead}
+func New(member string, store *statestore.Client, r *replica.Replica, peers Peers, forgotten micros.Micros, lead func(context.Context, *Term)) *Election {
+	return &Election{member: member, store: store, replica: r, peers: peers, lead: lead, began: micros.Now(), forgotten: forgotten}
+}
+
+// Promise has this node not try to lead for a while, if it is in a position to
+// say so: it does not lead, and no campaign of it may still succeed.
+func (e *Election) Promise(life micros.Micros) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.trying {
+		return false
+	}
+	e.promised = max(e.promised, micros.Now()+life)
+	return true
+}
+
+// mayTry begins a campaign unless a promise of this node binds it. A restarted
+// node does not know what it had promised and waits it out.
+func (e *Election) mayTry() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now := micros.Now(); now < e.promised || now < e.began+e.forgotten {
+		return false
+	}
+	e.trying = true
+	return true
+}
+
+func (e *Election) tried() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.trying = false
+}
+
+// Told takes over a token that a peer knows of.
+func (e *Election) Told(token uint64, member string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if token > e.highest.Token {
+		e.highest = replica.Leader{Member: member, Token: token}
+	}
+}
+
+// Highest is the highest token known here and who has it.
+func (e *Election) Highest() (uint64, string) {
+	var token replica.Token
+	if _, err := e.replica.Get(replica.TokenKey, &token); err != nil {
+		slog.Error("token key", "error", err)
+	}
+	l, _ := e.Leader()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.highest.Token > token.Token || e.highest.Token == token.Token && l.Token != token.Token {
+		return e.highest.Token, e.highest.Member
+	}
+	if l.Token == token.Token {
+		e.highest = l
+	}
+	return token.Token, l.Member
 }
 
 // Leader is the leader as known here.
@@ -94,9 +184,15 @@
 		wait := micros.Second
 		switch {
 		case !e.replica.Loaded():
+		case stamp == 0 && !e.mayTry():
+			wait = retryEvery
 		case stamp == 0:
-			if t := e.campaign(ctx); t != nil {
+			t := e.campaign(ctx)
+			if t != nil {
 				e.serve(ctx, t)
+			}
+			e.tried()
+			if t != nil {
 				continue
 			}
 			wait = retryEvery + micros.Micros(rand.Int64N(int64(retryEvery)))
@@ -151,7 +247,7 @@
 	}
 	e.replica.Wrote(replica.LeaderKey, leader, rev)
 	e.replica.Wrote(replica.TokenKey, next, rev)
-	return &Term{Token: next.Token, Stamp: rev, hold: hold, confirmed: sent}
+	return &Term{peers: e.peers, Token: next.Token, Stamp: rev, hold: hold, confirmed: sent}
 }
 
 // serve keeps the hold and leads until the term is over.
@@ -175,11 +271,21 @@
 	}
 }
 
+// superseded tells whether the leader key is another's, or a peer knows of a
+// higher token: then the workers have to go there soon.
+func (e *Election) superseded(t *Term) bool {
+	if _, stamp := e.Leader(); stamp != t.Stamp {
+		return true
+	}
+	token, _ := e.Highest()
+	return token > t.Token
+}
+
 // keep extends the hold until the term is lost or given up.
 func (e *Election) keep(ctx context.Context, t *Term, done <-chan struct{}) {
 	for {
 		changed := e.replica.Changed()
-		if _, stamp := e.Leader(); stamp != t.Stamp {
+		if e.superseded(t) {
 			return
 		}
 		wait := extendEvery
@@ -205,7 +311,7 @@
 				break waiting
 			case <-changed:
 				changed = e.replica.Changed()
-				if _, stamp := e.Leader(); stamp != t.Stamp {
+				if e.superseded(t) {
 					return
 				}
 			}
--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -201,7 +201,7 @@
 	if _, ok := l.finals[id]; ok {
 		return
 	}
-	l.finals[id] = replica.Job{SubmittedAt: j.submitted, State: wire.JobDone, Reason: "all tasks done"}
+	l.finals[id] = replica.Job{SubmittedAt: j.submitted, State: wire.JobDone, Reason: "all tasks done", EndedAt: micros.Wall()}
 	l.dirty[replica.JobPrefix+id] = true
 	l.wakeFlush()
 }
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -64,6 +64,16 @@
 
 func (j *job) waiting() int { return j.spec.Tasks - j.ndone - len(j.on) }
 
+// running counts the tasks seen running.
+func (j *job) running() (n int) {
+	for _, a := range j.on {
+		if a.running != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // take picks a waiting task.
 func (j *job) take() (int, bool) {
 	for n := len(j.returned); n > 0; n = len(j.returned) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -346,6 +346,37 @@
 	}
 }
 
+// Cancelled takes over cancellations that another node told of, while the state
+// service may not be reachable.
+func (l *Leader) Cancelled(ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		if j := l.jobs[id]; j != nil {
+			l.forget(j, wire.JobCancelled)
+		}
+	}
+}
+
+// AllCounts is how far the jobs are that are not over: done and running tasks.
+func (l *Leader) AllCounts() map[string][2]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string][2]int, len(l.jobs))
+	for id, j := range l.jobs {
+		if len(out) == maxCounts {
+			break
+		}
+		if running := j.running(); j.ndone+running > 0 {
+			out[id] = [2]int{j.ndone, running}
+		}
+	}
+	return out
+}
+
+// maxCounts bounds a message between nodes; counts are for display only.
+const maxCounts = 2000
+
 // forget drops a job that is over; its tasks are stopped.
 func (l *Leader) forget(j *job, state string) {
 	j.over = true
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -23,6 +23,7 @@
 	rentedAt micros.Micros
 	reported micros.Micros // last newer report
 	answered micros.Micros // last answer that may have renewed its lease
+	bounced  micros.Micros // when last sent away in doubt
 	tasks    map[string]*attempt
 	clears   []wire.Command
 	planned  []*job // one entry a start
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -20,6 +20,10 @@
 // maxOrders keeps an answer to a worker well within wire.MaxBody.
 const maxOrders = 300
 
+// bounceAgain is how long a worker that was sent away in doubt may come back
+// for an answer.
+const bounceAgain = 15 * micros.Second
+
 // Report takes a worker's report and answers with its orders.
 func (l *Leader) Report(r *wire.Report) (wire.ReportAnswer, error) {
 	l.mu.Lock()
@@ -37,6 +41,12 @@
 	if m == nil {
 		return answer, l.unknown(r, now)
 	}
+	if !l.Term.Sure() && now-m.bounced > bounceAgain {
+		// Another node may lead by now. A worker that finds no other answer
+		// comes back and has its lease renewed.
+		m.bounced = now
+		return answer, ErrNotEntitled
+	}
 	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
 		// A late copy. Its worker gave up waiting for the answer.
 		return answer, ErrNotEntitled
--- /dev/null
+++ b/internal/peer/cohort.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"caperlatch/internal/micros"
+)
+
+// Times of probing.
+const (
+	probeEvery   = 400 * micros.Millisecond
+	probeTimeout = 1200 * micros.Millisecond
+	// PromiseLife is how long a node that promises so does not try to lead.
+	PromiseLife = 1500 * micros.Millisecond
+	// HeardWithin is how fresh contact with the state service counts.
+	HeardWithin = 3 * micros.Second
+)
+
+// Cohort keeps what the peers last said of themselves.
+type Cohort struct {
+	clients map[string]*Client
+	probe   func() *Probe
+	heard   func(s *State) // called with each answer
+
+	mu   sync.Mutex
+	last map[string]said
+}
+
+type said struct {
+	sent  micros.Micros // when it was asked
+	state State
+}
+
+// NewCohort makes a cohort of peers by member.
+func NewCohort(clients map[string]*Client, probe func() *Probe, heard func(*State)) *Cohort {
+	return &Cohort{clients: clients, probe: probe, heard: heard, last: map[string]said{}}
+}
+
+// Run probes the peers until ctx ends.
+func (c *Cohort) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for member, client := range c.clients {
+		wg.Go(func() {
+			defer client.Close()
+			for ctx.Err() == nil {
+				c.ask(ctx, member, client)
+				select {
+				case <-ctx.Done():
+				case <-time.After(probeEvery.Duration()):
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (c *Cohort) ask(ctx context.Context, member string, client *Client) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	sent := micros.Now()
+	a, err := client.Ask(ctx, Request{Probe: c.probe()})
+	if err != nil || a.State == nil {
+		slog.Debug("probe", "peer", member, "error", err)
+		return
+	}
+	c.mu.Lock()
+	c.last[member] = said{sent, *a.State}
+	c.mu.Unlock()
+	c.heard(a.State)
+}
+
+// Client is the client of a member, if it is a peer.
+func (c *Cohort) Client(member string) *Client { return c.clients[member] }
+
+// each calls f with the last word of every peer; one that never spoke has a
+// zero time.
+func (c *Cohort) each(f func(said)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for member := range c.clients {
+		f(c.last[member])
+	}
+}
+
+// Confirmed is the latest instant at which every peer was known not to have
+// seen a token above mine, and had told of all its cancellations; 0 if never.
+// It stands for contact with the state service: only nodes tell users that
+// jobs are cancelled, and only a node with a higher token may lead.
+func (c *Cohort) Confirmed(token uint64) micros.Micros {
+	at := micros.Now()
+	c.each(func(s said) {
+		if !s.state.Loaded || s.state.Token > token {
+			at = 0
+		}
+		at = min(at, s.sent)
+	})
+	return at
+}
+
+// Promised is until when all peers promise not to try to lead; 0 if they do
+// not.
+func (c *Cohort) Promised(token uint64) micros.Micros {
+	until := micros.Now() + PromiseLife
+	c.each(func(s said) {
+		if s.sent == 0 || !s.state.Loaded || s.state.Token > token || s.state.Promise == 0 {
+			until = 0
+		}
+		until = min(until, s.sent+s.state.Promise-micros.Drift(s.state.Promise))
+	})
+	return until
+}
+
+// InContact tells whether some peer has lately heard from the state service.
+func (c *Cohort) InContact() bool {
+	now, some := micros.Now(), false
+	c.each(func(s said) {
+		if s.sent > now-HeardWithin && s.state.Loaded && s.state.SinceHeard < HeardWithin {
+			some = true
+		}
+	})
+	return some
+}
+
+// Reachable tells whether a member answered lately.
+func (c *Cohort) Reachable(member string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last[member].sent > micros.Now()-HeardWithin
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,275 @@
+// Package peer carries requests between controller nodes: CBOR values on
+// streams over net, one stream a direction.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"caperlatch/internal/leader"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+)
+
+// Request asks a peer one of these things.
+type Request struct {
+	ID      uint64       `json:"id"`
+	Probe   *Probe       `json:"probe,omitempty"`
+	Relay   *wire.Report `json:"relay,omitempty"`
+	Explain string       `json:"explain,omitempty"`
+}
+
+// Probe tells a peer of its sender and asks for its state.
+type Probe struct {
+	Member string            `json:"member"`
+	Token  uint64            `json:"token"`            // highest known
+	Leader string            `json:"leader"`           // whose token that is
+	Counts map[string][2]int `json:"counts,omitempty"` // done and running tasks, from the leader
+}
+
+// State is what a node tells of itself.
+type State struct {
+	Loaded     bool          `json:"loaded"`
+	Token      uint64        `json:"token"`       // highest known
+	Leader     string        `json:"leader"`      // whose token that is
+	SinceHeard micros.Micros `json:"since_heard"` // since the state service last answered it
+	Promise    micros.Micros `json:"promise"`     // for this long it will not try to lead; 0: no promise
+	Aborted    []string      `json:"aborted"`     // jobs that it lately told users are cancelled
+}
+
+// Response answers the request of the same id.
+type Response struct {
+	ID      uint64              `json:"id"`
+	State   *State              `json:"state,omitempty"`
+	Relay   *wire.ReportAnswer  `json:"relay,omitempty"`
+	Explain *leader.Explanation `json:"explain,omitempty"`
+	Error   string              `json:"error,omitempty"`
+}
+
+// Handler answers requests at once.
+type Handler interface {
+	Probed(p *Probe) *State
+	Relayed(r *wire.Report) (wire.ReportAnswer, error)
+	Explained(job string) (leader.Explanation, error)
+}
+
+// maxMessage bounds what a peer may send in one value.
+const maxMessage = 1 << 20
+
+// Serve answers requests on connections of l until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h Handler) {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			slog.Debug("peer accept", "error", err)
+			time.Sleep((100 * micros.Millisecond).Duration())
+			continue
+		}
+		wg.Go(func() {
+			stop := context.AfterFunc(ctx, func() { conn.Close() })
+			defer stop()
+			defer conn.Close()
+			if err := serveConn(conn, h); err != nil {
+				slog.Debug("peer connection", "error", err)
+			}
+		})
+	}
+}
+
+// limitedReader ends a stream whose single value is too large.
+type limitedReader struct {
+	r    io.Reader
+	left int
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errors.New("message too large")
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+func serveConn(conn net.Conn, h Handler) error {
+	in := &limitedReader{r: conn}
+	dec, enc := wire.NewDecoder(in), wire.NewEncoder(conn)
+	for {
+		in.left = maxMessage
+		var q Request
+		if err := dec.Decode(&q); err != nil {
+			return err
+		}
+		a := Response{ID: q.ID}
+		var err error
+		switch {
+		case q.Probe != nil:
+			a.State = h.Probed(q.Probe)
+		case q.Relay != nil:
+			var answer wire.ReportAnswer
+			answer, err = h.Relayed(q.Relay)
+			a.Relay = &answer
+		case q.Explain != "":
+			var e leader.Explanation
+			e, err = h.Explained(q.Explain)
+			a.Explain = &e
+		}
+		if err != nil {
+			a.Error = err.Error()
+		}
+		if err := conn.SetWriteDeadline(time.Now().Add(2 * time.Second)); err != nil {
+			return err
+		}
+		if err := enc.Encode(a); err != nil {
+			return err
+		}
+	}
+}
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+// Client asks one peer.
+type Client struct {
+	addr string
+	dial Dial
+
+	mu      sync.Mutex
+	conn    net.Conn
+	next    uint64
+	waiting map[uint64]chan Response
+	sending sync.Mutex
+}
+
+// NewClient makes a client of the peer at addr; it connects when asked.
+func NewClient(addr string, dial Dial) *Client {
+	return &Client{addr: addr, dial: dial, waiting: map[uint64]chan Response{}}
+}
+
+// Ask sends a request and waits for its answer.
+func (c *Client) Ask(ctx context.Context, q Request) (Response, error) {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return Response{}, fmt.Errorf("peer %s: %w", c.addr, err)
+	}
+	answer := make(chan Response, 1)
+	c.mu.Lock()
+	c.next++
+	q.ID = c.next
+	c.waiting[q.ID] = answer
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.waiting, q.ID)
+		c.mu.Unlock()
+	}()
+	if err := c.send(ctx, conn, q); err != nil {
+		c.drop(conn)
+		return Response{}, fmt.Errorf("peer %s: %w", c.addr, err)
+	}
+	select {
+	case a, ok := <-answer:
+		if !ok {
+			return a, fmt.Errorf("peer %s: connection lost", c.addr)
+		}
+		if a.Error != "" {
+			return a, fmt.Errorf("peer %s: %s", c.addr, a.Error)
+		}
+		return a, nil
+	case <-ctx.Done():
+		// A stream that does not answer may be cut; a new one tells.
+		c.drop(conn)
+		return Response{}, fmt.Errorf("peer %s: %w", c.addr, ctx.Err())
+	}
+}
+
+func (c *Client) send(ctx context.Context, conn net.Conn, q Request) error {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := conn.SetWriteDeadline(deadline); err != nil {
+			return err
+		}
+	}
+	return wire.NewEncoder(conn).Encode(q)
+}
+
+func (c *Client) connect(ctx context.Context) (net.Conn, error) {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	conn, err := c.dial(ctx, c.addr)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil { // another caller was faster
+		conn.Close()
+		return c.conn, nil
+	}
+	c.conn = conn
+	go c.receive(conn)
+	return conn, nil
+}
+
+func (c *Client) receive(conn net.Conn) {
+	defer c.drop(conn)
+	in := &limitedReader{r: conn}
+	dec := wire.NewDecoder(in)
+	for {
+		in.left = maxMessage
+		var a Response
+		if err := dec.Decode(&a); err != nil {
+			return
+		}
+		c.mu.Lock()
+		answer := c.waiting[a.ID]
+		delete(c.waiting, a.ID)
+		c.mu.Unlock()
+		if answer != nil {
+			answer <- a
+		}
+	}
+}
+
+// drop closes a connection and tells those who wait on it.
+func (c *Client) drop(conn net.Conn) {
+	conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != conn {
+		return
+	}
+	c.conn = nil
+	for id, answer := range c.waiting {
+		close(answer)
+		delete(c.waiting, id)
+	}
+}
+
+// Close ends the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		c.drop(conn)
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -35,6 +35,7 @@
 	SubmittedAt micros.Micros `json:"at"` // time of day
 	State       string        `json:"state"`
 	Reason      string        `json:"why,omitempty"` // why it ended
+	EndedAt     micros.Micros `json:"end,omitempty"` // time of day
 }
 
 // Final tells whether the job is over.
@@ -58,6 +59,11 @@
 	stamp uint64
 }
 
+type ended struct {
+	id string
+	at micros.Micros
+}
+
 type storedJob struct {
 	job   Job
 	stamp uint64
@@ -67,13 +73,14 @@
 type Replica struct {
 	store *statestore.Client
 
-	mu       sync.Mutex
-	loaded   bool
-	revision uint64
-	items    map[string]item
-	jobs     map[string]storedJob
-	changed  map[string]bool // jobs changed since the last TakeChanged
-	wake     chan struct{}   // closed at the next change
+	mu        sync.Mutex
+	loaded    bool
+	revision  uint64
+	items     map[string]item
+	jobs      map[string]storedJob
+	changed   map[string]bool // jobs changed since the last TakeChanged
+	cancelled []ended
+	wake      chan struct{} // closed at the next change
 
 	barrierMu sync.Mutex
 	running   bool
@@ -188,6 +195,9 @@
 	}
 	r.jobs[id] = storedJob{j, stamp}
 	r.changed[id] = true
+	if j.State == wire.JobCancelled {
+		r.cancelled = append(r.cancelled, ended{id, j.EndedAt})
+	}
 }
 
 func (r *Replica) notify() {
@@ -298,6 +308,19 @@
 	return ids
 }
 
+// Cancelled lists the jobs known here to have been cancelled after an instant
+// of the day; older ones are forgotten.
+func (r *Replica) Cancelled(after micros.Micros) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancelled = slices.DeleteFunc(r.cancelled, func(e ended) bool { return e.at < after })
+	ids := make([]string, len(r.cancelled))
+	for i, e := range r.cancelled {
+		ids[i] = e.id
+	}
+	return ids
+}
+
 // Get decodes another key's value into v and returns its stamp, 0 if there is
 // no such key.
 func (r *Replica) Get(key string, v any) (uint64, error) {
--- /dev/null
+++ b/internal/standin/pipes.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+)
+
+// Pipes connects peers within a process.
+type Pipes struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	cut       func(from, to string) bool
+}
+
+// NewPipes makes pipes between nobody yet.
+func NewPipes() *Pipes { return &Pipes{listeners: map[string]*pipeListener{}} }
+
+// Cut decides who cannot connect to whom; open connections stay.
+func (p *Pipes) Cut(f func(from, to string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = f
+}
+
+type pipeListener struct {
+	pipes *Pipes
+	addr  string
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+// Listen takes an address, also from one that had it before.
+func (p *Pipes) Listen(addr string) net.Listener {
+	l := &pipeListener{pipes: p, addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listeners[addr] = l
+	return l
+}
+
+// Dial connects to a listener.
+func (p *Pipes) Dial(ctx context.Context, from, addr string) (net.Conn, error) {
+	p.mu.Lock()
+	l := p.listeners[addr]
+	cut := p.cut != nil && p.cut(from, addr)
+	p.mu.Unlock()
+	if l == nil || cut {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.done:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: l.addr, Net: "pipe"} }
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"golang.org/x/time/rate"
 
@@ -49,6 +50,7 @@
 	writes  *rate.Limiter
 	maxOps  int
 	valueKB float64
+	heard   atomic.Int64 // when the service last answered
 }
 
 // New makes a client for the service at addr. All nodes share the service's
@@ -71,6 +73,12 @@
 // FitsValue tells whether v may be stored under one key.
 func (c *Client) FitsValue(v any) bool { return float64(wire.JSONSize(v)) <= c.valueKB*1024 }
 
+// SinceHeard is how long ago the service last answered anything but that it
+// is unavailable.
+func (c *Client) SinceHeard() micros.Micros {
+	return micros.Now() - micros.Micros(c.heard.Load())
+}
+
 // call sends one request and decodes a 200 into out.
 func (c *Client) call(ctx context.Context, method, path string, in, out any, timeout micros.Micros) (int, error) {
 	if err := c.reads.Wait(ctx); err != nil {
@@ -102,6 +110,9 @@
 	if err != nil {
 		return 0, fmt.Errorf("state service: %w", err)
 	}
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		c.heard.Store(int64(micros.Now()))
+	}
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusConflict:
 		if out != nil {
--- a/node.go
+++ b/node.go
@@ -16,9 +16,12 @@
 	"caperlatch/internal/cloud"
 	"caperlatch/internal/election"
 	"caperlatch/internal/leader"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/peer"
 	"caperlatch/internal/replica"
 	"caperlatch/internal/settings"
 	"caperlatch/internal/statestore"
+	"caperlatch/internal/wire"
 )
 
 // Node is one controller.
@@ -29,29 +32,50 @@
 	cloud    *cloud.Client
 	replica  *replica.Replica
 	election *election.Election
+	cohort   *peer.Cohort
+	outside  outside
 
-	mu      sync.Mutex
-	leading *leader.Leader
+	mu       sync.Mutex
+	leading  *leader.Leader
+	counts   map[string][2]int // as the leader last told
+	countsAt micros.Micros
+}
 
-	workers *http.Client
+// outside is how a node reaches what is around it.
+type outside struct {
+	services http.RoundTripper
+	workers  http.RoundTripper
+	dial     peer.Dial
+	listen   func() (net.Listener, error) // for peers
 }
 
-var _ api.Node = (*Node)(nil)
+var (
+	_ api.Node     = (*Node)(nil)
+	_ peer.Handler = (*Node)(nil)
+)
 
 // NewNode makes a node from checked settings.
 func NewNode(s *settings.Settings, t settings.Tuning) *Node {
-	return newNode(s, t,
-		&http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true},
-		&http.Transport{DisableKeepAlives: true, DisableCompression: true})
+	var dialer net.Dialer
+	return newNode(s, t, outside{
+		services: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true},
+		workers:  &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		dial:     func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
+		listen:   func() (net.Listener, error) { return net.Listen("tcp", s.PeerListen) },
+	})
 }
 
-// newNode takes the transports to the services and to the workers.
-func newNode(s *settings.Settings, t settings.Tuning, services, workers http.RoundTripper) *Node {
-	n := &Node{settings: s, tuning: t, workers: &http.Client{Transport: workers}}
-	n.store = statestore.New(s.External.State, s.Params.State, services)
-	n.cloud = cloud.New(s.External.Cloud, s.Params.Cloud, services)
+func newNode(s *settings.Settings, t settings.Tuning, o outside) *Node {
+	n := &Node{settings: s, tuning: t, outside: o}
+	n.store = statestore.New(s.External.State, s.Params.State, o.services)
+	n.cloud = cloud.New(s.External.Cloud, s.Params.Cloud, o.services)
 	n.replica = replica.New(n.store)
-	n.election = election.New(s.Member, n.store, n.replica, n.lead)
+	clients := map[string]*peer.Client{}
+	for _, p := range s.Peers {
+		clients[p.Member] = peer.NewClient(p.Addr, o.dial)
+	}
+	n.cohort = peer.NewCohort(clients, n.probe, n.heard)
+	n.election = election.New(s.Member, n.store, n.replica, n.cohort, peer.PromiseLife, n.lead)
 	return n
 }
 
@@ -92,14 +116,125 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { n.replica.Run(ctx) })
 	wg.Go(func() { n.election.Run(ctx) })
+	wg.Go(func() { n.cohort.Run(ctx) })
+	wg.Go(func() { n.listenToPeers(ctx) })
+	wg.Go(func() { n.stayInContact(ctx) })
 	wg.Wait()
 }
 
+// listenToPeers serves the other nodes. A node whose peers cannot reach it
+// still works, so a failure is only told.
+func (n *Node) listenToPeers(ctx context.Context) {
+	l, err := n.outside.listen()
+	if err != nil {
+		slog.Error("peer_bind", "error", err)
+		return
+	}
+	peer.Serve(ctx, l, n)
+}
+
+// stayInContact asks the state service for something now and then, so that a
+// quiet node knows whether it would be answered.
+func (n *Node) stayInContact(ctx context.Context) {
+	t := time.NewTicker(micros.Second.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if n.replica.Loaded() && n.store.SinceHeard() > 1500*micros.Millisecond {
+			if err := n.replica.Barrier(ctx); err != nil {
+				slog.Debug("contact", "error", err)
+			}
+		}
+	}
+}
+
+// probe is what this node tells its peers when it asks them.
+func (n *Node) probe() *peer.Probe {
+	p := &peer.Probe{Member: n.settings.Member}
+	p.Token, p.Leader = n.election.Highest()
+	if l := n.Leading(); l != nil {
+		p.Counts = l.AllCounts()
+	}
+	return p
+}
+
+// heard takes over what a peer tells.
+func (n *Node) heard(s *peer.State) {
+	n.election.Told(s.Token, s.Leader)
+	if l := n.Leading(); l != nil && len(s.Aborted) > 0 {
+		l.Cancelled(s.Aborted)
+	}
+}
+
+// Probed answers a peer. A node that hears from the state service promises
+// nothing: it would see the leader's hold end.
+func (n *Node) Probed(p *peer.Probe) *peer.State {
+	n.election.Told(p.Token, p.Leader)
+	if p.Counts != nil {
+		n.mu.Lock()
+		n.counts, n.countsAt = p.Counts, micros.Now()
+		n.mu.Unlock()
+	}
+	s := &peer.State{Loaded: n.replica.Loaded(), SinceHeard: n.store.SinceHeard()}
+	s.Token, s.Leader = n.election.Highest()
+	if s.SinceHeard > micros.Second && n.election.Promise(peer.PromiseLife) {
+		s.Promise = peer.PromiseLife
+	}
+	w := n.settings.Params.Workers
+	within := w.Cancel() + 2*micros.FromSeconds(n.settings.Params.ClockErrorMS/1000)
+	s.Aborted = n.replica.Cancelled(micros.Wall() - within)
+	return s
+}
+
+// Relayed answers a report that a peer passes on.
+func (n *Node) Relayed(r *wire.Report) (wire.ReportAnswer, error) {
+	l := n.Leading()
+	if l == nil {
+		return wire.ReportAnswer{}, leader.ErrNotEntitled
+	}
+	return l.Report(r)
+}
+
+// Explained tells a peer what the leader here knows of a job.
+func (n *Node) Explained(job string) (leader.Explanation, error) {
+	l := n.Leading()
+	if l == nil {
+		return leader.Explanation{}, errors.New("not leading")
+	}
+	e, _ := l.Explain(job)
+	return e, nil
+}
+
+// askLeader sends a request to the leader known here.
+func (n *Node) askLeader(ctx context.Context, q peer.Request) (peer.Response, error) {
+	c := n.cohort.Client(n.LeaderMember())
+	if c == nil {
+		return peer.Response{}, errors.New("no leader known")
+	}
+	return c.Ask(ctx, q)
+}
+
+// Relay asks the leader for its answer to a report.
+func (n *Node) Relay(ctx context.Context, r *wire.Report) (wire.ReportAnswer, error) {
+	a, err := n.askLeader(ctx, peer.Request{Relay: r})
+	if err == nil && a.Relay == nil {
+		err = errors.New("no answer in the answer")
+	}
+	if err != nil {
+		return wire.ReportAnswer{}, err
+	}
+	return *a.Relay, nil
+}
+
 // lead is called by the election for each term.
 func (n *Node) lead(ctx context.Context, t *election.Term) {
 	l := leader.New(leader.Config{
 		Settings: n.settings, Tuning: n.tuning, Store: n.store, Cloud: n.cloud, Replica: n.replica,
-		Term: t, Token: t.Token, Stamp: t.Stamp, Workers: n.workers,
+		Term: t, Token: t.Token, Stamp: t.Stamp, Workers: &http.Client{Transport: n.outside.workers},
 	})
 	n.setLeading(l)
 	defer n.setLeading(nil)
@@ -119,29 +254,46 @@
 	return n.leading
 }
 
-// LeaderMember names the leader as known here.
+// LeaderMember names the leader as known here: by the state service or, when
+// that cannot be reached, by a peer that knows of a higher token.
 func (n *Node) LeaderMember() string {
-	l, _ := n.election.Leader()
-	return l.Member
+	_, member := n.election.Highest()
+	return member
 }
 
-// Ready tells whether the node can take requests.
-func (n *Node) Ready() bool { return n.replica.Loaded() }
+// Ready tells whether the node can take requests. Without the state service it
+// cannot, but when no peer can either, being skipped would not help anyone.
+func (n *Node) Ready() bool {
+	return n.replica.Loaded() && (n.store.SinceHeard() < peer.HeardWithin || !n.cohort.InContact())
+}
 
 // Counts shows how far a job is.
 func (n *Node) Counts(id string) (done, running int) {
 	if l := n.Leading(); l != nil {
 		done, running, _ = l.Counts(id)
+		return done, running
 	}
-	return done, running
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if micros.Now()-n.countsAt > 5*micros.Second {
+		return 0, 0
+	}
+	c := n.counts[id]
+	return c[0], c[1]
 }
 
 // Explain asks the leader about a job.
-func (n *Node) Explain(_ context.Context, id string) (leader.Explanation, error) {
-	l := n.Leading()
-	if l == nil {
-		return leader.Explanation{}, errors.New("not leading here")
+func (n *Node) Explain(ctx context.Context, id string) (leader.Explanation, error) {
+	if l := n.Leading(); l != nil {
+		e, _ := l.Explain(id)
+		return e, nil
 	}
-	e, _ := l.Explain(id)
-	return e, nil
+	a, err := n.askLeader(ctx, peer.Request{Explain: id})
+	if err == nil && a.Explain == nil {
+		err = errors.New("no explanation in the answer")
+	}
+	if err != nil {
+		return leader.Explanation{}, err
+	}
+	return *a.Explain, nil
 }
--- a/node_test.go
+++ b/node_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -28,6 +29,7 @@
 type cluster struct {
 	t     *testing.T
 	net   *standin.Net
+	pipes *standin.Pipes
 	state *standin.State
 	cloud *standin.Cloud
 	user  *http.Client
@@ -52,14 +54,14 @@
 	}
 	for p := range 3 {
 		if p != i {
-			s.Peers = append(s.Peers, settings.Peer{Member: fmt.Sprintf("host-%d", p)})
+			s.Peers = append(s.Peers, settings.Peer{Member: fmt.Sprintf("host-%d", p), Addr: fmt.Sprintf("host-%d", p)})
 		}
 	}
 	return s
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, net: standin.NewNet(), state: standin.NewState(), dead: map[string]bool{},
+	c := &cluster{t: t, net: standin.NewNet(), pipes: standin.NewPipes(), state: standin.NewState(), dead: map[string]bool{},
 		stops: make([]func(), 3), lives: make([]int, 3)}
 	c.net.SetFault(func(from string, r *http.Request) standin.Fault {
 		c.mu.Lock()
@@ -86,8 +88,13 @@
 // start begins a new life of a node.
 func (c *cluster) start(i int) {
 	c.lives[i]++
-	name := fmt.Sprintf("host-%d/%d", i, c.lives[i])
-	n := newNode(nodeSettings(i), settings.DefaultTuning(), c.net.From(name), c.net.From(name))
+	member := fmt.Sprintf("host-%d", i)
+	name := fmt.Sprintf("%s/%d", member, c.lives[i])
+	n := newNode(nodeSettings(i), settings.DefaultTuning(), outside{
+		services: c.net.From(name), workers: c.net.From(name),
+		dial:   func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, member, addr) },
+		listen: func() (net.Listener, error) { return c.pipes.Listen(member), nil },
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -292,6 +299,34 @@
 			})
 			time.Sleep(15 * time.Second)
 		}},
+		// Longer than RenewFor: the peers' word keeps leases and placing alive.
+		{"the state service is down for long", func(c *cluster) {
+			time.Sleep(4 * time.Second)
+			c.setFault(nth(1, standin.Refused, isState))
+			time.Sleep(40 * time.Second)
+		}},
+		{"the leader crashes while the state service is down", func(c *cluster) {
+			i := c.leader()
+			time.Sleep(4 * time.Second)
+			c.setFault(nth(1, standin.Refused, isState))
+			time.Sleep(3 * time.Second)
+			c.kill(i)
+			c.start(i)
+			time.Sleep(12 * time.Second)
+		}},
+		// The others pass the workers' reports on.
+		{"no worker reaches the leader", func(c *cluster) {
+			host := fmt.Sprintf("host-%d:8080", c.leader())
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if strings.HasPrefix(from, "i-") && r.URL.Host == host {
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			for i := 1; i <= 3; i++ {
+				c.await(fmt.Sprintf("j-%06d", min(i, 2)), wire.JobDone, 90*time.Second)
+			}
+		}},
 		{"a machine's reports are lost", func(c *cluster) {
 			time.Sleep(3 * time.Second)
 			if ws := c.cloud.Workers(); len(ws) > 0 {
