--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 
@@ -255,18 +256,21 @@
 		}
 	}
 	wall := micros.Wall()
-	for _, j := range l.jobs {
+	teams, _ := l.teamUse()
+	jobs := slices.SortedFunc(maps.Values(l.jobs), func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.spec.ID, b.spec.ID))
+	})
+	for _, j := range jobs {
 		n := j.waiting() - planned[j]
-		if n <= 0 || now < j.notBefore {
-			continue
-		}
-		if t := l.teams[j.spec.Team]; t.CPUsMax > 0 && j.need.CPU > 0 {
-			n = min(n, int(floor(t.CPUsMax)/j.need.CPU))
-		}
 		t := l.typeFor(j, now)
-		if t == nil {
+		if n <= 0 || now < j.notBefore || t == nil {
 			continue
 		}
+		// Machines are no help to what its team's limit keeps waiting.
+		if team := teams[j.spec.Team]; team != nil {
+			n = team.Room(j.need, n)
+			team.Used = team.Used.Plus(j.need, int64(n))
+		}
 		boot = math.Min(boot, t.BootS)
 		due, _ := l.due(j, wall)
 		w := float64(n) * j.spec.CPUs * l.expected(j.spec)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -206,7 +206,8 @@
 	return c + m.Dear + micros.Micros(left)*micros.Millisecond/1000*10
 }
 
-func room(t *Team, need Resources, limit int) int {
+// Room is how many tasks of a need, at most limit, the team may still start.
+func (t *Team) Room(need Resources, limit int) int {
 	if t == nil {
 		return limit
 	}
@@ -237,7 +238,7 @@
 	})
 	for _, c := range candidates {
 		m := &machines[c.machine]
-		n := room(team, j.Need, min(j.Waiting, zoneRoom(j, m.Zone)))
+		n := team.Room(j.Need, min(j.Waiting, zoneRoom(j, m.Zone)))
 		n = m.Free.Times(j.Need, n)
 		if n == 0 {
 			continue
@@ -276,7 +277,7 @@
 }
 
 func preempt(machines []Machine, j *Job, team *Team) (stops []Stop) {
-	want := room(team, j.Need, j.Waiting)
+	want := team.Room(j.Need, j.Waiting)
 	for k := range machines {
 		// What is being freed already will serve the first in the queue.
 		m := &machines[k]
