A term knows when it is alone; no idle returns while the state service is away

Also a promise was given by nodes that were only quiet, which delayed the first election to 3.3 s; now only by those whose last request failed, and only to a leader in doubt.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -30,6 +30,8 @@
 	// Promised until when all of them promise not to try to lead.
 	Confirmed(token uint64) micros.Micros
 	Promised(token uint64) micros.Micros
+	// KnownSince is since when all peers have known a token, 0 if they do not.
+	KnownSince(token uint64) micros.Micros
 }
 
 // Term is one leadership.
@@ -54,6 +56,10 @@
 	return max(t.confirmed, peers)
 }
 
+// Alone is since when no other node can answer workers with a lower token; 0
+// while that is not known.
+func (t *Term) Alone() micros.Micros { return t.peers.KnownSince(t.Token) }
+
 // Held tells whether the hold has not ended, even if the service's clock runs
 // fast.
 func (t *Term) Held() bool {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -25,8 +25,10 @@
 
 // Term is the part of an election's term that the leader needs.
 type Term interface {
-	Sure() bool
-	Confirmed() micros.Micros
+	Held() bool               // the hold has not ended
+	Sure() bool               // nobody else can lead
+	Confirmed() micros.Micros // when that was last proved
+	Alone() micros.Micros     // since when nobody answers with a lower token, 0 if unknown
 }
 
 var _ Term = (*election.Term)(nil)
@@ -51,6 +53,7 @@
 
 	mu         sync.Mutex
 	ready      bool // the picture has been rebuilt
+	superseded bool // a higher token is known
 	jobs       map[string]*job
 	machines   map[string]*machine
 	bookings   map[string]*booking
@@ -346,6 +349,17 @@
 	}
 }
 
+// Supersede ends all answers to workers, as another node has a higher token.
+func (l *Leader) Supersede(token uint64) {
+	if token <= l.Token {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.superseded = true
+	l.lostOnce.Do(func() { close(l.lost) })
+}
+
 // Cancelled takes over cancellations that another node told of, while the state
 // service may not be reachable.
 func (l *Leader) Cancelled(ids []string) {
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -64,10 +64,13 @@
 	w := l.Settings.Params.Workers
 	if !m.resolved {
 		// Another node may have renewed the lease until RenewFor after it
-		// last saw itself entitled, which was before this term began.
-		end := l.began + w.RenewFor() + w.Lease()
-		end = max(end, m.answered+w.Lease())
-		return end + micros.Drift(w.Cancel()) + micros.Second
+		// last saw itself entitled, which was before this term began, unless
+		// all are known to have heard of this term sooner.
+		last := l.began + w.RenewFor()
+		if alone := l.Term.Alone(); alone != 0 {
+			last = min(last, alone)
+		}
+		return max(last, m.answered) + w.Lease() + micros.Drift(w.Cancel()) + micros.Second
 	}
 	return m.answered + w.Lease() + micros.Drift(w.Lease()) + micros.Second
 }
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -30,7 +30,8 @@
 	defer l.mu.Unlock()
 	now := micros.Now()
 	answer := wire.ReportAnswer{Token: l.Token, Commands: []wire.Command{}}
-	if r.Token > l.Token {
+	if l.superseded || r.Token > l.Token {
+		l.superseded = true
 		l.lostOnce.Do(func() { close(l.lost) })
 		return answer, ErrNotEntitled
 	}
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -349,6 +349,11 @@
 // returnIdle returns up to n idle machines, the dearest first, but none
 // before its paid time is used.
 func (l *Leader) returnIdle(ctx context.Context, t *machineType, n int, now micros.Micros) {
+	if !l.Term.Held() {
+		// That a machine is gone could not be stored, and a next leader would
+		// have to wait for its lease.
+		return
+	}
 	var idle []*machine
 	for _, m := range l.sortedMachines() {
 		if m.kind.Type == t.Name && len(m.tasks) == 0 && len(m.planned) == 0 && m.resolved && !m.leaving && m.draining == "" &&
--- a/internal/peer/cohort.go
+++ b/internal/peer/cohort.go
@@ -32,6 +32,9 @@
 type said struct {
 	sent  micros.Micros // when it was asked
 	state State
+	// known is the highest token that it ever told, and since when.
+	known uint64
+	since micros.Micros
 }
 
 // NewCohort makes a cohort of peers by member.
@@ -67,7 +70,12 @@
 		return
 	}
 	c.mu.Lock()
-	c.last[member] = said{sent, *a.State}
+	s := c.last[member]
+	s.sent, s.state = sent, *a.State
+	if s.state.Token > s.known {
+		s.known, s.since = s.state.Token, micros.Now()
+	}
+	c.last[member] = s
 	c.mu.Unlock()
 	c.heard(a.State)
 }
@@ -113,6 +121,21 @@
 	return until
 }
 
+// KnownSince is since when every peer has known a token: from then on none of
+// them answers workers with a lower one, not even after a restart, which makes
+// it forget the lower one as well. 0 if not all know it.
+func (c *Cohort) KnownSince(token uint64) micros.Micros {
+	since, all := micros.Micros(0), true
+	c.each(func(s said) {
+		all = all && s.known >= token
+		since = max(since, s.since)
+	})
+	if !all || since == 0 {
+		return 0
+	}
+	return since
+}
+
 // InContact tells whether some peer has lately heard from the state service.
 func (c *Cohort) InContact() bool {
 	now, some := micros.Now(), false
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,6 +30,7 @@
 	Member string            `json:"member"`
 	Token  uint64            `json:"token"`            // highest known
 	Leader string            `json:"leader"`           // whose token that is
+	Doubt  bool              `json:"doubt"`            // it leads, and does not know whether its hold has ended
 	Counts map[string][2]int `json:"counts,omitempty"` // done and running tasks, from the leader
 }
 
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -51,6 +51,7 @@
 	maxOps  int
 	valueKB float64
 	heard   atomic.Int64 // when the service last answered
+	failed  atomic.Int64 // when it last did not
 }
 
 // New makes a client for the service at addr. All nodes share the service's
@@ -79,6 +80,10 @@
 	return micros.Now() - micros.Micros(c.heard.Load())
 }
 
+// Unreachable tells whether the last request that ended got no answer or was
+// told that the service is unavailable.
+func (c *Client) Unreachable() bool { return c.failed.Load() > c.heard.Load() }
+
 // call sends one request and decodes a 200 into out.
 func (c *Client) call(ctx context.Context, method, path string, in, out any, timeout micros.Micros) (int, error) {
 	if err := c.reads.Wait(ctx); err != nil {
@@ -103,6 +108,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		c.failed.Store(int64(micros.Now()))
 		return 0, fmt.Errorf("state service: %w", err)
 	}
 	defer resp.Body.Close()
@@ -112,6 +118,8 @@
 	}
 	if resp.StatusCode != http.StatusServiceUnavailable {
 		c.heard.Store(int64(micros.Now()))
+	} else {
+		c.failed.Store(int64(micros.Now()))
 	}
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusConflict:
--- a/node.go
+++ b/node.go
@@ -157,7 +157,7 @@
 	p := &peer.Probe{Member: n.settings.Member}
 	p.Token, p.Leader = n.election.Highest()
 	if l := n.Leading(); l != nil {
-		p.Counts = l.AllCounts()
+		p.Counts, p.Doubt = l.AllCounts(), !l.Term.Held()
 	}
 	return p
 }
@@ -165,13 +165,15 @@
 // heard takes over what a peer tells.
 func (n *Node) heard(s *peer.State) {
 	n.election.Told(s.Token, s.Leader)
-	if l := n.Leading(); l != nil && len(s.Aborted) > 0 {
+	if l := n.Leading(); l != nil {
+		l.Supersede(s.Token)
 		l.Cancelled(s.Aborted)
 	}
 }
 
-// Probed answers a peer. A node that hears from the state service promises
-// nothing: it would see the leader's hold end.
+// Probed answers a peer. Once it has told a token, this node answers no worker
+// with a lower one. A node that hears from the state service promises nothing:
+// it would see the leader's hold end.
 func (n *Node) Probed(p *peer.Probe) *peer.State {
 	n.election.Told(p.Token, p.Leader)
 	if p.Counts != nil {
@@ -181,7 +183,10 @@
 	}
 	s := &peer.State{Loaded: n.replica.Loaded(), SinceHeard: n.store.SinceHeard()}
 	s.Token, s.Leader = n.election.Highest()
-	if s.SinceHeard > micros.Second && n.election.Promise(peer.PromiseLife) {
+	if l := n.Leading(); l != nil {
+		l.Supersede(s.Token)
+	}
+	if p.Doubt && n.store.Unreachable() && n.election.Promise(peer.PromiseLife) {
 		s.Promise = peer.PromiseLife
 	}
 	w := n.settings.Params.Workers
