--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -212,7 +212,7 @@
 		l.typeOrder = append(l.typeOrder, t.Name)
 		mt := l.types[t.Name]
 		if mt == nil {
-			mt = &machineType{window: staffing.NewWindow(l.Tuning.Window, micros.Now())}
+			mt = &machineType{window: staffing.NewWindow(l.Tuning.Window)}
 			l.types[t.Name] = mt
 		}
 		mt.MachineType = t
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 
 	"caperlatch/internal/micros"
@@ -33,8 +34,8 @@
 		jobs[i] = &q.Job
 	}
 	cpus := 0.0
-	for _, t := range machines {
-		cpus += float64(l.types[t.Type].capacity.CPU) / 1000
+	for _, m := range ms {
+		cpus += l.types[m.kind.Type].CPUs
 	}
 	placement.SetAside(jobs, cpus, micros.Wall())
 	starts, stops := placement.Plan(machines, jobs, teams)
@@ -232,6 +233,13 @@
 	return out, ms
 }
 
+// left is how many seconds a task should still take. One that has outlasted
+// its estimate takes some more.
+func (l *Leader) left(a *attempt, now micros.Micros) float64 {
+	run := l.expected(a.job.spec)
+	return math.Max(run-(now-a.began).Seconds(), run/4)
+}
+
 // lostWork is what stopping a task would waste.
 func lostWork(a *attempt, now micros.Micros) micros.Micros {
 	if a.running == 0 {
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -245,9 +245,7 @@
 			planned[j]++
 		}
 		for _, a := range m.tasks {
-			// A task that has outlasted its estimate takes some time more.
-			left := l.expected(a.job.spec) - (now - a.began).Seconds()
-			running = append(running, staffing.Running{CPUs: a.job.spec.CPUs, Left: math.Max(left, l.expected(a.job.spec)/4)})
+			running = append(running, staffing.Running{CPUs: a.job.spec.CPUs, Left: l.left(a, now)})
 		}
 	}
 	for _, b := range l.bookings {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -104,7 +104,9 @@
 // as few as possible: going through the queue, whenever the work so far would
 // take a job past its due time, the job with the most work of the same claim is
 // put off (Moore's algorithm). Without it, serving by due time makes every job
-// of an overload a little late. cpus is what the machines have.
+// of an overload a little late. cpus is what the machines have. What runs
+// already is not counted: its room comes free bit by bit, and counting it put
+// off jobs that were in time after all.
 func SetAside(jobs []*Job, cpus float64, now micros.Micros) {
 	order := slices.Clone(jobs)
 	slices.SortFunc(order, func(a, b *Job) int { return Less(a, b) })
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -69,7 +69,6 @@
 // Window measures a rate: the weight that came in over the last length.
 type Window struct {
 	length  micros.Micros
-	started micros.Micros
 	entries []entry
 	sum     float64
 }
@@ -79,10 +78,8 @@
 	weight float64
 }
 
-// NewWindow starts measuring at now.
-func NewWindow(length, now micros.Micros) *Window {
-	return &Window{length: length, started: now}
-}
+// NewWindow measures over a length.
+func NewWindow(length micros.Micros) *Window { return &Window{length: length} }
 
 // Add counts weight at an instant not before the last one.
 func (w *Window) Add(at micros.Micros, weight float64) {
@@ -90,9 +87,8 @@
 	w.sum += weight
 }
 
-// Rate is the weight a second over the window or, in the beginning, over what
-// has passed of it, though never less than a quarter of it: a first arrival
-// right after the start is no sign of a high rate.
+// Rate is the weight a second over the window. In the beginning, what waits at
+// the start is no sign of a high rate, so it is spread over the whole window.
 func (w *Window) Rate(now micros.Micros) float64 {
 	n := 0
 	for n < len(w.entries) && w.entries[n].at <= now-w.length {
@@ -103,8 +99,7 @@
 	if len(w.entries) == 0 {
 		w.sum = 0
 	}
-	passed := max(w.length/4, min(w.length, now-w.started))
-	return math.Max(0, w.sum) / passed.Seconds()
+	return math.Max(0, w.sum) / w.length.Seconds()
 }
 
 // MinTasks is how many tasks must have finished before their run times are
@@ -173,7 +168,7 @@
 // come in evenly.
 func (w *Window) Seed(now micros.Micros, rate float64) {
 	const parts = 10
-	w.entries, w.sum, w.started = nil, 0, now-w.length
+	w.entries, w.sum = nil, 0
 	for i := range parts {
 		w.Add(now-w.length+w.length*micros.Micros(i+1)/parts, rate*w.length.Seconds()/parts)
 	}
