--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -369,9 +369,16 @@
 
 // idleLimit is how long an idle machine is kept in case it is needed again. As
 // much time as a new one takes to boot costs about what returning it in error
-// would; a dear one is not worth that while spot machines can be had.
+// would, to jobs that cannot wait; a dear one is not worth that while spot
+// machines can be had.
 func (l *Leader) idleLimit(t *machineType, spot bool) micros.Micros {
-	return micros.FromSeconds(t.BootS / l.priceRatio(t, spot))
+	tight, types := 0.0, 0.0
+	for _, x := range l.types {
+		tight += x.lumps.Tight()
+		types++
+	}
+	keep := micros.FromSeconds(t.BootS / l.priceRatio(t, spot) * tight / types)
+	return max(2*l.Settings.Params.Workers.Report(), keep)
 }
 
 func price(t *machineType, spot bool) float64 {
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -124,7 +124,7 @@
 func (s *Service) Estimate(weight, seconds float64) { s.estimate.add(weight, seconds) }
 
 // Lumps keeps what jobs bring at once, for the peakedness.
-type Lumps struct{ sum, squares, tasks float64 }
+type Lumps struct{ sum, squares, tasks, tight float64 }
 
 // Add counts a job that brings weight machines' worth of work in tasks tasks.
 // Spare machines are for those who cannot wait until one has booted; a job that
@@ -134,8 +134,9 @@
 		return
 	}
 	const keep = 0.98
-	l.sum, l.squares, l.tasks = l.sum*keep+weight, l.squares*keep, l.tasks*keep
+	l.sum, l.squares, l.tasks, l.tight = l.sum*keep+weight, l.squares*keep, l.tasks*keep, l.tight*keep
 	if !canWait {
+		l.tight += weight
 		l.squares += weight * weight
 		l.tasks += weight * weight / float64(tasks)
 	}
@@ -149,6 +150,15 @@
 	return Peakedness(l.squares/l.sum, l.tasks/l.sum)
 }
 
+// Tight is the share of the work whose jobs cannot wait; all of it while
+// nothing has come in.
+func (l *Lumps) Tight() float64 {
+	if l.sum <= 0 {
+		return 1
+	}
+	return l.tight / l.sum
+}
+
 // Finished counts a finished task.
 func (s *Service) Finished(weight, seconds float64) { s.measured.add(weight, seconds) }
 
