--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -28,6 +28,7 @@
 	clears   []wire.Command
 	planned  []*job // one entry a start
 	images   imageCache
+	surplus  bool   // not wanted by the formula
 	draining string // why it gets no more tasks
 	leaving  bool   // a return has been asked for
 	recallAt micros.Micros
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -209,6 +209,9 @@
 			Images: map[string]int{}, GBPerS: t.FetchGBPerS,
 			Dear: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
 		}
+		if m.surplus {
+			p.Dear += 30 * micros.Second
+		}
 		for _, image := range m.images.names {
 			p.Images[image]++
 		}
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -175,6 +175,11 @@
 		} else {
 			l.returnIdle(ctx, t, -short, now)
 		}
+		lean := int(round(want))
+		if need[t.Name] > 0 {
+			lean = have[t.Name]
+		}
+		l.markSurplus(t, have[t.Name]-lean)
 		given := float64(have[t.Name] + booked)
 		excess = math.Max(0, math.Max(want, floor)-given) * size
 		urgent = math.Max(0, math.Max(dearWant, floor)-given) * size
@@ -185,6 +190,27 @@
 	}
 }
 
+// markSurplus picks the n machines of a type that the formula does not want,
+// the dearest and emptiest. They get tasks only when no other has room: spread
+// over all machines, a few tasks would keep every one of them busy for ever.
+func (l *Leader) markSurplus(t *machineType, n int) {
+	var ms []*machine
+	for _, m := range l.sortedMachines() {
+		if m.kind.Type == t.Name {
+			m.surplus = false
+			if m.up && !m.leaving && m.draining == "" {
+				ms = append(ms, m)
+			}
+		}
+	}
+	slices.SortStableFunc(ms, func(a, b *machine) int {
+		return cmp.Or(cmp.Compare(price(t, b.kind.Spot), price(t, a.kind.Spot)), cmp.Compare(len(a.tasks), len(b.tasks)))
+	})
+	for _, m := range ms[:max(0, min(n, len(ms)))] {
+		m.surplus = true
+	}
+}
+
 // stepModel steps each type's mean and sets what the formula wants, which
 // holds for an interval unless it rises.
 func (l *Leader) stepModel(types []*machineType, now micros.Micros) {
