--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -76,7 +76,8 @@
 			Need: j.need, Waiting: j.waiting(), Total: s.Tasks, Types: s.Types, Zone: s.Zone,
 			OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, ImageGB: s.ImageGB,
 		}}
-		q.Due, q.Late = l.due(j, wall)
+		q.Due, q.Late = l.due(j, covered[j], wall)
+		q.Pressing = q.Due-wall < 4*l.Settings.Params.Workers.Report()
 		q.Work = float64(q.Waiting) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
 			q.PerZone = map[string]int{}
@@ -92,7 +93,7 @@
 
 // due is when the last of a job's tasks should have started, by the next thing
 // expected of it that can still be met; late if there is none.
-func (l *Leader) due(j *job, wall micros.Micros) (due micros.Micros, late bool) {
+func (l *Leader) due(j *job, covered bool, wall micros.Micros) (due micros.Micros, late bool) {
 	s := j.spec
 	run := micros.FromSeconds(l.expected(s))
 	const never = 365 * 24 * 3600 * micros.Second
@@ -108,10 +109,14 @@
 		consider(micros.FromSeconds(*s.DeadlineS) - run)
 	}
 	for _, o := range l.Settings.Params.Objectives {
-		if o.Class != s.Class {
+		if o.Class != s.Class && o.Kind != "guarantee" {
 			continue
 		}
 		switch o.Kind {
+		case "guarantee":
+			if covered && len(j.on)+j.ndone == 0 {
+				consider(micros.FromSeconds(o.WithinS))
+			}
 		case "wait":
 			if len(j.on)+j.ndone == 0 {
 				consider(micros.FromSeconds(o.WithinS))
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -113,7 +113,7 @@
 		return
 	}
 	work := float64(j.waiting()) * fraction(t, j.need)
-	due, _ := l.due(j, j.submitted)
+	due, _ := l.due(j, false, j.submitted)
 	t.lumps.Add(float64(j.spec.Tasks)*fraction(t, j.need), j.spec.Tasks, (due-j.submitted).Seconds() > t.BootS)
 	if !j.old {
 		t.window.Add(now, work)
@@ -296,7 +296,7 @@
 			team.Used = team.Used.Plus(j.need, int64(n))
 		}
 		boot = math.Min(boot, t.BootS)
-		due, _ := l.due(j, wall)
+		due, _ := l.due(j, false, wall)
 		w := float64(n) * j.spec.CPUs * l.expected(j.spec)
 		// What is late is to be done soon all the same.
 		waiting = append(waiting, staffing.Demand{Work: w, Due: math.Min((due - wall).Seconds(), 600)})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -64,6 +64,7 @@
 	Due             micros.Micros // latest good start of its last task
 	Work            float64       // CPU seconds that wait, as estimated
 	Late            bool          // cannot be in time any more, or set aside
+	Pressing        bool          // would be late if it waited for others to end
 	Need            Resources
 	Waiting         int
 	Total           int
@@ -187,7 +188,7 @@
 		}
 	}
 	for _, i := range order {
-		if j := jobs[i]; j.Waiting > 0 {
+		if j := jobs[i]; j.Waiting > 0 && j.Pressing {
 			stops = append(stops, preempt(machines, j, teams[j.Team])...)
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -16,7 +16,7 @@
 }
 
 func job(id string, waiting int, edit func(*Job)) *Job {
-	j := &Job{ID: id, Team: "t", Image: "img", Priority: 1, Need: cpus(1), Waiting: waiting, Total: waiting, Spot: true}
+	j := &Job{ID: id, Team: "t", Image: "img", Priority: 1, Need: cpus(1), Waiting: waiting, Total: waiting, Spot: true, Pressing: true}
 	if edit != nil {
 		edit(j)
 	}
@@ -63,6 +63,11 @@
 			m.Victims = []Victim{{Job: "x", Task: 0, Priority: 1, Need: cpus(1), Lost: 9}, {Job: "x", Task: 1, Priority: 1, Need: cpus(1), Lost: 4}}
 			return m
 		}()}, []*Job{job("j", 1, func(j *Job) { j.Priority = 2 })}, nil, nil, []string{"x/1"}},
+		{"stops nothing while it can wait", []Machine{func() Machine {
+			m := machine("a", "z", 0)
+			m.Victims = []Victim{{Job: "x", Priority: 1, Need: cpus(1)}}
+			return m
+		}()}, []*Job{job("j", 1, func(j *Job) { j.Priority, j.Pressing = 2, false })}, nil, nil, nil},
 		{"does not stop equals", []Machine{func() Machine {
 			m := machine("a", "z", 0)
 			m.Victims = []Victim{{Job: "x", Priority: 1, Need: cpus(1)}}
