--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -193,6 +193,7 @@
 		} else if ok {
 			return h.answerKnown(c, id)
 		}
+		slog.Debug("submission refused", "job", id, "code", code, "error", err)
 		return bad(c, code, err)
 	}
 	job := replica.Job{Spec: &spec, SubmittedAt: micros.Wall(), State: wire.JobPending}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -30,6 +30,7 @@
 	errors    map[string]bool  // machines where a task failed
 	failures  int              // since the last success
 	resumed   map[int]bool     // tasks that ran before, whose next run is shorter
+	broken    bool             // a gang that lost a task: all its tasks start again
 	notBefore micros.Micros
 	waitsFor  string
 	lastStart micros.Micros // time of day
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// overdue tells whether a machine takes longer to come up than most do. It is
+// no longer counted on, though it may still come.
+func (l *Leader) overdue(m *machine, now micros.Micros) bool {
+	t := l.types[m.kind.Type]
+	return t != nil && !m.up && now-m.rentedAt > micros.FromSeconds(1.6*t.BootS)+2*micros.Second
+}
+
 // bootLimit is when a machine that has not come up counts as stuck.
 func (l *Leader) bootLimit(m *machine) micros.Micros {
 	boot := 30 * micros.Second
@@ -160,6 +167,7 @@
 		if a.running != 0 && !a.job.done.has(a.task) {
 			a.job.resumed[a.task] = true
 		}
+		l.breakGang(a)
 	}
 	if a.why != "" {
 		why = a.why
@@ -170,6 +178,22 @@
 	l.replan = true
 }
 
+// breakGang has the other tasks of a gang stopped when one ends before it is
+// done: they run together or not at all, under one attempt.
+func (l *Leader) breakGang(a *attempt) {
+	j := a.job
+	if j.spec.Shape != wire.ShapeGang {
+		return
+	}
+	if !j.broken && !j.over && !j.done.has(a.task) {
+		j.broken = true
+		for _, other := range j.on {
+			l.stop(other, micros.FromSeconds(j.spec.SaveS), "another task of its gang ended")
+		}
+	}
+	j.broken = j.broken && len(j.on) > 0
+}
+
 // stop tells a task to stop.
 func (l *Leader) stop(a *attempt, grace micros.Micros, why string) {
 	if a.stopped != 0 && grace >= a.grace {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -8,6 +8,7 @@
 
 	"caperlatch/internal/micros"
 	"caperlatch/internal/settings"
+	"caperlatch/internal/wire"
 	"caperlatch/placement"
 )
 
@@ -67,14 +68,14 @@
 	wall := micros.Wall()
 	out := make([]*queued, 0, len(l.jobs))
 	for _, j := range l.jobs {
-		if j.waiting() <= 0 || now < j.notBefore || j.old && unresolved {
+		if j.waiting() <= 0 || now < j.notBefore || j.broken || j.old && unresolved {
 			continue
 		}
 		s := j.spec
 		q := &queued{job: j, Job: placement.Job{
 			ID: s.ID, Team: s.Team, Image: s.Image, Priority: j.priority, Covered: covered[j],
 			Need: j.need, Waiting: j.waiting(), Total: s.Tasks, Types: s.Types, Zone: s.Zone,
-			OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, ImageGB: s.ImageGB,
+			OneZone: s.OneZone, Spread: s.Spread, Whole: s.Shape == wire.ShapeGang, Spot: s.Spot, ImageGB: s.ImageGB,
 		}}
 		q.Due, q.Late = l.due(j, covered[j], wall)
 		q.Pressing = q.Due-wall < 4*l.Settings.Params.Workers.Report()
@@ -126,7 +127,8 @@
 		}
 	}
 	if !expected {
-		due = 600 * micros.Second
+		// Nobody said when; a minute of waiting is taken for bearable.
+		due = 60 * micros.Second
 	}
 	return j.submitted + due, expected && due == never
 }
@@ -241,11 +243,14 @@
 	return out, ms
 }
 
-// left is how many seconds a task should still take. One that has outlasted
-// its estimate takes some more.
+// left is how many seconds a task should still take. The longer one has
+// outlasted its estimate, the longer it may go on; a service never ends.
 func (l *Leader) left(a *attempt, now micros.Micros) float64 {
-	run := l.expected(a.job.spec)
-	return math.Max(run-(now-a.began).Seconds(), run/4)
+	if a.job.spec.Shape == wire.ShapeService {
+		return 3600
+	}
+	run, ran := l.expected(a.job.spec), (now - a.began).Seconds()
+	return math.Max(run-ran, math.Max(run/4, (ran-run)/2))
 }
 
 // lostWork is what stopping a task would waste.
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -155,7 +155,7 @@
 
 // exited takes over a task that has ended on its machine.
 func (l *Leader) exited(m *machine, j *job, task int, a *attempt, t *wire.ReportTask, now micros.Micros) {
-	if t.Cause == wire.CauseDone {
+	if t.Cause == wire.CauseDone && j.spec.Shape != wire.ShapeService {
 		m.failures = 0
 		clear(m.failed)
 		j.failures = 0
@@ -244,9 +244,7 @@
 		if !ok {
 			continue
 		}
-		l.attempts++
-		// Rising across terms without a write: the term's token stands above.
-		n := l.Token<<32 | l.attempts
+		n := l.attempt(j)
 		a := &attempt{job: j, task: task, n: n, machine: m, sentAt: m.seq, began: now}
 		name := taskName(j.spec.ID, task)
 		m.tasks[name] = a
@@ -257,6 +255,18 @@
 	return orders
 }
 
+// attempt is the number for a start: rising across terms without a write, as the
+// term's token stands above. Tasks of a gang that start together share one.
+func (l *Leader) attempt(j *job) uint64 {
+	if j.spec.Shape == wire.ShapeGang {
+		for _, a := range j.on {
+			return a.n
+		}
+	}
+	l.attempts++
+	return l.Token<<32 | l.attempts
+}
+
 // mayStart tells whether tasks may be started on a machine now.
 func (l *Leader) mayStart(m *machine, now micros.Micros) bool {
 	return m.up && m.resolved && m.booking.storedUp[m.id] && !m.leaving && m.draining == "" &&
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -128,7 +128,7 @@
 	}
 	busy, have := map[string]float64{}, map[string]int{}
 	for _, m := range l.machines {
-		if m.leaving || m.draining != "" {
+		if m.leaving || m.draining != "" || l.overdue(m, now) {
 			continue
 		}
 		have[m.kind.Type]++
@@ -263,7 +263,7 @@
 	planned := map[*job]int{}
 	for _, m := range l.machines {
 		t := l.types[m.kind.Type]
-		if t == nil || m.leaving || m.draining != "" {
+		if t == nil || m.leaving || m.draining != "" || l.overdue(m, now) {
 			continue
 		}
 		supply += t.CPUs
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -133,7 +133,7 @@
 	case err != nil:
 	case !ValidJobID(j.ID):
 		err = errors.New("id is not in the form j-000000")
-	case j.Shape != ShapeArray:
+	case j.Shape != ShapeArray && j.Shape != ShapeGang && j.Shape != ShapeService:
 		err = errors.New("shape is unknown")
 	case PriorityRank(j.Priority) < 0:
 		err = errors.New("rank is unknown")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -91,8 +91,14 @@
 	return -1
 }
 
-// ShapeArray is the shape of a job of independent tasks.
-const ShapeArray = "sweep"
+// Shapes of jobs: independent tasks; tasks that run at the same time; tasks that
+// run until the job is cancelled. The protocol tells of the first alone; see
+// docs/questions.md.
+const (
+	ShapeArray   = "sweep"
+	ShapeGang    = "gang"
+	ShapeService = "service"
+)
 
 // Job states as users see them.
 const (
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -71,6 +71,7 @@
 	Types           []string
 	Zone            string
 	OneZone, Spread bool
+	Whole           bool // all waiting tasks start or none does
 	Spot            bool
 	ImageGB         float64
 	PerZone         map[string]int // tasks on machines, by zone
@@ -183,9 +184,15 @@
 	}
 	for _, i := range order {
 		j := jobs[i]
-		if j.Waiting > 0 && free.Fits(j.Need) {
-			starts = append(starts, place(machines, i, j, teams[j.Team])...)
+		if j.Waiting == 0 || !free.Fits(j.Need) {
+			continue
+		}
+		placed := place(machines, i, j, teams[j.Team])
+		if j.Whole && j.Waiting > 0 {
+			undo(machines, j, teams[j.Team], placed)
+			placed = nil
 		}
+		starts = append(starts, placed...)
 	}
 	for _, i := range order {
 		if j := jobs[i]; j.Waiting > 0 && j.Pressing {
@@ -248,9 +255,7 @@
 		}
 		m.Free = m.Free.Plus(j.Need, -int64(n))
 		m.Idle = false
-		if m.Images != nil {
-			m.Images[j.Image]++
-		}
+		m.Images[j.Image]++
 		if team != nil {
 			team.Used = team.Used.Plus(j.Need, int64(n))
 		}
@@ -267,6 +272,22 @@
 	return starts
 }
 
+// undo takes back the starts of a job.
+func undo(machines []Machine, j *Job, team *Team, placed []Start) {
+	for _, s := range placed {
+		m := &machines[s.Machine]
+		m.Free = m.Free.Plus(j.Need, int64(s.Count))
+		j.PerZone[m.Zone] -= s.Count
+		j.Waiting += s.Count
+		if m.Images[j.Image]--; m.Images[j.Image] == 0 {
+			delete(m.Images, j.Image)
+		}
+		if team != nil {
+			team.Used = team.Used.Plus(j.Need, -int64(s.Count))
+		}
+	}
+}
+
 // yields tells whether v may be stopped for j: for a higher priority, or to
 // give j's team its guarantee from another team's borrowed room.
 func yields(v *Victim, j *Job) bool {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -58,6 +58,8 @@
 			[]*Job{job("j", 4, func(j *Job) { j.OneZone, j.PerZone = true, map[string]int{"y": 1} })}, nil, []string{"j@b*2"}, nil},
 		{"scatter: at most 3 of 5 in a zone", []Machine{machine("a", "z", 9), machine("b", "y", 1)},
 			[]*Job{job("j", 5, func(j *Job) { j.Spread = true })}, nil, []string{"j@b*1", "j@a*3"}, nil},
+		{"whole or not at all", []Machine{machine("a", "z", 2), machine("b", "z", 1)},
+			[]*Job{job("j", 4, func(j *Job) { j.Whole = true }), job("k", 2, func(j *Job) { j.Due = 1 })}, nil, []string{"k@b*1", "k@a*1"}, nil},
 		{"stops lower work for higher, what loses least", []Machine{func() Machine {
 			m := machine("a", "z", 0)
 			m.Victims = []Victim{{Job: "x", Task: 0, Priority: 1, Need: cpus(1), Lost: 9}, {Job: "x", Task: 1, Priority: 1, Need: cpus(1), Lost: 4}}
