--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -44,6 +44,7 @@
 	Store    *statestore.Client
 	Batch    *statestore.Batcher
 	Replica  *replica.Replica
+	Times    *Times
 
 	mu         sync.Mutex
 	redirected map[string]micros.Micros // machines sent to the leader, when
@@ -67,6 +68,7 @@
 			}
 		}
 	}
+	e.Use(h.Times.middleware)
 	intake, polls := newLimiter(), newLimiter()
 	e.POST("/v1/jobs", h.submit, limited(intake))
 	e.GET("/v1/jobs/:id", h.poll, limited(polls))
--- /dev/null
+++ b/internal/api/times.go
@@ -0,0 +1,73 @@
+package api
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/labstack/echo/v4"
+
+	"caperlatch/internal/micros"
+)
+
+// Times keeps how long requests take, by route.
+type Times struct {
+	mu     sync.Mutex
+	routes map[string]*hdrhistogram.Histogram
+}
+
+// NewTimes makes an empty record.
+func NewTimes() *Times { return &Times{routes: map[string]*hdrhistogram.Histogram{}} }
+
+// slowest is the longest time told apart.
+const slowest = 60 * micros.Second
+
+func (t *Times) record(route string, took micros.Micros) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.routes[route]
+	if h == nil {
+		h = hdrhistogram.New(1, int64(slowest), 2)
+		t.routes[route] = h
+	}
+	// A value in range cannot fail.
+	_ = h.RecordValue(int64(min(max(took, 1), slowest)))
+}
+
+// middleware times every request.
+func (t *Times) middleware(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		begun := micros.Now()
+		err := next(c)
+		t.record(c.Request().Method+" "+c.Path(), micros.Now()-begun)
+		return err
+	}
+}
+
+// Run logs the times of each minute until ctx ends.
+func (t *Times) Run(ctx context.Context) {
+	tick := time.NewTicker(time.Minute)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			t.log()
+		}
+	}
+}
+
+func (t *Times) log() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for route, h := range t.routes {
+		if h.TotalCount() > 0 {
+			slog.Info("request times", "route", route, "count", h.TotalCount(),
+				"p50_us", h.ValueAtQuantile(50), "p99_us", h.ValueAtQuantile(99), "max_us", h.Max())
+			h.Reset()
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,229 @@
+package leader
+
+import (
+	"slices"
+	"testing"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/statestore"
+	"caperlatch/internal/wire"
+)
+
+// fakeTerm is a term whose proofs the tests set.
+type fakeTerm struct {
+	held, sure       bool
+	confirmed, alone micros.Micros
+}
+
+func (t *fakeTerm) Held() bool               { return t.held }
+func (t *fakeTerm) Sure() bool               { return t.sure }
+func (t *fakeTerm) Confirmed() micros.Micros { return t.confirmed }
+func (t *fakeTerm) Alone() micros.Micros     { return t.alone }
+
+const token = 7
+
+// newTest makes a leader of one job of three tasks and one machine that an
+// earlier leader had brought up.
+func newTest(t *testing.T) (*Leader, *fakeTerm) {
+	t.Helper()
+	now := micros.Now()
+	term := &fakeTerm{held: true, sure: true, confirmed: now}
+	s := &settings.Settings{Params: settings.Params{
+		Teams:   []settings.Team{{Name: "blue"}},
+		Workers: settings.Workers{ReportS: 2, LeaseS: 16, CancelS: 41},
+	}}
+	l := New(Config{Settings: s, Tuning: settings.DefaultTuning(), Replica: replica.New(nil),
+		Store: statestore.New("unused", settings.State{RPS: 1, WriteRPS: 1, ValueKB: 8, TxnOps: 6}, nil), Term: term, Token: token})
+	l.setCatalog(wire.Catalog{Types: []wire.MachineType{{Name: "m4", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 1, Zones: []string{"a"}}}})
+	b := &booking{id: "r-1", Type: "m4", Zone: "a", Answered: true, Machines: []string{"i-1"}, Up: []string{"i-1"}, storedUp: map[string]bool{"i-1": true}}
+	l.bookings[b.id] = b
+	l.addMachine("i-1", b, now)
+	job := replica.Job{State: wire.JobPending, SubmittedAt: micros.Wall(), Spec: &wire.Job{
+		ID: "j-000001", Team: "blue", Shape: wire.ShapeArray, Priority: "normal", Tasks: 3, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}}
+	l.Replica.Wrote(replica.JobPrefix+"j-000001", job, 1)
+	l.jobChanged("j-000001", true)
+	l.ready = true
+	l.replan = true
+	return l, term
+}
+
+func report(seq, baton uint64, tasks ...wire.ReportTask) *wire.Report {
+	return &wire.Report{Machine: "i-1", Address: "", Type: "m4", Zone: "a", Session: 1, Seq: seq, Token: baton, Tasks: tasks}
+}
+
+func verbs(a wire.ReportAnswer) (out []string) {
+	for _, c := range a.Commands {
+		out = append(out, c.Verb+" "+c.Task)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TestReport goes through what a machine reports after a take-over, step by
+// step, and what it is told.
+func TestReport(t *testing.T) {
+	running := func(task string, n uint64) wire.ReportTask {
+		return wire.ReportTask{Task: task, Attempt: n, State: wire.TaskRunning}
+	}
+	l, _ := newTest(t)
+	steps := []struct {
+		name   string
+		report *wire.Report
+		want   []string // nil: not answered
+	}{
+		// Made before the worker knew of this term: an old leader's start may
+		// still be executed, so nothing of the old job is started.
+		{"a report of an earlier term", report(10, token-1), []string{}},
+		// One task runs from the earlier term and is kept; the others start.
+		{"the first of this term", report(11, token, running("j-000001/0", 5)), []string{"start j-000001/1", "start j-000001/2"}},
+		{"a late copy", report(10, token-1), nil},
+		// The answer with the starts was lost: a newer report proves it.
+		{"starts lost", report(12, token, running("j-000001/0", 5)), []string{"start j-000001/1", "start j-000001/2"}},
+		{"an unknown task is stopped", report(13, token, running("j-000001/0", 5), running("j-000001/1", token<<32|3),
+			running("j-000001/2", token<<32|4), running("j-000099/0", 2)), []string{"stop j-000099/0"}},
+		// The result is kept on the worker until it is surely stored.
+		{"a task is done", report(14, token, running("j-000001/0", 5), running("j-000001/1", token<<32|3),
+			wire.ReportTask{Task: "j-000001/2", Attempt: token<<32 | 4, State: wire.TaskExited, Cause: wire.CauseDone}), []string{}},
+		{"a refused start is cleared and tried again", report(15, token, running("j-000001/0", 5),
+			wire.ReportTask{Task: "j-000001/1", Attempt: token<<32 | 3, State: wire.TaskExited, Cause: wire.CauseStopped}),
+			[]string{"clear j-000001/1", "start j-000001/1"}},
+	}
+	for _, s := range steps {
+		l.planTook = 0 // plans may follow each other at once
+		a, err := l.Report(s.report)
+		if (err != nil) != (s.want == nil) {
+			t.Fatalf("%s: error %v", s.name, err)
+		}
+		if got := verbs(a); !slices.Equal(got, s.want) {
+			t.Fatalf("%s: told %v, want %v", s.name, got, s.want)
+		}
+	}
+	var numbers []uint64
+	for _, a := range l.machines["i-1"].tasks {
+		numbers = append(numbers, a.n)
+	}
+	slices.Sort(numbers)
+	if len(numbers) != len(slices.Compact(numbers)) {
+		t.Errorf("attempt numbers repeat: %v", numbers)
+	}
+	if _, err := l.Report(report(16, token+1)); err == nil {
+		t.Error("a worker with a higher token was answered")
+	}
+	if _, err := l.Report(report(17, token)); err == nil {
+		t.Error("answered after a higher token was seen")
+	}
+}
+
+// TestEntitled has the proofs of leadership run out one after another.
+func TestEntitled(t *testing.T) {
+	l, term := newTest(t)
+	seq := uint64(10)
+	ask := func() (wire.ReportAnswer, error) {
+		seq++
+		l.planTook = 0
+		return l.Report(report(seq, token))
+	}
+	if a, err := ask(); err != nil || len(a.Commands) == 0 {
+		t.Fatalf("sure of its leadership: %v, %v", a, err)
+	}
+	term.sure, term.held = false, false
+	if _, err := ask(); err == nil {
+		t.Error("in doubt a worker must be sent on once, as another may lead")
+	}
+	if a, err := ask(); err != nil || len(a.Commands) > 0 {
+		t.Errorf("a worker that came back gets its lease and no start: %v, %v", a, err)
+	}
+	term.confirmed = micros.Now() - l.Settings.Params.Workers.RenewFor()
+	if _, err := ask(); err == nil {
+		t.Error("answered although a cancellation could not be seen in time")
+	}
+}
+
+// TestLeaseOver checks when a silent machine's tasks are surely gone.
+func TestLeaseOver(t *testing.T) {
+	l, term := newTest(t)
+	m, w := l.machines["i-1"], l.Settings.Params.Workers
+	cases := []struct {
+		name            string
+		resolved        bool
+		alone, answered micros.Micros
+		after, notAfter micros.Micros // since the term began
+	}{
+		{"an earlier leader may renew it", false, 0, 0, w.RenewFor() + w.Lease(), w.Cancel()},
+		{"all peers know of this term", false, l.began + micros.Second, 0, w.Lease() + micros.Second, w.Lease() + 3*micros.Second},
+		{"answered by this term", true, 0, l.began + 5*micros.Second, w.Lease() + 5*micros.Second, w.Lease() + 7*micros.Second},
+		{"answered and not resolved", false, l.began + micros.Second, l.began + 5*micros.Second, w.Lease() + 5*micros.Second, w.Lease() + 7*micros.Second},
+	}
+	for _, c := range cases {
+		m.resolved, m.answered, term.alone = c.resolved, c.answered, c.alone
+		if got := l.leaseOver(m) - l.began; got <= c.after || got > c.notAfter {
+			t.Errorf("%s: over after %v s, want within (%v, %v]", c.name, got.Seconds(), c.after.Seconds(), c.notAfter.Seconds())
+		}
+	}
+}
+
+// TestFinalState guards against a rule once broken (went_back): a cancellation
+// that the replica took over after the leader had decided that the job is done
+// must not be overwritten.
+func TestFinalState(t *testing.T) {
+	l, _ := newTest(t)
+	j := l.jobs["j-000001"]
+	for i := range j.spec.Tasks {
+		j.done.set(i)
+		j.ndone++
+	}
+	l.finishIfDone(j)
+	if ws, _ := l.gather(); len(ws) != 1 || ws[0].stamp != 1 {
+		t.Fatalf("the end is written as %+v, want under the version decided on", ws)
+	}
+	l.dirty[replica.JobPrefix+"j-000001"] = true
+	l.Replica.Wrote(replica.JobPrefix+"j-000001", replica.Job{State: wire.JobCancelled}, 2)
+	if ws, _ := l.gather(); len(ws) != 0 {
+		t.Errorf("a cancelled job is written as %+v", ws)
+	}
+}
+
+// TestFaults has tasks fail. A machine is judged on several jobs or on a job
+// that succeeds elsewhere; a job that fails everywhere does not drain machines.
+func TestFaults(t *testing.T) {
+	now := micros.Now()
+	cases := []struct {
+		name      string
+		jobs      []int // whose tasks fail on i-1, one after another
+		succeeded bool  // a task of job 0 is done
+		drained   bool
+	}{
+		{"one failure", []int{0}, false, false},
+		{"one bad job", []int{0, 0, 0, 0}, false, false},
+		{"two jobs", []int{0, 1}, false, true},
+		{"a job that succeeds elsewhere", []int{0, 0}, true, true},
+	}
+	for _, c := range cases {
+		l, _ := newTest(t)
+		jobs := []*job{l.jobs["j-000001"], newJob(replica.Job{Spec: &wire.Job{ID: "j-000002", Tasks: 1}}, false)}
+		if c.succeeded {
+			jobs[0].ndone = 1
+		}
+		m := l.machines["i-1"]
+		for _, i := range c.jobs {
+			l.blame(m, jobs[i], now)
+		}
+		if got := m.draining != ""; got != c.drained {
+			t.Errorf("%s: drained %v, want %v", c.name, got, c.drained)
+		}
+	}
+}
+
+// TestTeamUse counts what machines with unknown tasks could hold.
+func TestTeamUse(t *testing.T) {
+	l, _ := newTest(t)
+	if teams, unresolved := l.teamUse(); unresolved != 1 || teams["blue"].Used.CPU != 4000 {
+		t.Errorf("unresolved %d, used %+v, want all 4 CPUs of the one machine", unresolved, teams["blue"].Used)
+	}
+	l.machines["i-1"].resolved = true
+	if teams, _ := l.teamUse(); teams["blue"].Used.CPU != 0 {
+		t.Errorf("used %+v with nothing running", teams["blue"].Used)
+	}
+}
--- a/node.go
+++ b/node.go
@@ -34,6 +34,7 @@
 	election *election.Election
 	cohort   *peer.Cohort
 	outside  outside
+	times    *api.Times
 
 	mu       sync.Mutex
 	leading  *leader.Leader
@@ -66,7 +67,7 @@
 }
 
 func newNode(s *settings.Settings, t settings.Tuning, o outside) *Node {
-	n := &Node{settings: s, tuning: t, outside: o}
+	n := &Node{settings: s, tuning: t, outside: o, times: api.NewTimes()}
 	n.store = statestore.New(s.External.State, s.Params.State, o.services)
 	n.cloud = cloud.New(s.External.Cloud, s.Params.Cloud, o.services)
 	n.replica = replica.New(n.store)
@@ -107,7 +108,7 @@
 
 func (n *Node) handler() http.Handler {
 	return api.New(&api.Handler{
-		Node: n, Settings: n.settings, Store: n.store, Batch: statestore.NewBatcher(n.store), Replica: n.replica,
+		Node: n, Settings: n.settings, Store: n.store, Batch: statestore.NewBatcher(n.store), Replica: n.replica, Times: n.times,
 	})
 }
 
@@ -119,6 +120,7 @@
 	wg.Go(func() { n.cohort.Run(ctx) })
 	wg.Go(func() { n.listenToPeers(ctx) })
 	wg.Go(func() { n.stayInContact(ctx) })
+	wg.Go(func() { n.times.Run(ctx) })
 	wg.Wait()
 }
 
--- a/staffing/backlog.go
+++ b/staffing/backlog.go
@@ -26,7 +26,10 @@
 				all = false
 			}
 		}
-		if work == 0 && !all {
+		if work == 0 {
+			if all {
+				break
+			}
 			continue
 		}
 		for _, r := range running {
--- a/staffing/staffing_test.go
+++ b/staffing/staffing_test.go
@@ -149,3 +149,24 @@
 		t.Errorf("a longer estimate is not longer: %v, %v", lo, hi)
 	}
 }
+
+func TestBacklog(t *testing.T) {
+	cases := []struct {
+		name    string
+		waiting []Demand
+		running []Running
+		supply  float64
+		want    float64
+	}{
+		{"nothing waits", nil, []Running{{100, 100}}, 1, 0},
+		{"no machines yet", []Demand{{Work: 400, Due: 10}}, nil, 0, 20}, // within a boot of 20 s
+		{"what ends soon makes room", []Demand{{Work: 100, Due: 20}}, []Running{{10, 5}}, 10, 0},
+		{"what runs long does not", []Demand{{Work: 100, Due: 20}}, []Running{{10, 500}}, 10, 5},
+		{"time enough", []Demand{{Work: 400, Due: 600}}, nil, 10, 0},
+	}
+	for _, c := range cases {
+		if got := Backlog(c.waiting, c.running, c.supply, 20); !near(got, c.want) {
+			t.Errorf("%s: %v CPUs, want %v", c.name, got, c.want)
+		}
+	}
+}
