--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -83,9 +83,7 @@
 			stop := context.AfterFunc(ctx, func() { conn.Close() })
 			defer stop()
 			defer conn.Close()
-			if err := serveConn(conn, h); err != nil {
-				slog.Debug("peer connection", "error", err)
-			}
+			slog.Debug("peer connection ended", "error", serveConn(conn, h))
 		})
 	}
 }
@@ -105,6 +103,7 @@
 	return n, err
 }
 
+// serveConn answers requests until the connection fails.
 func serveConn(conn net.Conn, h Handler) error {
 	in := &limitedReader{r: conn}
 	dec, enc := wire.NewDecoder(in), wire.NewEncoder(conn)
