--- a/internal/api/times.go
+++ b/internal/api/times.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/labstack/echo/v4"
@@ -47,18 +46,7 @@
 }
 
 // Run logs the times of each minute until ctx ends.
-func (t *Times) Run(ctx context.Context) {
-	tick := time.NewTicker(time.Minute)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			t.log()
-		}
-	}
-}
+func (t *Times) Run(ctx context.Context) { micros.Every(ctx, 60*micros.Second, t.log) }
 
 func (t *Times) log() {
 	t.mu.Lock()
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -2,11 +2,9 @@
 package cloud
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
@@ -53,36 +51,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	var body io.Reader
-	if in != nil {
-		b, err := wire.Marshal(in)
-		if err != nil {
-			return fmt.Errorf("cloud: %w", err)
-		}
-		body = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
-	if err != nil {
-		return fmt.Errorf("cloud: %w", err)
-	}
-	if in != nil {
-		req.Header.Set("Content-Type", wire.ContentType)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return fmt.Errorf("cloud: %w", err)
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
+	status, b, err := wire.Exchange(ctx, c.http, method, c.base+path, in)
 	if err != nil {
 		return fmt.Errorf("cloud: %w", err)
 	}
-	if resp.StatusCode != http.StatusOK {
+	if status != http.StatusOK {
 		var e wire.ErrorBody
-		if wire.Unmarshal(b, &e) == nil && resp.StatusCode == http.StatusServiceUnavailable && e.Error == "no capacity" {
+		if wire.Unmarshal(b, &e) == nil && status == http.StatusServiceUnavailable && e.Error == "no capacity" {
 			return ErrNoCapacity
 		}
-		return fmt.Errorf("cloud: %s answered %d %s", path, resp.StatusCode, e.Error)
+		return fmt.Errorf("cloud: %s answered %d %s", path, status, e.Error)
 	}
 	if out == nil {
 		return nil
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -197,11 +197,7 @@
 			} else {
 				slog.Debug("return", "machine", m.id, "error", err)
 			}
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(wait.Duration()):
-			}
+			micros.Pause(ctx, wait)
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -224,7 +220,7 @@
 // listLoop compares the cloud's list with the known machines.
 func (l *Leader) listLoop(ctx context.Context) {
 	lag := micros.FromSeconds(l.Settings.Params.Cloud.ListLagS)
-	every(ctx, max(4*micros.Second, lag), func() {
+	micros.Every(ctx, max(4*micros.Second, lag), func() {
 		list, err := l.Cloud.List(ctx)
 		if err != nil {
 			slog.Debug("list", "error", err)
--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -47,11 +47,7 @@
 		}
 		for ctx.Err() == nil && l.flush(ctx) {
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(flushPause.Duration()):
-		}
+		micros.Pause(ctx, flushPause)
 	}
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -123,10 +123,9 @@
 			break
 		}
 		slog.Debug("take-over waits", "error", err)
-		select {
-		case <-ctx.Done():
+		micros.Pause(ctx, 200*micros.Millisecond)
+		if ctx.Err() != nil {
 			return
-		case <-time.After((200 * micros.Millisecond).Duration()):
 		}
 	}
 	if err := l.rebuild(); err != nil {
@@ -221,26 +220,13 @@
 }
 
 func (l *Leader) catalogLoop(ctx context.Context) {
-	every(ctx, 60*micros.Second, func() {
+	micros.Every(ctx, 60*micros.Second, func() {
 		if err := l.refreshCatalog(ctx); err != nil {
 			slog.Debug("catalog", "error", err)
 		}
 	})
 }
 
-func every(ctx context.Context, d micros.Micros, f func()) {
-	t := time.NewTicker(d.Duration())
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f()
-		}
-	}
-}
-
 // rebuild makes the picture from what is stored. What machines hold is not
 // known until each has answered with this term's token.
 func (l *Leader) rebuild() error {
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -1,11 +1,8 @@
 package leader
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -320,35 +317,12 @@
 	if m.address == "" || !l.Term.Sure() {
 		return
 	}
-	body, err := wire.Marshal(wire.DirectCommands{Token: l.Token, Session: m.session, Commands: []wire.Command{c}})
-	if err != nil {
-		slog.Error("encode commands", "error", err)
-		return
-	}
-	address := m.address
+	address, body := m.address, wire.DirectCommands{Token: l.Token, Session: m.session, Commands: []wire.Command{c}}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		if err := l.post(ctx, "http://"+address+"/commands", body); err != nil {
+		if _, _, err := wire.Exchange(ctx, l.Workers, http.MethodPost, "http://"+address+"/commands", body); err != nil {
 			slog.Debug("direct command", "machine", address, "error", err)
 		}
 	}()
 }
-
-func (l *Leader) post(ctx context.Context, url string, body []byte) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", wire.ContentType)
-	resp, err := l.Workers.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("answered %d", resp.StatusCode)
-	}
-	return err
-}
--- a/internal/micros/micros.go
+++ b/internal/micros/micros.go
@@ -2,6 +2,7 @@
 package micros
 
 import (
+	"context"
 	"math"
 	"time"
 )
@@ -45,3 +46,25 @@
 // Drift is how far two machines' steady clocks may run apart over m: the
 // protocol's 0.05%, doubled because each side may be off, plus a timer step.
 func Drift(m Micros) Micros { return m/1000 + 20*Millisecond }
+
+// Every calls f again and again, d apart, until ctx ends.
+func Every(ctx context.Context, d Micros, f func()) {
+	t := time.NewTicker(d.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
+
+// Pause waits for d, or less if ctx ends.
+func Pause(ctx context.Context, d Micros) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d.Duration()):
+	}
+}
--- a/internal/peer/cohort.go
+++ b/internal/peer/cohort.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"time"
 
 	"caperlatch/internal/micros"
 )
@@ -50,10 +49,7 @@
 			defer client.Close()
 			for ctx.Err() == nil {
 				c.ask(ctx, member, client)
-				select {
-				case <-ctx.Done():
-				case <-time.After(probeEvery.Duration()):
-				}
+				micros.Pause(ctx, probeEvery)
 			}
 		})
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -117,23 +117,16 @@
 			switch {
 			case err == nil:
 				r.Apply(e)
-				pause(ctx, watchPause)
+				micros.Pause(ctx, watchPause)
 			case errors.Is(err, statestore.ErrCompacted):
 			case ctx.Err() == nil:
 				slog.Debug("watch failed", "error", err)
-				pause(ctx, retryPause)
+				micros.Pause(ctx, retryPause)
 				err = nil
 			}
 		}
 		slog.Debug("replica must load", "error", err)
-		pause(ctx, retryPause)
-	}
-}
-
-func pause(ctx context.Context, d micros.Micros) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d.Duration()):
+		micros.Pause(ctx, retryPause)
 	}
 }
 
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -2,11 +2,9 @@
 package statestore
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -91,37 +89,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	var body io.Reader
-	if in != nil {
-		b, err := wire.Marshal(in)
-		if err != nil {
-			return 0, fmt.Errorf("%w: %w", ErrNotExecuted, err)
-		}
-		body = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
-	if err != nil {
-		return 0, fmt.Errorf("%w: %w", ErrNotExecuted, err)
-	}
-	if in != nil {
-		req.Header.Set("Content-Type", wire.ContentType)
-	}
-	resp, err := c.http.Do(req)
+	status, b, err := wire.Exchange(ctx, c.http, method, c.base+path, in)
 	if err != nil {
 		c.failed.Store(int64(micros.Now()))
 		return 0, fmt.Errorf("state service: %w", err)
 	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, fmt.Errorf("state service: %w", err)
-	}
-	if resp.StatusCode != http.StatusServiceUnavailable {
+	if status != http.StatusServiceUnavailable {
 		c.heard.Store(int64(micros.Now()))
 	} else {
 		c.failed.Store(int64(micros.Now()))
 	}
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusOK, http.StatusConflict:
 		if out != nil {
 			if err := wire.Unmarshal(b, out); err != nil {
@@ -129,17 +107,17 @@
 			}
 		}
 	case http.StatusServiceUnavailable:
-		return resp.StatusCode, fmt.Errorf("state service: %w", ErrUnavailable)
+		return status, fmt.Errorf("state service: %w", ErrUnavailable)
 	case http.StatusTooManyRequests:
-		return resp.StatusCode, fmt.Errorf("state service: %w: too many requests", ErrNotExecuted)
+		return status, fmt.Errorf("state service: %w: too many requests", ErrNotExecuted)
 	case http.StatusBadRequest:
 		var e wire.ErrorBody
 		if wire.Unmarshal(b, &e) == nil && e.Error == "no such lease" {
-			return resp.StatusCode, ErrNoHold
+			return status, ErrNoHold
 		}
-		return resp.StatusCode, fmt.Errorf("state service: %w: %s", ErrNotExecuted, e.Error)
+		return status, fmt.Errorf("state service: %w: %s", ErrNotExecuted, e.Error)
 	}
-	return resp.StatusCode, nil
+	return status, nil
 }
 
 // List reads a page of keys.
--- a/node.go
+++ b/node.go
@@ -138,20 +138,13 @@
 // stayInContact asks the state service for something now and then, so that a
 // quiet node knows whether it would be answered.
 func (n *Node) stayInContact(ctx context.Context) {
-	t := time.NewTicker(micros.Second.Duration())
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	micros.Every(ctx, micros.Second, func() {
 		if n.replica.Loaded() && n.store.SinceHeard() > 1500*micros.Millisecond {
 			if err := n.replica.Barrier(ctx); err != nil {
 				slog.Debug("contact", "error", err)
 			}
 		}
-	}
+	})
 }
 
 // probe is what this node tells its peers when it asks them.
