Leases are renewed only as far as the changes have been read; bookings are asked for again

A leader whose hold lives while its watch hangs could not see cancellations; and a booking given up in doubt was never asked for again in that term.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -36,7 +36,8 @@
 
 // Term is one leadership.
 type Term struct {
-	peers Peers
+	peers   Peers
+	replica *replica.Replica
 
 	Token uint64
 	Stamp uint64 // of the leader key; every write of the term is conditioned on it
@@ -47,13 +48,14 @@
 	over      bool
 }
 
-// Confirmed is when the leadership was last proved: by the state service, at
-// the request's send time, or by the words of all peers.
+// Confirmed is when it was last proved that this term may act and knows of all
+// cancellations: by the state service, where the hold lives and the changes are
+// read by separate requests and the older one counts, or by all peers' words.
 func (t *Term) Confirmed() micros.Micros {
-	peers := t.peers.Confirmed(t.Token)
+	peers, seen := t.peers.Confirmed(t.Token), t.replica.Seen()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(t.confirmed, peers)
+	return max(min(t.confirmed, seen), peers)
 }
 
 // Alone is since when no other node can answer workers with a lower token; 0
@@ -253,7 +255,7 @@
 	}
 	e.replica.Wrote(replica.LeaderKey, leader, rev)
 	e.replica.Wrote(replica.TokenKey, next, rev)
-	return &Term{peers: e.peers, Token: next.Token, Stamp: rev, hold: hold, confirmed: sent}
+	return &Term{peers: e.peers, replica: e.replica, Token: next.Token, Stamp: rev, hold: hold, confirmed: sent}
 }
 
 // serve keeps the hold and leads until the term is over.
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"slices"
-	"time"
 
 	"caperlatch/internal/cloud"
 	"caperlatch/internal/micros"
@@ -40,7 +39,8 @@
 	Machines []string      `json:"machines"`
 	Up       []string      `json:"up"` // those that may have got tasks
 
-	storedUp map[string]bool
+	stored   bool            // it may be asked for
+	storedUp map[string]bool // these may get tasks
 	asking   bool
 	dropped  bool
 }
@@ -64,11 +64,8 @@
 		for _, m := range snapshot.Up {
 			b.storedUp[m] = true
 		}
+		b.stored = true
 		l.replan = true
-		if !b.Answered && !b.asking {
-			b.asking = true
-			go l.rent(context.Background(), id)
-		}
 	}
 	return w, true
 }
@@ -82,12 +79,13 @@
 	}
 }
 
-// openBookings lists the bookings without an answer.
+// openBookings takes the stored bookings without an answer that nobody asks
+// for: new ones, those of an earlier term, and those given up in doubt.
 func (l *Leader) openBookings() (ids []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, b := range l.bookings {
-		if !b.Answered && !b.asking {
+		if b.stored && !b.Answered && !b.asking {
 			b.asking = true
 			ids = append(ids, id)
 		}
@@ -95,6 +93,18 @@
 	return ids
 }
 
+// rentLoop asks the cloud for what is booked.
+func (l *Leader) rentLoop(ctx context.Context) {
+	micros.Every(ctx, 100*micros.Millisecond, func() {
+		if !l.Term.Sure() {
+			return
+		}
+		for _, id := range l.openBookings() {
+			go l.rent(ctx, id)
+		}
+	})
+}
+
 // book begins a rental: it is asked of the cloud once it is stored.
 func (l *Leader) book(o offer, count int) {
 	l.bookingSeq++
@@ -113,7 +123,7 @@
 	for wait := 500 * micros.Millisecond; ; wait = min(2*wait, 8*micros.Second) {
 		l.mu.Lock()
 		b := l.bookings[id]
-		over := b == nil || !l.Term.Sure()
+		over := b == nil || ctx.Err() != nil || !l.Term.Sure()
 		var r wire.Rental
 		if b != nil {
 			r = wire.Rental{Request: id, Type: b.Type, Zone: b.Zone, Spot: b.Spot, Count: b.Count}
@@ -143,7 +153,7 @@
 		if answered {
 			return
 		}
-		time.Sleep(wait.Duration())
+		micros.Pause(ctx, wait)
 	}
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -133,12 +133,9 @@
 		return
 	}
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){l.flushLoop, l.tickLoop, l.listLoop, l.catalogLoop} {
+	for _, f := range []func(context.Context){l.flushLoop, l.tickLoop, l.rentLoop, l.listLoop, l.catalogLoop} {
 		wg.Go(func() { f(ctx) })
 	}
-	for _, id := range l.openBookings() {
-		go l.rent(ctx, id)
-	}
 	select {
 	case <-ctx.Done():
 	case <-l.lost:
@@ -241,6 +238,7 @@
 		b.id = strings.TrimPrefix(key, replica.BookingPrefix)
 		l.bookings[b.id] = &b
 		// What is read here is stored: its machines may get tasks at once.
+		b.stored = true
 		b.storedUp = map[string]bool{}
 		for _, id := range b.Up {
 			b.storedUp[id] = true
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -76,6 +76,7 @@
 	mu        sync.Mutex
 	loaded    bool
 	revision  uint64
+	seen      micros.Micros // send time of the last read of the changes
 	items     map[string]item
 	jobs      map[string]storedJob
 	changed   map[string]bool // jobs changed since the last TakeChanged
@@ -113,10 +114,11 @@
 		err := r.load(ctx)
 		for err == nil {
 			var e wire.Events
+			sent := micros.Now()
 			e, err = r.store.Watch(ctx, Prefix, r.Revision(), watchWait)
 			switch {
 			case err == nil:
-				r.Apply(e)
+				r.Apply(e, sent)
 				micros.Pause(ctx, watchPause)
 			case errors.Is(err, statestore.ErrCompacted):
 			case ctx.Err() == nil:
@@ -200,7 +202,7 @@
 
 // Apply takes over the answer of a watch that began at or before the present
 // revision. Answers may overlap and come in any order.
-func (r *Replica) Apply(e wire.Events) {
+func (r *Replica) Apply(e wire.Events, sent micros.Micros) {
 	slices.SortStableFunc(e.Events, func(a, b wire.Event) int {
 		if a.Stamp < b.Stamp {
 			return -1
@@ -212,6 +214,7 @@
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.seen = max(r.seen, sent)
 	before := r.revision
 	for _, ev := range e.Events {
 		switch {
@@ -257,6 +260,13 @@
 	return r.loaded
 }
 
+// Seen is an instant up to which all changes are known here.
+func (r *Replica) Seen() micros.Micros {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seen
+}
+
 // Revision is what the replica has seen at least.
 func (r *Replica) Revision() uint64 {
 	r.mu.Lock()
@@ -399,10 +409,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), statestore.Timeout.Duration())
 	defer cancel()
+	sent := micros.Now()
 	e, err := r.store.Watch(ctx, Prefix, r.Revision(), 0)
 	if err != nil {
 		return fmt.Errorf("barrier: %w", err)
 	}
-	r.Apply(e)
+	r.Apply(e, sent)
 	return nil
 }
--- a/node.go
+++ b/node.go
@@ -135,11 +135,11 @@
 	peer.Serve(ctx, l, n)
 }
 
-// stayInContact asks the state service for something now and then, so that a
-// quiet node knows whether it would be answered.
+// stayInContact reads the changes now and then when the watch is quiet, so that
+// the node knows whether it is answered and has missed nothing: a watch may hang.
 func (n *Node) stayInContact(ctx context.Context) {
 	micros.Every(ctx, micros.Second, func() {
-		if n.replica.Loaded() && n.store.SinceHeard() > 1500*micros.Millisecond {
+		if n.replica.Loaded() && micros.Now()-n.replica.Seen() > 1500*micros.Millisecond {
 			if err := n.replica.Barrier(ctx); err != nil {
 				slog.Debug("contact", "error", err)
 			}
