--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -20,6 +20,7 @@
 	holds    map[uint64]*hold
 	nextHold uint64
 	changed  chan struct{}
+	down     bool
 }
 
 type hold struct {
@@ -40,6 +41,22 @@
 	return e, ok
 }
 
+// SetDown begins or ends an outage: requests get 503, open watches wait, and
+// afterwards every hold has its full time again.
+func (s *State) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	for _, h := range s.holds {
+		if down {
+			h.timer.Stop()
+		} else {
+			h.timer.Reset(h.life)
+		}
+	}
+	s.wake()
+}
+
 // Close ends the holds' timers.
 func (s *State) Close() {
 	s.mu.Lock()
@@ -56,6 +73,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	path := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
 	switch {
 	case r.Method == http.MethodGet && r.URL.Path == "/store":
@@ -112,9 +136,9 @@
 				answer.Events = append(answer.Events, e)
 			}
 		}
-		changed := s.changed
+		changed, down := s.changed, s.down
 		s.mu.Unlock()
-		if len(answer.Events) > 0 || wait == 0 {
+		if !down && (len(answer.Events) > 0 || wait == 0) {
 			send(w, http.StatusOK, answer)
 			return
 		}
--- a/node_test.go
+++ b/node_test.go
@@ -284,8 +284,15 @@
 		}},
 		{"the state service is down", func(c *cluster) {
 			time.Sleep(time.Second)
-			c.setFault(nth(1, standin.Refused, isState))
+			c.state.SetDown(true)
 			time.Sleep(8 * time.Second)
+			c.state.SetDown(false)
+		}},
+		// Not an outage: the holds run out meanwhile.
+		{"the state service refuses every node", func(c *cluster) {
+			time.Sleep(4 * time.Second)
+			c.setFault(nth(1, standin.Refused, isState))
+			time.Sleep(20 * time.Second)
 		}},
 		// The old leader is cut off while the others elect a new one.
 		{"the leader is cut off from the state service", func(c *cluster) {
@@ -302,17 +309,19 @@
 		// Longer than RenewFor: the peers' word keeps leases and placing alive.
 		{"the state service is down for long", func(c *cluster) {
 			time.Sleep(4 * time.Second)
-			c.setFault(nth(1, standin.Refused, isState))
+			c.state.SetDown(true)
 			time.Sleep(40 * time.Second)
+			c.state.SetDown(false)
 		}},
 		{"the leader crashes while the state service is down", func(c *cluster) {
 			i := c.leader()
 			time.Sleep(4 * time.Second)
-			c.setFault(nth(1, standin.Refused, isState))
+			c.state.SetDown(true)
 			time.Sleep(3 * time.Second)
 			c.kill(i)
 			c.start(i)
 			time.Sleep(12 * time.Second)
+			c.state.SetDown(false)
 		}},
 		// The others pass the workers' reports on.
 		{"no worker reaches the leader", func(c *cluster) {
@@ -438,6 +447,71 @@
 	})
 }
 
+// TestUnseenAbort cancels a job while the leader's hold lives but its watch hangs
+// and no peer can tell it: it must stop renewing leases in time.
+func TestUnseenAbort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		for i := range 3 { // a new life has no streams yet
+			c.kill(i)
+		}
+		c.pipes.Cut(func(string, string) bool { return true })
+		for i := range 3 {
+			c.start(i)
+		}
+		c.cloud.RunFor = func(string) float64 { return 300 }
+		c.submit("j-000001", 2)
+		for i := 0; i < 60 && c.cloud.Starts() < 2; i++ {
+			time.Sleep(500 * time.Millisecond)
+		}
+		leading := c.leader()
+		prefix := fmt.Sprintf("host-%d/", leading)
+		c.setFault(func(from string, r *http.Request) standin.Fault {
+			if strings.HasPrefix(from, prefix) && r.URL.Path == "/watch" {
+				return standin.LostRequest
+			}
+			return standin.Pass
+		})
+		time.Sleep(2 * time.Second)
+		if code, _ := c.request(http.MethodPost, (leading+1)%3, "/v1/jobs/j-000001/abort", nil); code != http.StatusOK {
+			t.Fatalf("abort answered %d", code)
+		}
+		if on := c.cloud.OnMachines(); len(on) != 2 {
+			t.Fatalf("on machines before the test begins: %v", on)
+		}
+		time.Sleep(time.Duration(cancelS) * time.Second)
+		if on := c.cloud.OnMachines(); len(on) > 0 {
+			t.Errorf("still on machines: %v", on)
+		}
+	})
+}
+
+// TestOutagePlacing has the state service away for everyone: on the peers' word
+// the leader goes on placing tasks of known jobs.
+func TestOutagePlacing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.submit("j-000001", 60)
+		for i := 0; i < 60 && c.cloud.Starts() == 0; i++ {
+			time.Sleep(500 * time.Millisecond)
+		}
+		c.state.SetDown(true)
+		time.Sleep(10 * time.Second) // the leader can no longer count on its hold
+		before := c.cloud.Starts()
+		time.Sleep(15 * time.Second)
+		if after := c.cloud.Starts(); after <= before {
+			t.Errorf("%d tasks were started before and %d after", before, after)
+		}
+		c.state.SetDown(false)
+		c.await("j-000001", wire.JobDone, 3*time.Minute)
+		if broken := c.cloud.Broken(); broken != nil {
+			t.Error(broken)
+		}
+	})
+}
+
 // TestTeamLimit has a team with room for four CPUs and a job of more.
 func TestTeamLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
