--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -191,7 +191,14 @@
 
 // giveUp returns a machine to the cloud. Its tasks count as being on it until
 // the cloud has answered.
+//
+// A leader in doubt returns nothing: its requests may be held back and carried
+// out minutes later, on machines that the next leader uses. An isolated leader
+// to which all machines were silent once lost a whole fleet that way.
 func (l *Leader) giveUp(ctx context.Context, m *machine, why string) {
+	if !l.Term.Held() {
+		return
+	}
 	slog.Info("returning", "machine", m.id, "type", m.kind.Type, "spot", m.kind.Spot, "tasks", len(m.tasks), "why", why)
 	m.leaving = true
 	m.planned = nil
@@ -199,16 +206,19 @@
 		a.why = "its machine is returned: " + why
 	}
 	go func() {
-		for wait := 500 * micros.Millisecond; ; wait = min(2*wait, 8*micros.Second) {
-			if err := l.Cloud.Return(ctx, []string{m.id}); err == nil {
-				break
-			} else if ctx.Err() != nil {
-				return
-			} else {
+		for wait := 500 * micros.Millisecond; ctx.Err() == nil; wait = min(2*wait, 8*micros.Second) {
+			if l.Term.Held() {
+				err := l.Cloud.Return(ctx, []string{m.id})
+				if err == nil {
+					break
+				}
 				slog.Debug("return", "machine", m.id, "error", err)
 			}
 			micros.Pause(ctx, wait)
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.returned(m)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"slices"
 	"testing"
 
@@ -227,3 +228,44 @@
 		t.Errorf("used %+v with nothing running", teams["blue"].Used)
 	}
 }
+
+// TestSilence has machines fall silent. One is returned soon; many at once, or
+// any while the leader is in doubt, are not: an isolated leader once had a
+// whole fleet returned by requests that were held back and carried out late.
+func TestSilence(t *testing.T) {
+	cases := []struct {
+		name   string
+		silent int // of six
+		held   bool
+		after  micros.Micros
+		leaves bool
+	}{
+		{"one", 1, true, 17 * micros.Second, true},
+		{"one, for a moment", 1, true, 5 * micros.Second, false},
+		{"one, in doubt", 1, false, 17 * micros.Second, false},
+		{"half", 3, true, 17 * micros.Second, false},
+		{"half, their leases over", 3, true, 20 * micros.Second, true},
+	}
+	for _, c := range cases {
+		l, term := newTest(t)
+		term.held = c.held
+		b := l.bookings["r-1"]
+		for _, id := range []string{"i-2", "i-3", "i-4", "i-5", "i-6"} {
+			b.Up = append(b.Up, id)
+			l.addMachine(id, b, l.began)
+		}
+		now := l.began + 100*micros.Second
+		for i, m := range l.sortedMachines() {
+			m.resolved, m.reported, m.answered = true, now, now
+			if i < c.silent {
+				m.reported, m.answered = now-c.after, now-c.after
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel() // nothing is really asked of the cloud
+		l.watchMachines(ctx, now)
+		if got := l.machines["i-1"].leaving; got != c.leaves {
+			t.Errorf("%s: returned %v, want %v", c.name, got, c.leaves)
+		}
+	}
+}
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -87,18 +87,39 @@
 	return max(few, min(w.Lease(), 20*micros.Second))
 }
 
+// silentFor is how long a machine has not been heard of in this term.
+func (l *Leader) silentFor(m *machine, now micros.Micros) micros.Micros {
+	return now - max(m.reported, l.began)
+}
+
+// massSilence tells whether so many machines are silent that the network is
+// more likely at fault than they are. They are kept as long as their leases
+// last: a network comes back sooner than a fleet boots.
+func (l *Leader) massSilence(now micros.Micros) bool {
+	silent, up := 0, 0
+	for _, m := range l.machines {
+		if m.up && !m.leaving {
+			up++
+			if l.silentFor(m, now) > 2*l.Settings.Params.Workers.Report()+micros.Second {
+				silent++
+			}
+		}
+	}
+	return silent >= 3 && 3*silent > up
+}
+
 // watchMachines acts on silence, notices and stops that take too long.
 func (l *Leader) watchMachines(ctx context.Context, now micros.Micros) {
 	w := l.Settings.Params.Workers
+	mass := l.massSilence(now)
 	for _, m := range l.sortedMachines() {
 		if (len(m.tasks) > 0 || !m.resolved) && now > l.leaseOver(m) {
 			slog.Info("lease ended", "machine", m.id, "tasks", len(m.tasks))
 			l.lose(m, "its lease ended")
 		}
-		since := max(m.reported, l.began)
 		switch {
 		case m.leaving:
-		case m.up && now-since > l.silentLimit(m):
+		case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!mass || now > l.leaseOver(m)):
 			l.giveUp(ctx, m, "silent")
 		case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*w.Report():
 			l.giveUp(ctx, m, "did not boot")
