--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -296,10 +296,13 @@
 			team.Used = team.Used.Plus(j.need, int64(n))
 		}
 		boot = math.Min(boot, t.BootS)
-		due, _ := l.due(j, false, wall)
+		due, late := l.due(j, false, wall)
 		w := float64(n) * j.spec.CPUs * l.expected(j.spec)
-		// What is late is to be done soon all the same.
-		waiting = append(waiting, staffing.Demand{Work: w, Due: math.Min((due - wall).Seconds(), 600)})
+		in := (due - wall).Seconds()
+		if late { // it is to be done soon all the same
+			in = 2 * t.BootS
+		}
+		waiting = append(waiting, staffing.Demand{Work: w, Due: in})
 		work[t.Name] += w
 		total += w
 	}
@@ -307,7 +310,11 @@
 	if total == 0 {
 		return need
 	}
-	short := staffing.Backlog(waiting, running, supply, boot)
+	mean := 0.0
+	for _, t := range l.types {
+		mean += t.m * t.CPUs
+	}
+	short := staffing.Backlog(waiting, running, mean, supply, boot)
 	for name, w := range work {
 		need[name] = short * w / total / math.Max(l.types[name].CPUs, 0.001)
 	}
--- a/staffing/backlog.go
+++ b/staffing/backlog.go
@@ -13,9 +13,10 @@
 // Backlog is how many CPUs beyond supply are needed for all waiting work to be
 // served in time. The paper's m decays for waiting work as well, so a backlog
 // must be added: within any horizon h, the work due by then takes up Work/h
-// CPUs on average besides what the running tasks still hold. Nothing rented now
-// helps before boot seconds have passed, so no horizon is shorter.
-func Backlog(waiting []Demand, running []Running, supply, boot float64) float64 {
+// CPUs on average besides what the running tasks still hold or, if that is more,
+// what m says that new arrivals will (mean, in CPUs). Nothing rented now helps
+// before boot seconds have passed, so no horizon is shorter.
+func Backlog(waiting []Demand, running []Running, mean, supply, boot float64) float64 {
 	worst := 0.0
 	for h := math.Max(1, boot); h < 3600; h *= 1.5 {
 		work, all := 0.0, true
@@ -32,10 +33,11 @@
 			}
 			continue
 		}
+		held := 0.0
 		for _, r := range running {
-			work += r.CPUs * math.Min(r.Left, h)
+			held += r.CPUs * math.Min(r.Left, h) / h
 		}
-		worst = math.Max(worst, work/h-supply)
+		worst = math.Max(worst, work/h+math.Max(held, mean)-supply)
 		if all {
 			break
 		}
--- a/staffing/staffing_test.go
+++ b/staffing/staffing_test.go
@@ -155,17 +155,19 @@
 		name    string
 		waiting []Demand
 		running []Running
+		mean    float64
 		supply  float64
 		want    float64
 	}{
-		{"nothing waits", nil, []Running{{100, 100}}, 1, 0},
-		{"no machines yet", []Demand{{Work: 400, Due: 10}}, nil, 0, 20}, // within a boot of 20 s
-		{"what ends soon makes room", []Demand{{Work: 100, Due: 20}}, []Running{{10, 5}}, 10, 0},
-		{"what runs long does not", []Demand{{Work: 100, Due: 20}}, []Running{{10, 500}}, 10, 5},
-		{"time enough", []Demand{{Work: 400, Due: 600}}, nil, 10, 0},
+		{"nothing waits", nil, []Running{{100, 100}}, 0, 1, 0},
+		{"no machines yet", []Demand{{Work: 400, Due: 10}}, nil, 0, 0, 20}, // within a boot of 20 s
+		{"what ends soon makes room", []Demand{{Work: 100, Due: 20}}, []Running{{10, 5}}, 0, 10, 0},
+		{"what runs long does not", []Demand{{Work: 100, Due: 20}}, []Running{{10, 500}}, 0, 10, 5},
+		{"nor where more comes in", []Demand{{Work: 100, Due: 20}}, []Running{{10, 5}}, 8, 10, 3},
+		{"time enough", []Demand{{Work: 400, Due: 600}}, nil, 0, 10, 0},
 	}
 	for _, c := range cases {
-		if got := Backlog(c.waiting, c.running, c.supply, 20); !near(got, c.want) {
+		if got := Backlog(c.waiting, c.running, c.mean, c.supply, 20); !near(got, c.want) {
 			t.Errorf("%s: %v CPUs, want %v", c.name, got, c.want)
 		}
 	}
