--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -32,6 +32,7 @@
 	draining string // why it gets no more tasks
 	leaving  bool   // a return has been asked for
 	recallAt micros.Micros
+	faultyAt micros.Micros   // when found faulty
 	failures int             // errors since the last success
 	failed   map[string]bool // jobs of these
 	notUntil micros.Micros   // no starts before
@@ -125,6 +126,10 @@
 			l.giveUp(ctx, m, "did not boot")
 		case m.draining != "" && len(m.tasks) == 0 && m.resolved:
 			l.giveUp(ctx, m, m.draining)
+		case m.draining == faulty && now-m.faultyAt > 3*w.Report():
+			// What still runs there had time to save and would fail as well. A
+			// next leader would have to find the fault anew.
+			l.giveUp(ctx, m, m.draining)
 		}
 		for _, a := range m.tasks {
 			// A stop that is not obeyed well before cancel_s ends with the
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -198,6 +198,9 @@
 	l.ended(a, "ended: "+t.Cause)
 }
 
+// faulty is why a machine on which tasks fail is emptied.
+const faulty = "tasks fail on it"
+
 // blame decides whether a failure speaks against the machine or the job. A
 // machine is judged on several jobs, or on a job that succeeds elsewhere; a
 // job that fails on several machines waits longer and longer.
@@ -208,7 +211,13 @@
 	j.errors[m.id] = true
 	m.notUntil = now + micros.Micros(min(m.failures, 10))*micros.Second
 	if m.failures >= 2 && (len(m.failed) >= 2 || j.ndone > 0) && m.draining == "" {
-		m.draining = "tasks fail on it"
+		m.draining = faulty
+		m.faultyAt = now
+		for _, a := range m.tasks {
+			if a.job.spec.CheckpointS > 0 {
+				l.stop(a, micros.FromSeconds(a.job.spec.SaveS), "its machine is faulty")
+			}
+		}
 		slog.Info("machine is faulty", "machine", m.id, "jobs", len(m.failed))
 	}
 	if len(j.errors) >= 3 && j.ndone == 0 {
