--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -53,6 +53,7 @@
 
 	mu         sync.Mutex
 	ready      bool // the picture has been rebuilt
+	raised     bool // the means have been raised to it
 	superseded bool // a higher token is known
 	jobs       map[string]*job
 	machines   map[string]*machine
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -143,6 +143,7 @@
 	}
 	need := l.waitingNeed(now)
 	types := l.byPrice()
+	l.raiseMeans()
 	l.stepModel(types, now)
 	// What a type cannot give, and fractions of machines, pass on to the next
 	// dearer one, in CPUs; urgent is the part that may be ordinary machines.
@@ -156,7 +157,7 @@
 				if v < 0.05 {
 					return 0
 				}
-				return math.Floor(v+0.5) + 1
+				return float64(staffing.Servers(v, 0, 0)) // v has the margin in it
 			}
 		}
 		floor := busy[t.Name]
@@ -211,6 +212,26 @@
 	}
 }
 
+// raiseMeans raises each type's m once to what is really held, when after a
+// take-over the tasks of all machines are known.
+func (l *Leader) raiseMeans() {
+	if l.raised || l.unresolved() > 0 {
+		return
+	}
+	l.raised = true
+	held := map[string]float64{}
+	for _, m := range l.machines {
+		for _, a := range m.tasks {
+			if t := l.types[m.kind.Type]; t != nil {
+				held[t.Name] += fraction(t, a.job.need)
+			}
+		}
+	}
+	for name, t := range l.types {
+		t.m = math.Max(t.m, held[name])
+	}
+}
+
 // stepModel steps each type's mean and sets what the formula wants, which
 // holds for an interval unless it rises.
 func (l *Leader) stepModel(types []*machineType, now micros.Micros) {
@@ -451,25 +472,18 @@
 	return r
 }
 
-// restoreStaffing goes on from the record and raises m to the machines that
-// may be busy.
+// restoreStaffing goes on from the record.
 func (l *Leader) restoreStaffing(now micros.Micros) error {
 	var r staffingRecord
 	if _, err := l.Replica.Get(replica.StaffingKey, &r); err != nil {
 		return err
 	}
-	up := map[string]float64{}
-	for _, m := range l.machines {
-		if m.up {
-			up[m.kind.Type]++
-		}
-	}
 	for name, t := range l.types {
 		x, ok := r.Types[name]
-		t.m = math.Max(x.M, up[name])
 		if !ok {
 			continue
 		}
+		t.m = x.M
 		t.window.Seed(now, x.Lambda)
 		t.want, t.dear, t.heldTill = x.Want, x.Want, now+l.Tuning.ReviewInterval
 		if x.Mu > 0 {
