--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -145,28 +145,18 @@
 	types := l.byPrice()
 	l.raiseMeans()
 	l.stepModel(types, now)
-	// What a type cannot give, and fractions of machines, pass on to the next
-	// dearer one, in CPUs; urgent is the part that may be ordinary machines.
+	// What a type cannot give passes on to the next dearer one, in CPUs; urgent is
+	// the part that may be ordinary machines.
 	excess, urgent := 0.0, 0.0
-	for i, t := range types {
+	for _, t := range types {
 		size := math.Max(t.CPUs, 0.001)
-		round := math.Floor
-		if i == len(types)-1 {
-			// Formula (4) takes the least integer above; so does the last type.
-			round = func(v float64) float64 {
-				if v < 0.05 {
-					return 0
-				}
-				return float64(staffing.Servers(v, 0, 0)) // v has the margin in it
-			}
-		}
 		floor := busy[t.Name]
 		if need[t.Name] > 0.01 {
-			floor = float64(have[t.Name]) + math.Ceil(need[t.Name]-0.01)
+			floor = float64(have[t.Name]) + ceiling(need[t.Name])
 		}
 		want, dearWant := t.want+excess/size, t.dear+urgent/size
-		target := int(math.Max(round(want), floor))
-		dear := int(math.Max(round(dearWant), floor)) - have[t.Name]
+		target := int(math.Max(ceiling(want), floor))
+		dear := int(math.Max(ceiling(dearWant), floor)) - have[t.Name]
 		short := target - have[t.Name]
 		t.target = target
 		slog.Debug("staff", "type", t.Name, "m", t.m, "want", t.want, "dear", t.dear, "busy", busy[t.Name], "need", need[t.Name], "excess", excess, "urgent", urgent, "have", have[t.Name])
@@ -176,7 +166,7 @@
 		} else {
 			l.returnIdle(ctx, t, -short, now)
 		}
-		lean := int(round(want))
+		lean := int(ceiling(want))
 		if need[t.Name] > 0 {
 			lean = have[t.Name]
 		}
@@ -212,6 +202,9 @@
 	}
 }
 
+// ceiling rounds machines up, but not for a trace of one.
+func ceiling(machines float64) float64 { return math.Ceil(machines - 0.01) }
+
 // raiseMeans raises each type's m once to what is really held, when after a
 // take-over the tasks of all machines are known.
 func (l *Leader) raiseMeans() {
@@ -235,19 +228,19 @@
 // stepModel steps each type's mean and sets what the formula wants, which
 // holds for an interval unless it rises.
 func (l *Leader) stepModel(types []*machineType, now micros.Micros) {
-	means, peaks, sizes := make([]float64, len(types)), make([]float64, len(types)), make([]float64, len(types))
-	for i, t := range types {
+	for _, t := range types {
 		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
 		t.m = staffing.Step(t.m, lambda, mu, 1)
-		means[i] = staffing.PeakMean(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds())
-		peaks[i], sizes[i] = t.lumps.Peakedness(), t.CPUs
-	}
-	for i, t := range types {
-		share := func(spot bool) float64 {
-			return means[i] + staffing.Shares(staffing.PricedZ(l.Tuning.Z, l.priceRatio(t, spot)), means, peaks, sizes)[i]
+		mean := staffing.PeakMean(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds())
+		servers := func(spot bool) float64 {
+			if mean < 0.05 {
+				return 0 // formula (4) would keep a machine for nothing
+			}
+			z := staffing.PricedZ(l.Tuning.Z, l.priceRatio(t, spot))
+			return float64(staffing.Servers(mean, t.lumps.Peakedness()*mean, z))
 		}
-		if want := share(true); now >= t.heldTill || want > t.want {
-			t.want, t.dear = want, share(false)
+		if want := servers(true); now >= t.heldTill || want > t.want {
+			t.want, t.dear = want, servers(false)
 			t.heldTill = now + l.Tuning.ReviewInterval
 		}
 	}
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -39,24 +39,6 @@
 // adds the other half.
 func Peakedness(lumps, taskSize float64) float64 { return (lumps + taskSize) / 2 }
 
-// Shares splits the margin z√v of formula (4) among machine types that stand in
-// for each other. With sizes c, means m and peakednesses p (both in machines
-// of their type), one pool has the variance v = Σ p·m·c² in units of size, and
-// a type's share of z√v is its share of v. A single type gets z√(p·m).
-func Shares(z float64, m, p, c []float64) []float64 {
-	v := 0.0
-	for i := range m {
-		v += p[i] * m[i] * c[i] * c[i]
-	}
-	out := make([]float64, len(m))
-	for i := range m {
-		if v > 0 {
-			out[i] = z * p[i] * m[i] * c[i] / math.Sqrt(v)
-		}
-	}
-	return out
-}
-
 // PricedZ is z for machines that cost k times as much as the cheapest. The
 // paper leaves α to the user; spare machines are worth their price as long as
 // the chance that they are needed is in proportion to it, so α grows with k,
