Rent for jobs that the fleet is closed to

Seen in a test of its own: a job that may not use spot machines starved beside idle spot ones, as targets count machines and not whom they serve.

--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -175,6 +175,7 @@
 		excess = math.Max(0, math.Max(want, floor)-given) * size
 		urgent = math.Max(0, math.Max(dearWant, floor)-given) * size
 	}
+	l.rentSpecial(now)
 	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
 		l.dirty[replica.StaffingKey] = true
 		l.wakeFlush()
@@ -378,6 +379,50 @@
 	return booked
 }
 
+// specialWait is how long a job may make no start before a machine is rented for
+// it alone.
+const specialWait = 10 * micros.Second
+
+// rentSpecial books machines for jobs that some of the fleet is closed to, by
+// type, zone or kind, and that get nowhere: the types' targets count machines,
+// not whom they serve, and such a job would starve beside idle ones.
+func (l *Leader) rentSpecial(now micros.Micros) {
+	wall := micros.Wall()
+	teams, unresolved := l.teamUse()
+	for _, j := range l.jobs {
+		if j.old && unresolved > 0 || teams[j.spec.Team].Room(j.need, 1) == 0 {
+			continue // not for want of machines
+		}
+		if j.waiting() <= 0 || now < j.notBefore || j.broken || now-j.seen < specialWait || wall-j.lastStart < specialWait {
+			continue
+		}
+		probe := placement.Job{Types: j.spec.Types, Zone: j.spec.Zone, Spot: j.spec.Spot}
+		closed, coming := 0, 0
+		for _, m := range l.machines {
+			switch {
+			case !placement.Allowed(&probe, m.kind.Type, m.kind.Zone, m.kind.Spot):
+				closed++
+			case !m.up && !m.leaving:
+				coming++
+			}
+		}
+		if closed == 0 {
+			continue // the targets serve it
+		}
+		for _, o := range l.offersFor(j.spec, j.need) {
+			if l.pending(o) {
+				break // its answer comes first
+			}
+			s := l.offers[o]
+			count := int(ceiling(float64(j.waiting())*fraction(l.types[o.Type], j.need))) - coming
+			if count > 0 && (s == nil || now >= s.until) && l.Term.Sure() {
+				l.book(o, min(count, 4))
+				break
+			}
+		}
+	}
+}
+
 // pending tells whether a booking of an offer waits for its answer.
 func (l *Leader) pending(o offer) bool {
 	for _, b := range l.bookings {
--- a/node_test.go
+++ b/node_test.go
@@ -512,6 +512,23 @@
 	})
 }
 
+// TestOrdinaryOnly has a job that may not use spot machines come to a fleet of
+// idle spot machines: it must get an ordinary one, not starve beside them.
+func TestOrdinaryOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.submit("j-000001", 4)
+		c.await("j-000001", wire.JobDone, time.Minute)
+		job := testJob("j-000002", 2)
+		job["standby"] = false
+		if code, _ := c.request(http.MethodPost, 0, "/v1/jobs", job); code != http.StatusCreated {
+			t.Fatalf("submission answered %d", code)
+		}
+		c.await("j-000002", wire.JobDone, 2*time.Minute)
+	})
+}
+
 // TestTeamLimit has a team with room for four CPUs and a job of more.
 func TestTeamLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
