--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -269,3 +269,26 @@
 		}
 	}
 }
+
+// TestNotice has a spot machine told that it will be taken: what can save is
+// stopped in time to do so, the rest may still finish, and nothing starts there.
+func TestNotice(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		checkpoint float64
+		want       []string
+	}{
+		{"tasks that save", 20, []string{"stop j-000001/0"}},
+		{"tasks that do not", 0, []string{}},
+	} {
+		l, _ := newTest(t)
+		l.jobs["j-000001"].spec.CheckpointS = c.checkpoint
+		r := report(11, token, wire.ReportTask{Task: "j-000001/0", Attempt: 5, State: wire.TaskRunning})
+		notice := 15.0
+		r.NoticeS = &notice
+		a, err := l.Report(r)
+		if got := verbs(a); err != nil || !slices.Equal(got, c.want) {
+			t.Errorf("%s: told %v (%v), want %v", c.name, got, err, c.want)
+		}
+	}
+}
