Machines are filled as they report; plans go over room and changes only; workers are rung

Idle workers with a plan are made to report by clearing a done task, so that starts need not be sent directly. Jobs without a start for 120 s go first with a part (aging bound).

--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -83,7 +83,7 @@
 			if round == 2 && i == 0 {
 				l.plan(micros.Now())
 			}
-			l.planTook, l.replan = micros.Second, false
+			l.plannedAt = micros.Now() + micros.Second
 			benchReport(b, l, r)
 		}
 	}
@@ -117,7 +117,7 @@
 	i := 0
 	b.ResetTimer()
 	for b.Loop() {
-		l.planTook, l.replan = micros.Second, false
+		l.plannedAt = micros.Now() + micros.Second
 		benchReport(b, l, reports[benchMachine(i%benchMachines)])
 		i++
 	}
@@ -128,7 +128,7 @@
 	l := newBench(b, benchReplica())
 	full(b, l)
 	n := 0
-	for _, m := range l.sortedMachines() {
+	for _, m := range l.order {
 		if n++; n%20 == 0 {
 			l.lose(m, "benchmark")
 		}
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"caperlatch/internal/micros"
+	"caperlatch/placement"
 )
 
 // StopNote says why a task stopped before it was done.
@@ -83,7 +84,7 @@
 	if len(why) > 0 {
 		return why
 	}
-	machines, _ := l.placeable(now)
+	machines, _ := l.placeable(now, placement.Resources{})
 	for i := range machines {
 		if machines[i].Free.Fits(j.need) {
 			return append(why, "it starts at a machine's next report, or its zone rules leave no room")
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -251,6 +251,9 @@
 func (l *Leader) returned(m *machine) {
 	l.lose(m, "its machine was returned")
 	delete(l.machines, m.id)
+	if i := slices.Index(l.order, m); i >= 0 {
+		l.order = slices.Delete(l.order, i, i+1)
+	}
 	l.gone[m.id] = true
 	b := m.booking
 	b.Machines = slices.DeleteFunc(b.Machines, func(id string) bool { return id == m.id })
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -18,6 +18,9 @@
 	submitted micros.Micros // time of day
 	seen      micros.Micros // when this term saw it
 	need      placement.Resources
+	image     int     // see Leader.image
+	offers    []offer // see offersFor
+	offersOf  int     // the catalog that they are of
 	priority  int
 	old       bool // an earlier term may have started tasks of it
 	over      bool
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -50,6 +50,8 @@
 type Leader struct {
 	Config
 	began micros.Micros
+	// Workers' usual time between reports, and their lease.
+	report, lease micros.Micros
 
 	mu         sync.Mutex
 	ready      bool // the picture has been rebuilt
@@ -57,12 +59,16 @@
 	superseded bool // a higher token is known
 	jobs       map[string]*job
 	machines   map[string]*machine
+	order      []*machine                     // by name
+	used       map[string]placement.Resources // by what is on machines, a team
+	images     map[string]int                 // the numbers that stand for images
 	bookings   map[string]*booking
 	strays     map[string]micros.Micros // listed machines that no booking explains, since when
 	gone       map[string]bool          // machines that the cloud took back from us
 	toReturn   []string                 // machines to be returned
 	types      map[string]*machineType
 	typeOrder  []string
+	catalog    int // raised with each new one
 	teams      map[string]settings.Team
 	dirty      map[string]bool // keys to be written
 	finals     map[string]replica.Job
@@ -73,6 +79,8 @@
 	replan     bool
 	planTook   micros.Micros
 	plannedAt  micros.Micros
+	preempted  micros.Micros
+	queue      queue // what waits, as of the last plan
 	offers     map[offer]*offerState
 	estimates  map[string]*staffing.Estimate // by class
 	lastStops  []StopNote
@@ -99,10 +107,10 @@
 // New makes a leader for a term.
 func New(c Config) *Leader {
 	l := &Leader{
-		Config: c, began: micros.Now(),
+		Config: c, began: micros.Now(), report: c.Settings.Params.Workers.Report(), lease: c.Settings.Params.Workers.Lease(),
 		jobs: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
 		strays: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
-		teams: map[string]settings.Team{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
+		teams: map[string]settings.Team{}, used: map[string]placement.Resources{}, images: map[string]int{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
 		offers: map[offer]*offerState{}, estimates: map[string]*staffing.Estimate{},
 		flushNow: make(chan struct{}, 1), lost: make(chan struct{}),
 	}
@@ -208,6 +216,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.typeOrder = l.typeOrder[:0]
+	l.catalog++
 	for _, t := range c.Types {
 		l.typeOrder = append(l.typeOrder, t.Name)
 		mt := l.types[t.Name]
@@ -287,7 +296,7 @@
 	changed := l.Replica.Changed()
 	t := time.NewTicker((200 * micros.Millisecond).Duration())
 	defer t.Stop()
-	var staffed, shown micros.Micros
+	var staffed, shown, watched micros.Micros
 	for {
 		select {
 		case <-ctx.Done():
@@ -301,8 +310,11 @@
 		for _, id := range l.Replica.TakeChanged(false) {
 			l.jobChanged(id, false)
 		}
-		l.watchMachines(now)
-		l.planIfNeeded(ctx, now)
+		if now-watched >= 200*micros.Millisecond {
+			watched = now
+			l.watchMachines(now)
+		}
+		l.planIfNeeded(now)
 		if now-staffed >= micros.Second {
 			staffed = now
 			l.staff(now)
@@ -331,6 +343,7 @@
 			return
 		}
 		j = newJob(r, old)
+		j.image = l.image(j.spec.Image)
 		l.jobs[id] = j
 		l.demand(j)
 		l.replan = true
@@ -404,6 +417,16 @@
 	l.replan = true
 }
 
+// image is the number that stands for an image.
+func (l *Leader) image(name string) int {
+	n, ok := l.images[name]
+	if !ok {
+		n = len(l.images)
+		l.images[name] = n
+	}
+	return n
+}
+
 func floor(v float64) int64 { return int64(v*1000 + 1e-6) }
 
 func ceil(v float64) int64 {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -91,7 +91,7 @@
 			[]string{"clear j-000001/1", "start j-000001/1"}},
 	}
 	for _, s := range steps {
-		l.planTook = 0 // plans may follow each other at once
+		l.plannedAt = 0 // plans may follow each other at once
 		a, err := l.Report(s.report)
 		if (err != nil) != (s.want == nil) {
 			t.Fatalf("%s: error %v", s.name, err)
@@ -122,7 +122,7 @@
 	seq := uint64(10)
 	ask := func() (wire.ReportAnswer, error) {
 		seq++
-		l.planTook = 0
+		l.plannedAt = 0
 		return l.Report(report(seq, token))
 	}
 	if a, err := ask(); err != nil || len(a.Commands) == 0 {
@@ -254,7 +254,7 @@
 			l.addMachine(id, b, l.began)
 		}
 		now := l.began + 100*micros.Second
-		for i, m := range l.sortedMachines() {
+		for i, m := range l.order {
 			m.resolved, m.reported, m.answered = true, now, now
 			if i < c.silent {
 				m.reported, m.answered = now-c.after, now-c.after
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -1,11 +1,13 @@
 package leader
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
 
 	"caperlatch/internal/micros"
 	"caperlatch/internal/wire"
+	"caperlatch/placement"
 )
 
 // machine is a rented machine.
@@ -24,12 +26,17 @@
 	answered micros.Micros // last answer that may have renewed its lease
 	bounced  micros.Micros // when last sent away in doubt
 	tasks    map[string]*attempt
+	stopping int                 // tasks that were told to stop
+	free     placement.Resources // what no task holds
 	clears   []wire.Command
+	bell     *wire.Command // clearing it makes the worker report, see ring
+	rungAt   micros.Micros
 	planned  []*job // one entry a start
 	images   imageCache
-	surplus  bool   // not wanted by the formula
-	draining string // why it gets no more tasks
-	leaving  bool   // a return has been asked for
+	have     placement.ImageSet // these, and what is being fetched
+	surplus  bool               // not wanted by the formula
+	draining string             // why it gets no more tasks
+	leaving  bool               // a return has been asked for
 	recallAt micros.Micros
 	faultyAt micros.Micros   // when found faulty
 	failures int             // errors since the last success
@@ -45,7 +52,12 @@
 		rentedAt: now - max(0, micros.Wall()-b.At), failed: map[string]bool{}, busyTill: now,
 	}
 	m.resolved = !m.up // it cannot have got tasks from an earlier term
+	if t := l.types[b.Type]; t != nil {
+		m.free = t.capacity
+	}
 	l.machines[id] = m
+	at, _ := slices.BinarySearchFunc(l.order, id, func(m *machine, id string) int { return cmp.Compare(m.id, id) })
+	l.order = slices.Insert(l.order, at, m)
 	return m
 }
 
@@ -62,8 +74,8 @@
 
 // leaseOver tells when a silent machine has surely ended its tasks.
 func (l *Leader) leaseOver(m *machine) micros.Micros {
-	w := l.Settings.Params.Workers
 	if !m.resolved {
+		w := l.Settings.Params.Workers
 		// Another node may have renewed the lease until RenewFor after it
 		// last saw itself entitled, which was before this term began, unless
 		// all are known to have heard of this term sooner.
@@ -73,18 +85,17 @@
 		}
 		return max(last, m.answered) + w.Lease() + micros.Drift(w.Cancel()) + micros.Second
 	}
-	return m.answered + w.Lease() + micros.Drift(w.Lease()) + micros.Second
+	return m.answered + l.lease + micros.Drift(l.lease) + micros.Second
 }
 
 // silentLimit is how long a machine may be silent before it is returned to
 // the cloud, which proves its tasks gone and stops its cost.
 func (l *Leader) silentLimit(m *machine) micros.Micros {
-	w := l.Settings.Params.Workers
-	few := 3*w.Report() + 4*micros.Second
+	few := 3*l.report + 4*micros.Second
 	if !m.resolved {
 		return few
 	}
-	return max(few, min(w.Lease(), 20*micros.Second))
+	return max(few, min(l.lease, 20*micros.Second))
 }
 
 // silentFor is how long a machine has not been heard of in this term.
@@ -97,10 +108,10 @@
 // last: a network comes back sooner than a fleet boots.
 func (l *Leader) massSilence(now micros.Micros) bool {
 	silent, up := 0, 0
-	for _, m := range l.machines {
+	for _, m := range l.order {
 		if m.up && !m.leaving {
 			up++
-			if l.silentFor(m, now) > 2*l.Settings.Params.Workers.Report()+micros.Second {
+			if l.silentFor(m, now) > 2*l.report+micros.Second {
 				silent++
 			}
 		}
@@ -112,7 +123,7 @@
 func (l *Leader) watchMachines(now micros.Micros) {
 	w := l.Settings.Params.Workers
 	mass := l.massSilence(now)
-	for _, m := range l.sortedMachines() {
+	for _, m := range slices.Clone(l.order) {
 		if (len(m.tasks) > 0 || !m.resolved) && now > l.leaseOver(m) {
 			slog.Info("lease ended", "machine", m.id, "tasks", len(m.tasks))
 			l.lose(m, "its lease ended")
@@ -130,6 +141,9 @@
 			// next leader would have to find the fault anew.
 			l.giveUp(m, m.draining)
 		}
+		if m.stopping == 0 {
+			continue
+		}
 		for _, a := range m.tasks {
 			// A stop that is not obeyed well before cancel_s ends with the
 			// machine's return.
@@ -156,18 +170,13 @@
 	return boot*2 + 10*micros.Second
 }
 
-func (l *Leader) sortedMachines() []*machine {
-	ms := make([]*machine, 0, len(l.machines))
-	for _, m := range l.machines {
-		ms = append(ms, m)
-	}
-	slices.SortFunc(ms, func(a, b *machine) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
-	return ms
+// hold counts a task as being on its machine.
+func (l *Leader) hold(a *attempt) {
+	a.machine.tasks[taskName(a.job.spec.ID, a.task)] = a
+	a.job.on[a.task] = a
+	a.machine.free = a.machine.free.Plus(a.job.need, -1)
+	a.machine.have = a.machine.have.With(a.job.image)
+	l.used[a.job.spec.Team] = l.used[a.job.spec.Team].Plus(a.job.need, 1)
 }
 
 // lose frees all tasks of a machine that are surely gone.
@@ -183,6 +192,11 @@
 // ended frees a task that is no longer on its machine.
 func (l *Leader) ended(a *attempt, why string) {
 	delete(a.machine.tasks, taskName(a.job.spec.ID, a.task))
+	if a.stopped != 0 {
+		a.machine.stopping--
+	}
+	a.machine.free = a.machine.free.Plus(a.job.need, 1)
+	l.used[a.job.spec.Team] = l.used[a.job.spec.Team].Plus(a.job.need, -1)
 	if len(a.machine.tasks) == 0 {
 		a.machine.busyTill = micros.Now()
 	}
@@ -202,8 +216,8 @@
 	}
 	if !a.job.over && !a.job.done.has(a.task) {
 		l.note(a, why)
+		l.replan = true // it waits again
 	}
-	l.replan = true
 }
 
 // breakGang has the other tasks of a gang stopped when one ends before it is
@@ -228,6 +242,7 @@
 		return
 	}
 	if a.stopped == 0 {
+		a.machine.stopping++
 		a.stopped = micros.Now()
 	}
 	a.grace, a.why = grace, why
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"math"
 	"slices"
 
@@ -12,10 +11,21 @@
 	"caperlatch/placement"
 )
 
-// planIfNeeded plans anew when something changed, though it never takes more
-// than a small part of the processor's time.
-func (l *Leader) planIfNeeded(_ context.Context, now micros.Micros) {
-	if !l.ready || !l.replan || now < l.plannedAt+20*l.planTook {
+// Times between plans. A machine that reports is filled from the queue at once,
+// whenever the last plan was; plans are for new jobs, for choosing among machines
+// with room, and for the queue's order.
+const (
+	planPause    = 100 * micros.Millisecond
+	planEvery    = micros.Second
+	preemptEvery = micros.Second
+	preemptJobs  = 8 // that a plan stops others for
+)
+
+// planIfNeeded plans anew when something changed or the queue grows old, though
+// it never takes more than a small part of the processor's time.
+func (l *Leader) planIfNeeded(now micros.Micros) {
+	since := now - l.plannedAt
+	if !l.ready || since < 10*l.planTook || !(l.replan && since >= planPause || len(l.queue.jobs) > 0 && since >= planEvery) {
 		return
 	}
 	l.replan = false
@@ -27,69 +37,162 @@
 // plan decides anew what every machine's next answer starts. Plans that were
 // not sent yet are made again: only sent starts bind.
 func (l *Leader) plan(now micros.Micros) {
-	teams, unresolved := l.teamUse()
-	queue := l.queue(now, unresolved > 0)
-	machines, ms := l.placeable(now)
-	jobs := make([]*placement.Job, len(queue))
-	for i, q := range queue {
-		jobs[i] = &q.Job
-	}
-	cpus := 0.0
-	for _, m := range ms {
-		cpus += l.types[m.kind.Type].CPUs
-	}
-	placement.SetAside(jobs, cpus, micros.Wall())
-	starts, stops := placement.Plan(machines, jobs, teams)
-	for _, m := range l.machines {
+	for _, m := range l.order {
 		m.planned = m.planned[:0]
 	}
-	for _, s := range starts {
+	l.queue = l.newQueue(now)
+	q := &l.queue
+	if len(q.jobs) == 0 || !l.Term.Sure() {
+		return
+	}
+	machines, ms := l.placeable(now, q.least)
+	for _, s := range placement.Plan(machines, q.waiting, q.teams) {
 		for range s.Count {
-			ms[s.Machine].planned = append(ms[s.Machine].planned, queue[s.Job].job)
+			ms[s.Machine].planned = append(ms[s.Machine].planned, q.jobs[s.Job])
+		}
+	}
+	rung := 0
+	for _, m := range ms {
+		if len(m.planned) > 0 && rung < maxRung && now-m.reported > rungWithin && l.nextReport(m, now) == 0 && m.bell != nil {
+			l.ring(m, now)
+			rung++
 		}
 	}
-	for _, s := range stops {
+	q.drop()
+	if now-l.preempted < preemptEvery || !slices.ContainsFunc(q.waiting, func(j *placement.Job) bool { return j.Pressing }) {
+		return
+	}
+	l.preempted = now
+	machines, ms = l.withVictims(now)
+	for _, s := range placement.Preempt(machines, q.waiting, q.teams, preemptJobs) {
 		if a := ms[s.Machine].tasks[taskName(s.Victim.Job, s.Victim.Task)]; a != nil {
 			grace := micros.FromSeconds(a.job.spec.SaveS)
+			if a.running == 0 || now-a.running < grace {
+				grace = 0 // saving takes longer than doing it again
+			}
 			l.stop(a, grace, "stopped to make room for "+s.For)
 		}
 	}
 }
 
-type queued struct {
-	placement.Job
-	job *job
+// maxRung bounds the workers that a plan rings.
+const maxRung = 50
+
+// queue is what waits, in order, with what is not planned on any machine.
+type queue struct {
+	waiting []*placement.Job
+	jobs    []*job // of these
+	teams   map[string]*placement.Team
+	least   placement.Resources // that any of them needs
+}
+
+// drop removes what no longer waits.
+func (q *queue) drop() {
+	n := 0
+	for i, w := range q.waiting {
+		if w.Waiting > 0 {
+			q.waiting[n], q.jobs[n] = w, q.jobs[i]
+			n++
+		}
+	}
+	q.waiting, q.jobs = q.waiting[:n], q.jobs[:n]
+	q.least = placement.Least(q.waiting)
 }
 
-// queue lists the jobs that may start tasks now. A job that an earlier term
+// fill adds to what is planned for a machine that has just reported, from what
+// found no room in the last plan.
+func (l *Leader) fill(m *machine, now micros.Micros) {
+	q := &l.queue
+	if len(q.jobs) == 0 {
+		return
+	}
+	p := l.placementMachine(m, now)
+	for _, j := range m.planned {
+		p.Free = p.Free.Plus(j.need, -1)
+	}
+	if !p.Free.Fits(q.least) {
+		return
+	}
+	starts := placement.Fill(&p, q.waiting, q.teams)
+	gone := false
+	for _, s := range starts {
+		for range s.Count {
+			m.planned = append(m.planned, q.jobs[s.Job])
+		}
+		gone = gone || q.waiting[s.Job].Waiting == 0
+	}
+	if gone {
+		q.drop()
+	}
+}
+
+// aged is how long a job waits at most for its first start before it goes before
+// all others: put off by the set-aside rule or by a lasting overload of others,
+// the largest would never begin. A part of it, so that it stays an exception.
+const (
+	aged     = 120 * micros.Second
+	agedPart = 16
+)
+
+// newQueue lists the jobs that may start tasks now. A job that an earlier term
 // may have started waits until no machine's tasks are unknown.
-func (l *Leader) queue(now micros.Micros, unresolved bool) []*queued {
+func (l *Leader) newQueue(now micros.Micros) queue {
+	var q queue
+	var unresolved int
+	q.teams, unresolved = l.teamUse()
 	covered := l.covered()
 	wall := micros.Wall()
-	out := make([]*queued, 0, len(l.jobs))
+	type entry struct {
+		waiting *placement.Job
+		job     *job
+	}
+	var entries []entry
+	var waiting []*placement.Job
 	for _, j := range l.jobs {
-		if j.waiting() <= 0 || now < j.notBefore || j.broken || j.old && unresolved {
+		n := j.waiting()
+		if n <= 0 || now < j.notBefore || j.broken || j.old && unresolved > 0 {
 			continue
 		}
 		s := j.spec
-		q := &queued{job: j, Job: placement.Job{
-			ID: s.ID, Team: s.Team, Image: s.Image, Priority: j.priority, Covered: covered[j],
-			Need: j.need, Waiting: j.waiting(), Total: s.Tasks, Types: s.Types, Zone: s.Zone,
+		w := &placement.Job{
+			ID: s.ID, Team: s.Team, Image: j.image, Priority: j.priority, Covered: covered[j],
+			Need: j.need, Waiting: n, Total: s.Tasks, Types: s.Types, Zone: s.Zone,
 			OneZone: s.OneZone, Spread: s.Spread, Whole: s.Shape == wire.ShapeGang, Spot: s.Spot, ImageGB: s.ImageGB,
-		}}
-		q.Due, q.Late = l.due(j, covered[j], wall)
-		q.Pressing = q.Due-wall < 4*l.Settings.Params.Workers.Report()
-		q.Work = float64(q.Waiting) * s.CPUs * l.expected(s)
+		}
+		w.Due, w.Late = l.due(j, covered[j], wall)
+		w.Pressing = w.Due-wall < 4*l.report
+		w.Work = float64(n) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
-			q.PerZone = map[string]int{}
+			w.PerZone = map[string]int{}
 			for _, a := range j.on {
-				q.PerZone[a.machine.kind.Zone]++
+				w.PerZone[a.machine.kind.Zone]++
+			}
+		}
+		if len(j.on)+j.ndone == 0 && wall-j.submitted > aged {
+			w.Aged, w.Late = true, false
+			if part := 1 + n/agedPart; !s.OneZone && !s.Spread && !w.Whole && part < n {
+				rest := *w
+				rest.Aged = false
+				w.Waiting, rest.Waiting = part, n-part
+				entries, waiting = append(entries, entry{&rest, j}), append(waiting, &rest)
 			}
 		}
-		out = append(out, q)
+		entries, waiting = append(entries, entry{w, j}), append(waiting, w)
 	}
-	slices.SortFunc(out, func(a, b *queued) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	cpus := 0.0
+	for _, m := range l.order {
+		if m.open(now) {
+			cpus += l.types[m.kind.Type].CPUs
+		}
+	}
+	placement.SetAside(waiting, cpus, wall)
+	slices.SortFunc(entries, func(a, b entry) int { return placement.Less(a.waiting, b.waiting) })
+	q.waiting, q.jobs = waiting[:0], make([]*job, 0, len(entries))
+	for _, e := range entries {
+		q.waiting, q.jobs = append(q.waiting, e.waiting), append(q.jobs, e.job)
+	}
+	q.least = placement.Least(q.waiting)
+	return q
 }
 
 // due is when the last of a job's tasks should have started, by the next thing
@@ -173,16 +276,11 @@
 func (l *Leader) teamUse() (map[string]*placement.Team, int) {
 	teams := make(map[string]*placement.Team, len(l.teams))
 	for name, t := range l.teams {
-		teams[name] = &placement.Team{Limit: placement.Resources{CPU: floor(t.CPUsMax), GPU: floor(t.GPUsMax)}}
+		teams[name] = &placement.Team{Used: l.used[name], Limit: placement.Resources{CPU: floor(t.CPUsMax), GPU: floor(t.GPUsMax)}}
 	}
 	unresolved := 0
 	var hidden placement.Resources
-	for _, m := range l.machines {
-		for _, a := range m.tasks {
-			if t := teams[a.job.spec.Team]; t != nil {
-				t.Used = t.Used.Plus(a.job.need, 1)
-			}
-		}
+	for _, m := range l.order {
 		if !m.resolved {
 			unresolved++
 			if t := l.types[m.kind.Type]; t != nil {
@@ -198,33 +296,44 @@
 	return teams, unresolved
 }
 
-// placeable lists the machines that may get tasks, and their running tasks.
-func (l *Leader) placeable(now micros.Micros) ([]placement.Machine, []*machine) {
-	covered := l.covered()
-	report := l.Settings.Params.Workers.Report()
+// placementMachine is a machine as placement sees it.
+func (l *Leader) placementMachine(m *machine, now micros.Micros) placement.Machine {
+	t := l.types[m.kind.Type]
+	p := placement.Machine{
+		ID: m.id, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.kind.Spot,
+		Free: m.free, Delay: l.nextReport(m, now), Idle: len(m.tasks) == 0,
+		Images: m.have, GBPerS: t.FetchGBPerS,
+		Dear: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
+	}
+	if m.surplus {
+		p.Dear += 30 * micros.Second
+	}
+	return p
+}
+
+// placeable lists the machines that may get tasks and have room.
+func (l *Leader) placeable(now micros.Micros, least placement.Resources) ([]placement.Machine, []*machine) {
 	var out []placement.Machine
 	var ms []*machine
-	for _, m := range l.sortedMachines() {
-		t := l.types[m.kind.Type]
-		if t == nil || !l.mayStart(m, now) || now-m.reported > 3*report {
-			continue
+	for _, m := range l.order {
+		if l.types[m.kind.Type] != nil && m.free.Fits(least) && m.open(now) && now-m.reported <= 3*l.report {
+			out = append(out, l.placementMachine(m, now))
+			ms = append(ms, m)
 		}
-		p := placement.Machine{
-			ID: m.id, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.kind.Spot,
-			Free:  t.capacity,
-			Delay: max(0, m.reported+report-now), Idle: len(m.tasks) == 0,
-			Images: map[string]int{}, GBPerS: t.FetchGBPerS,
-			Dear: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
-		}
-		if m.surplus {
-			p.Dear += 30 * micros.Second
-		}
-		for _, image := range m.images.names {
-			p.Images[image]++
+	}
+	return out, ms
+}
+
+// withVictims lists the machines that may get tasks, with what runs there.
+func (l *Leader) withVictims(now micros.Micros) ([]placement.Machine, []*machine) {
+	covered := l.covered()
+	out, ms := l.placeable(now, placement.Resources{})
+	for i, m := range ms {
+		p := &out[i]
+		for _, j := range m.planned {
+			p.Free = p.Free.Plus(j.need, -1)
 		}
 		for _, a := range m.tasks {
-			p.Free = p.Free.Plus(a.job.need, -1)
-			p.Images[a.job.spec.Image]++
 			if a.stopped != 0 {
 				p.Soon = p.Soon.Plus(a.job.need, 1)
 			} else if !a.job.over {
@@ -237,8 +346,6 @@
 		slices.SortFunc(p.Victims, func(a, b placement.Victim) int {
 			return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
 		})
-		out = append(out, p)
-		ms = append(ms, m)
 	}
 	return out, ms
 }
@@ -259,7 +366,7 @@
 		return 0
 	}
 	if a.job.spec.CheckpointS > 0 {
-		return micros.FromSeconds(a.job.spec.SaveS)
+		return min(now-a.running, micros.FromSeconds(a.job.spec.SaveS))
 	}
 	return now - a.running
 }
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -9,6 +9,7 @@
 
 	"caperlatch/internal/micros"
 	"caperlatch/internal/wire"
+	"caperlatch/placement"
 )
 
 // ErrNotEntitled says that this node must not answer a report now.
@@ -69,7 +70,7 @@
 		l.picture(m, r, now)
 	}
 	l.drainOnNotice(m, now)
-	l.planIfNeeded(context.Background(), now)
+	l.planIfNeeded(now)
 	answer.Commands = l.orders(m, now)
 	return answer, nil
 }
@@ -83,10 +84,14 @@
 		l.replan = true
 	}
 	listed := make(map[string]bool, len(r.Tasks))
-	m.clears = m.clears[:0]
+	m.clears, m.bell = m.clears[:0], nil
+	done := map[string]bool{}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		listed[t.Task] = true
+		if t.State == wire.TaskExited && t.Cause == wire.CauseDone && l.neverAgain(t.Task) {
+			done[t.Task] = true
+		}
 		l.listed(m, t, now)
 	}
 	for name, a := range m.tasks {
@@ -97,6 +102,59 @@
 			l.ended(a, "the start was lost")
 		}
 	}
+	for i := range m.clears {
+		if c := &m.clears[i]; c.Verb == wire.VerbClear && done[c.Task] {
+			m.bell = c
+		}
+	}
+}
+
+// neverAgain tells whether a task that is done will not be started anew.
+func (l *Leader) neverAgain(task string) bool {
+	id, _, err := parseTask(task)
+	j := l.jobs[id]
+	return err == nil && (j == nil || j.spec.Shape == wire.ShapeArray)
+}
+
+// ring has a worker report at once, so that it gets what is planned for it long
+// before its next report would be due. Starts go only in answers to reports, and
+// a worker reports whenever its tasks change: so one task that is done is kept
+// listed on it, and is cleared here. Carried out late, that does no harm.
+func (l *Leader) ring(m *machine, now micros.Micros) {
+	if m.bell == nil {
+		return
+	}
+	l.direct(m, *m.bell)
+	m.bell, m.rungAt = nil, now
+}
+
+// Times of a worker that was rung: it reports no more often than half a second.
+const (
+	rungWithin = 600 * micros.Millisecond
+	rungLost   = 2 * micros.Second
+)
+
+// nextReport is how long it should take until a machine's next report.
+func (l *Leader) nextReport(m *machine, now micros.Micros) micros.Micros {
+	wait := max(0, m.reported+l.report-now)
+	if m.rungAt > m.reported && now-m.rungAt < rungLost {
+		wait = min(wait, max(0, m.rungAt+rungWithin-now))
+	} else if m.bell != nil {
+		wait = min(wait, max(0, m.reported+rungWithin-now))
+	}
+	return wait
+}
+
+// countImages takes anew what images a machine has or is fetching.
+func (l *Leader) countImages(m *machine) {
+	var s placement.ImageSet
+	for _, name := range m.images.names {
+		s = s.With(l.image(name))
+	}
+	for _, a := range m.tasks {
+		s = s.With(a.job.image)
+	}
+	m.have = s
 }
 
 // listed takes over one task of a report.
@@ -132,9 +190,7 @@
 				return
 			}
 			a = &attempt{job: j, task: task, machine: m, began: now}
-			m.tasks[t.Task] = a
-			j.on[task] = a
-			l.replan = true
+			l.hold(a)
 		}
 		a.n = t.Attempt
 		if t.State == wire.TaskRunning && a.running == 0 {
@@ -145,6 +201,7 @@
 			j.lastStart = micros.Wall()
 			if mt := l.types[m.kind.Type]; mt != nil {
 				m.images.use(j.spec.Image, j.spec.ImageGB, mt.CacheGB)
+				l.countImages(m)
 			}
 		}
 		a.state = t.State
@@ -190,7 +247,7 @@
 		l.blame(m, j, now)
 	case wire.CauseNoRoom:
 		// Our count of what is free was wrong: wait for the next reports.
-		m.notUntil = now + 2*l.Settings.Params.Workers.Report()
+		m.notUntil = now + 2*l.report
 	case wire.CauseNoSuch:
 		// The worker cannot find the job yet.
 		j.notBefore = now + 5*micros.Second
@@ -236,7 +293,11 @@
 // orders are the commands for a machine that has just reported.
 func (l *Leader) orders(m *machine, now micros.Micros) []wire.Command {
 	orders := make([]wire.Command, 0, len(m.clears)+len(m.planned))
-	orders = append(orders, m.clears[:min(len(m.clears), maxOrders)]...)
+	for i := range m.clears {
+		if &m.clears[i] != m.bell && len(orders) < maxOrders {
+			orders = append(orders, m.clears[i])
+		}
+	}
 	for name, a := range m.tasks {
 		if a.stopped != 0 && len(orders) < maxOrders && a.n != 0 {
 			orders = append(orders, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: a.n, GraceS: seconds(a.grace)})
@@ -245,8 +306,9 @@
 	if !l.mayStart(m, now) {
 		return orders
 	}
+	l.fill(m, now)
 	for _, j := range m.planned {
-		if len(orders) >= maxOrders || j.over {
+		if len(orders) >= maxOrders || j.over || j.broken || now < j.notBefore || !m.free.Fits(j.need) {
 			continue
 		}
 		task, ok := j.take()
@@ -255,12 +317,10 @@
 		}
 		n := l.attempt(j)
 		a := &attempt{job: j, task: task, n: n, machine: m, sentAt: m.seq, began: now}
-		name := taskName(j.spec.ID, task)
-		m.tasks[name] = a
-		j.on[task] = a
-		orders = append(orders, wire.Command{Verb: wire.VerbStart, Task: name, Attempt: n})
+		l.hold(a)
+		orders = append(orders, wire.Command{Verb: wire.VerbStart, Task: taskName(j.spec.ID, task), Attempt: n})
 	}
-	m.planned = nil
+	m.planned = m.planned[:0]
 	return orders
 }
 
@@ -278,8 +338,12 @@
 
 // mayStart tells whether tasks may be started on a machine now.
 func (l *Leader) mayStart(m *machine, now micros.Micros) bool {
-	return m.up && m.resolved && m.booking.storedUp[m.id] && !m.leaving && m.draining == "" &&
-		m.recallAt == 0 && now >= m.notUntil && l.Term.Sure()
+	return m.open(now) && l.Term.Sure()
+}
+
+// open tells what of that is the machine's part.
+func (m *machine) open(now micros.Micros) bool {
+	return m.up && m.resolved && !m.leaving && m.draining == "" && m.recallAt == 0 && now >= m.notUntil && m.booking.storedUp[m.id]
 }
 
 // drainOnNotice empties a machine that the cloud will take.
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -55,8 +55,16 @@
 	return f
 }
 
-// offersFor lists what could be rented for a job, the cheapest work first.
-func (l *Leader) offersFor(s *wire.Job, need placement.Resources) []offer {
+// offersFor lists what could be rented for a job, the cheapest work first. It is
+// kept with the job for as long as the catalog stays as it is.
+func (l *Leader) offersFor(j *job) []offer {
+	if j.offersOf != l.catalog {
+		j.offers, j.offersOf = l.findOffers(j.spec, j.need), l.catalog
+	}
+	return j.offers
+}
+
+func (l *Leader) findOffers(s *wire.Job, need placement.Resources) []offer {
 	type priced struct {
 		offer
 		price float64
@@ -92,7 +100,7 @@
 // typeFor is the machine type that a job's demand is counted for: the
 // cheapest that has not refused lately, else the cheapest.
 func (l *Leader) typeFor(j *job, now micros.Micros) *machineType {
-	offers := l.offersFor(j.spec, j.need)
+	offers := l.offersFor(j)
 	for _, o := range offers {
 		if s := l.offers[o]; s == nil || now >= s.until {
 			return l.types[o.Type]
@@ -186,7 +194,7 @@
 // over all machines, a few tasks would keep every one of them busy for ever.
 func (l *Leader) markSurplus(t *machineType, n int) {
 	var ms []*machine
-	for _, m := range l.sortedMachines() {
+	for _, m := range l.order {
 		if m.kind.Type == t.Name {
 			m.surplus = false
 			if m.up && !m.leaving && m.draining == "" {
@@ -388,6 +396,16 @@
 func (l *Leader) rentSpecial(now micros.Micros) {
 	wall := micros.Wall()
 	teams, unresolved := l.teamUse()
+	type count struct{ all, coming int }
+	kinds := map[offer]count{}
+	for _, m := range l.order {
+		n := kinds[m.kind]
+		n.all++
+		if !m.up && !m.leaving {
+			n.coming++
+		}
+		kinds[m.kind] = n
+	}
 	for _, j := range l.jobs {
 		if j.old && unresolved > 0 || teams[j.spec.Team].Room(j.need, 1) == 0 {
 			continue // not for want of machines
@@ -397,18 +415,17 @@
 		}
 		probe := placement.Job{Types: j.spec.Types, Zone: j.spec.Zone, Spot: j.spec.Spot}
 		closed, coming := 0, 0
-		for _, m := range l.machines {
-			switch {
-			case !placement.Allowed(&probe, m.kind.Type, m.kind.Zone, m.kind.Spot):
-				closed++
-			case !m.up && !m.leaving:
-				coming++
+		for o, n := range kinds {
+			if placement.Allowed(&probe, o.Type, o.Zone, o.Spot) {
+				coming += n.coming
+			} else {
+				closed += n.all
 			}
 		}
 		if closed == 0 {
 			continue // the targets serve it
 		}
-		for _, o := range l.offersFor(j.spec, j.need) {
+		for _, o := range l.offersFor(j) {
 			if l.pending(o) {
 				break // its answer comes first
 			}
@@ -444,7 +461,7 @@
 		return
 	}
 	var idle []*machine
-	for _, m := range l.sortedMachines() {
+	for _, m := range l.order {
 		if m.kind.Type == t.Name && len(m.tasks) == 0 && len(m.planned) == 0 && m.resolved && !m.leaving && m.draining == "" &&
 			now-m.rentedAt > minPaid-3*micros.Second && now-m.busyTill > l.idleLimit(t, m.kind.Spot) {
 			idle = append(idle, m)
@@ -469,7 +486,7 @@
 		types++
 	}
 	keep := micros.FromSeconds(t.BootS / l.priceRatio(t, spot) * tight / types)
-	return max(2*l.Settings.Params.Workers.Report(), keep)
+	return max(2*l.report, keep)
 }
 
 func price(t *machineType, spot bool) float64 {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,18 +31,38 @@
 // Fits tells whether o fits into r.
 func (r Resources) Fits(o Resources) bool { return r.Times(o, 1) == 1 }
 
+// ImageSet is a set of images, which stand here as small numbers: asking whether
+// a machine has an image is what planning does most.
+type ImageSet []uint64
+
+// Has tells whether an image is in the set.
+func (s ImageSet) Has(image int) bool {
+	return image/64 < len(s) && s[image/64]&(1<<(image%64)) != 0
+}
+
+// With is the set with an image added; s stays as it is.
+func (s ImageSet) With(image int) ImageSet {
+	if s.Has(image) {
+		return s
+	}
+	out := make(ImageSet, max(len(s), image/64+1))
+	copy(out, s)
+	out[image/64] |= 1 << (image % 64)
+	return out
+}
+
 // Machine is a machine that may take tasks.
 type Machine struct {
 	ID, Type, Zone string
 	Spot           bool
-	Free           Resources      // nothing holds it
-	Soon           Resources      // held by tasks that are being stopped
-	Delay          micros.Micros  // until orders reach it
-	Idle           bool           // no task is on it
-	Images         map[string]int // cached or being fetched
-	GBPerS         float64        // image fetch
-	Dear           micros.Micros  // wait that is put up with to leave it idle
-	Victims        []Victim       // running tasks that could be stopped
+	Free           Resources     // nothing holds it
+	Soon           Resources     // held by tasks that are being stopped
+	Delay          micros.Micros // until orders reach it
+	Idle           bool          // no task is on it
+	Images         ImageSet      // cached or being fetched
+	GBPerS         float64       // image fetch
+	Dear           micros.Micros // wait that is put up with to leave it idle
+	Victims        []Victim      // running tasks that could be stopped
 }
 
 // Victim is a running task.
@@ -58,8 +78,10 @@
 
 // Job is a job with waiting tasks.
 type Job struct {
-	ID, Team, Image string
+	ID, Team        string
+	Image           int
 	Priority        int
+	Aged            bool          // has waited for its first start so long that it goes before all others
 	Covered         bool          // within its team's guarantee
 	Due             micros.Micros // latest good start of its last task
 	Work            float64       // CPU seconds that wait, as estimated
@@ -91,15 +113,19 @@
 	For     string // job that needs the room
 }
 
-// Less is the queue's order: guarantees, then priorities, then what can still
-// be in time, and of that what is due first.
+// Less is the queue's order: what has waited too long to begin, guarantees, then
+// priorities, then what can still be in time, and of that what is due first.
 func Less(a, b *Job) int {
+	return cmp.Or(claim(a, b), cmp.Compare(a.Due, b.Due), cmp.Compare(a.ID, b.ID))
+}
+
+// claim compares what comes before due times.
+func claim(a, b *Job) int {
 	return cmp.Or(
+		cmp.Compare(rank(a.Aged), rank(b.Aged)),
 		cmp.Compare(rank(a.Covered), rank(b.Covered)),
 		cmp.Compare(b.Priority, a.Priority),
-		cmp.Compare(rank(!a.Late), rank(!b.Late)),
-		cmp.Compare(a.Due, b.Due),
-		cmp.Compare(a.ID, b.ID))
+		cmp.Compare(rank(!a.Late), rank(!b.Late)))
 }
 
 // SetAside marks as late the jobs that too much work keeps from being in time,
@@ -118,6 +144,9 @@
 	ahead := 0.0
 	var kept []*Job // of the present claim, by work
 	for i, j := range order {
+		if j.Aged {
+			continue
+		}
 		if i > 0 && (j.Covered != order[i-1].Covered || j.Priority != order[i-1].Priority) {
 			kept = kept[:0]
 		}
@@ -167,48 +196,136 @@
 	return j.Total
 }
 
-// Plan places what it can in the queue's order and then looks for running
-// work of less claim to stop. It changes the input's machines, jobs and teams
-// as it goes. Waiting tasks cost nothing here: the work grows with jobs and
-// machines only.
-func Plan(machines []Machine, jobs []*Job, teams map[string]*Team) (starts []Start, stops []Stop) {
-	order := make([]int, len(jobs))
-	for i := range order {
-		order[i] = i
+// Least is what any of the jobs needs at least, of each resource. A machine with
+// less room cannot take a task.
+func Least(jobs []*Job) Resources {
+	least := Resources{1 << 60, 1 << 60, 1 << 60}
+	for _, j := range jobs {
+		least = Resources{min(least.CPU, j.Need.CPU), min(least.GPU, j.Need.GPU), min(least.Mem, j.Need.Mem)}
+	}
+	return least
+}
+
+// Plan places what it can of jobs that are in the queue's order, and leaves in
+// Waiting what finds no room. It changes the input's machines, jobs and teams as
+// it goes. Waiting tasks cost nothing here: the work grows with the jobs, and
+// with the machines that have room.
+func Plan(machines []Machine, jobs []*Job, teams map[string]*Team) (starts []Start) {
+	least := Least(jobs)
+	open := make([]int, 0, len(machines))
+	for k := range machines {
+		if machines[k].Free.Fits(least) {
+			open = append(open, k)
+		}
 	}
-	slices.SortFunc(order, func(a, b int) int { return Less(jobs[a], jobs[b]) })
 	var free Resources // the largest of each, to pass over jobs quickly
-	for i := range machines {
-		f := machines[i].Free
-		free = Resources{max(free.CPU, f.CPU), max(free.GPU, f.GPU), max(free.Mem, f.Mem)}
+	measure := func() {
+		free = Resources{}
+		for _, k := range open {
+			f := machines[k].Free
+			free = Resources{max(free.CPU, f.CPU), max(free.GPU, f.GPU), max(free.Mem, f.Mem)}
+		}
 	}
-	for _, i := range order {
-		j := jobs[i]
-		if j.Waiting == 0 || !free.Fits(j.Need) {
+	measure()
+	for i, j := range jobs {
+		if j.Waiting == 0 || !free.Fits(j.Need) || teams[j.Team].Room(j.Need, 1) == 0 {
 			continue
 		}
-		placed := place(machines, i, j, teams[j.Team])
+		placed := place(machines, open, i, j, teams[j.Team])
 		if j.Whole && j.Waiting > 0 {
 			undo(machines, j, teams[j.Team], placed)
 			placed = nil
 		}
 		starts = append(starts, placed...)
+		if len(placed) > 0 {
+			open = slices.DeleteFunc(open, func(k int) bool { return !machines[k].Free.Fits(least) })
+			measure()
+		}
 	}
-	for _, i := range order {
-		if j := jobs[i]; j.Waiting > 0 && j.Pressing {
+	return starts
+}
+
+// Preempt looks for running work of less claim to stop for pressing jobs that
+// found no room, at most limit jobs.
+func Preempt(machines []Machine, jobs []*Job, teams map[string]*Team, limit int) (stops []Stop) {
+	for _, j := range jobs {
+		if limit == 0 {
+			break
+		}
+		if j.Waiting > 0 && j.Pressing {
 			stops = append(stops, preempt(machines, j, teams[j.Team])...)
+			limit--
+		}
+	}
+	return stops
+}
+
+// lookahead is how many jobs of one claim Fill compares.
+const lookahead = 24
+
+// Fill picks tasks for a machine that can start them at once, from jobs in the
+// queue's order that found no room before. Of the first jobs of one claim it
+// takes what is due first, but a fetch counts as if the job were due later by
+// twice its time: it holds the task up and keeps its room from others.
+func Fill(m *Machine, jobs []*Job, teams map[string]*Team) (starts []Start) {
+	for {
+		best, bestCount := -1, 0
+		var bestDue micros.Micros
+		seen := 0
+		for i, j := range jobs {
+			if j.Waiting == 0 || j.Whole {
+				continue
+			}
+			if best >= 0 && (seen == lookahead || claim(jobs[best], j) != 0) {
+				break
+			}
+			if !m.Free.Fits(j.Need) || !Allowed(j, m.Type, m.Zone, m.Spot) {
+				continue
+			}
+			n := m.Free.Times(j.Need, teams[j.Team].Room(j.Need, min(j.Waiting, zoneRoom(j, m.Zone))))
+			if n == 0 {
+				continue
+			}
+			seen++
+			if due := j.Due + 2*fetch(m, j); best < 0 || due < bestDue {
+				best, bestCount, bestDue = i, n, due
+			}
+		}
+		if best < 0 {
+			return starts
 		}
+		take(m, jobs[best], teams[jobs[best].Team], bestCount)
+		starts = append(starts, Start{Job: best, Count: bestCount})
+	}
+}
+
+// take counts n tasks of j as being on m.
+func take(m *Machine, j *Job, team *Team, n int) {
+	m.Free = m.Free.Plus(j.Need, -int64(n))
+	m.Idle = false
+	m.Images = m.Images.With(j.Image)
+	if team != nil {
+		team.Used = team.Used.Plus(j.Need, int64(n))
+	}
+	if j.PerZone == nil {
+		j.PerZone = map[string]int{}
 	}
-	return starts, stops
+	j.PerZone[m.Zone] += n
+	j.Waiting -= n
+}
+
+// fetch is how long m would fetch the image of j.
+func fetch(m *Machine, j *Job) micros.Micros {
+	if m.GBPerS <= 0 || m.Images.Has(j.Image) {
+		return 0
+	}
+	return micros.FromSeconds(j.ImageGB / m.GBPerS)
 }
 
 // cost is how long a task would wait for its start on m, with a little for
 // leaving dear and empty machines as they are, and large holes.
 func cost(m *Machine, j *Job) micros.Micros {
-	c := m.Delay
-	if _, ok := m.Images[j.Image]; !ok && m.GBPerS > 0 {
-		c += micros.FromSeconds(j.ImageGB / m.GBPerS)
-	}
+	c := m.Delay + fetch(m, j)
 	if m.Idle {
 		c += micros.Second / 2
 	}
@@ -231,13 +348,13 @@
 	return left.Times(need, limit)
 }
 
-func place(machines []Machine, index int, j *Job, team *Team) (starts []Start) {
+func place(machines []Machine, open []int, index int, j *Job, team *Team) (starts []Start) {
 	type candidate struct {
 		machine int
 		cost    micros.Micros
 	}
 	var candidates []candidate
-	for k := range machines {
+	for _, k := range open {
 		m := &machines[k]
 		if m.Free.Fits(j.Need) && Allowed(j, m.Type, m.Zone, m.Spot) && zoneRoom(j, m.Zone) > 0 {
 			candidates = append(candidates, candidate{k, cost(m, j)})
@@ -253,17 +370,7 @@
 		if n == 0 {
 			continue
 		}
-		m.Free = m.Free.Plus(j.Need, -int64(n))
-		m.Idle = false
-		m.Images[j.Image]++
-		if team != nil {
-			team.Used = team.Used.Plus(j.Need, int64(n))
-		}
-		if j.PerZone == nil {
-			j.PerZone = map[string]int{}
-		}
-		j.PerZone[m.Zone] += n
-		j.Waiting -= n
+		take(m, j, team, n)
 		starts = append(starts, Start{Job: index, Machine: c.machine, Count: n})
 		if j.Waiting == 0 {
 			break
@@ -279,9 +386,6 @@
 		m.Free = m.Free.Plus(j.Need, int64(s.Count))
 		j.PerZone[m.Zone] -= s.Count
 		j.Waiting += s.Count
-		if m.Images[j.Image]--; m.Images[j.Image] == 0 {
-			delete(m.Images, j.Image)
-		}
 		if team != nil {
 			team.Used = team.Used.Plus(j.Need, -int64(s.Count))
 		}
@@ -311,29 +415,49 @@
 			want -= n
 		}
 	}
-	for want > 0 {
-		best, bestLost := -1, micros.Micros(0)
-		var bestTake []int
-		for k := range machines {
-			m := &machines[k]
-			if !Allowed(j, m.Type, m.Zone, m.Spot) || zoneRoom(j, m.Zone) == 0 {
-				continue
-			}
-			if take, lost := victims(m, j); take != nil && (best < 0 || lost < bestLost) {
-				best, bestLost, bestTake = k, lost, take
-			}
+	// Each machine is looked at once, and again only after something on it is
+	// to be stopped.
+	type candidate struct {
+		machine int
+		take    []int
+		lost    micros.Micros
+	}
+	var heap []candidate
+	less := func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.machine, b.machine))
+	}
+	look := func(k int) (candidate, bool) {
+		m := &machines[k]
+		if !Allowed(j, m.Type, m.Zone, m.Spot) || zoneRoom(j, m.Zone) == 0 {
+			return candidate{}, false
 		}
-		if best < 0 {
-			return stops
+		take, lost := victims(m, j)
+		return candidate{k, take, lost}, take != nil
+	}
+	for k := range machines {
+		if want == 0 {
+			break
 		}
-		m := &machines[best]
-		for _, v := range slices.Backward(bestTake) {
-			stops = append(stops, Stop{Machine: best, Victim: m.Victims[v], For: j.ID})
+		if c, ok := look(k); ok {
+			heap = append(heap, c)
+		}
+	}
+	slices.SortFunc(heap, less)
+	for want > 0 && len(heap) > 0 {
+		c := heap[0]
+		heap = heap[1:]
+		m := &machines[c.machine]
+		for _, v := range slices.Backward(c.take) {
+			stops = append(stops, Stop{Machine: c.machine, Victim: m.Victims[v], For: j.ID})
 			m.Soon = m.Soon.Plus(m.Victims[v].Need, 1)
 			m.Victims = slices.Delete(m.Victims, v, v+1)
 		}
 		m.Soon = m.Soon.Plus(j.Need, -1)
 		want--
+		if c, ok := look(c.machine); ok {
+			at, _ := slices.BinarySearchFunc(heap, c, less)
+			heap = slices.Insert(heap, at, c)
+		}
 	}
 	return stops
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -12,11 +12,11 @@
 func cpus(n int64) Resources { return Resources{CPU: n * 1000} }
 
 func machine(id, zone string, free int64) Machine {
-	return Machine{ID: id, Type: "m", Zone: zone, Free: cpus(free), GBPerS: 1, Images: map[string]int{}}
+	return Machine{ID: id, Type: "m", Zone: zone, Free: cpus(free), GBPerS: 1}
 }
 
 func job(id string, waiting int, edit func(*Job)) *Job {
-	j := &Job{ID: id, Team: "t", Image: "img", Priority: 1, Need: cpus(1), Waiting: waiting, Total: waiting, Spot: true, Pressing: true}
+	j := &Job{ID: id, Team: "t", Image: 70, Priority: 1, Need: cpus(1), Waiting: waiting, Total: waiting, Spot: true, Pressing: true}
 	if edit != nil {
 		edit(j)
 	}
@@ -36,7 +36,7 @@
 			[]*Job{job("j", 2, nil)}, nil, []string{"j@b*2"}, nil},
 		{"where the image is", []Machine{machine("a", "z", 4), func() Machine {
 			m := machine("b", "z", 8)
-			m.Images["img"] = 1
+			m.Images = m.Images.With(70)
 			return m
 		}()}, []*Job{job("j", 1, func(j *Job) { j.ImageGB = 5 })}, nil, []string{"j@b*1"}, nil},
 		{"the higher priority first", []Machine{machine("a", "z", 1)},
@@ -89,7 +89,10 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			starts, stops := Plan(c.machines, c.jobs, map[string]*Team{"t": c.team})
+			slices.SortFunc(c.jobs, Less)
+			teams := map[string]*Team{"t": c.team}
+			starts := Plan(c.machines, c.jobs, teams)
+			stops := Preempt(c.machines, c.jobs, teams, 8)
 			var got, stopped []string
 			for _, s := range starts {
 				got = append(got, fmt.Sprintf("%s@%s*%d", c.jobs[s.Job].ID, c.machines[s.Machine].ID, s.Count))
