Followers take the workers' reports and pass them on to the leader in batches

The leader still makes every answer, so renewal limits and tokens stay as they are; it sends workers to a follower that says it can pass on, and answers those that come back.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -31,8 +31,12 @@
 	Ready() bool
 	// Counts shows how far a job is, as well as it is known here.
 	Counts(id string) (done, running int)
-	// Relay asks the leader for its answer to a report.
-	Relay(ctx context.Context, r *wire.Report) (wire.ReportAnswer, error)
+	// Relays tells whether reports can be passed on to the leader, and Relay asks
+	// it for its answer to one.
+	Relays() bool
+	Relay(ctx context.Context, report wire.Raw) (wire.Raw, error)
+	// Front names the node that takes a machine's reports for the leader.
+	Front(machine string) string
 	// Explain asks the leader about a job.
 	Explain(ctx context.Context, id string) (leader.Explanation, error)
 }
@@ -47,7 +51,8 @@
 	Times    *Times
 
 	mu         sync.Mutex
-	redirected map[string]micros.Micros // machines sent to the leader, when
+	redirected map[string]micros.Micros // machines sent to another node, when
+	swept      micros.Micros            // when old ones were forgotten
 }
 
 // New makes the HTTP handler.
@@ -301,17 +306,23 @@
 	return c.NoContent(http.StatusOK)
 }
 
-// report answers a worker; a node that is not the leader sends it there.
+// report answers a worker. The leader has the other nodes take the reports, which
+// they pass on to it: one node that took all of a large fleet's reports would
+// spend its processor on connections. The leader alone makes the answers, so
+// whoever hands them over, they are bound by the leader's token and contact.
 func (h *Handler) report(c echo.Context) error {
 	body, err := wire.ReadBody(c.Request().Body)
 	if err != nil {
 		return bad(c, http.StatusBadRequest, err)
 	}
-	var r wire.Report
-	if err := wire.Unmarshal(body, &r); err != nil {
-		return bad(c, http.StatusBadRequest, err)
-	}
 	if l := h.Node.Leading(); l != nil {
+		var r wire.Report
+		if err := wire.Unmarshal(body, &r); err != nil {
+			return bad(c, http.StatusBadRequest, err)
+		}
+		if front := h.Node.Front(r.Machine); front != "" && !h.cameBack(r.Machine) {
+			return reply(c, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: front})
+		}
 		answer, err := l.Report(&r)
 		if err != nil {
 			return bad(c, http.StatusServiceUnavailable, err)
@@ -322,41 +333,51 @@
 	if member == "" || member == h.Settings.Member {
 		return bad(c, http.StatusServiceUnavailable, errors.New("no leader known"))
 	}
-	if h.cameBack(r.Machine) {
-		ctx, cancel := context.WithTimeout(c.Request().Context(), relayTimeout.Duration())
-		defer cancel()
-		answer, err := h.Node.Relay(ctx, &r)
-		if err != nil {
-			return bad(c, http.StatusServiceUnavailable, err)
+	if !h.Node.Relays() {
+		// A worker that comes back cannot reach the leader either.
+		var r wire.Report
+		if err := wire.Unmarshal(body, &r); err != nil {
+			return bad(c, http.StatusBadRequest, err)
 		}
-		return reply(c, http.StatusOK, answer)
+		if !h.cameBack(r.Machine) {
+			return reply(c, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: member})
+		}
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), relayTimeout.Duration())
+	defer cancel()
+	answer, err := h.Node.Relay(ctx, body)
+	if err != nil {
+		return bad(c, http.StatusServiceUnavailable, err)
 	}
-	return reply(c, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: member})
+	return c.Blob(http.StatusOK, wire.ContentType, answer)
 }
 
 // Times of relaying: a worker that comes back so soon after it was redirected
-// cannot reach the leader; its answer must come well before it gives up.
+// cannot stay where it was sent; its answer must come well before it gives up.
 const (
 	comesBackWithin = 15 * micros.Second
 	relayTimeout    = 2500 * micros.Millisecond
 )
 
-// cameBack tells whether a worker was sent to the leader a short while ago.
-// A worker that is relayed for stays; now and then it is sent again.
+// cameBack tells whether a worker was sent to another node a short while ago.
+// One that is answered here then stays; now and then it is sent again.
 func (h *Handler) cameBack(machine string) bool {
 	now := micros.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.redirected == nil {
-		h.redirected = map[string]micros.Micros{}
-	}
-	since, ok := h.redirected[machine]
-	if !ok || now-since > comesBackWithin {
+	if h.redirected == nil || now-h.swept > comesBackWithin {
 		for id, at := range h.redirected {
 			if now-at > comesBackWithin {
 				delete(h.redirected, id)
 			}
 		}
+		h.swept = now
+	}
+	if h.redirected == nil {
+		h.redirected = map[string]micros.Micros{}
+	}
+	since, ok := h.redirected[machine]
+	if !ok || now-since > comesBackWithin {
 		h.redirected[machine] = now
 		return false
 	}
--- a/internal/peer/cohort.go
+++ b/internal/peer/cohort.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 
 	"caperlatch/internal/micros"
@@ -16,6 +17,9 @@
 	PromiseLife = 1500 * micros.Millisecond
 	// HeardWithin is how fresh contact with the state service counts.
 	HeardWithin = 3 * micros.Second
+	// frontWithin is how fresh a word must be for sending workers to a peer, or
+	// for passing reports on to it.
+	frontWithin = 1500 * micros.Millisecond
 )
 
 // Cohort keeps what the peers last said of themselves.
@@ -133,6 +137,20 @@
 	return since
 }
 
+// Fronts lists, by name, the peers that lately said that they pass reports on to
+// this node as the leader with a token.
+func (c *Cohort) Fronts(token uint64) (members []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for member, s := range c.last {
+		if s.sent > micros.Now()-frontWithin && s.state.Loaded && s.state.Fronts && s.state.Token == token {
+			members = append(members, member)
+		}
+	}
+	slices.Sort(members)
+	return members
+}
+
 // InContact tells whether some peer has lately heard from the state service.
 func (c *Cohort) InContact() bool {
 	now, some := micros.Now(), false
@@ -148,5 +166,5 @@
 func (c *Cohort) Reachable(member string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.last[member].sent > micros.Now()-HeardWithin
+	return c.last[member].sent > micros.Now()-frontWithin
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,10 +19,10 @@
 
 // Request asks a peer one of these things.
 type Request struct {
-	ID      uint64       `json:"id"`
-	Probe   *Probe       `json:"probe,omitempty"`
-	Relay   *wire.Report `json:"relay,omitempty"`
-	Explain string       `json:"explain,omitempty"`
+	ID      uint64     `json:"id"`
+	Probe   *Probe     `json:"probe,omitempty"`
+	Relay   []wire.Raw `json:"relay,omitempty"` // workers' reports
+	Explain string     `json:"explain,omitempty"`
 }
 
 // Probe tells a peer of its sender and asks for its state.
@@ -42,21 +42,29 @@
 	SinceHeard micros.Micros `json:"since_heard"` // since the state service last answered it
 	Promise    micros.Micros `json:"promise"`     // for this long it will not try to lead; 0: no promise
 	Aborted    []string      `json:"aborted"`     // jobs that it lately told users are cancelled
+	Fronts     bool          `json:"fronts"`      // it takes reports and passes them on to the one that asks
 }
 
 // Response answers the request of the same id.
 type Response struct {
 	ID      uint64              `json:"id"`
 	State   *State              `json:"state,omitempty"`
-	Relay   *wire.ReportAnswer  `json:"relay,omitempty"`
+	Relay   []Relayed           `json:"relay,omitempty"`
 	Explain *leader.Explanation `json:"explain,omitempty"`
 	Error   string              `json:"error,omitempty"`
 }
 
+// Relayed is the leader's answer to one report that was passed on, or why there
+// is none.
+type Relayed struct {
+	Answer wire.Raw `json:"answer,omitempty"`
+	Error  string   `json:"error,omitempty"`
+}
+
 // Handler answers requests at once.
 type Handler interface {
 	Probed(p *Probe) *State
-	Relayed(r *wire.Report) (wire.ReportAnswer, error)
+	Relayed(report wire.Raw) (wire.Raw, error)
 	Explained(job string) (leader.Explanation, error)
 }
 
@@ -119,9 +127,13 @@
 		case q.Probe != nil:
 			a.State = h.Probed(q.Probe)
 		case q.Relay != nil:
-			var answer wire.ReportAnswer
-			answer, err = h.Relayed(q.Relay)
-			a.Relay = &answer
+			a.Relay = make([]Relayed, len(q.Relay))
+			for i, r := range q.Relay {
+				answer, err := h.Relayed(r)
+				if a.Relay[i].Answer = answer; err != nil {
+					a.Relay[i].Error = err.Error()
+				}
+			}
 		case q.Explain != "":
 			var e leader.Explanation
 			e, err = h.Explained(q.Explain)
@@ -151,12 +163,16 @@
 	conn    net.Conn
 	next    uint64
 	waiting map[uint64]chan Response
-	sending sync.Mutex
+	sending chan struct{} // holds one while a request is being written
+
+	relayMu  sync.Mutex
+	reports  []*relay // to be passed on
+	relaying bool
 }
 
 // NewClient makes a client of the peer at addr; it connects when asked.
 func NewClient(addr string, dial Dial) *Client {
-	return &Client{addr: addr, dial: dial, waiting: map[uint64]chan Response{}}
+	return &Client{addr: addr, dial: dial, waiting: map[uint64]chan Response{}, sending: make(chan struct{}, 1)}
 }
 
 // Ask sends a request and waits for its answer.
@@ -197,8 +213,12 @@
 }
 
 func (c *Client) send(ctx context.Context, conn net.Conn, q Request) error {
-	c.sending.Lock()
-	defer c.sending.Unlock()
+	select {
+	case c.sending <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-c.sending }()
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := conn.SetWriteDeadline(deadline); err != nil {
 			return err
--- a/node.go
+++ b/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"net"
 	"net/http"
@@ -180,7 +181,7 @@
 		n.counts, n.countsAt = p.Counts, micros.Now()
 		n.mu.Unlock()
 	}
-	s := &peer.State{Loaded: n.replica.Loaded(), SinceHeard: n.store.SinceHeard()}
+	s := &peer.State{Loaded: n.replica.Loaded(), SinceHeard: n.store.SinceHeard(), Fronts: n.cohort.Reachable(p.Member)}
 	s.Token, s.Leader = n.election.Highest()
 	if l := n.Leading(); l != nil {
 		l.Supersede(s.Token)
@@ -195,12 +196,20 @@
 }
 
 // Relayed answers a report that a peer passes on.
-func (n *Node) Relayed(r *wire.Report) (wire.ReportAnswer, error) {
+func (n *Node) Relayed(report wire.Raw) (wire.Raw, error) {
 	l := n.Leading()
 	if l == nil {
-		return wire.ReportAnswer{}, leader.ErrNotEntitled
+		return nil, leader.ErrNotEntitled
 	}
-	return l.Report(r)
+	var r wire.Report
+	if err := wire.Unmarshal(report, &r); err != nil {
+		return nil, fmt.Errorf("report: %w", err)
+	}
+	answer, err := l.Report(&r)
+	if err != nil {
+		return nil, err
+	}
+	return wire.Marshal(answer)
 }
 
 // Explained tells a peer what the leader here knows of a job.
@@ -223,15 +232,31 @@
 }
 
 // Relay asks the leader for its answer to a report.
-func (n *Node) Relay(ctx context.Context, r *wire.Report) (wire.ReportAnswer, error) {
-	a, err := n.askLeader(ctx, peer.Request{Relay: r})
-	if err == nil && a.Relay == nil {
-		err = errors.New("no answer in the answer")
+func (n *Node) Relay(ctx context.Context, report wire.Raw) (wire.Raw, error) {
+	c := n.cohort.Client(n.LeaderMember())
+	if c == nil {
+		return nil, errors.New("no leader known")
 	}
-	if err != nil {
-		return wire.ReportAnswer{}, err
+	return c.Relay(ctx, report)
+}
+
+// Relays tells whether the leader answers this node.
+func (n *Node) Relays() bool { return n.cohort.Reachable(n.LeaderMember()) }
+
+// Front names the node that is to take a machine's reports for this one, which
+// leads; none if this node must do it itself. All nodes share the work of the
+// connections, and the leader's part is its own work.
+func (n *Node) Front(machine string) string {
+	token, _ := n.election.Highest()
+	best, most := "", uint32(0)
+	for _, member := range n.cohort.Fronts(token) {
+		h := fnv.New32a()
+		h.Write([]byte(machine + " " + member))
+		if sum := h.Sum32(); best == "" || sum > most {
+			best, most = member, sum
+		}
 	}
-	return *a.Relay, nil
+	return best
 }
 
 // lead is called by the election for each term.
--- a/staffing/backlog.go
+++ b/staffing/backlog.go
@@ -14,11 +14,13 @@
 // served in time. The paper's m decays for waiting work as well, so a backlog
 // must be added: within any horizon h, the work due by then takes up Work/h
 // CPUs on average besides what the running tasks still hold or, if that is more,
-// what m says that new arrivals will (mean, in CPUs). Nothing rented now helps
-// before boot seconds have passed, so no horizon is shorter.
+// what m says that new arrivals will (mean, in CPUs). A machine rented now serves
+// from boot seconds on, for h - boot of the horizon. No horizon is shorter than two
+// boots: what is due sooner is served sooner by what runs, and machines rented for it
+// came up when the queue was gone.
 func Backlog(waiting []Demand, running []Running, mean, supply, boot float64) float64 {
 	worst := 0.0
-	for h := math.Max(1, boot); h < 3600; h *= 1.5 {
+	for h := math.Max(2, 2*boot); h < 3600; h *= 1.5 {
 		work, all := 0.0, true
 		for _, d := range waiting {
 			if d.Due <= h {
@@ -37,7 +39,7 @@
 		for _, r := range running {
 			held += r.CPUs * math.Min(r.Left, h) / h
 		}
-		worst = math.Max(worst, work/h+math.Max(held, mean)-supply)
+		worst = math.Max(worst, (work/h+math.Max(held, mean)-supply)*h/(h-boot))
 		if all {
 			break
 		}
