Pressing work is pulled by what reports first; what is put off keeps its later aim

Ringing workers by clearing a done task is taken back: seen in the log, a rung worker reports no sooner (0.1 to 7 s). Instead pressing work is not kept for a machine whose report is far off, unless that saves a longer fetch. The set-aside rule tries a job's next aim before calling it late; nothing is preempted where ends serve what presses; a refused batch of intake pauses (the first seconds' 429s kept everyone refused).

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -80,6 +80,9 @@
 	planTook   micros.Micros
 	plannedAt  micros.Micros
 	preempted  micros.Micros
+	ends       int // tasks that were done since endsAt
+	endsAt     micros.Micros
+	endsRate   float64
 	queue      queue // what waits, as of the last plan
 	offers     map[offer]*offerState
 	estimates  map[string]*staffing.Estimate // by class
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -29,8 +29,6 @@
 	stopping int                 // tasks that were told to stop
 	free     placement.Resources // what no task holds
 	clears   []wire.Command
-	bell     *wire.Command // clearing it makes the worker report, see ring
-	rungAt   micros.Micros
 	planned  []*job // one entry a start
 	images   imageCache
 	have     placement.ImageSet // these, and what is being fetched
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -51,18 +51,23 @@
 			ms[s.Machine].planned = append(ms[s.Machine].planned, q.jobs[s.Job])
 		}
 	}
-	rung := 0
-	for _, m := range ms {
-		if len(m.planned) > 0 && rung < maxRung && now-m.reported > rungWithin && l.nextReport(m, now) == 0 && m.bell != nil {
-			l.ring(m, now)
-			rung++
-		}
-	}
 	q.drop()
-	if now-l.preempted < preemptEvery || !slices.ContainsFunc(q.waiting, func(j *placement.Job) bool { return j.Pressing }) {
+	if now-l.preempted < preemptEvery {
 		return
 	}
+	pressing := 0
+	for _, w := range q.waiting {
+		if w.Pressing {
+			pressing += w.Waiting
+		}
+	}
+	// Where so many tasks end by themselves that their room serves what presses
+	// within moments, stopping others would only waste their saving and fetching.
+	soon := l.endRate(now) * preemptEvery.Seconds()
 	l.preempted = now
+	if pressing == 0 || float64(pressing) <= soon {
+		return
+	}
 	machines, ms = l.withVictims(now)
 	for _, s := range placement.Preempt(machines, q.waiting, q.teams, preemptJobs) {
 		if a := ms[s.Machine].tasks[taskName(s.Victim.Job, s.Victim.Task)]; a != nil {
@@ -75,8 +80,14 @@
 	}
 }
 
-// maxRung bounds the workers that a plan rings.
-const maxRung = 50
+// endRate is how many tasks end in a second, lately.
+func (l *Leader) endRate(now micros.Micros) float64 {
+	if since := (now - l.endsAt).Seconds(); since >= 1 {
+		l.endsRate = l.endsRate/2 + float64(l.ends)/since/2
+		l.ends, l.endsAt = 0, now
+	}
+	return l.endsRate
+}
 
 // queue is what waits, in order, with what is not planned on any machine.
 type queue struct {
@@ -159,7 +170,7 @@
 			Need: j.need, Waiting: n, Total: s.Tasks, Types: s.Types, Zone: s.Zone,
 			OneZone: s.OneZone, Spread: s.Spread, Whole: s.Shape == wire.ShapeGang, Spot: s.Spot, ImageGB: s.ImageGB,
 		}
-		w.Due, w.Late = l.due(j, covered[j], wall)
+		w.Due, w.Later, w.Late = l.dues(j, covered[j], wall)
 		w.Pressing = w.Due-wall < 4*l.report
 		w.Work = float64(n) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
@@ -198,15 +209,20 @@
 // due is when the last of a job's tasks should have started, by the next thing
 // expected of it that can still be met; late if there is none.
 func (l *Leader) due(j *job, covered bool, wall micros.Micros) (due micros.Micros, late bool) {
+	due, _, late = l.dues(j, covered, wall)
+	return due, late
+}
+
+// dues is due with what else is expected later.
+func (l *Leader) dues(j *job, covered bool, wall micros.Micros) (due micros.Micros, later []micros.Micros, late bool) {
 	s := j.spec
 	run := micros.FromSeconds(l.expected(s))
-	const never = 365 * 24 * 3600 * micros.Second
-	due = never
 	expected := false
+	var all []micros.Micros
 	consider := func(limit micros.Micros) {
 		expected = true
-		if j.submitted+limit >= wall {
-			due = min(due, limit)
+		if at := j.submitted + limit; at >= wall {
+			all = append(all, at)
 		}
 	}
 	if s.DeadlineS != nil {
@@ -217,6 +233,10 @@
 			continue
 		}
 		switch o.Kind {
+		case "deadline":
+			if s.DeadlineS != nil && o.Times > 1 {
+				consider(micros.FromSeconds(*s.DeadlineS*o.Times) - run)
+			}
 		case "guarantee":
 			if covered && len(j.on)+j.ndone == 0 {
 				consider(micros.FromSeconds(o.WithinS))
@@ -229,11 +249,16 @@
 			consider(micros.FromSeconds(o.WithinS) - run)
 		}
 	}
-	if !expected {
-		// Nobody said when; a minute of waiting is taken for bearable.
-		due = 60 * micros.Second
+	switch {
+	case len(all) > 0:
+		slices.Sort(all)
+		return all[0], all[1:], false
+	case expected:
+		const never = 365 * 24 * 3600 * micros.Second
+		return j.submitted + never, nil, true
 	}
-	return j.submitted + due, expected && due == never
+	// Nobody said when; a minute of waiting is taken for bearable.
+	return j.submitted + 60*micros.Second, nil, false
 }
 
 // covered tells which jobs fit into their team's guarantee together with the
@@ -301,7 +326,7 @@
 	t := l.types[m.kind.Type]
 	p := placement.Machine{
 		ID: m.id, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.kind.Spot,
-		Free: m.free, Delay: l.nextReport(m, now), Idle: len(m.tasks) == 0,
+		Free: m.free, Delay: max(0, m.reported+l.report-now), Idle: len(m.tasks) == 0,
 		Images: m.have, GBPerS: t.FetchGBPerS,
 		Dear: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
 	}
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -84,14 +84,10 @@
 		l.replan = true
 	}
 	listed := make(map[string]bool, len(r.Tasks))
-	m.clears, m.bell = m.clears[:0], nil
-	done := map[string]bool{}
+	m.clears = m.clears[:0]
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		listed[t.Task] = true
-		if t.State == wire.TaskExited && t.Cause == wire.CauseDone && l.neverAgain(t.Task) {
-			done[t.Task] = true
-		}
 		l.listed(m, t, now)
 	}
 	for name, a := range m.tasks {
@@ -102,47 +98,6 @@
 			l.ended(a, "the start was lost")
 		}
 	}
-	for i := range m.clears {
-		if c := &m.clears[i]; c.Verb == wire.VerbClear && done[c.Task] {
-			m.bell = c
-		}
-	}
-}
-
-// neverAgain tells whether a task that is done will not be started anew.
-func (l *Leader) neverAgain(task string) bool {
-	id, _, err := parseTask(task)
-	j := l.jobs[id]
-	return err == nil && (j == nil || j.spec.Shape == wire.ShapeArray)
-}
-
-// ring has a worker report at once, so that it gets what is planned for it long
-// before its next report would be due. Starts go only in answers to reports, and
-// a worker reports whenever its tasks change: so one task that is done is kept
-// listed on it, and is cleared here. Carried out late, that does no harm.
-func (l *Leader) ring(m *machine, now micros.Micros) {
-	if m.bell == nil {
-		return
-	}
-	l.direct(m, *m.bell)
-	m.bell, m.rungAt = nil, now
-}
-
-// Times of a worker that was rung: it reports no more often than half a second.
-const (
-	rungWithin = 600 * micros.Millisecond
-	rungLost   = 2 * micros.Second
-)
-
-// nextReport is how long it should take until a machine's next report.
-func (l *Leader) nextReport(m *machine, now micros.Micros) micros.Micros {
-	wait := max(0, m.reported+l.report-now)
-	if m.rungAt > m.reported && now-m.rungAt < rungLost {
-		wait = min(wait, max(0, m.rungAt+rungWithin-now))
-	} else if m.bell != nil {
-		wait = min(wait, max(0, m.reported+rungWithin-now))
-	}
-	return wait
 }
 
 // countImages takes anew what images a machine has or is fetching.
@@ -223,6 +178,7 @@
 				l.finishedTask(j, m, a, now)
 			}
 			l.dirty[progressKey(j.spec.ID, task/chunkTasks)] = true
+			l.ends++
 		}
 		if a != nil {
 			l.ended(a, "")
@@ -293,11 +249,7 @@
 // orders are the commands for a machine that has just reported.
 func (l *Leader) orders(m *machine, now micros.Micros) []wire.Command {
 	orders := make([]wire.Command, 0, len(m.clears)+len(m.planned))
-	for i := range m.clears {
-		if &m.clears[i] != m.bell && len(orders) < maxOrders {
-			orders = append(orders, m.clears[i])
-		}
-	}
+	orders = append(orders, m.clears[:min(len(m.clears), maxOrders)]...)
 	for name, a := range m.tasks {
 		if a.stopped != 0 && len(orders) < maxOrders && a.n != 0 {
 			orders = append(orders, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: a.n, GraceS: seconds(a.grace)})
--- a/internal/statestore/batch.go
+++ b/internal/statestore/batch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 
 	"caperlatch/internal/micros"
 	"caperlatch/internal/wire"
@@ -53,6 +54,9 @@
 	}
 }
 
+// refusedPause lets the service's limit recover after a refusal.
+const refusedPause = 100 * micros.Millisecond
+
 // run sends transactions until nothing waits.
 func (b *Batcher) run() {
 	for {
@@ -76,13 +80,17 @@
 		batch := slices.Clone(b.waiting[:n])
 		b.waiting = slices.Delete(b.waiting, 0, n)
 		b.mu.Unlock()
-		b.send(batch)
+		if errors.Is(b.send(batch), ErrTooMany) {
+			// Refused requests count as well: without a pause a burst kept the
+			// service refusing everybody for seconds.
+			time.Sleep(refusedPause.Duration())
+		}
 	}
 }
 
 // send commits a batch; writes whose condition fails leave it, and the others
 // go on without them.
-func (b *Batcher) send(batch []*put) {
+func (b *Batcher) send(batch []*put) error {
 	ctx, cancel := context.WithTimeout(context.Background(), (2 * Timeout).Duration())
 	defer cancel()
 	for len(batch) > 0 {
@@ -97,7 +105,7 @@
 			for _, p := range batch {
 				p.finish(rev, err)
 			}
-			return
+			return err
 		}
 		rest := batch[:0:0]
 		for _, p := range batch {
@@ -111,10 +119,11 @@
 			for _, p := range batch {
 				p.finish(0, err)
 			}
-			return
+			return err
 		}
 		batch = rest
 	}
+	return nil
 }
 
 func (p *put) finish(rev uint64, err error) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -81,12 +81,13 @@
 	ID, Team        string
 	Image           int
 	Priority        int
-	Aged            bool          // has waited for its first start so long that it goes before all others
-	Covered         bool          // within its team's guarantee
-	Due             micros.Micros // latest good start of its last task
-	Work            float64       // CPU seconds that wait, as estimated
-	Late            bool          // cannot be in time any more, or set aside
-	Pressing        bool          // would be late if it waited for others to end
+	Aged            bool            // has waited for its first start so long that it goes before all others
+	Covered         bool            // within its team's guarantee
+	Due             micros.Micros   // latest good start of its last task
+	Later           []micros.Micros // the same by what else is expected of it, rising
+	Work            float64         // CPU seconds that wait, as estimated
+	Late            bool            // cannot be in time any more, or set aside
+	Pressing        bool            // would be late if it waited for others to end
 	Need            Resources
 	Waiting         int
 	Total           int
@@ -134,7 +135,9 @@
 // put off (Moore's algorithm). Without it, serving by due time makes every job
 // of an overload a little late. cpus is what the machines have. What runs
 // already is not counted: its room comes free bit by bit, and counting it put
-// off jobs that were in time after all.
+// off jobs that were in time after all. A job that is put off may still meet the
+// next thing expected of it, and is late only when there is none: else all that an
+// overload puts off once waits until the end.
 func SetAside(jobs []*Job, cpus float64, now micros.Micros) {
 	order := slices.Clone(jobs)
 	slices.SortFunc(order, func(a, b *Job) int { return Less(a, b) })
@@ -143,7 +146,8 @@
 	}
 	ahead := 0.0
 	var kept []*Job // of the present claim, by work
-	for i, j := range order {
+	for i := 0; i < len(order); i++ {
+		j := order[i]
 		if j.Aged {
 			continue
 		}
@@ -160,9 +164,17 @@
 		kept = slices.Insert(kept, at, j)
 		if now+micros.FromSeconds(ahead/cpus) > j.Due {
 			most := kept[len(kept)-1]
-			most.Late = true
 			ahead -= most.Work
 			kept = kept[:len(kept)-1]
+			for len(most.Later) > 0 && most.Due <= j.Due {
+				most.Due, most.Later = most.Later[0], most.Later[1:]
+			}
+			if most.Due <= j.Due {
+				most.Late = true
+				continue
+			}
+			at, _ := slices.BinarySearchFunc(order[i+1:], most, Less)
+			order = slices.Insert(order, i+1+at, most)
 		}
 	}
 }
@@ -333,6 +345,14 @@
 	return c + m.Dear + micros.Micros(left)*micros.Millisecond/1000*10
 }
 
+// worthWaiting tells whether a start on m may be planned ahead. What presses is
+// not kept for a machine whose next report is far off, unless that saves a longer
+// fetch: any machine that reports sooner takes it, see Fill.
+func worthWaiting(m *Machine, j *Job) bool {
+	return !j.Pressing || m.Delay <= micros.Second/2 ||
+		m.Images.Has(j.Image) && m.GBPerS > 0 && m.Delay < micros.FromSeconds(j.ImageGB/m.GBPerS)
+}
+
 // Room is how many tasks of a need, at most limit, the team may still start.
 func (t *Team) Room(need Resources, limit int) int {
 	if t == nil {
@@ -356,7 +376,7 @@
 	var candidates []candidate
 	for _, k := range open {
 		m := &machines[k]
-		if m.Free.Fits(j.Need) && Allowed(j, m.Type, m.Zone, m.Spot) && zoneRoom(j, m.Zone) > 0 {
+		if m.Free.Fits(j.Need) && Allowed(j, m.Type, m.Zone, m.Spot) && zoneRoom(j, m.Zone) > 0 && worthWaiting(m, j) {
 			candidates = append(candidates, candidate{k, cost(m, j)})
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -39,6 +39,15 @@
 			m.Images = m.Images.With(70)
 			return m
 		}()}, []*Job{job("j", 1, func(j *Job) { j.ImageGB = 5 })}, nil, []string{"j@b*1"}, nil},
+		{"pressing work is kept for no machine that reports late", []Machine{func() Machine { m := machine("a", "z", 1); m.Delay = 8 * micros.Second; return m }()},
+			[]*Job{job("j", 1, nil)}, nil, nil, nil},
+		{"unless that saves a longer fetch", []Machine{func() Machine {
+			m := machine("a", "z", 1)
+			m.Delay, m.Images = 8*micros.Second, m.Images.With(70)
+			return m
+		}()}, []*Job{job("j", 1, func(j *Job) { j.ImageGB = 9 })}, nil, []string{"j@a*1"}, nil},
+		{"and other work may be", []Machine{func() Machine { m := machine("a", "z", 1); m.Delay = 8 * micros.Second; return m }()},
+			[]*Job{job("j", 1, func(j *Job) { j.Pressing = false })}, nil, []string{"j@a*1"}, nil},
 		{"the higher priority first", []Machine{machine("a", "z", 1)},
 			[]*Job{job("low", 1, nil), job("high", 1, func(j *Job) { j.Priority = 2 })}, nil, []string{"high@a*1"}, nil},
 		{"a guarantee before a priority", []Machine{machine("a", "z", 1)},
@@ -128,6 +137,29 @@
 	}
 }
 
+// TestSetAsideLater has two jobs that cannot both meet what is expected first: the
+// larger one is put off until the next thing expected of it, and not for ever.
+func TestSetAsideLater(t *testing.T) {
+	s := micros.Second
+	for _, c := range []struct {
+		name  string
+		later []micros.Micros
+		due   micros.Micros
+		late  bool
+	}{
+		{"a later thing can be met", []micros.Micros{10 * s, 20 * s}, 20 * s, false},
+		{"none can", []micros.Micros{11 * s, 12 * s}, 12 * s, true},
+		{"there is none", nil, 10 * s, true},
+	} {
+		big := job("big", 1, func(j *Job) { j.Due, j.Later, j.Work = 10*s, c.later, 9 })
+		small := job("small", 1, func(j *Job) { j.Due, j.Work = 10*s, 4 })
+		SetAside([]*Job{big, small}, 1, 0)
+		if small.Late || big.Late != c.late || big.Due != c.due {
+			t.Errorf("%s: small late %v, big late %v and due %v", c.name, small.Late, big.Late, big.Due)
+		}
+	}
+}
+
 // TestPlanCost has 100,000 tasks wait on full machines and on some with room.
 func TestPlanCost(t *testing.T) {
 	var machines []Machine
