--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -79,6 +79,7 @@
 	replan     bool
 	planTook   micros.Micros
 	plannedAt  micros.Micros
+	unseen     int // machines whose tasks are not known, as of the last look
 	preempted  micros.Micros
 	ends       int // tasks that were done since endsAt
 	endsAt     micros.Micros
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -89,11 +89,17 @@
 // silentLimit is how long a machine may be silent before it is returned to
 // the cloud, which proves its tasks gone and stops its cost.
 func (l *Leader) silentLimit(m *machine) micros.Micros {
-	few := 3*l.report + 4*micros.Second
 	if !m.resolved {
-		return few
+		// Old jobs wait for these, so a machine or two is the smaller loss. A live
+		// worker reports within five quarters of the usual time; it may have to
+		// give a node up before (4 s, and a pause of 1 s).
+		late := l.report + l.report/4 + 2*micros.Second
+		if 50*l.unseen <= len(l.order) {
+			return late
+		}
+		return late + 5*micros.Second
 	}
-	return max(few, min(l.lease, 20*micros.Second))
+	return max(3*l.report+4*micros.Second, min(l.lease, 20*micros.Second))
 }
 
 // silentFor is how long a machine has not been heard of in this term.
@@ -121,6 +127,7 @@
 func (l *Leader) watchMachines(now micros.Micros) {
 	w := l.Settings.Params.Workers
 	mass := l.massSilence(now)
+	l.unseen = l.unresolved()
 	for _, m := range slices.Clone(l.order) {
 		if (len(m.tasks) > 0 || !m.resolved) && now > l.leaseOver(m) {
 			slog.Info("lease ended", "machine", m.id, "tasks", len(m.tasks))
