--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -45,8 +45,8 @@
 		for k := range 50 {
 			b.Machines = append(b.Machines, benchMachine(i*50+k))
 		}
-		b.Up = b.Machines
 		r.Wrote(replica.BookingPrefix+fmt.Sprintf("r-1-%d", i), b, uint64(i+5000))
+		r.Wrote(upKey(i), upList{b.Machines}, uint64(i+6000))
 	}
 	return r
 }
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"strconv"
+	"strings"
 
 	"caperlatch/internal/cloud"
 	"caperlatch/internal/micros"
@@ -37,12 +39,10 @@
 	At       micros.Micros `json:"at"` // time of day
 	Answered bool          `json:"answered"`
 	Machines []string      `json:"machines"`
-	Up       []string      `json:"up"` // those that may have got tasks
 
-	stored   bool            // it may be asked for
-	storedUp map[string]bool // these may get tasks
-	asking   bool
-	dropped  bool
+	stored  bool // it may be asked for
+	asking  bool
+	dropped bool
 }
 
 func (l *Leader) markBooking(b *booking) {
@@ -57,12 +57,13 @@
 		return w, l.Replica.Stamp(w.key) != 0
 	}
 	snapshot := *b
-	snapshot.Machines, snapshot.Up = slices.Clone(b.Machines), slices.Clone(b.Up)
+	snapshot.Machines = slices.Clone(b.Machines)
 	w.value = snapshot
 	w.stored = func() {
-		b.storedUp = map[string]bool{}
-		for _, m := range snapshot.Up {
-			b.storedUp[m] = true
+		for _, id := range snapshot.Machines {
+			if m := l.machines[id]; m != nil {
+				m.stored = true
+			}
 		}
 		b.stored = true
 		l.replan = true
@@ -70,13 +71,71 @@
 	return w, true
 }
 
+// upList names machines that may have got tasks. The lists are apart from the
+// bookings, so that all machines that come up at about the same time share a
+// write: with a booking written anew for each of its machines, a thousand that
+// booted waited seconds for their first tasks.
+type upList struct {
+	Machines []string `json:"m"`
+}
+
+func upKey(n int) string { return replica.UpPrefix + strconv.Itoa(n) }
+
+// restoreUps reads which machines an earlier term may have given tasks.
+func (l *Leader) restoreUps() error {
+	for _, key := range l.Replica.Keys(replica.UpPrefix) {
+		n, err := strconv.Atoi(strings.TrimPrefix(key, replica.UpPrefix))
+		if err != nil || n < 0 || n > 1<<20 {
+			return fmt.Errorf("stored %s: no list of machines", key)
+		}
+		for len(l.ups) <= n {
+			l.ups = append(l.ups, &upList{})
+		}
+		if _, err := l.Replica.Get(key, l.ups[n]); err != nil {
+			return err
+		}
+		for _, id := range l.ups[n].Machines {
+			if m := l.machines[id]; m != nil {
+				m.up, m.upStored, m.resolved, m.upList = true, true, false, n
+			}
+		}
+	}
+	return nil
+}
+
 // markUp has it stored that a machine may get tasks.
 func (l *Leader) markUp(m *machine) {
 	m.up = true
-	if !slices.Contains(m.booking.Up, m.id) {
-		m.booking.Up = append(m.booking.Up, m.id)
-		l.markBooking(m.booking)
+	n := len(l.ups) - 1
+	if n < 0 || !l.Store.FitsValue(upList{append(l.ups[n].Machines, m.id, m.id)}) {
+		l.ups = append(l.ups, &upList{})
+		n++
 	}
+	m.upList = n
+	l.ups[n].Machines = append(l.ups[n].Machines, m.id)
+	l.dirty[upKey(n)] = true
+	l.wakeFlush()
+}
+
+func (l *Leader) buildUp(w write) (write, bool) {
+	n, err := strconv.Atoi(strings.TrimPrefix(w.key, replica.UpPrefix))
+	if err != nil || n >= len(l.ups) {
+		return w, false
+	}
+	snapshot := slices.Clone(l.ups[n].Machines)
+	if len(snapshot) == 0 {
+		return w, w.stamp != 0
+	}
+	w.value = upList{snapshot}
+	w.stored = func() {
+		for _, id := range snapshot {
+			if m := l.machines[id]; m != nil {
+				m.upStored = true
+			}
+		}
+		l.replan = true
+	}
+	return w, true
 }
 
 // openBookings takes the stored bookings without an answer that nobody asks
@@ -257,7 +316,11 @@
 	l.gone[m.id] = true
 	b := m.booking
 	b.Machines = slices.DeleteFunc(b.Machines, func(id string) bool { return id == m.id })
-	b.Up = slices.DeleteFunc(b.Up, func(id string) bool { return id == m.id })
+	if m.up {
+		up := l.ups[m.upList]
+		up.Machines = slices.DeleteFunc(up.Machines, func(id string) bool { return id == m.id })
+		l.dirty[upKey(m.upList)] = true
+	}
 	b.dropped = b.Answered && len(b.Machines) == 0
 	l.markBooking(b)
 }
--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -141,7 +141,7 @@
 }
 
 func urgency(key string) int {
-	for i, prefix := range []string{replica.BookingPrefix, replica.JobPrefix, replica.ProgressPrefix} {
+	for i, prefix := range []string{replica.UpPrefix, replica.BookingPrefix, replica.JobPrefix, replica.ProgressPrefix} {
 		if strings.HasPrefix(key, prefix) {
 			return i
 		}
@@ -152,6 +152,9 @@
 // build makes a dirty key's present value.
 func (l *Leader) build(key string) (write, bool) {
 	w := write{key: key, stamp: l.Replica.Stamp(key)}
+	if strings.HasPrefix(key, replica.UpPrefix) {
+		return l.buildUp(w)
+	}
 	if id, ok := strings.CutPrefix(key, replica.BookingPrefix); ok {
 		return l.buildBooking(w, id)
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -63,6 +63,7 @@
 	used       map[string]placement.Resources // by what is on machines, a team
 	images     map[string]int                 // the numbers that stand for images
 	bookings   map[string]*booking
+	ups        []*upList
 	strays     map[string]micros.Micros // listed machines that no booking explains, since when
 	gone       map[string]bool          // machines that the cloud took back from us
 	toReturn   []string                 // machines to be returned
@@ -254,16 +255,15 @@
 		}
 		b.id = strings.TrimPrefix(key, replica.BookingPrefix)
 		l.bookings[b.id] = &b
-		// What is read here is stored: its machines may get tasks at once.
 		b.stored = true
-		b.storedUp = map[string]bool{}
-		for _, id := range b.Up {
-			b.storedUp[id] = true
-		}
 		for _, id := range b.Machines {
-			l.addMachine(id, &b, now)
+			// What is read here is stored: it may get tasks at once.
+			l.addMachine(id, &b, now).stored = true
 		}
 	}
+	if err := l.restoreUps(); err != nil {
+		return err
+	}
 	for _, id := range l.Replica.TakeChanged(true) {
 		l.jobChanged(id, true)
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -37,9 +37,11 @@
 	l := New(Config{Settings: s, Tuning: settings.DefaultTuning(), Replica: replica.New(nil),
 		Store: statestore.New("unused", settings.State{RPS: 1, WriteRPS: 1, ValueKB: 8, TxnOps: 6}, nil), Term: term, Token: token})
 	l.setCatalog(wire.Catalog{Types: []wire.MachineType{{Name: "m4", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 1, Zones: []string{"a"}}}})
-	b := &booking{id: "r-1", Type: "m4", Zone: "a", Answered: true, Machines: []string{"i-1"}, Up: []string{"i-1"}, storedUp: map[string]bool{"i-1": true}}
+	b := &booking{id: "r-1", Type: "m4", Zone: "a", Answered: true, Machines: []string{"i-1"}}
 	l.bookings[b.id] = b
-	l.addMachine("i-1", b, now)
+	m := l.addMachine("i-1", b, now)
+	m.up, m.stored, m.upStored, m.resolved = true, true, true, false
+	l.ups = []*upList{{Machines: []string{"i-1"}}}
 	job := replica.Job{State: wire.JobPending, SubmittedAt: micros.Wall(), Spec: &wire.Job{
 		ID: "j-000001", Team: "blue", Shape: wire.ShapeArray, Priority: "normal", Tasks: 3, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}}
 	l.Replica.Wrote(replica.JobPrefix+"j-000001", job, 1)
@@ -250,8 +252,7 @@
 		term.held = c.held
 		b := l.bookings["r-1"]
 		for _, id := range []string{"i-2", "i-3", "i-4", "i-5", "i-6"} {
-			b.Up = append(b.Up, id)
-			l.addMachine(id, b, l.began)
+			l.addMachine(id, b, l.began).up = true
 		}
 		now := l.began + 100*micros.Second
 		for i, m := range l.order {
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -18,7 +18,10 @@
 	address  string
 	session  uint64
 	seq      uint64
-	up       bool          // stored as up: only then may it get tasks
+	up       bool          // it has reported, or is stored as up
+	stored   bool          // with its booking
+	upStored bool          // as up: only with both may it get tasks
+	upList   int           // where
 	first    micros.Micros // first report in this term, 0 if none
 	resolved bool          // its tasks are known: it reported with this term's token
 	rentedAt micros.Micros
@@ -46,10 +49,10 @@
 func (l *Leader) addMachine(id string, b *booking, now micros.Micros) *machine {
 	m := &machine{
 		id: id, booking: b, kind: offer{b.Type, b.Zone, b.Spot},
-		up: slices.Contains(b.Up, id), tasks: map[string]*attempt{},
+		tasks:    map[string]*attempt{},
 		rentedAt: now - max(0, micros.Wall()-b.At), failed: map[string]bool{}, busyTill: now,
 	}
-	m.resolved = !m.up // it cannot have got tasks from an earlier term
+	m.resolved = true // unless it is stored as up, it cannot have got tasks from an earlier term
 	if t := l.types[b.Type]; t != nil {
 		m.free = t.capacity
 	}
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -18,6 +18,10 @@
 // maxOrders keeps an answer to a worker well within wire.MaxBody.
 const maxOrders = 300
 
+// soonStored is a time between reports for which a new machine need not be made to
+// report again.
+const soonStored = 3 * micros.Second
+
 // bounceAgain is how long a worker that was sent away in doubt may come back
 // for an answer.
 const bounceAgain = 15 * micros.Second
@@ -65,6 +69,11 @@
 	}
 	if !m.up {
 		l.markUp(m)
+		if l.report > soonStored && len(l.queue.jobs) > 0 {
+			// It may get tasks once that is stored, in a moment, and is idle until
+			// it reports again. Sent away, it comes back after a second.
+			return answer, ErrNotEntitled
+		}
 	}
 	if r.Token == l.Token {
 		l.picture(m, r, now)
@@ -295,7 +304,7 @@
 
 // open tells what of that is the machine's part.
 func (m *machine) open(now micros.Micros) bool {
-	return m.up && m.resolved && !m.leaving && m.draining == "" && m.recallAt == 0 && now >= m.notUntil && m.booking.storedUp[m.id]
+	return m.up && m.resolved && !m.leaving && m.draining == "" && m.recallAt == 0 && now >= m.notUntil && m.stored && m.upStored
 }
 
 // drainOnNotice empties a machine that the cloud will take.
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 
+	"caperlatch/internal/cloud"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
 	"caperlatch/internal/wire"
@@ -364,19 +365,21 @@
 		for _, zone := range t.Zones {
 			o := offer{t.Name, zone, spot}
 			s := l.offers[o]
-			if (s == nil || now >= s.until) && !l.pending(o) {
-				open = append(open, o)
-			} else if l.pending(o) {
+			switch {
+			case l.pending(o):
 				return n // its answer comes first
+			case s == nil || now >= s.until:
+				open = append(open, o)
 			}
 		}
 		slices.SortStableFunc(open, func(a, b offer) int { return cmp.Compare(inZone[a.Zone], inZone[b.Zone]) })
 		for i, o := range open {
 			left := n - booked
 			count := (left + len(open) - i - 1) / (len(open) - i)
-			if count > 0 {
+			for k := 0; count > 0 && k < maxBookings; k++ {
 				l.book(o, count)
-				booked += min(count, 50)
+				part := min(count, cloud.MaxRent)
+				booked, count = booked+part, count-part
 			}
 		}
 		if booked >= n || len(open) > 0 {
@@ -386,6 +389,10 @@
 	return booked
 }
 
+// maxBookings is how many bookings of an offer are made at once: a fleet of a
+// thousand machines is to be on its way within seconds, a few cloud calls a second.
+const maxBookings = 3
+
 // specialWait is how long a job may make no start before a machine is rented for
 // it alone.
 const specialWait = 10 * micros.Second
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -27,6 +27,7 @@
 	JobPrefix      = "c/j/"
 	ProgressPrefix = "c/p/"
 	BookingPrefix  = "c/b/"
+	UpPrefix       = "c/u/"
 )
 
 // Job is a stored job. A job that is over keeps no description.
