Starts only after a report of this term; deaf machines; tests at five nodes

Guarded against: a late copy of a report, perhaps of a machine long gone, drew tasks at a new leader; a machine whose reports arrive while answers don't reach it was fed with work until its lease ended. Tests at five nodes: several nodes down or back at once, in the midst of elections, with late copies of messages; silent and deaf machines; a leader and a follower cut from all but their workers; every ready node answers for every job.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -41,6 +41,7 @@
 	l.bookings[b.id] = b
 	m := l.addMachine("i-1", b, now)
 	m.up, m.stored, m.upStored, m.resolved = true, true, true, false
+	m.current = true
 	l.ups = []*upList{{Machines: []string{"i-1"}}}
 	job := replica.Job{State: wire.JobPending, SubmittedAt: micros.Wall(), Spec: &wire.Job{
 		ID: "j-000001", Team: "blue", Shape: wire.ShapeArray, Priority: "normal", Tasks: 3, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}}
@@ -118,6 +119,74 @@
 	}
 }
 
+// TestDeaf has a machine's reports arrive while answers don't reach it: it is not
+// taken for healthy and fed work for ever, and in the end it is returned.
+func TestDeaf(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		obeys  bool
+		told   []int // starts in each answer
+		leaves bool
+	}{
+		{"it hears nothing", false, []int{3, 3, 0, 0, 0}, true},
+		{"it does as it is told", true, []int{3, 0, 0, 0, 0}, false},
+	} {
+		l, _ := newTest(t)
+		m := l.machines["i-1"]
+		var tasks []wire.ReportTask
+		for i, want := range c.told {
+			l.plannedAt = 0
+			a, err := l.Report(report(uint64(11+i), token, tasks...))
+			if err != nil || len(a.Commands) != want {
+				t.Fatalf("%s: answer %d tells %v (%v), want %d starts", c.name, i, a.Commands, err, want)
+			}
+			for _, o := range a.Commands {
+				if c.obeys {
+					tasks = append(tasks, wire.ReportTask{Task: o.Task, Attempt: o.Attempt, State: wire.TaskRunning})
+				}
+			}
+			if !c.obeys && i >= 1 {
+				m.notUntil = micros.Now() + micros.Second // as if the pause went on
+			}
+		}
+		m.deaf = max(m.deaf, 0)
+		now := micros.Now() + 30*micros.Second
+		m.reported = now // its reports go on
+		if !c.obeys {
+			m.deaf = deafAfter
+		}
+		l.watchMachines(now)
+		if m.leaving != c.leaves {
+			t.Errorf("%s: returned %v, want %v", c.name, m.leaving, c.leaves)
+		}
+	}
+}
+
+// TestNewMachine has a machine report for the first time in a term. Its report may
+// be a late copy, and its machine long gone: it draws no tasks until a report shows
+// that an answer of this term was heard.
+func TestNewMachine(t *testing.T) {
+	l, _ := newTest(t)
+	l.machines["i-1"].notUntil = l.began + 3600*micros.Second
+	b := &booking{id: "r-2", Type: "m4", Zone: "a", Answered: true, Machines: []string{"i-2"}}
+	l.bookings[b.id] = b
+	m := l.addMachine("i-2", b, l.began)
+	m.stored = true
+	l.jobs["j-000001"].old = false
+	for i, c := range []struct {
+		seq, token uint64
+		upStored   bool
+		starts     int
+	}{{1, 0, true, 0}, {2, token - 1, true, 0}, {3, token, false, 0}, {4, token, true, 3}} {
+		m.upStored, l.plannedAt = c.upStored, 0
+		r := report(c.seq, c.token)
+		r.Machine = "i-2"
+		if a, err := l.Report(r); err != nil || len(a.Commands) != c.starts {
+			t.Errorf("report %d: told %v (%v), want %d starts", i, a.Commands, err, c.starts)
+		}
+	}
+}
+
 // TestEntitled has the proofs of leadership run out one after another.
 func TestEntitled(t *testing.T) {
 	l, term := newTest(t)
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -12,38 +12,43 @@
 
 // machine is a rented machine.
 type machine struct {
-	id       string
-	booking  *booking
-	kind     offer
-	address  string
-	session  uint64
-	seq      uint64
-	up       bool          // it has reported, or is stored as up
-	stored   bool          // with its booking
-	upStored bool          // as up: only with both may it get tasks
-	upList   int           // where
-	first    micros.Micros // first report in this term, 0 if none
-	resolved bool          // its tasks are known: it reported with this term's token
-	rentedAt micros.Micros
-	reported micros.Micros // last newer report
-	answered micros.Micros // last answer that may have renewed its lease
-	bounced  micros.Micros // when last sent away in doubt
-	tasks    map[string]*attempt
-	stopping int                 // tasks that were told to stop
-	free     placement.Resources // what no task holds
-	clears   []wire.Command
-	planned  []*job // one entry a start
-	images   imageCache
-	have     placement.ImageSet // these, and what is being fetched
-	surplus  bool               // not wanted by the formula
-	draining string             // why it gets no more tasks
-	leaving  bool               // a return has been asked for
-	recallAt micros.Micros
-	faultyAt micros.Micros   // when found faulty
-	failures int             // errors since the last success
-	failed   map[string]bool // jobs of these
-	notUntil micros.Micros   // no starts before
-	busyTill micros.Micros   // idle since, for returns
+	id        string
+	booking   *booking
+	kind      offer
+	address   string
+	session   uint64
+	seq       uint64
+	up        bool           // it has reported, or is stored as up
+	stored    bool           // with its booking
+	upStored  bool           // as up: only with both may it get tasks
+	upList    int            // where
+	first     micros.Micros  // first report in this term, 0 if none
+	current   bool           // its last report carried this term's token
+	told      bool           // it was answered in this term
+	sent      []wire.Command // starts and clears of the last answer
+	deaf      int            // answers in a row that did not reach it
+	deafSince micros.Micros
+	resolved  bool // its tasks are known: it reported with this term's token
+	rentedAt  micros.Micros
+	reported  micros.Micros // last newer report
+	answered  micros.Micros // last answer that may have renewed its lease
+	bounced   micros.Micros // when last sent away in doubt
+	tasks     map[string]*attempt
+	stopping  int                 // tasks that were told to stop
+	free      placement.Resources // what no task holds
+	clears    []wire.Command
+	planned   []*job // one entry a start
+	images    imageCache
+	have      placement.ImageSet // these, and what is being fetched
+	surplus   bool               // not wanted by the formula
+	draining  string             // why it gets no more tasks
+	leaving   bool               // a return has been asked for
+	recallAt  micros.Micros
+	faultyAt  micros.Micros   // when found faulty
+	failures  int             // errors since the last success
+	failed    map[string]bool // jobs of these
+	notUntil  micros.Micros   // no starts before
+	busyTill  micros.Micros   // idle since, for returns
 }
 
 func (l *Leader) addMachine(id string, b *booking, now micros.Micros) *machine {
@@ -105,6 +110,10 @@
 	return max(3*l.report+4*micros.Second, min(l.lease, 20*micros.Second))
 }
 
+// deafAfter is how many answers in a row must have been lost before a machine is
+// taken for deaf.
+const deafAfter = 3
+
 // silentFor is how long a machine has not been heard of in this term.
 func (l *Leader) silentFor(m *machine, now micros.Micros) micros.Micros {
 	return now - max(m.reported, l.began)
@@ -118,7 +127,7 @@
 	for _, m := range l.order {
 		if m.up && !m.leaving {
 			up++
-			if l.silentFor(m, now) > 2*l.report+micros.Second {
+			if l.silentFor(m, now) > 2*l.report+micros.Second || m.deaf >= deafAfter {
 				silent++
 			}
 		}
@@ -140,6 +149,8 @@
 		case m.leaving:
 		case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!mass || now > l.leaseOver(m)):
 			l.giveUp(m, "silent")
+		case m.deaf >= deafAfter && now-m.deafSince > l.silentLimit(m) && (!mass || now > l.leaseOver(m)):
+			l.giveUp(m, "it hears nothing")
 		case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*w.Report():
 			l.giveUp(m, "did not boot")
 		case m.draining != "" && len(m.tasks) == 0 && m.resolved:
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -18,10 +18,6 @@
 // maxOrders keeps an answer to a worker well within wire.MaxBody.
 const maxOrders = 300
 
-// soonStored is a time between reports for which a new machine need not be made to
-// report again.
-const soonStored = 3 * micros.Second
-
 // bounceAgain is how long a worker that was sent away in doubt may come back
 // for an answer.
 const bounceAgain = 15 * micros.Second
@@ -56,6 +52,7 @@
 	}
 	if m.session != 0 && r.Session > m.session {
 		l.lose(m, "the worker's session ended")
+		m.sent = m.sent[:0]
 	}
 	m.session, m.seq, m.address = r.Session, r.Seq, r.Address
 	m.reported = now
@@ -69,13 +66,13 @@
 	}
 	if !m.up {
 		l.markUp(m)
-		if l.report > soonStored && len(l.queue.jobs) > 0 {
-			// It may get tasks once that is stored, in a moment, and is idle until
-			// it reports again. Sent away, it comes back after a second.
-			return answer, ErrNotEntitled
-		}
 	}
-	if r.Token == l.Token {
+	m.current = r.Token == l.Token
+	if !m.current && m.told {
+		l.unheard(m, now)
+	}
+	m.told = true
+	if m.current {
 		l.picture(m, r, now)
 	}
 	l.drainOnNotice(m, now)
@@ -93,11 +90,13 @@
 		l.replan = true
 	}
 	listed := make(map[string]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		listed[r.Tasks[i].Task] = true
+	}
+	l.judgeHearing(m, listed, now)
 	m.clears = m.clears[:0]
 	for i := range r.Tasks {
-		t := &r.Tasks[i]
-		listed[t.Task] = true
-		l.listed(m, t, now)
+		l.listed(m, &r.Tasks[i], now)
 	}
 	for name, a := range m.tasks {
 		// A worker has one report in flight, and drops late answers: if the
@@ -109,6 +108,40 @@
 	}
 }
 
+// judgeHearing compares a report with what the answer before it told. A machine
+// whose reports arrive while answers don't reach it looks healthy: fed with work, it
+// would lose every start until its lease ends.
+func (l *Leader) judgeHearing(m *machine, listed map[string]bool, now micros.Micros) {
+	obeyed, missed := false, false
+	for _, c := range m.sent {
+		if listed[c.Task] == (c.Verb == wire.VerbStart) {
+			obeyed = true
+		} else {
+			missed = true
+		}
+	}
+	m.sent = m.sent[:0]
+	switch {
+	case obeyed:
+		m.deaf = 0
+	case missed:
+		l.unheard(m, now)
+	}
+}
+
+// unheard counts an answer that did not reach a machine. One may get lost; from the
+// second in a row on, starts wait longer each time. See watchMachines for what
+// becomes of a machine that hears nothing at all.
+func (l *Leader) unheard(m *machine, now micros.Micros) {
+	if m.deaf == 0 {
+		m.deafSince = now
+	}
+	m.deaf++
+	if m.deaf >= 2 {
+		m.notUntil = max(m.notUntil, now+min(l.lease, micros.Second<<min(m.deaf, 10)))
+	}
+}
+
 // countImages takes anew what images a machine has or is fetching.
 func (l *Leader) countImages(m *machine) {
 	var s placement.ImageSet
@@ -256,9 +289,16 @@
 }
 
 // orders are the commands for a machine that has just reported.
-func (l *Leader) orders(m *machine, now micros.Micros) []wire.Command {
-	orders := make([]wire.Command, 0, len(m.clears)+len(m.planned))
+func (l *Leader) orders(m *machine, now micros.Micros) (orders []wire.Command) {
+	orders = make([]wire.Command, 0, len(m.clears)+len(m.planned))
 	orders = append(orders, m.clears[:min(len(m.clears), maxOrders)]...)
+	defer func() {
+		for _, c := range orders {
+			if c.Verb != wire.VerbStop {
+				m.sent = append(m.sent, c)
+			}
+		}
+	}()
 	for name, a := range m.tasks {
 		if a.stopped != 0 && len(orders) < maxOrders && a.n != 0 {
 			orders = append(orders, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: a.n, GraceS: seconds(a.grace)})
@@ -302,9 +342,11 @@
 	return m.open(now) && l.Term.Sure()
 }
 
-// open tells what of that is the machine's part.
+// open tells what of that is the machine's part. Its last report must have been
+// made in this term: a late copy of an older one, perhaps of a machine that is long
+// gone, must not draw tasks.
 func (m *machine) open(now micros.Micros) bool {
-	return m.up && m.resolved && !m.leaving && m.draining == "" && m.recallAt == 0 && now >= m.notUntil && m.stored && m.upStored
+	return m.up && m.resolved && m.current && !m.leaving && m.draining == "" && m.recallAt == 0 && now >= m.notUntil && m.stored && m.upStored
 }
 
 // drainOnNotice empties a machine that the cloud will take.
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -18,17 +18,23 @@
 type Fault int
 
 // The faults. With LostAnswer the request is carried out and nobody hears of
-// it; with Late it is carried out after the caller has given up.
+// it; with Late it is carried out after the caller has given up; with Copied it is
+// answered, and a copy of it comes late.
 const (
 	Pass Fault = iota
 	Refused
 	LostRequest
 	LostAnswer
 	Late
+	Copied
 )
 
-// lateBy is when a late request is carried out.
-const lateBy = 8 * time.Second
+// lateBy is when a late request is carried out, copyBy when a copy of one is: well
+// over the tests' lease.
+const (
+	lateBy = 8 * time.Second
+	copyBy = 18 * time.Second
+)
 
 // Net carries requests to handlers by host.
 type Net struct {
@@ -103,6 +109,12 @@
 			time.Sleep(lateBy)
 			serve(context.Background())
 		})
+	case Copied:
+		t.net.late.Go(func() {
+			time.Sleep(copyBy)
+			serve(context.Background())
+		})
+		return serve(r.Context()), nil
 	case Pass:
 		return serve(r.Context()), nil
 	}
--- a/internal/standin/pipes.go
+++ b/internal/standin/pipes.go
@@ -12,16 +12,28 @@
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	cut       func(from, to string) bool
+	open      []opened
 }
 
 // NewPipes makes pipes between nobody yet.
 func NewPipes() *Pipes { return &Pipes{listeners: map[string]*pipeListener{}} }
 
-// Cut decides who cannot connect to whom; open connections stay.
+// Cut decides who cannot connect to whom; their open connections are reset.
 func (p *Pipes) Cut(f func(from, to string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cut = f
+	for _, o := range p.open {
+		if f(o.from, o.to) {
+			o.near.Close()
+		}
+	}
+}
+
+// opened is a connection that was made, perhaps closed since.
+type opened struct {
+	from, to string
+	near     net.Conn
 }
 
 type pipeListener struct {
@@ -53,6 +65,9 @@
 	near, far := net.Pipe()
 	select {
 	case l.conns <- far:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.open = append(p.open, opened{from, addr, near})
 		return near, nil
 	case <-l.done:
 		return nil, errors.New("connection refused")
--- a/node_test.go
+++ b/node_test.go
@@ -25,7 +25,7 @@
 	cancelS = 25.0
 )
 
-// cluster is three nodes with stand-ins for all around them.
+// cluster is some nodes with stand-ins for all around them.
 type cluster struct {
 	t     *testing.T
 	net   *standin.Net
@@ -41,7 +41,7 @@
 	lives []int
 }
 
-func nodeSettings(i int) *settings.Settings {
+func nodeSettings(i, nodes int) *settings.Settings {
 	s := &settings.Settings{Member: fmt.Sprintf("host-%d", i), ClientListen: "unused"}
 	s.External.State, s.External.Cloud = "state", "cloud"
 	s.Params = settings.Params{
@@ -52,7 +52,7 @@
 		Cloud:   settings.Cloud{RPS: 20, ListLagS: 1},
 		Limits:  settings.Limits{CPU: 1, MemoryMB: 1000, MaxSockets: 1000},
 	}
-	for p := range 3 {
+	for p := range nodes {
 		if p != i {
 			s.Peers = append(s.Peers, settings.Peer{Member: fmt.Sprintf("host-%d", p), Addr: fmt.Sprintf("host-%d", p)})
 		}
@@ -60,9 +60,11 @@
 	return s
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t *testing.T) *cluster { return newClusterOf(t, 3) }
+
+func newClusterOf(t *testing.T, size int) *cluster {
 	c := &cluster{t: t, net: standin.NewNet(), pipes: standin.NewPipes(), state: standin.NewState(), dead: map[string]bool{},
-		stops: make([]func(), 3), lives: make([]int, 3)}
+		stops: make([]func(), size), lives: make([]int, size)}
 	c.net.SetFault(func(from string, r *http.Request) standin.Fault {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -74,12 +76,15 @@
 		}
 		return standin.Pass
 	})
-	nodes := []string{"host-0:8080", "host-1:8080", "host-2:8080"}
+	nodes := make([]string, size)
+	for i := range nodes {
+		nodes[i] = fmt.Sprintf("host-%d:8080", i)
+	}
 	c.cloud = standin.NewCloud(c.net, nodes, reportS, leaseS, func(string) float64 { return 5 })
 	c.net.Handle("state", c.state)
 	c.net.Handle("cloud", c.cloud)
 	c.user = &http.Client{Transport: c.net.From("user")}
-	for i := range 3 {
+	for i := range size {
 		c.start(i)
 	}
 	return c
@@ -90,7 +95,7 @@
 	c.lives[i]++
 	member := fmt.Sprintf("host-%d", i)
 	name := fmt.Sprintf("%s/%d", member, c.lives[i])
-	n := newNode(nodeSettings(i), settings.DefaultTuning(), outside{
+	n := newNode(nodeSettings(i, len(c.stops)), settings.DefaultTuning(), outside{
 		services: c.net.From(name), workers: c.net.From(name),
 		dial:   func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, member, addr) },
 		listen: func() (net.Listener, error) { return c.pipes.Listen(member), nil },
@@ -124,7 +129,7 @@
 
 func (c *cluster) close() {
 	c.setFault(nil)
-	for i := range 3 {
+	for i := range c.stops {
 		c.kill(i)
 	}
 	c.cloud.Close()
@@ -193,7 +198,7 @@
 // submit repeats a submission, each time at the next node, until it is taken.
 func (c *cluster) submit(id string, tasks int) {
 	for try := range 60 {
-		if code, _ := c.request(http.MethodPost, try%3, "/v1/jobs", testJob(id, tasks)); code == http.StatusCreated || code == http.StatusOK {
+		if code, _ := c.request(http.MethodPost, try%len(c.stops), "/v1/jobs", testJob(id, tasks)); code == http.StatusCreated || code == http.StatusOK {
 			return
 		}
 		time.Sleep(time.Second)
@@ -207,7 +212,7 @@
 	var last wire.JobStatus
 	code := 0
 	for begun, try := time.Now(), 0; time.Since(begun) < within; try++ {
-		code, last = c.request(http.MethodGet, try%3, "/v1/jobs/"+id, nil)
+		code, last = c.request(http.MethodGet, try%len(c.stops), "/v1/jobs/"+id, nil)
 		if code == http.StatusNotFound {
 			c.t.Fatalf("%s was forgotten", id)
 		}
@@ -363,25 +368,255 @@
 		}},
 	}
 	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
+		t.Run(tc.name, func(t *testing.T) { throughTrouble(t, 3, tc.trouble) })
+	}
+}
+
+// throughTrouble has three jobs of five tasks accepted before and after a trouble.
+func throughTrouble(t *testing.T, nodes int, trouble func(*cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newClusterOf(t, nodes)
+		defer c.close()
+		ids := []string{"j-000001", "j-000002", "j-000003"}
+		c.submit(ids[0], 5)
+		c.submit(ids[1], 5)
+		trouble(c)
+		c.setFault(nil)
+		c.submit(ids[2], 5)
+		for _, id := range ids {
+			c.await(id, wire.JobDone, 90*time.Second)
+		}
+		c.answersAll(ids)
+		if broken := c.cloud.Broken(); broken != nil {
+			t.Error(broken)
+		}
+		if starts := c.cloud.Starts(); starts < 15 {
+			t.Errorf("%d tasks were started for 15 that are done", starts)
+		}
+	})
+}
+
+// answersAll asks every node that calls itself ready about every job. A job about
+// which no question is answered for 75 s counts as forgotten.
+func (c *cluster) answersAll(ids []string) {
+	c.t.Helper()
+	for i := range c.stops {
+		if code, _ := c.request(http.MethodGet, i, "/ready", nil); code != http.StatusOK {
+			continue
+		}
+		for _, id := range ids {
+			for begun, code := time.Now(), 0; code != http.StatusOK; time.Sleep(time.Second) {
+				if code, _ = c.request(http.MethodGet, i, "/v1/jobs/"+id, nil); time.Since(begun) > 30*time.Second {
+					c.t.Errorf("node %d does not answer about %s (%d)", i, id, code)
+					break
+				}
+			}
+		}
+	}
+}
+
+// back restarts nodes within a fraction of a second.
+func (c *cluster) back(nodes ...int) {
+	for _, i := range nodes {
+		c.kill(i)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, i := range nodes {
+		c.start(i)
+	}
+}
+
+// TestFiveNodes has troubles of a grown deployment: several of five nodes at once,
+// elections broken off, copies of messages that come well over a lease late.
+func TestFiveNodes(t *testing.T) {
+	copies := func(c *cluster, every int, match func(from string, r *http.Request) bool) {
+		count := 0
+		c.setFault(func(from string, r *http.Request) standin.Fault {
+			if match(from, r) {
+				if count++; count%every == 0 {
+					return standin.Copied
+				}
+			}
+			return standin.Pass
+		})
+	}
+	isReport := func(_ string, r *http.Request) bool { return r.URL.Path == "/hello" }
+	cases := []struct {
+		name    string
+		trouble func(c *cluster)
+	}{
+		{"four of five crash", func(c *cluster) {
+			i := c.leader()
+			time.Sleep(2 * time.Second)
+			for k := range 4 {
+				c.kill((i + k) % 5)
+			}
+			time.Sleep(12 * time.Second)
+			for k := range 4 {
+				c.start((i + k) % 5)
+			}
+		}},
+		// What a restarted node promised or held in its earlier life still binds.
+		{"nodes are back at once, also in the midst of elections", func(c *cluster) {
+			time.Sleep(2 * time.Second)
+			for range 6 {
+				i := c.leader()
+				c.back(i, (i+1)%5)
+				time.Sleep(700 * time.Millisecond)
+				c.back((i+2)%5, (i+3)%5)
+				time.Sleep(time.Second)
+			}
+		}},
+		{"the same, with late copies of what they sent", func(c *cluster) {
+			copies(c, 2, func(from string, r *http.Request) bool {
+				return strings.HasPrefix(from, "host") && (r.URL.Path == "/txn" || r.Host != "state" && r.Method == http.MethodPost)
+			})
+			time.Sleep(2 * time.Second)
+			for range 4 {
+				i := c.leader()
+				c.back(i, (i+1)%5)
+				time.Sleep(1500 * time.Millisecond)
+			}
+			time.Sleep(20 * time.Second)
+		}},
+		{"late copies of reports", func(c *cluster) {
+			copies(c, 2, isReport)
+			time.Sleep(30 * time.Second)
+		}},
+		{"late copies of reports reach the next leader", func(c *cluster) {
+			copies(c, 1, isReport)
+			time.Sleep(6 * time.Second)
+			i := c.leader()
+			c.kill(i)
+			time.Sleep(15 * time.Second)
+			c.start(i)
+		}},
+		// What it holds must not start elsewhere while nobody knows.
+		{"a machine is silent while another node takes over", func(c *cluster) {
+			c.cloud.RunFor = func(string) float64 { return 25 }
+			job := testJob("j-000004", 9)
+			job["expect_s"] = 90.0 // for a fleet that has room
+			c.request(http.MethodPost, 0, "/v1/jobs", job)
+			for i := 0; i < 80 && c.cloud.Starts() < 19; i++ {
+				time.Sleep(500 * time.Millisecond)
+			}
+			ws := c.cloud.Workers()
+			if len(ws) < 4 {
+				c.t.Fatalf("%d machines", len(ws))
+			}
+			silent := ws[0].ID
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if from == silent || r.URL.Host == "cloud" {
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			i := c.leader()
+			c.kill(i)
+			time.Sleep(7 * time.Second)
+			c.setFault(nil)
+			time.Sleep(10 * time.Second)
+			c.start(i)
+		}},
+		// Its reports keep it looking healthy; its lease runs out all the same.
+		{"answers and commands don't reach a machine", func(c *cluster) {
+			time.Sleep(3 * time.Second)
+			deaf := ""
+			if ws := c.cloud.Workers(); len(ws) > 0 {
+				deaf = ws[0].ID
+			}
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				switch {
+				case from == deaf && r.URL.Path == "/hello":
+					return standin.LostAnswer
+				case strings.HasPrefix(r.URL.Host, deaf+":"):
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			for i := 1; i <= 2; i++ { // served by others while it lasts
+				c.await(fmt.Sprintf("j-%06d", i), wire.JobDone, 90*time.Second)
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) { throughTrouble(t, 5, tc.trouble) })
+	}
+}
+
+// TestCutLeader has the leader, or a follower, lose the state service and all other
+// nodes but not its workers. A job is cancelled elsewhere: its tasks are gone in
+// time although the node cannot know, and the workers find another node.
+func TestCutLeader(t *testing.T) {
+	for _, who := range []string{"leader", "follower", "leader, and no worker reaches another node"} {
+		t.Run(who, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t)
+				size := 5
+				if strings.HasSuffix(who, "another node") {
+					size = 3 // or the lease would end while the worker asks the others
+				}
+				c := newClusterOf(t, size)
 				defer c.close()
-				ids := []string{"j-000001", "j-000002", "j-000003"}
-				c.submit(ids[0], 5)
-				c.submit(ids[1], 5)
-				tc.trouble(c)
-				c.setFault(nil)
-				c.submit(ids[2], 5)
-				for _, id := range ids {
-					c.await(id, wire.JobDone, 90*time.Second)
+				c.cloud.RunFor = func(task string) float64 {
+					if strings.HasPrefix(task, "j-000001/") {
+						return 300
+					}
+					return 5
+				}
+				c.submit("j-000001", 4)
+				for i := 0; i < 80 && c.cloud.Starts() < 4; i++ {
+					time.Sleep(500 * time.Millisecond)
+				}
+				cut := c.leader()
+				if who == "follower" {
+					cut = (cut + 1) % size
+				}
+				member := fmt.Sprintf("host-%d", cut)
+				c.pipes.Cut(func(from, to string) bool { return from == member || to == member })
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					switch {
+					case strings.HasPrefix(from, member+"/") && isState(r), r.URL.Host == "cloud": // no return helps either
+						return standin.LostRequest
+					case strings.HasPrefix(from, "i-") && r.URL.Host != member+":8080" && strings.HasSuffix(who, "another node"):
+						return standin.Refused
+					}
+					return standin.Pass
+				})
+				time.Sleep(12 * time.Second) // until no watch that was open before is left
+				code := 0
+				for i := 0; i < 20 && code != http.StatusOK; i++ {
+					code, _ = c.request(http.MethodPost, (cut+2)%size, "/v1/jobs/j-000001/abort", nil)
+					time.Sleep(500 * time.Millisecond)
+				}
+				if code != http.StatusOK {
+					t.Fatalf("abort answered %d", code)
+				}
+				time.Sleep(time.Duration(cancelS) * time.Second)
+				if on := c.cloud.OnMachines(); len(on) > 0 {
+					t.Errorf("still on machines: %v", on)
+				}
+				// The cut lasts; others serve the workers.
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					if strings.HasPrefix(from, member+"/") && isState(r) {
+						return standin.LostRequest
+					}
+					return standin.Pass
+				})
+				if code, _ := c.request(http.MethodPost, (cut+2)%size, "/v1/jobs", testJob("j-000002", 3)); code != http.StatusCreated {
+					t.Fatalf("submission answered %d", code)
+				}
+				for i := 0; i < 90; i++ {
+					if _, s := c.request(http.MethodGet, (cut+1)%size, "/v1/jobs/j-000002", nil); s.Status == wire.JobDone {
+						break
+					}
+					time.Sleep(time.Second)
+				}
+				if _, s := c.request(http.MethodGet, (cut+1)%size, "/v1/jobs/j-000002", nil); s.Status != wire.JobDone {
+					t.Errorf("a job submitted during the cut is %q", s.Status)
 				}
 				if broken := c.cloud.Broken(); broken != nil {
 					t.Error(broken)
 				}
-				if starts := c.cloud.Starts(); starts < 15 {
-					t.Errorf("%d tasks were started for 15 that are done", starts)
-				}
 			})
 		})
 	}
