The demand rate over as much of the window as tells enough; taken machines are found sooner

And half of the spot machines are taken without a notice: one that is silent and listed no longer is returned after 11 s, not 28 s.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -349,8 +349,14 @@
 		open = open || !b.Answered
 	}
 	seen := map[string]bool{}
+	for _, m := range l.machines {
+		m.missing++
+	}
 	for _, x := range list {
 		m := l.machines[x.ID]
+		if m != nil {
+			m.listed, m.missing = true, 0
+		}
 		switch {
 		case m != nil && x.State == wire.MachineFailed && !m.leaving:
 			l.giveUp(m, "failed")
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -119,6 +119,38 @@
 	}
 }
 
+// TestTaken has machines silent that the cloud's list still names or no longer does.
+func TestTaken(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		lists  []bool // whether it was in each
+		silent micros.Micros
+		leaves bool
+	}{
+		{"silent and gone from the list", []bool{true, false, false}, 5 * micros.Second, true},
+		{"gone from one list, which may be an old one", []bool{true, false}, 5 * micros.Second, false},
+		{"never listed yet", []bool{false, false, false}, 5 * micros.Second, false},
+		{"listed again", []bool{true, false, false, true}, 5 * micros.Second, false},
+		{"gone from the list and reporting", []bool{true, false, false}, micros.Second, false},
+	} {
+		l, _ := newTest(t)
+		m := l.machines["i-1"]
+		for _, there := range c.lists {
+			var list []wire.ListedMachine
+			if there {
+				list = append(list, wire.ListedMachine{ID: "i-1", State: wire.MachineRunning})
+			}
+			l.listedMachines(list, micros.Second)
+		}
+		now := l.began + 100*micros.Second
+		m.resolved, m.reported, m.answered = true, now-c.silent, now-c.silent
+		l.watchMachines(now)
+		if m.leaving != c.leaves {
+			t.Errorf("%s: returned %v, want %v", c.name, m.leaving, c.leaves)
+		}
+	}
+}
+
 // TestDeaf has a machine's reports arrive while answers don't reach it: it is not
 // taken for healthy and fed work for ever, and in the end it is returned.
 func TestDeaf(t *testing.T) {
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -25,6 +25,8 @@
 	first     micros.Micros  // first report in this term, 0 if none
 	current   bool           // its last report carried this term's token
 	told      bool           // it was answered in this term
+	listed    bool           // it has been in the cloud\'s list
+	missing   int            // lists in a row since then without it
 	sent      []wire.Command // starts and clears of the last answer
 	deaf      int            // answers in a row that did not reach it
 	deafSince micros.Micros
@@ -114,6 +116,13 @@
 // taken for deaf.
 const deafAfter = 3
 
+// taken tells whether the cloud seems to have taken a machine without a notice: it is
+// silent, and was listed before and is so no longer. That proves nothing, as lists
+// lag; but it is a reason to return it now, which does.
+func (l *Leader) taken(m *machine, now micros.Micros) bool {
+	return m.listed && m.missing >= 2 && l.silentFor(m, now) > l.report+l.report/4+micros.Second
+}
+
 // silentFor is how long a machine has not been heard of in this term.
 func (l *Leader) silentFor(m *machine, now micros.Micros) micros.Micros {
 	return now - max(m.reported, l.began)
@@ -149,6 +158,8 @@
 		case m.leaving:
 		case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!mass || now > l.leaseOver(m)):
 			l.giveUp(m, "silent")
+		case m.up && l.taken(m, now):
+			l.giveUp(m, "silent and no longer listed")
 		case m.deaf >= deafAfter && now-m.deafSince > l.silentLimit(m) && (!mass || now > l.leaseOver(m)):
 			l.giveUp(m, "it hears nothing")
 		case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*w.Report():
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"caperlatch/internal/micros"
 )
@@ -48,13 +49,22 @@
 	return math.Sqrt2 * math.Erfinv(1-2*alpha)
 }
 
-// Window measures a rate: the weight that came in over the last length.
+// Window measures a rate: the weight that came in over the last length, or over as
+// much of it as enough entries came in: a busy deployment's rate is known sooner,
+// and one that lags behind rents for a wave that has passed.
 type Window struct {
 	length  micros.Micros
+	began   micros.Micros // first entry
 	entries []entry
 	sum     float64
 }
 
+// Entries that make a rate, and the part of the length that is looked at at least.
+const (
+	enoughEntries = 20
+	leastPart     = 3
+)
+
 type entry struct {
 	at     micros.Micros
 	weight float64
@@ -65,6 +75,9 @@
 
 // Add counts weight at an instant not before the last one.
 func (w *Window) Add(at micros.Micros, weight float64) {
+	if w.began == 0 {
+		w.began = at
+	}
 	w.entries = append(w.entries, entry{at, weight})
 	w.sum += weight
 }
@@ -81,7 +94,18 @@
 	if len(w.entries) == 0 {
 		w.sum = 0
 	}
-	return math.Max(0, w.sum) / w.length.Seconds()
+	if len(w.entries) < enoughEntries || now-w.began < w.length {
+		return math.Max(0, w.sum) / w.length.Seconds()
+	}
+	span := max(now-w.entries[len(w.entries)-enoughEntries].at, w.length/leastPart)
+	sum := 0.0
+	for _, e := range slices.Backward(w.entries) {
+		if e.at < now-span {
+			break
+		}
+		sum += e.weight
+	}
+	return sum / span.Seconds()
 }
 
 // MinTasks is how many tasks must have finished before their run times are
@@ -160,7 +184,7 @@
 // come in evenly.
 func (w *Window) Seed(now micros.Micros, rate float64) {
 	const parts = 10
-	w.entries, w.sum = nil, 0
+	w.entries, w.sum, w.began = nil, 0, now
 	for i := range parts {
 		w.Add(now-w.length+w.length*micros.Micros(i+1)/parts, rate*w.length.Seconds()/parts)
 	}
