--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -153,8 +153,8 @@
 	types := l.byPrice()
 	l.raiseMeans()
 	l.stepModel(types, now)
-	// What a type cannot give passes on to the next dearer one, in CPUs; urgent is
-	// the part that may be ordinary machines.
+	// What a type cannot give as spot machines passes on to the next dearer one, in
+	// CPUs; urgent is the part that may be ordinary machines.
 	excess, urgent := 0.0, 0.0
 	for _, t := range types {
 		size := math.Max(t.CPUs, 0.001)
@@ -164,13 +164,12 @@
 		}
 		want, dearWant := t.want+excess/size, t.dear+urgent/size
 		target := int(math.Max(ceiling(want), floor))
-		dear := int(math.Max(ceiling(dearWant), floor)) - have[t.Name]
 		short := target - have[t.Name]
 		t.target = target
 		slog.Debug("staff", "type", t.Name, "m", t.m, "want", t.want, "dear", t.dear, "busy", busy[t.Name], "need", need[t.Name], "excess", excess, "urgent", urgent, "have", have[t.Name])
 		booked := 0
 		if short > 0 {
-			booked = l.rentMore(t, short, dear, now)
+			booked = l.rentMore(t, true, short, now)
 		} else {
 			l.returnIdle(t, -short, now)
 		}
@@ -183,6 +182,15 @@
 		excess = math.Max(0, math.Max(want, floor)-given) * size
 		urgent = math.Max(0, math.Max(dearWant, floor)-given) * size
 	}
+	// Ordinary machines cost about three times as much: only when no spot one of any
+	// type is to be had, the cheapest first.
+	slices.SortStableFunc(types, func(a, b *machineType) int { return cmp.Compare(a.Price/a.CPUs, b.Price/b.CPUs) })
+	for _, t := range types {
+		size := math.Max(t.CPUs, 0.001)
+		if n := int(ceiling(urgent / size)); n > 0 {
+			urgent -= float64(l.rentMore(t, false, n, now)) * size
+		}
+	}
 	l.rentSpecial(now)
 	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
 		l.dirty[replica.StaffingKey] = true
@@ -344,46 +352,38 @@
 	return need
 }
 
-// rentMore books up to n machines of a type spread over the zones, spot ones
-// first and not more than dear ordinary ones, and tells how many.
-func (l *Leader) rentMore(t *machineType, n, dear int, now micros.Micros) int {
+// rentMore books up to n machines of a type and kind spread over the zones, and
+// tells how many.
+func (l *Leader) rentMore(t *machineType, spot bool, n int, now micros.Micros) int {
 	if !l.Term.Sure() {
 		return n
 	}
+	var open []offer
+	for _, zone := range t.Zones {
+		o := offer{t.Name, zone, spot}
+		s := l.offers[o]
+		switch {
+		case l.pending(o):
+			return n // its answer comes first
+		case s == nil || now >= s.until:
+			open = append(open, o)
+		}
+	}
 	inZone := map[string]int{}
-	for _, m := range l.machines {
+	for _, m := range l.order {
 		if m.kind.Type == t.Name {
 			inZone[m.kind.Zone]++
 		}
 	}
+	slices.SortStableFunc(open, func(a, b offer) int { return cmp.Compare(inZone[a.Zone], inZone[b.Zone]) })
 	booked := 0
-	for _, spot := range []bool{true, false} {
-		if !spot {
-			n = min(n, dear)
-		}
-		var open []offer
-		for _, zone := range t.Zones {
-			o := offer{t.Name, zone, spot}
-			s := l.offers[o]
-			switch {
-			case l.pending(o):
-				return n // its answer comes first
-			case s == nil || now >= s.until:
-				open = append(open, o)
-			}
-		}
-		slices.SortStableFunc(open, func(a, b offer) int { return cmp.Compare(inZone[a.Zone], inZone[b.Zone]) })
-		for i, o := range open {
-			left := n - booked
-			count := (left + len(open) - i - 1) / (len(open) - i)
-			for k := 0; count > 0 && k < maxBookings; k++ {
-				l.book(o, count)
-				part := min(count, cloud.MaxRent)
-				booked, count = booked+part, count-part
-			}
-		}
-		if booked >= n || len(open) > 0 {
-			return booked
+	for i, o := range open {
+		left := n - booked
+		count := (left + len(open) - i - 1) / (len(open) - i)
+		for k := 0; count > 0 && k < maxBookings; k++ {
+			l.book(o, count)
+			part := min(count, cloud.MaxRent)
+			booked, count = booked+part, count-part
 		}
 	}
 	return booked
