--- a/staffing/backlog.go
+++ b/staffing/backlog.go
@@ -20,7 +20,7 @@
 // came up when the queue was gone.
 func Backlog(waiting []Demand, running []Running, mean, supply, boot float64) float64 {
 	worst := 0.0
-	for h := math.Max(2, 2*boot); h < 3600; h *= 1.5 {
+	for h := math.Max(1, boot); h < 3600; h *= 1.5 {
 		work, all := 0.0, true
 		for _, d := range waiting {
 			if d.Due <= h {
@@ -39,7 +39,7 @@
 		for _, r := range running {
 			held += r.CPUs * math.Min(r.Left, h) / h
 		}
-		worst = math.Max(worst, (work/h+math.Max(held, mean)-supply)*h/(h-boot))
+		worst = math.Max(worst, work/h+math.Max(held, mean)-supply)
 		if all {
 			break
 		}
