--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -208,7 +208,7 @@
 func (l *Leader) finalStored(id string) {
 	if j := l.jobs[id]; j != nil {
 		slog.Debug("job done", "job", id, "class", j.spec.Class, "tasks", j.spec.Tasks, "estimate_s", j.spec.EstimateS,
-			"took", (micros.Wall() - j.submitted).Duration(), "last_start", (j.lastStart - j.submitted).Duration(), "longest_run", j.longest.Duration())
+			"took", (micros.Wall() - j.submitted).Duration(), "first_start", (j.firstStart - j.submitted).Duration(), "last_start", (j.lastStart - j.submitted).Duration(), "longest_run", j.longest.Duration())
 		l.forget(j, wire.JobDone)
 	}
 }
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -37,8 +37,9 @@
 	broken    bool             // a gang that lost a task: all its tasks start again
 	notBefore micros.Micros
 	waitsFor  string
-	lastStart micros.Micros // time of day
-	longest   micros.Micros // run of a task
+	// When a task was first and last seen running in this term, as time of day.
+	firstStart, lastStart micros.Micros
+	longest               micros.Micros // run of a task
 }
 
 // attempt is a task that may be on a machine.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -49,7 +49,8 @@
 // Leader acts for one term.
 type Leader struct {
 	Config
-	began micros.Micros
+	began     micros.Micros
+	beganWall micros.Micros // time of day
 	// Workers' usual time between reports, and their lease.
 	report, lease micros.Micros
 
@@ -112,7 +113,7 @@
 // New makes a leader for a term.
 func New(c Config) *Leader {
 	l := &Leader{
-		Config: c, began: micros.Now(), report: c.Settings.Params.Workers.Report(), lease: c.Settings.Params.Workers.Lease(),
+		Config: c, began: micros.Now(), beganWall: micros.Wall(), report: c.Settings.Params.Workers.Report(), lease: c.Settings.Params.Workers.Lease(),
 		jobs: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
 		strays: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
 		teams: map[string]settings.Team{}, used: map[string]placement.Resources{}, images: map[string]int{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -119,6 +119,47 @@
 	}
 }
 
+// TestAged has a large job late and put off while others press: after two minutes
+// without a start a part of it goes before all others, so that it begins within four.
+func TestAged(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		waited, since micros.Micros // for the first start, and since the last one
+		done          int
+		running       bool
+		first         string
+	}{
+		{"for a short time", 100 * micros.Second, 0, 0, false, "j-000002"},
+		{"for long", 130 * micros.Second, 0, 0, false, "j-000001"},
+		{"but a task of it runs", 130 * micros.Second, 0, 0, true, "j-000002"},
+		{"it has begun, and lately started one", 400 * micros.Second, 50 * micros.Second, 1, false, "j-000002"},
+		{"it has begun, and started none for long", 400 * micros.Second, 130 * micros.Second, 1, false, "j-000001"},
+	} {
+		l, _ := newTest(t)
+		wall := micros.Wall()
+		l.beganWall = wall - 500*micros.Second
+		big := l.jobs["j-000001"]
+		big.old, big.spec.Tasks, big.submitted = false, 64, wall-c.waited
+		if c.since != 0 {
+			big.lastStart = wall - c.since
+		}
+		big.ndone = c.done
+		if c.running {
+			big.on[0] = &attempt{job: big, machine: l.machines["i-1"]}
+		}
+		spec := *big.spec
+		spec.ID, spec.Priority, spec.Tasks = "j-000002", "urgent", 10
+		l.jobs["j-000002"] = newJob(replica.Job{Spec: &spec, SubmittedAt: wall}, false)
+		q := l.newQueue(micros.Now())
+		if got := q.jobs[0].spec.ID; got != c.first {
+			t.Errorf("%s: %s goes first, want %s", c.name, got, c.first)
+		}
+		if n := q.waiting[0].Waiting; c.first == "j-000001" && n > 8 {
+			t.Errorf("%s: %d of its tasks go first, want a part", c.name, n)
+		}
+	}
+}
+
 // TestTaken has machines silent that the cloud's list still names or no longer does.
 func TestTaken(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -137,9 +137,10 @@
 	}
 }
 
-// aged is how long a job waits at most for its first start before it goes before
-// all others: put off by the set-aside rule or by a lasting overload of others,
-// the largest would never begin. A part of it, so that it stays an exception.
+// aged is how long a job waits at most for a start, while none of its tasks is on a
+// machine, before it goes before all others: put off by the set-aside rule or by a
+// lasting overload of others, the largest would never begin, and one that is late
+// already never end. A part of it, so that it stays an exception.
 const (
 	aged     = 120 * micros.Second
 	agedPart = 16
@@ -179,7 +180,11 @@
 				w.PerZone[a.machine.kind.Zone]++
 			}
 		}
-		if len(j.on)+j.ndone == 0 && wall-j.submitted > aged {
+		since := max(j.submitted, j.lastStart)
+		if j.ndone > 0 {
+			since = max(since, l.beganWall) // no earlier term's starts are known
+		}
+		if len(j.on) == 0 && wall-since > aged {
 			w.Aged, w.Late = true, false
 			if part := 1 + n/agedPart; !s.OneZone && !s.Spread && !w.Whole && part < n {
 				rest := *w
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -196,6 +196,9 @@
 				j.running++
 			}
 			j.lastStart = micros.Wall()
+			if j.firstStart == 0 {
+				j.firstStart = j.lastStart
+			}
 			if mt := l.types[m.kind.Type]; mt != nil {
 				m.images.use(j.spec.Image, j.spec.ImageGB, mt.CacheGB)
 				l.countImages(m)
--- a/staffing/backlog.go
+++ b/staffing/backlog.go
@@ -14,10 +14,8 @@
 // served in time. The paper's m decays for waiting work as well, so a backlog
 // must be added: within any horizon h, the work due by then takes up Work/h
 // CPUs on average besides what the running tasks still hold or, if that is more,
-// what m says that new arrivals will (mean, in CPUs). A machine rented now serves
-// from boot seconds on, for h - boot of the horizon. No horizon is shorter than two
-// boots: what is due sooner is served sooner by what runs, and machines rented for it
-// came up when the queue was gone.
+// what m says that new arrivals will (mean, in CPUs). Nothing rented now helps
+// before boot seconds have passed, so no horizon is shorter.
 func Backlog(waiting []Demand, running []Running, mean, supply, boot float64) float64 {
 	worst := 0.0
 	for h := math.Max(1, boot); h < 3600; h *= 1.5 {
--- a/staffing/staffing_test.go
+++ b/staffing/staffing_test.go
@@ -165,10 +165,10 @@
 		want    float64
 	}{
 		{"nothing waits", nil, []Running{{100, 100}}, 0, 1, 0},
-		{"no machines yet", []Demand{{Work: 400, Due: 10}}, nil, 0, 0, 20}, // within two boots of 20 s, of which machines serve one
+		{"no machines yet", []Demand{{Work: 400, Due: 10}}, nil, 0, 0, 20}, // within a boot of 20 s
 		{"what ends soon makes room", []Demand{{Work: 100, Due: 20}}, []Running{{10, 5}}, 0, 10, 0},
 		{"what runs long does not", []Demand{{Work: 100, Due: 20}}, []Running{{10, 500}}, 0, 10, 5},
-		{"nor where more comes in", []Demand{{Work: 100, Due: 20}}, []Running{{10, 5}}, 8, 10, 1},
+		{"nor where more comes in", []Demand{{Work: 100, Due: 20}}, []Running{{10, 5}}, 8, 10, 3},
 		{"time enough", []Demand{{Work: 400, Due: 600}}, nil, 0, 10, 0},
 	}
 	for _, c := range cases {
