Surplus machines are not filled while wanted ones have room

A machine that reports was filled whether it was wanted or not, and a few tasks on each kept all of them busy.

--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -52,6 +52,16 @@
 		}
 	}
 	q.drop()
+	room, need := int64(0), int64(0)
+	for i, m := range ms {
+		if !m.surplus {
+			room += machines[i].Free.CPU
+		}
+	}
+	for _, w := range q.waiting {
+		need += int64(w.Waiting) * w.Need.CPU
+	}
+	q.spare = room >= spareTimes*need
 	if now-l.preempted < preemptEvery {
 		return
 	}
@@ -95,6 +105,7 @@
 	jobs    []*job // of these
 	teams   map[string]*placement.Team
 	least   placement.Resources // that any of them needs
+	spare   bool                // the machines that are wanted have room enough for it
 }
 
 // drop removes what no longer waits.
@@ -110,11 +121,16 @@
 	q.least = placement.Least(q.waiting)
 }
 
+// spareTimes is how much more room than what waits the wanted machines must have,
+// so that it finds some soon: not all of it is where it fits, or reports at once.
+const spareTimes = 2
+
 // fill adds to what is planned for a machine that has just reported, from what
 // found no room in the last plan.
 func (l *Leader) fill(m *machine, now micros.Micros) {
 	q := &l.queue
-	if len(q.jobs) == 0 {
+	if len(q.jobs) == 0 || m.surplus && q.spare {
+		// A few tasks on each machine would keep all of them busy for ever.
 		return
 	}
 	p := l.placementMachine(m, now)
