--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -319,10 +319,10 @@
 	if m.up {
 		up := l.ups[m.upList]
 		up.Machines = slices.DeleteFunc(up.Machines, func(id string) bool { return id == m.id })
-		l.dirty[upKey(m.upList)] = true
+		l.markLazily(upKey(m.upList))
 	}
 	b.dropped = b.Answered && len(b.Machines) == 0
-	l.markBooking(b)
+	l.markLazily(replica.BookingPrefix + b.id)
 }
 
 // listLoop compares the cloud's list with the known machines.
--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -120,7 +120,7 @@
 		keys = append(keys, key)
 	}
 	slices.SortFunc(keys, func(a, b string) int {
-		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(l.urgency(a), l.urgency(b)), cmp.Compare(a, b))
 	})
 	size := 4096
 	for _, key := range keys {
@@ -140,13 +140,30 @@
 	return ws, false
 }
 
-func urgency(key string) int {
-	for i, prefix := range []string{replica.UpPrefix, replica.BookingPrefix, replica.JobPrefix, replica.ProgressPrefix} {
-		if strings.HasPrefix(key, prefix) {
+// urgency orders what is to be written: users wait for the ends of their jobs; then
+// come machines that are to get tasks; that machines are gone can wait, since a record
+// that still names them only makes a next leader careful. When that came before the
+// ends, nobody was told of a finished job for a minute while a fleet went home.
+func (l *Leader) urgency(key string) int {
+	for i, prefix := range []string{replica.JobPrefix, replica.UpPrefix, replica.BookingPrefix} {
+		if strings.HasPrefix(key, prefix) && l.dirty[key] {
 			return i
 		}
 	}
-	return 3
+	switch {
+	case !l.dirty[key]:
+		return 3
+	case strings.HasPrefix(key, replica.ProgressPrefix):
+		return 4
+	}
+	return 5
+}
+
+// markLazily has a key written when nothing more urgent is.
+func (l *Leader) markLazily(key string) {
+	if _, ok := l.dirty[key]; !ok {
+		l.dirty[key] = false
+	}
 }
 
 // build makes a dirty key's present value.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -72,7 +72,7 @@
 	typeOrder  []string
 	catalog    int // raised with each new one
 	teams      map[string]settings.Team
-	dirty      map[string]bool // keys to be written
+	dirty      map[string]bool // keys to be written; false: see markLazily
 	finals     map[string]replica.Job
 	counts     map[string][2]int // see AllCounts
 	countsAt   micros.Micros
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -1,7 +1,9 @@
 package leader
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"caperlatch/internal/micros"
@@ -119,6 +121,36 @@
 	}
 }
 
+// TestUrgency has the end of a job, a machine that came up and a crowd of machines that
+// are gone wait to be written: the crowd must not keep users from their answers.
+func TestUrgency(t *testing.T) {
+	l, _ := newTest(t)
+	for i := range 40 {
+		b := &booking{id: fmt.Sprintf("r-0-%d", i), Type: "m4", Zone: "a", Answered: true, Machines: []string{"i-x", "i-y"}}
+		l.bookings[b.id] = b
+		m := l.addMachine(fmt.Sprintf("i-9%02d", i), b, l.began)
+		l.returned(m)
+	}
+	l.dirty[replica.StaffingKey] = true
+	l.markUp(l.addMachine("i-2", l.bookings["r-1"], l.began))
+	j := l.jobs["j-000001"]
+	for i := range j.spec.Tasks {
+		j.done.set(i)
+		j.ndone++
+	}
+	l.dirty[progressKey("j-000002", 0)] = true
+	l.finishIfDone(j)
+	ws, more := l.gather()
+	if len(ws) < 3 || !more || ws[0].key != replica.JobPrefix+"j-000001" || ws[1].key != upKey(0) {
+		t.Fatalf("written first: %+v", ws)
+	}
+	for _, w := range ws[2:] {
+		if !strings.HasPrefix(w.key, replica.BookingPrefix) {
+			t.Errorf("%s is written before machines that are gone", w.key)
+		}
+	}
+}
+
 // TestAged has a large job late and put off while others press: after two minutes
 // without a start a part of it goes before all others, so that it begins within four.
 func TestAged(t *testing.T) {
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -56,7 +56,7 @@
 
 // New makes a client for the service at addr. All nodes share the service's
 // limits; each keeps to half of the requests, as they are rarely all busy, and
-// takes a 429 as a sign to wait. Of the changes the leader's writes keep to half,
+// takes a 429 as a sign to wait. Of the changes the leader's writes keep to a bit more than half,
 // in transactions that leave most of the service's burst: users wait for intake,
 // which is not held back here. When both passed one limit, submissions at the
 // leader's node queued behind its progress for a second and more.
@@ -65,7 +65,7 @@
 		base:    "http://" + addr,
 		http:    &http.Client{Transport: transport},
 		reads:   rate.NewLimiter(rate.Limit(limits.RPS/2), max(1, int(limits.RPS/2))),
-		writes:  rate.NewLimiter(rate.Limit(limits.WriteRPS/2), max(3, int(limits.WriteRPS/3))),
+		writes:  rate.NewLimiter(rate.Limit(limits.WriteRPS*0.6), max(3, int(limits.WriteRPS/3))),
 		maxOps:  limits.TxnOps,
 		flush:   min(limits.TxnOps, max(3, int(limits.WriteRPS/3))),
 		valueKB: limits.ValueKB,
