--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -230,17 +230,20 @@
 	for _, c := range []struct {
 		name   string
 		obeys  bool
-		told   []int // starts in each answer
+		told   []int // starts in each answer; the pause for starts ends before the fifth
 		leaves bool
 	}{
-		{"it hears nothing", false, []int{3, 3, 0, 0, 0}, true},
-		{"it does as it is told", true, []int{3, 0, 0, 0, 0}, false},
+		{"it hears nothing", false, []int{3, 3, 0, 0, 3, 0}, true},
+		{"it does as it is told", true, []int{3, 0, 0, 0, 0, 0}, false},
 	} {
 		l, _ := newTest(t)
 		m := l.machines["i-1"]
 		var tasks []wire.ReportTask
 		for i, want := range c.told {
 			l.plannedAt = 0
+			if i == 4 {
+				m.notUntil = 0
+			}
 			a, err := l.Report(report(uint64(11+i), token, tasks...))
 			if err != nil || len(a.Commands) != want {
 				t.Fatalf("%s: answer %d tells %v (%v), want %d starts", c.name, i, a.Commands, err, want)
@@ -250,16 +253,9 @@
 					tasks = append(tasks, wire.ReportTask{Task: o.Task, Attempt: o.Attempt, State: wire.TaskRunning})
 				}
 			}
-			if !c.obeys && i >= 1 {
-				m.notUntil = micros.Now() + micros.Second // as if the pause went on
-			}
 		}
-		m.deaf = max(m.deaf, 0)
 		now := micros.Now() + 30*micros.Second
 		m.reported = now // its reports go on
-		if !c.obeys {
-			m.deaf = deafAfter
-		}
 		l.watchMachines(now)
 		if m.leaving != c.leaves {
 			t.Errorf("%s: returned %v, want %v", c.name, m.leaving, c.leaves)
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -296,6 +296,7 @@
 	orders = make([]wire.Command, 0, len(m.clears)+len(m.planned))
 	orders = append(orders, m.clears[:min(len(m.clears), maxOrders)]...)
 	defer func() {
+		m.sent = m.sent[:0]
 		for _, c := range orders {
 			if c.Verb != wire.VerbStop {
 				m.sent = append(m.sent, c)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -143,13 +143,17 @@
 	c.addr("peer_bind", s.PeerListen)
 	c.addr("external.cloud", s.External.Cloud)
 	c.addr("external.state", s.External.State)
-	seen := map[string]bool{s.Member: true}
+	seen, addrs := map[string]bool{s.Member: true}, map[string]bool{s.PeerListen: true}
 	for i, p := range s.Peers {
 		name := fmt.Sprintf("seeds[%d].member", i)
 		c.text(name, p.Member)
 		c.that(!seen[p.Member], name, "stands there twice")
 		seen[p.Member] = true
-		c.addr(fmt.Sprintf("seeds[%d].addr", i), p.Addr)
+		// One peer under two names would pass for two that agree.
+		at := fmt.Sprintf("seeds[%d].addr", i)
+		c.addr(at, p.Addr)
+		c.that(!addrs[p.Addr], at, "stands there twice")
+		addrs[p.Addr] = true
 	}
 	p := &s.Params
 	c.that(len(p.Zones) > 0, "params.zones", "is missing")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -44,6 +44,19 @@
 max_sockets = 1200
 `
 
+// threeMore makes five nodes.
+const threeMore = `
+[[seeds]]
+member = "host-2"
+addr = "127.0.0.4:8081"
+[[seeds]]
+member = "host-3"
+addr = "127.0.0.5:8081"
+[[seeds]]
+member = "host-4"
+addr = "127.0.0.6:8081"
+`
+
 func TestParse(t *testing.T) {
 	cases := []struct{ name, old, new, field string }{
 		{"as it should be, with an unknown field", "", "", ""},
@@ -51,6 +64,11 @@
 		{"a listen address without a port", "127.0.0.1:8080", "127.0.0.1", "client_listen"},
 		{"no state service", `state = "127.0.0.3:2"`, "", "external.state"},
 		{"the member among its peers", `"host-1"`, `"host-0"`, "seeds[0].member"},
+		{"five nodes", "[external]", threeMore + "[external]", ""},
+		{"a member twice among five", "[external]", strings.Replace(threeMore, "host-4", "host-2", 1) + "[external]", "seeds[3].member"},
+		{"an address twice among five", "[external]", strings.Replace(threeMore, "127.0.0.6", "127.0.0.2", 1) + "[external]", "seeds[3].addr"},
+		{"its own address among five", "[external]", strings.Replace(threeMore, "127.0.0.5", "127.0.0.1", 1) + "[external]", "seeds[2].addr"},
+		{"a peer without a port among five", "[external]", strings.Replace(threeMore, "127.0.0.4:8081", "127.0.0.4", 1) + "[external]", "seeds[1].addr"},
 		{"no teams", "[[params.teams]]", "[[params.crews]]", "params.teams"},
 		{"a guarantee over the limit", "cpus = 4.0", "cpus = 9.0", "params.teams[0].cpus"},
 		{"text for a number", "lease_s = 16.0", `lease_s = "16"`, "lease_s"},
