--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -106,6 +106,7 @@
 
 func BenchmarkTakeOver(b *testing.B) {
 	r := benchReplica()
+	b.ReportAllocs()
 	for b.Loop() {
 		newBench(b, r)
 	}
@@ -116,6 +117,7 @@
 	reports := full(b, l)
 	i := 0
 	b.ResetTimer()
+	b.ReportAllocs()
 	for b.Loop() {
 		l.plannedAt = micros.Now() + micros.Second
 		benchReport(b, l, reports[benchMachine(i%benchMachines)])
@@ -134,6 +136,7 @@
 		}
 	}
 	b.ResetTimer()
+	b.ReportAllocs()
 	for b.Loop() {
 		l.plan(micros.Now())
 	}
@@ -143,6 +146,7 @@
 	l := newBench(b, benchReplica())
 	full(b, l)
 	b.ResetTimer()
+	b.ReportAllocs()
 	for b.Loop() {
 		l.watchMachines(micros.Now())
 	}
@@ -154,6 +158,7 @@
 	l.Term.(*fakeTerm).sure = false // rent nothing
 	l.Term.(*fakeTerm).held = false
 	b.ResetTimer()
+	b.ReportAllocs()
 	for b.Loop() {
 		l.staff(micros.Now())
 	}
@@ -163,6 +168,7 @@
 	l := newBench(b, benchReplica())
 	full(b, l)
 	b.ResetTimer()
+	b.ReportAllocs()
 	for b.Loop() {
 		l.AllCounts()
 	}
