Machines are asked for their tasks after a take-over; silent zones are kept and not rented in

When a zone was cut off for longer than a lease, its machines were returned as their leases ended and new ones were rented in the same cut zone: 60 s with half the fleet.

Changed: the up lists hold addresses; a new leader sends every machine its token with no commands and takes the tasks from the answer. Machines that give no answer twice, while their zone does, are returned after 4 s. Under mass silence machines are kept for their lease and as long again, no longer counted on, and nothing is rented in a cut zone.

Ruled out: the time of the election itself.

--- /dev/null
+++ b/internal/leader/ask_test.go
@@ -0,0 +1,143 @@
+package leader
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+)
+
+// workers answers calls to workers' addresses.
+type workers func(c *wire.DirectCommands) (int, *wire.Report)
+
+// RoundTrip implements http.RoundTripper.
+func (f workers) RoundTrip(r *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	var c wire.DirectCommands
+	if err := wire.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	status, report := f(&c)
+	if report == nil {
+		return nil, errors.New("no answer")
+	}
+	answer, err := wire.Marshal(report)
+	return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(answer)), Request: r}, err
+}
+
+// TestAsk has a new leader ask a machine for its tasks. Only an answer made after the
+// worker heard of this term proves them: until then a start of an earlier term may
+// still be carried out, and a task that is started elsewhere would run twice.
+func TestAsk(t *testing.T) {
+	running := wire.ReportTask{Task: "j-000001/0", Attempt: 5, State: wire.TaskRunning}
+	answer := func(session, seq, baton uint64) *wire.Report {
+		r := report(seq, baton, running)
+		r.Session = session
+		return r
+	}
+	other := answer(1, 20, token)
+	other.Machine = "i-9"
+	rest := []string{"start j-000001/1", "start j-000001/2"}
+	cases := []struct {
+		name    string
+		worker  workers
+		already *wire.Report // comes while the worker is asked
+		done    bool
+		report  *wire.Report // comes afterwards
+		want    []string
+	}{
+		{"it tells", func(*wire.DirectCommands) (int, *wire.Report) { return 200, answer(1, 20, token) }, nil, true,
+			report(21, token, running), rest},
+		{"in a later session", func(c *wire.DirectCommands) (int, *wire.Report) {
+			if c.Session != 3 {
+				return 409, answer(3, 20, token-1)
+			}
+			return 200, answer(3, 21, token)
+		}, nil, true, answer(3, 22, token), rest},
+		// It is older than the answer: what it shows may have ended since, and what
+		// was started since does not show.
+		{"a report from before the answer", func(*wire.DirectCommands) (int, *wire.Report) { return 200, answer(1, 20, token) }, nil, true,
+			report(19, token, running), []string{}},
+		{"it has not heard of this term", func(*wire.DirectCommands) (int, *wire.Report) { return 409, answer(1, 20, token-1) }, nil, false,
+			report(21, token-1, running), []string{}},
+		{"another machine has its address", func(*wire.DirectCommands) (int, *wire.Report) { return 200, other }, nil, false,
+			report(21, token-1, running), []string{}},
+		{"no answer", func(*wire.DirectCommands) (int, *wire.Report) { return 0, nil }, nil, false,
+			report(21, token-1, running), []string{}},
+		// The report drew starts that the answer cannot show.
+		{"a report is faster", func(*wire.DirectCommands) (int, *wire.Report) { return 200, answer(1, 20, token) }, report(21, token, running), true,
+			report(22, token, running, wire.ReportTask{Task: "j-000001/1", Attempt: token<<32 | 1, State: wire.TaskRunning},
+				wire.ReportTask{Task: "j-000001/2", Attempt: token<<32 | 2, State: wire.TaskRunning}), []string{}},
+	}
+	for _, c := range cases {
+		l, _ := newTest(t)
+		m := l.machines["i-1"]
+		m.address, m.current = "i-1:9000", false
+		l.Workers = &http.Client{Transport: workers(func(d *wire.DirectCommands) (int, *wire.Report) {
+			if d.Token != token || len(d.Commands) != 0 {
+				t.Errorf("%s: asked with token %d and %d commands", c.name, d.Token, len(d.Commands))
+			}
+			if c.already != nil {
+				if _, err := l.Report(c.already); err != nil {
+					t.Errorf("%s: %v", c.name, err)
+				}
+			}
+			return c.worker(d)
+		})}
+		if done := l.ask(t.Context(), m); done != c.done || m.resolved != c.done {
+			t.Errorf("%s: done %v, resolved %v", c.name, done, m.resolved)
+		}
+		if c.done && m.tasks["j-000001/0"] == nil {
+			t.Errorf("%s: the running task is not known", c.name)
+		}
+		if now := micros.Now(); c.done && now > l.leaseOver(m) {
+			t.Errorf("%s: its lease counts as over", c.name)
+		}
+		l.plannedAt = 0
+		a, err := l.Report(c.report)
+		if got := verbs(a); err != nil || !slices.Equal(got, c.want) {
+			t.Errorf("%s: told %v (%v), want %v", c.name, got, err, c.want)
+		}
+	}
+}
+
+// TestAskedInVain has a machine give no answer after a take-over. All old jobs wait for
+// it, so it is returned soon; but not where the fault may be with this node's own ways.
+func TestAskedInVain(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		asked, answers int // of its zone
+		unseen         int
+		leaves         bool
+	}{
+		{"the only one", 20, 19, 1, true},
+		{"its whole zone is silent", 20, 0, 1, false},
+		{"many are", 20, 12, 8, false},
+	} {
+		l, _ := newTest(t)
+		b := l.bookings["r-1"]
+		for i := range 19 {
+			l.addMachine(string(rune('a'+i)), b, l.began).up = true
+		}
+		now := l.began + askedLimit + 100*micros.Millisecond
+		for i, m := range l.order {
+			m.reported, m.answered, m.resolved = now, now, true
+			if i < c.unseen {
+				m.reported, m.answered, m.resolved, m.asks = 0, 0, false, 2
+			}
+		}
+		l.zoneAnswers["a"] = answers{c.asked, c.answers}
+		l.watchMachines(now)
+		if got := l.order[0].leaving; got != c.leaves {
+			t.Errorf("%s: returned %v, want %v", c.name, got, c.leaves)
+		}
+	}
+}
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -74,11 +74,14 @@
 // upList names machines that may have got tasks. The lists are apart from the
 // bookings, so that all machines that come up at about the same time share a
 // write: with a booking written anew for each of its machines, a thousand that
-// booted waited seconds for their first tasks.
+// booted waited seconds for their first tasks. Each machine stands with its
+// address, so that a next leader can ask it for its tasks.
 type upList struct {
-	Machines []string `json:"m"`
+	Machines []string `json:"m"` // "id address"
 }
 
+func upEntry(m *machine) string { return m.id + " " + m.address }
+
 func upKey(n int) string { return replica.UpPrefix + strconv.Itoa(n) }
 
 // restoreUps reads which machines an earlier term may have given tasks.
@@ -94,9 +97,10 @@
 		if _, err := l.Replica.Get(key, l.ups[n]); err != nil {
 			return err
 		}
-		for _, id := range l.ups[n].Machines {
+		for _, entry := range l.ups[n].Machines {
+			id, address, _ := strings.Cut(entry, " ")
 			if m := l.machines[id]; m != nil {
-				m.up, m.upStored, m.resolved, m.upList = true, true, false, n
+				m.up, m.upStored, m.resolved, m.upList, m.address = true, true, false, n, address
 			}
 		}
 	}
@@ -107,12 +111,12 @@
 func (l *Leader) markUp(m *machine) {
 	m.up = true
 	n := len(l.ups) - 1
-	if n < 0 || !l.Store.FitsValue(upList{append(l.ups[n].Machines, m.id, m.id)}) {
+	if n < 0 || !l.Store.FitsValue(upList{append(l.ups[n].Machines, upEntry(m), upEntry(m))}) {
 		l.ups = append(l.ups, &upList{})
 		n++
 	}
 	m.upList = n
-	l.ups[n].Machines = append(l.ups[n].Machines, m.id)
+	l.ups[n].Machines = append(l.ups[n].Machines, upEntry(m))
 	l.dirty[upKey(n)] = true
 	l.wakeFlush()
 }
@@ -128,7 +132,8 @@
 	}
 	w.value = upList{snapshot}
 	w.stored = func() {
-		for _, id := range snapshot {
+		for _, entry := range snapshot {
+			id, _, _ := strings.Cut(entry, " ")
 			if m := l.machines[id]; m != nil {
 				m.upStored = true
 			}
@@ -318,7 +323,10 @@
 	b.Machines = slices.DeleteFunc(b.Machines, func(id string) bool { return id == m.id })
 	if m.up {
 		up := l.ups[m.upList]
-		up.Machines = slices.DeleteFunc(up.Machines, func(id string) bool { return id == m.id })
+		up.Machines = slices.DeleteFunc(up.Machines, func(entry string) bool {
+			id, _, _ := strings.Cut(entry, " ")
+			return id == m.id
+		})
 		l.markLazily(upKey(m.upList))
 	}
 	b.dropped = b.Answered && len(b.Machines) == 0
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -90,9 +90,13 @@
 	offers     map[offer]*offerState
 	estimates  map[string]*staffing.Estimate // by class
 	lastStops  []StopNote
-	flushNow   chan struct{}
-	lost       chan struct{} // closed when a write proved that the term is over
-	lostOnce   sync.Once
+	// How the machines of a zone took to being asked for their tasks.
+	zoneAnswers map[string]answers
+	calls       chan struct{}   // calls to workers in progress
+	cutOff      map[string]bool // zones in which most machines are silent
+	flushNow    chan struct{}
+	lost        chan struct{} // closed when a write proved that the term is over
+	lostOnce    sync.Once
 }
 
 // machineType is a type of the catalog with its staffing.
@@ -119,6 +123,7 @@
 		teams: map[string]settings.Team{}, used: map[string]placement.Resources{}, images: map[string]int{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
 		offers: map[offer]*offerState{}, estimates: map[string]*staffing.Estimate{},
 		flushNow: make(chan struct{}, 1), lost: make(chan struct{}),
+		zoneAnswers: map[string]answers{}, cutOff: map[string]bool{}, calls: make(chan struct{}, max(8, c.Settings.Params.Limits.MaxSockets/callShare)),
 	}
 	for _, t := range c.Settings.Params.Teams {
 		l.teams[t.Name] = t
@@ -151,7 +156,7 @@
 		return
 	}
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){l.flushLoop, l.tickLoop, l.rentLoop, l.returnLoop, l.listLoop, l.catalogLoop} {
+	for _, f := range []func(context.Context){l.flushLoop, l.tickLoop, l.rentLoop, l.returnLoop, l.listLoop, l.catalogLoop, l.askLoop} {
 		wg.Go(func() { f(ctx) })
 	}
 	select {
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -30,7 +30,10 @@
 	sent      []wire.Command // starts and clears of the last answer
 	deaf      int            // answers in a row that did not reach it
 	deafSince micros.Micros
-	resolved  bool // its tasks are known: it reported with this term's token
+	resolved  bool          // its tasks are known: it reported with this term's token
+	asked     uint64        // seq of its answer when asked for its tasks, see askLoop
+	asks      int           // that it gave no answer to
+	expired   micros.Micros // since when its lease is over
 	rentedAt  micros.Micros
 	reported  micros.Micros // last newer report
 	answered  micros.Micros // last answer that may have renewed its lease
@@ -104,7 +107,10 @@
 		// worker reports within five quarters of the usual time; it may have to
 		// give a node up before (4 s, and a pause of 1 s).
 		late := l.report + l.report/4 + 2*micros.Second
-		if 50*l.unseen <= len(l.order) {
+		if m.asks >= 2 && l.zoneAnswers[m.kind.Zone].most() && 10*l.unseen <= len(l.order) {
+			return min(late, askedLimit)
+		}
+		if 50*l.unseen <= len(l.order) || m.asks >= 2 && l.mostAnswered() {
 			return late
 		}
 		return late + 5*micros.Second
@@ -130,18 +136,31 @@
 
 // massSilence tells whether so many machines are silent that the network is
 // more likely at fault than they are. They are kept as long as their leases
-// last: a network comes back sooner than a fleet boots.
+// last, and as long again: a network comes back sooner than a fleet boots. It also
+// notes the zones that are cut off: what is rented there would come up unheard.
 func (l *Leader) massSilence(now micros.Micros) bool {
-	silent, up := 0, 0
+	type count struct{ silent, up int }
+	var all count
+	zones := map[string]count{}
 	for _, m := range l.order {
 		if m.up && !m.leaving {
-			up++
+			n := zones[m.kind.Zone]
+			n.up++
 			if l.silentFor(m, now) > 2*l.report+micros.Second || m.deaf >= deafAfter {
-				silent++
+				n.silent++
+				all.silent++
 			}
+			all.up++
+			zones[m.kind.Zone] = n
+		}
+	}
+	clear(l.cutOff)
+	for zone, n := range zones {
+		if n.silent >= 3 && 2*n.silent > n.up {
+			l.cutOff[zone] = true
 		}
 	}
-	return silent >= 3 && 3*silent > up
+	return all.silent >= 3 && 3*all.silent > all.up
 }
 
 // watchMachines acts on silence, notices and stops that take too long.
@@ -150,17 +169,23 @@
 	mass := l.massSilence(now)
 	l.unseen = l.unresolved()
 	for _, m := range slices.Clone(l.order) {
-		if (len(m.tasks) > 0 || !m.resolved) && now > l.leaseOver(m) {
+		over := now > l.leaseOver(m)
+		if over && (len(m.tasks) > 0 || !m.resolved) {
 			slog.Info("lease ended", "machine", m.id, "tasks", len(m.tasks))
 			l.lose(m, "its lease ended")
 		}
+		if !over || !m.up {
+			m.expired = 0
+		} else if m.expired == 0 {
+			m.expired = now
+		}
 		switch {
 		case m.leaving:
-		case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!mass || now > l.leaseOver(m)):
+		case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!mass || m.expired != 0 && now-m.expired > l.lease):
 			l.giveUp(m, "silent")
 		case m.up && l.taken(m, now):
 			l.giveUp(m, "silent and no longer listed")
-		case m.deaf >= deafAfter && now-m.deafSince > l.silentLimit(m) && (!mass || now > l.leaseOver(m)):
+		case m.deaf >= deafAfter && now-m.deafSince > l.silentLimit(m) && (!mass || over):
 			l.giveUp(m, "it hears nothing")
 		case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*w.Report():
 			l.giveUp(m, "did not boot")
@@ -184,11 +209,11 @@
 	}
 }
 
-// overdue tells whether a machine takes longer to come up than most do. It is
-// no longer counted on, though it may still come.
+// overdue tells whether a machine takes longer to come up than most do, or is silent
+// beyond its lease. It is no longer counted on, though it may still come.
 func (l *Leader) overdue(m *machine, now micros.Micros) bool {
 	t := l.types[m.kind.Type]
-	return t != nil && !m.up && now-m.rentedAt > micros.FromSeconds(1.6*t.BootS)+2*micros.Second
+	return m.expired != 0 || t != nil && !m.up && now-m.rentedAt > micros.FromSeconds(1.6*t.BootS)+2*micros.Second
 }
 
 // bootLimit is when a machine that has not come up counts as stuck.
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -52,6 +52,7 @@
 	}
 	if m.session != 0 && r.Session > m.session {
 		l.lose(m, "the worker's session ended")
+		m.asked = 0
 		m.sent = m.sent[:0]
 	}
 	m.session, m.seq, m.address = r.Session, r.Seq, r.Address
@@ -67,7 +68,8 @@
 	if !m.up {
 		l.markUp(m)
 	}
-	m.current = r.Token == l.Token
+	// One that is older than what the machine answered when asked tells nothing new.
+	m.current = r.Token == l.Token && r.Seq > m.asked
 	if !m.current && m.told {
 		l.unheard(m, now)
 	}
@@ -400,8 +402,14 @@
 	if m.address == "" || !l.Term.Sure() {
 		return
 	}
+	select {
+	case l.calls <- struct{}{}:
+	default:
+		return
+	}
 	address, body := m.address, wire.DirectCommands{Token: l.Token, Session: m.session, Commands: []wire.Command{c}}
 	go func() {
+		defer func() { <-l.calls }()
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		if _, _, err := wire.Exchange(ctx, l.Workers, http.MethodPost, "http://"+address+"/commands", body); err != nil {
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -365,6 +365,7 @@
 		switch {
 		case l.pending(o):
 			return n // its answer comes first
+		case l.cutOff[zone]:
 		case s == nil || now >= s.until:
 			open = append(open, o)
 		}
