--- /dev/null
+++ b/internal/api/conns_test.go
@@ -0,0 +1,54 @@
+package api
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+)
+
+// TestConns opens more connections than a node's sockets allow: the one that has been
+// idle for longest must go, none that is at work, and some are left for the node's own.
+func TestConns(t *testing.T) {
+	type event struct {
+		conn  int
+		state http.ConnState
+	}
+	opened := func(n int) (out []event) {
+		for i := range n {
+			out = append(out, event{i, http.StateNew})
+		}
+		return out
+	}
+	const limit = 14 // of 16 sockets
+	cases := []struct {
+		name   string
+		events []event
+		want   []int // closed
+	}{
+		{"as many as allowed", opened(limit), nil},
+		{"one more, all at work", opened(limit + 1), []int{limit}},
+		{"idle ones go first, the oldest of them", append(opened(limit), event{3, http.StateIdle}, event{1, http.StateIdle}, event{limit, http.StateNew}), []int{3}},
+		{"what went to work again stays", append(opened(limit), event{3, http.StateIdle}, event{1, http.StateIdle}, event{3, http.StateActive}, event{limit, http.StateNew}), []int{1}},
+		{"what closed by itself counts no more", append(opened(limit), event{2, http.StateClosed}, event{limit, http.StateNew}), nil},
+		{"none goes twice", append(opened(limit), event{3, http.StateIdle}, event{limit, http.StateNew}, event{3, http.StateClosed}, event{limit + 1, http.StateNew}), []int{3, limit + 1}},
+	}
+	for _, c := range cases {
+		conns := NewConns(16)
+		var all []net.Conn
+		for range limit + 2 {
+			conn, other := net.Pipe()
+			defer other.Close()
+			all = append(all, conn)
+		}
+		var got []int
+		for _, e := range c.events {
+			if over := conns.follow(all[e.conn], e.state); over != nil {
+				got = append(got, slices.Index(all, over))
+			}
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: closed %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/node.go
+++ b/node.go
@@ -93,7 +93,8 @@
 		return fmt.Errorf("client_listen: %w", err)
 	}
 	server := &http.Server{Handler: n.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
+		ConnState: api.NewConns(limits.MaxSockets).State,
+		ErrorLog:  slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
 	var wg sync.WaitGroup
 	wg.Go(func() { n.work(ctx) })
 	stop := context.AfterFunc(ctx, func() { server.Close() })
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -88,6 +88,7 @@
 	Work            float64         // CPU seconds that wait, as estimated
 	Late            bool            // cannot be in time any more, or set aside
 	Pressing        bool            // would be late if it waited for others to end
+	Warm            micros.Micros   // until it should find room where its image is; 0 if not known
 	Need            Resources
 	Waiting         int
 	Total           int
@@ -278,7 +279,8 @@
 // Fill picks tasks for a machine that can start them at once, from jobs in the
 // queue's order that found no room before. Of the first jobs of one claim it
 // takes what is due first, but a fetch counts as if the job were due later by
-// twice its time: it holds the task up and keeps its room from others.
+// twice its time: it holds the task up and keeps its room from others. A fetch that
+// takes longer than waiting for a machine with the image is left out altogether.
 func Fill(m *Machine, jobs []*Job, teams map[string]*Team) (starts []Start) {
 	for {
 		best, bestCount := -1, 0
@@ -291,7 +293,7 @@
 			if best >= 0 && (seen == lookahead || claim(jobs[best], j) != 0) {
 				break
 			}
-			if !m.Free.Fits(j.Need) || !Allowed(j, m.Type, m.Zone, m.Spot) {
+			if !m.Free.Fits(j.Need) || !Allowed(j, m.Type, m.Zone, m.Spot) || j.Warm > 0 && fetch(m, j) > j.Warm {
 				continue
 			}
 			n := m.Free.Times(j.Need, teams[j.Team].Room(j.Need, min(j.Waiting, zoneRoom(j, m.Zone))))
