Under too much work the shortest jobs go first; what ran is counted a job, not a task

Now, once any job has to be put off, those of its guarantee and priority are served by work. Cause 2: the mean run time and the line through estimates forgot per task, so a fleet that ends 150 tasks a second knew the last second, or the last two arrays, and the held peaks took the worst. Now both forget per job.

--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -224,34 +224,9 @@
 		q.waiting, q.jobs = append(q.waiting, e.waiting), append(q.jobs, e.job)
 	}
 	q.least = placement.Least(q.waiting)
-	l.expectWarm(q.waiting, now)
 	return q
 }
 
-// expectWarm tells the jobs of a queue when they should find room on machines that
-// have their images: as fast as tasks end there, lately, and after those before them.
-func (l *Leader) expectWarm(queue []*placement.Job, now micros.Micros) {
-	holders, open := make([]int, len(l.images)), 0
-	for _, m := range l.order {
-		if !m.open(now) {
-			continue
-		}
-		open++
-		for i := range holders {
-			if m.have.Has(i) {
-				holders[i]++
-			}
-		}
-	}
-	rate, ahead := l.endRate(now), 0
-	for _, w := range queue {
-		ahead += w.Waiting
-		if warm := rate * float64(holders[w.Image]) / math.Max(1, float64(open)); warm > 0 {
-			w.Warm = micros.FromSeconds(float64(ahead) / warm)
-		}
-	}
-}
-
 // due is when the last of a job's tasks should have started, by the next thing
 // expected of it that can still be met; late if there is none.
 func (l *Leader) due(j *job, covered bool, wall micros.Micros) (due micros.Micros, late bool) {
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -34,14 +34,14 @@
 		return // adopted: nobody here saw it start
 	}
 	t.finished++
-	t.service.Finished(fraction(t, j.need), (now - a.began).Seconds())
+	t.service.Finished(fraction(t, j.need), (now - a.began).Seconds(), j.spec.Tasks)
 	if a.running != 0 && (j.spec.CheckpointS == 0 || !j.resumed[a.task]) {
 		e := l.estimates[j.spec.Class]
 		if e == nil {
 			e = &staffing.Estimate{}
 			l.estimates[j.spec.Class] = e
 		}
-		e.Observe(j.spec.EstimateS, (now - a.running).Seconds())
+		e.Observe(j.spec.EstimateS, (now - a.running).Seconds(), j.spec.Tasks)
 	}
 }
 
@@ -549,7 +549,8 @@
 		t.window.Seed(now, x.Lambda)
 		t.want, t.dear, t.heldTill = x.Want, x.Want, now+l.Tuning.ReviewInterval
 		if x.Mu > 0 {
-			t.service.Finished(1, 1/x.Mu)
+			// As if what is held had just ended: what ends first now are short tasks.
+			t.service.Finished(math.Max(1, x.M), 1/x.Mu, 1)
 			t.finished = x.Finished
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -88,7 +88,6 @@
 	Work            float64         // CPU seconds that wait, as estimated
 	Late            bool            // cannot be in time any more, or set aside
 	Pressing        bool            // would be late if it waited for others to end
-	Warm            micros.Micros   // until it should find room where its image is; 0 if not known
 	Need            Resources
 	Waiting         int
 	Total           int
@@ -145,7 +144,7 @@
 	if cpus <= 0 {
 		return
 	}
-	ahead := 0.0
+	ahead, strained := 0.0, false
 	var kept []*Job // of the present claim, by work
 	for i := 0; i < len(order); i++ {
 		j := order[i]
@@ -153,7 +152,10 @@
 			continue
 		}
 		if i > 0 && (j.Covered != order[i-1].Covered || j.Priority != order[i-1].Priority) {
-			kept = kept[:0]
+			if strained {
+				shortestFirst(order[:i], order[i-1], cpus, now)
+			}
+			kept, strained = kept[:0], false
 		}
 		if j.Late {
 			continue
@@ -164,6 +166,7 @@
 		})
 		kept = slices.Insert(kept, at, j)
 		if now+micros.FromSeconds(ahead/cpus) > j.Due {
+			strained = true
 			most := kept[len(kept)-1]
 			ahead -= most.Work
 			kept = kept[:len(kept)-1]
@@ -178,6 +181,31 @@
 			order = slices.Insert(order, i+1+at, most)
 		}
 	}
+	if strained {
+		shortestFirst(order, order[len(order)-1], cpus, now)
+	}
+}
+
+// shortestFirst gives the jobs of like's guarantee and priority due times in the order
+// of their work, as there is too much of it. By their own due times each would start
+// just before it is due, and the first surprise, a longer run or a lost machine, would
+// make all of them late; done in this order the most are out of the way by then.
+func shortestFirst(jobs []*Job, like *Job, cpus float64, now micros.Micros) {
+	var same []*Job
+	for _, j := range jobs {
+		if !j.Aged && j.Covered == like.Covered && j.Priority == like.Priority {
+			same = append(same, j)
+		}
+	}
+	slices.SortFunc(same, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(rank(!a.Late), rank(!b.Late)), cmp.Compare(a.Work, b.Work), cmp.Compare(a.ID, b.ID))
+	})
+	same = slices.Compact(same)
+	ahead := 0.0
+	for _, j := range same {
+		ahead += j.Work
+		j.Due = now + micros.FromSeconds(ahead/cpus)
+	}
 }
 
 func rank(first bool) int {
@@ -279,8 +307,7 @@
 // Fill picks tasks for a machine that can start them at once, from jobs in the
 // queue's order that found no room before. Of the first jobs of one claim it
 // takes what is due first, but a fetch counts as if the job were due later by
-// twice its time: it holds the task up and keeps its room from others. A fetch that
-// takes longer than waiting for a machine with the image is left out altogether.
+// twice its time: it holds the task up and keeps its room from others.
 func Fill(m *Machine, jobs []*Job, teams map[string]*Team) (starts []Start) {
 	for {
 		best, bestCount := -1, 0
@@ -293,7 +320,7 @@
 			if best >= 0 && (seen == lookahead || claim(jobs[best], j) != 0) {
 				break
 			}
-			if !m.Free.Fits(j.Need) || !Allowed(j, m.Type, m.Zone, m.Spot) || j.Warm > 0 && fetch(m, j) > j.Warm {
+			if !m.Free.Fits(j.Need) || !Allowed(j, m.Type, m.Zone, m.Spot) {
 				continue
 			}
 			n := m.Free.Times(j.Need, teams[j.Team].Room(j.Need, min(j.Waiting, zoneRoom(j, m.Zone))))
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -144,18 +144,49 @@
 	for _, c := range []struct {
 		name  string
 		later []micros.Micros
-		due   micros.Micros
 		late  bool
 	}{
-		{"a later thing can be met", []micros.Micros{10 * s, 20 * s}, 20 * s, false},
-		{"none can", []micros.Micros{11 * s, 12 * s}, 12 * s, true},
-		{"there is none", nil, 10 * s, true},
+		{"a later thing can be met", []micros.Micros{10 * s, 20 * s}, false},
+		{"none can", []micros.Micros{11 * s, 12 * s}, true},
+		{"there is none", nil, true},
 	} {
 		big := job("big", 1, func(j *Job) { j.Due, j.Later, j.Work = 10*s, c.later, 9 })
 		small := job("small", 1, func(j *Job) { j.Due, j.Work = 10*s, 4 })
 		SetAside([]*Job{big, small}, 1, 0)
-		if small.Late || big.Late != c.late || big.Due != c.due {
-			t.Errorf("%s: small late %v, big late %v and due %v", c.name, small.Late, big.Late, big.Due)
+		if small.Late || big.Late != c.late || !(Less(small, big) < 0) {
+			t.Errorf("%s: small late %v, big late %v", c.name, small.Late, big.Late)
+		}
+	}
+}
+
+// TestShortestFirst has work come in that is more or less than can be done in time. Too
+// much of it is served shortest first: by due times each job started just before it was
+// due, and with 91 machines gone and an hour's work waiting nearly all of them were late.
+func TestShortestFirst(t *testing.T) {
+	s := micros.Second
+	for _, c := range []struct {
+		name string
+		cpus float64
+		want []string
+	}{
+		{"enough machines", 10, []string{"urgent", "early", "middle", "small", "huge"}},
+		{"too few", 1, []string{"urgent", "small", "middle", "early", "huge"}},
+	} {
+		jobs := []*Job{
+			job("early", 1, func(j *Job) { j.Due, j.Work = 10*s, 6 }),
+			job("middle", 1, func(j *Job) { j.Due, j.Work = 20*s, 4 }),
+			job("small", 1, func(j *Job) { j.Due, j.Work = 30*s, 2 }),
+			job("huge", 1, func(j *Job) { j.Due, j.Work = 40*s, 50 }),
+			job("urgent", 1, func(j *Job) { j.Priority, j.Due, j.Work = 2, 60*s, 7 }),
+		}
+		SetAside(jobs, c.cpus, 0)
+		slices.SortFunc(jobs, Less)
+		var got []string
+		for _, j := range jobs {
+			got = append(got, j.ID)
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
 }
--- a/staffing/estimate.go
+++ b/staffing/estimate.go
@@ -10,27 +10,30 @@
 	n, x, y, xx, xy float64 // decayed sums
 }
 
-// Observe counts a task that ran in one go.
-func (e *Estimate) Observe(estimated, ran float64) {
+// Observe counts a task that ran in one go, of a job of tasks tasks. They have one
+// estimate, so all of them tell about as much as one: counted one by one, two arrays
+// of 50 were all that the line went through.
+func (e *Estimate) Observe(estimated, ran float64, tasks int) {
 	if estimated <= 0 || ran <= 0 {
 		return
 	}
-	const keep = 0.99
+	part := 1 / math.Max(1, float64(tasks))
+	keep := math.Pow(0.98, part)
 	x, y := math.Log(estimated), math.Log(ran)
-	e.n = e.n*keep + 1
-	e.x = e.x*keep + x
-	e.y = e.y*keep + y
-	e.xx = e.xx*keep + x*x
-	e.xy = e.xy*keep + x*y
+	e.n = e.n*keep + part
+	e.x = e.x*keep + x*part
+	e.y = e.y*keep + y*part
+	e.xx = e.xx*keep + x*x*part
+	e.xy = e.xy*keep + x*y*part
 }
 
-// Corrected is the run time to be expected for an estimate. With few tasks
+// Corrected is the run time to be expected for an estimate. With few jobs
 // seen the owner is trusted nearly in full.
 func (e *Estimate) Corrected(estimated float64) float64 {
 	if estimated <= 0 || e.n == 0 {
 		return estimated
 	}
-	const trust = 5 // tasks' worth of belief that estimates are right
+	const trust = 2 // jobs' worth of belief that estimates are right
 	mx, my := e.x/e.n, e.y/e.n
 	vxx, vxy := e.xx/e.n-mx*mx, e.xy/e.n-mx*my
 	slope := math.Max(0, math.Min(1, (vxy*e.n+trust*0.1)/(vxx*e.n+trust*0.1)))
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -119,15 +119,18 @@
 
 type mean struct{ weight, sum float64 }
 
-func (m *mean) add(weight, seconds float64) {
-	// Old work counts for less and less, so the mean follows the day.
-	const keep = 0.995
+// add counts a part of a job. Old work counts for less and less, so the mean follows
+// the day: a job for a hundredth less with each newer job, of however many tasks. When
+// each task counted as much as a job, arrays of 50 left the mean of the last second,
+// and a target that holds the peak of 30 s took the worst of these.
+func (m *mean) add(weight, seconds, part float64) {
+	keep := math.Pow(0.99, part)
 	m.weight = m.weight*keep + weight
 	m.sum = m.sum*keep + weight*seconds
 }
 
 // Estimate counts what owners say of work that came in.
-func (s *Service) Estimate(weight, seconds float64) { s.estimate.add(weight, seconds) }
+func (s *Service) Estimate(weight, seconds float64) { s.estimate.add(weight, seconds, 1) }
 
 // Lumps keeps what jobs bring at once, for the peakedness.
 type Lumps struct{ sum, squares, tasks, tight float64 }
@@ -165,8 +168,10 @@
 	return l.tight / l.sum
 }
 
-// Finished counts a finished task.
-func (s *Service) Finished(weight, seconds float64) { s.measured.add(weight, seconds) }
+// Finished counts a finished task of a job of tasks tasks.
+func (s *Service) Finished(weight, seconds float64, tasks int) {
+	s.measured.add(weight, seconds, 1/math.Max(1, float64(tasks)))
+}
 
 // Mu is one over the mean time; finished says how many tasks have finished.
 func (s *Service) Mu(finished int) float64 {
--- a/staffing/staffing_test.go
+++ b/staffing/staffing_test.go
@@ -121,7 +121,7 @@
 func TestService(t *testing.T) {
 	var s Service
 	s.Estimate(1, 50)
-	s.Finished(1, 20)
+	s.Finished(1, 20, 1)
 	for _, c := range []struct {
 		finished int
 		want     float64
@@ -141,7 +141,7 @@
 	}
 	for range 100 {
 		for _, x := range []struct{ est, ran float64 }{{60, 40}, {240, 40}, {120, 40}, {30, 20}, {120, 20}, {60, 20}} {
-			e.Observe(x.est, x.ran)
+			e.Observe(x.est, x.ran, 1)
 		}
 	}
 	if got := e.Corrected(120); got < 25 || got > 45 {
