--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -19,7 +20,11 @@
 const ContentType = "application/cbor"
 
 var (
-	decoder = must(cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16}.DecMode())
+	// Maps in an untyped value must have a type that JSON knows: with the library's own,
+	// every larger body that held a list of maps, as a machine's report of 200 tasks
+	// does, measured as infinite.
+	decoder = must(cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
+		DefaultMapType: reflect.TypeFor[map[string]any]()}.DecMode())
 	encoder = must(cbor.EncOptions{}.EncMode())
 )
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -87,11 +87,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	report := func(tasks int) string {
+		r := Report{Machine: "i-000001", Tasks: make([]ReportTask, tasks)}
+		for i := range r.Tasks {
+			r.Tasks[i] = ReportTask{Task: "j-000412/123", Attempt: 7, State: TaskRunning}
+		}
+		b, err := Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(b)
+	}
 	cases := []struct {
 		name, body string
 		ok         bool
 	}{
 		{"small", text(100), true},
+		{"a machine with many tasks", report(1000), true},
+		{"a machine with too many", report(2000), false},
 		{"just under", text(MaxBody - 100), true},
 		{"over", text(MaxBody), false},
 		{"over as JSON only", string(b), false},
