--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -111,6 +111,25 @@
 	return n, err
 }
 
+// relayed answers reports that were passed on, as many as one message holds. The rest
+// must not be shown to the leader at all: were the message too large, the starts in all
+// its answers would be lost, again and again while a whole fleet waits to be filled.
+func relayed(reports []wire.Raw, h Handler) []Relayed {
+	out, size := make([]Relayed, len(reports)), 0
+	for i, r := range reports {
+		if size > maxMessage/2 {
+			out[i].Error = "too many answers at once"
+			continue
+		}
+		answer, err := h.Relayed(r)
+		if out[i].Answer = answer; err != nil {
+			out[i].Error = err.Error()
+		}
+		size += len(answer)
+	}
+	return out
+}
+
 // serveConn answers requests until the connection fails.
 func serveConn(conn net.Conn, h Handler) error {
 	in := &limitedReader{r: conn}
@@ -127,13 +146,7 @@
 		case q.Probe != nil:
 			a.State = h.Probed(q.Probe)
 		case q.Relay != nil:
-			a.Relay = make([]Relayed, len(q.Relay))
-			for i, r := range q.Relay {
-				answer, err := h.Relayed(r)
-				if a.Relay[i].Answer = answer; err != nil {
-					a.Relay[i].Error = err.Error()
-				}
-			}
+			a.Relay = relayed(q.Relay, h)
 		case q.Explain != "":
 			var e leader.Explanation
 			e, err = h.Explained(q.Explain)
