--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -13,7 +13,7 @@
 
 // Sizes of the benchmarks: a grown fleet, with much more waiting than it can take.
 const (
-	benchMachines = 2000
+	benchMachines = 2050
 	benchJobs     = 1000
 	benchTasks    = 100 // a job
 )
