Jobs submitted with a mistake cost no machines and are tried ever more seldom

Now jobs and machines are judged by who succeeds with others; jobs at fault are probed, bring no demand, and are named in the record.

--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -69,7 +69,9 @@
 	if j.old && unresolved > 0 {
 		why = append(why, fmt.Sprintf("%d machines' tasks are not known yet after the take-over", unresolved))
 	}
-	if now < j.notBefore {
+	if f := j.failing(now); f != "" && !j.good() {
+		why = append(why, f)
+	} else if now < j.notBefore {
 		why = append(why, j.waitsFor)
 	}
 	if t := teams[j.spec.Team]; t != nil && t.Limit.CPU > 0 && t.Used.CPU+j.need.CPU > t.Limit.CPU {
@@ -119,7 +121,7 @@
 	waiting, held, cpus, open := 0, int64(0), int64(0), 0
 	for _, j := range l.jobs {
 		waiting += j.waiting()
-		if j.waiting() > 0 && now >= j.notBefore {
+		if j.ready(now) > 0 {
 			open++
 		}
 	}
--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -145,18 +145,18 @@
 // that still names them only makes a next leader careful. When that came before the
 // ends, nobody was told of a finished job for a minute while a fleet went home.
 func (l *Leader) urgency(key string) int {
-	for i, prefix := range []string{replica.JobPrefix, replica.UpPrefix, replica.BookingPrefix} {
+	for i, prefix := range []string{replica.JobPrefix, replica.UpPrefix, replica.StaffingKey, replica.BookingPrefix} {
 		if strings.HasPrefix(key, prefix) && l.dirty[key] {
 			return i
 		}
 	}
 	switch {
 	case !l.dirty[key]:
-		return 3
-	case strings.HasPrefix(key, replica.ProgressPrefix):
 		return 4
+	case strings.HasPrefix(key, replica.ProgressPrefix):
+		return 5
 	}
-	return 5
+	return 6
 }
 
 // markLazily has a key written when nothing more urgent is.
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -31,12 +31,20 @@
 	running   int              // of these, seen running
 	returned  []int            // tasks to start again
 	cursor    int              // tasks from here on have not been started
-	errors    map[string]bool  // machines where a task failed
-	failures  int              // since the last success
 	resumed   map[int]bool     // tasks that ran before, whose next run is shorter
 	broken    bool             // a gang that lost a task: all its tasks start again
 	notBefore micros.Micros
 	waitsFor  string
+	// How its tasks failed, see blame.go.
+	errors     map[string]micros.Micros // machines where one did, when last, while none has been done
+	failures   int                      // in this term
+	lastFailed string                   // machine
+	failTook   micros.Micros            // longest run that failed
+	tries      int                      // on the only machine
+	rounds     int                      // times put off
+	atFault    bool                     // rather than its machines
+	demandOf   *machineType             // that it was counted for, and how much
+	demandWork float64
 	// When a task was first and last seen running in this term, as time of day.
 	firstStart, lastStart micros.Micros
 	longest               micros.Micros // run of a task
@@ -64,7 +72,7 @@
 		need:     placement.Resources{CPU: ceil(s.CPUs), GPU: ceil(s.GPUs), Mem: ceil(s.MemoryGB)},
 		priority: wire.PriorityRank(s.Priority),
 		done:     newBitset(s.Tasks), stored: newBitset(s.Tasks),
-		on: map[int]*attempt{}, errors: map[string]bool{}, resumed: map[int]bool{},
+		on: map[int]*attempt{}, errors: map[string]micros.Micros{}, resumed: map[int]bool{},
 	}
 }
 
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -50,8 +50,9 @@
 	leaving   bool               // a return has been asked for
 	recallAt  micros.Micros
 	faultyAt  micros.Micros   // when found faulty
-	failures  int             // errors since the last success
-	failed    map[string]bool // jobs of these
+	strikes   int             // failures of good jobs since its last success
+	failed    map[string]bool // other jobs that failed on it since then, see blame.go
+	proven    micros.Micros   // when the latest task began that was done
 	notUntil  micros.Micros   // no starts before
 	busyTill  micros.Micros   // idle since, for returns
 }
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -177,8 +177,8 @@
 	var entries []entry
 	var waiting []*placement.Job
 	for _, j := range l.jobs {
-		n := j.waiting()
-		if n <= 0 || now < j.notBefore || j.broken || j.old && unresolved > 0 {
+		n := j.ready(now)
+		if n <= 0 || j.old && unresolved > 0 {
 			continue
 		}
 		s := j.spec
@@ -188,7 +188,7 @@
 			OneZone: s.OneZone, Spread: s.Spread, Whole: s.Shape == wire.ShapeGang, Spot: s.Spot, ImageGB: s.ImageGB,
 		}
 		w.Due, w.Later, w.Late = l.dues(j, covered[j], wall)
-		w.Pressing = w.Due-wall < 4*l.report
+		w.Pressing = w.Due-wall < 4*l.report && !j.probing()
 		w.Work = float64(n) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
 			w.PerZone = map[string]int{}
@@ -200,7 +200,7 @@
 		if j.ndone > 0 {
 			since = max(since, l.beganWall) // no earlier term's starts are known
 		}
-		if len(j.on) == 0 && wall-since > aged {
+		if len(j.on) == 0 && wall-since > aged && !j.probing() {
 			w.Aged, w.Late = true, false
 			if part := 1 + n/agedPart; !s.OneZone && !s.Spread && !w.Whole && part < n {
 				rest := *w
@@ -287,7 +287,9 @@
 func (l *Leader) covered() map[*job]bool {
 	byTeam := map[string][]*job{}
 	for _, j := range l.jobs {
-		byTeam[j.spec.Team] = append(byTeam[j.spec.Team], j)
+		if !j.atFault { // else it would keep the guarantee from the others
+			byTeam[j.spec.Team] = append(byTeam[j.spec.Team], j)
+		}
 	}
 	out := make(map[*job]bool, len(l.jobs))
 	for name, jobs := range byTeam {
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -215,12 +215,10 @@
 // exited takes over a task that has ended on its machine.
 func (l *Leader) exited(m *machine, j *job, task int, a *attempt, t *wire.ReportTask, now micros.Micros) {
 	if t.Cause == wire.CauseDone && j.spec.Shape != wire.ShapeService {
-		m.failures = 0
-		clear(m.failed)
-		j.failures = 0
 		if !j.done.has(task) && !j.over {
 			j.done.set(task)
 			j.ndone++
+			l.succeeded(m, j, a, now)
 			if a != nil {
 				l.finishedTask(j, m, a, now)
 			}
@@ -247,6 +245,11 @@
 	}
 	switch t.Cause {
 	case wire.CauseError:
+		j.failures++
+		j.lastFailed = m.id
+		if a.running != 0 {
+			j.failTook = max(j.failTook, now-a.running)
+		}
 		l.blame(m, j, now)
 	case wire.CauseNoRoom:
 		// Our count of what is free was wrong: wait for the next reports.
@@ -261,34 +264,6 @@
 	l.ended(a, "ended: "+t.Cause)
 }
 
-// faulty is why a machine on which tasks fail is emptied.
-const faulty = "tasks fail on it"
-
-// blame decides whether a failure speaks against the machine or the job. A
-// machine is judged on several jobs, or on a job that succeeds elsewhere; a
-// job that fails on several machines waits longer and longer.
-func (l *Leader) blame(m *machine, j *job, now micros.Micros) {
-	m.failures++
-	m.failed[j.spec.ID] = true
-	j.failures++
-	j.errors[m.id] = true
-	m.notUntil = now + micros.Micros(min(m.failures, 10))*micros.Second
-	if m.failures >= 2 && (len(m.failed) >= 2 || j.ndone > 0) && m.draining == "" {
-		m.draining = faulty
-		m.faultyAt = now
-		for _, a := range m.tasks {
-			if a.job.spec.CheckpointS > 0 {
-				l.stop(a, micros.FromSeconds(a.job.spec.SaveS), "its machine is faulty")
-			}
-		}
-		slog.Info("machine is faulty", "machine", m.id, "jobs", len(m.failed))
-	}
-	if len(j.errors) >= 3 && j.ndone == 0 {
-		j.notBefore = now + min(60*micros.Second, micros.Second<<min(j.failures, 10))
-		j.waitsFor = "its tasks failed on several machines"
-	}
-}
-
 func clearCommand(t *wire.ReportTask) wire.Command {
 	return wire.Command{Verb: wire.VerbClear, Task: t.Task, Attempt: t.Attempt}
 }
@@ -315,7 +290,7 @@
 	}
 	l.fill(m, now)
 	for _, j := range m.planned {
-		if len(orders) >= maxOrders || j.over || j.broken || now < j.notBefore || !m.free.Fits(j.need) {
+		if len(orders) >= maxOrders || j.over || j.ready(now) == 0 || !m.free.Fits(j.need) {
 			continue
 		}
 		task, ok := j.take()
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -121,9 +121,12 @@
 		return
 	}
 	work := float64(j.waiting()) * fraction(t, j.need)
+	j.demandOf, j.demandWork = t, work
 	due, _ := l.due(j, false, j.submitted)
 	t.lumps.Add(float64(j.spec.Tasks)*fraction(t, j.need), j.spec.Tasks, (due-j.submitted).Seconds() > t.BootS)
-	if !j.old {
+	if j.old {
+		j.demandWork = 0 // the record's rate has it
+	} else {
 		t.window.Add(now, work)
 	}
 	t.service.Estimate(work, l.expected(j.spec)+j.spec.ImageGB/math.Max(t.FetchGBPerS, 0.01))
@@ -320,9 +323,9 @@
 		return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.spec.ID, b.spec.ID))
 	})
 	for _, j := range jobs {
-		n := j.waiting() - planned[j]
+		n := j.ready(now) - planned[j]
 		t := l.typeFor(j, now)
-		if n <= 0 || now < j.notBefore || t == nil {
+		if n <= 0 || t == nil {
 			continue
 		}
 		// Machines are no help to what its team's limit keeps waiting.
@@ -432,7 +435,7 @@
 		if j.old && unresolved > 0 || teams[j.spec.Team].Room(j.need, 1) == 0 {
 			continue // not for want of machines
 		}
-		if j.waiting() <= 0 || now < j.notBefore || j.broken || now-j.seen < specialWait || wall-j.lastStart < specialWait {
+		if j.ready(now) <= 0 || now-j.seen < specialWait || wall-j.lastStart < specialWait {
 			continue
 		}
 		probe := placement.Job{Types: j.spec.Types, Zone: j.spec.Zone, Spot: j.spec.Spot}
@@ -452,7 +455,7 @@
 				break // its answer comes first
 			}
 			s := l.offers[o]
-			count := int(ceiling(float64(j.waiting())*fraction(l.types[o.Type], j.need))) - coming
+			count := int(ceiling(float64(j.ready(now))*fraction(l.types[o.Type], j.need))) - coming
 			if count > 0 && (s == nil || now >= s.until) && l.Term.Sure() {
 				l.book(o, min(count, 4))
 				break
@@ -520,7 +523,8 @@
 
 // staffingRecord is what a new leader goes on from.
 type staffingRecord struct {
-	Types map[string]typeRecord `json:"types"`
+	Types   map[string]typeRecord `json:"types"`
+	AtFault map[string]int        `json:"at_fault,omitempty"` // see atFaultRecord
 }
 
 type typeRecord struct {
@@ -535,7 +539,7 @@
 
 func (l *Leader) staffingRecord() staffingRecord {
 	now := micros.Now()
-	r := staffingRecord{Types: map[string]typeRecord{}}
+	r := staffingRecord{Types: map[string]typeRecord{}, AtFault: l.atFaultRecord()}
 	for _, t := range l.types {
 		r.Types[t.Name] = typeRecord{Lambda: t.window.Rate(now), M: t.m, Mu: t.service.Mu(t.finished), Finished: t.finished, Want: t.want, Target: t.target}
 	}
@@ -554,6 +558,7 @@
 	if _, err := l.Replica.Get(replica.StaffingKey, &r); err != nil {
 		return err
 	}
+	l.restoreAtFault(r.AtFault, now)
 	for name, t := range l.types {
 		x, ok := r.Types[name]
 		if !ok {
@@ -568,6 +573,6 @@
 			t.finished = x.Finished
 		}
 	}
-	slog.Debug("staffing restored", "types", len(r.Types))
+	slog.Info("staffing restored", "types", len(r.Types), "jobs_at_fault", len(r.AtFault))
 	return nil
 }
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -73,7 +73,8 @@
 // NewWindow measures over a length.
 func NewWindow(length micros.Micros) *Window { return &Window{length: length} }
 
-// Add counts weight at an instant not before the last one.
+// Add counts weight at an instant not before the last one; less than nothing takes back
+// what turned out to be no demand.
 func (w *Window) Add(at micros.Micros, weight float64) {
 	if w.began == 0 {
 		w.began = at
@@ -105,7 +106,7 @@
 		}
 		sum += e.weight
 	}
-	return sum / span.Seconds()
+	return math.Max(0, sum) / span.Seconds()
 }
 
 // MinTasks is how many tasks must have finished before their run times are
