--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -67,7 +67,7 @@
 	}
 	pressing := 0
 	for _, w := range q.waiting {
-		if w.Pressing {
+		if w.Pressing || w.Claims {
 			pressing += w.Waiting
 		}
 	}
@@ -189,6 +189,7 @@
 		}
 		w.Due, w.Later, w.Late = l.dues(j, covered[j], wall)
 		w.Pressing = w.Due-wall < 4*l.report && !j.probing()
+		w.Claims = j.priority > 0 && !j.probing()
 		w.Work = float64(n) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
 			w.PerZone = map[string]int{}
@@ -387,7 +388,7 @@
 			} else if !a.job.over {
 				p.Victims = append(p.Victims, placement.Victim{
 					Job: a.job.spec.ID, Task: a.task, Team: a.job.spec.Team, Priority: a.job.priority,
-					Need: a.job.need, Covered: covered[a.job], Lost: lostWork(a, now),
+					Need: a.job.need, Covered: covered[a.job], Guest: a.job.priority == 0 && !covered[a.job], Lost: lostWork(a, now),
 				})
 			}
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -73,6 +73,7 @@
 	Priority int
 	Need     Resources
 	Covered  bool          // within its team's guarantee
+	Guest    bool          // of the lowest priority, and guaranteed to nobody
 	Lost     micros.Micros // work that a stop would lose
 }
 
@@ -88,6 +89,7 @@
 	Work            float64         // CPU seconds that wait, as estimated
 	Late            bool            // cannot be in time any more, or set aside
 	Pressing        bool            // would be late if it waited for others to end
+	Claims          bool            // need not wait for guests to end
 	Need            Resources
 	Waiting         int
 	Total           int
@@ -287,13 +289,13 @@
 }
 
 // Preempt looks for running work of less claim to stop for pressing jobs that
-// found no room, at most limit jobs.
+// found no room, and for guests to stop for any other job; at most limit jobs.
 func Preempt(machines []Machine, jobs []*Job, teams map[string]*Team, limit int) (stops []Stop) {
 	for _, j := range jobs {
 		if limit == 0 {
 			break
 		}
-		if j.Waiting > 0 && j.Pressing {
+		if j.Waiting > 0 && (j.Pressing || j.Claims) {
 			stops = append(stops, preempt(machines, j, teams[j.Team])...)
 			limit--
 		}
@@ -444,7 +446,7 @@
 // yields tells whether v may be stopped for j: for a higher priority, or to
 // give j's team its guarantee from another team's borrowed room.
 func yields(v *Victim, j *Job) bool {
-	if v.Job == j.ID {
+	if v.Job == j.ID || !j.Pressing && !v.Guest {
 		return false
 	}
 	if j.Covered && !v.Covered && v.Team != j.Team {
@@ -481,7 +483,8 @@
 			return candidate{}, false
 		}
 		take, lost := victims(m, j)
-		return candidate{k, take, lost}, take != nil
+		// The image must be fetched there as well before the task starts.
+		return candidate{k, take, lost + fetch(m, j)}, take != nil
 	}
 	for k := range machines {
 		if want == 0 {
