--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -104,7 +104,9 @@
 	wire.MachineType
 	capacity placement.Resources
 	m        float64
+	mGuests  float64 // of m, by patient jobs
 	window   *staffing.Window
+	guests   *staffing.Window // of these
 	service  staffing.Service
 	lumps    staffing.Lumps
 	finished int
@@ -232,7 +234,7 @@
 		l.typeOrder = append(l.typeOrder, t.Name)
 		mt := l.types[t.Name]
 		if mt == nil {
-			mt = &machineType{window: staffing.NewWindow(l.Tuning.Window)}
+			mt = &machineType{window: staffing.NewWindow(l.Tuning.Window), guests: staffing.NewWindow(l.Tuning.Window)}
 			l.types[t.Name] = mt
 		}
 		mt.MachineType = t
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -10,6 +10,7 @@
 	"caperlatch/internal/cloud"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
 	"caperlatch/internal/wire"
 	"caperlatch/placement"
 	"caperlatch/staffing"
@@ -128,10 +129,21 @@
 		j.demandWork = 0 // the record's rate has it
 	} else {
 		t.window.Add(now, work)
+		if l.patient(j) {
+			t.guests.Add(now, work)
+		}
 	}
 	t.service.Estimate(work, l.expected(j.spec)+j.spec.ImageGB/math.Max(t.FetchGBPerS, 0.01))
 }
 
+// patient tells whether a job can do without ordinary machines: it is of the lowest
+// priority and nobody says when it should be done. At about three times the price its
+// work would cost more than it is worth.
+func (l *Leader) patient(j *job) bool {
+	return j.priority == 0 && j.spec.Spot && j.spec.DeadlineS == nil &&
+		!slices.ContainsFunc(l.Settings.Params.Objectives, func(o settings.Objective) bool { return o.Class == j.spec.Class })
+}
+
 // staff steps the model and rents or returns toward the target.
 func (l *Leader) staff(now micros.Micros) {
 	if !l.ready {
@@ -152,7 +164,7 @@
 			have[b.Type] += b.Count
 		}
 	}
-	need := l.waitingNeed(now)
+	need, dearNeed := l.waitingNeed(now)
 	types := l.byPrice()
 	l.raiseMeans()
 	l.stepModel(types, now)
@@ -161,10 +173,13 @@
 	excess, urgent := 0.0, 0.0
 	for _, t := range types {
 		size := math.Max(t.CPUs, 0.001)
-		floor := busy[t.Name]
+		floor, dearFloor := busy[t.Name], busy[t.Name]
 		if need[t.Name] > 0.01 {
 			floor = float64(have[t.Name]) + ceiling(need[t.Name])
 		}
+		if dearNeed[t.Name] > 0.01 {
+			dearFloor = float64(have[t.Name]) + ceiling(dearNeed[t.Name])
+		}
 		want, dearWant := t.want+excess/size, t.dear+urgent/size
 		target := int(math.Max(ceiling(want), floor))
 		short := target - have[t.Name]
@@ -183,7 +198,7 @@
 		l.markSurplus(t, have[t.Name]-lean)
 		given := float64(have[t.Name] + booked)
 		excess = math.Max(0, math.Max(want, floor)-given) * size
-		urgent = math.Max(0, math.Max(dearWant, floor)-given) * size
+		urgent = math.Max(0, math.Max(dearWant, dearFloor)-given) * size
 	}
 	// Ordinary machines cost about three times as much: only when no spot one of any
 	// type is to be had, the cheapest first.
@@ -251,8 +266,15 @@
 	for _, t := range types {
 		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
 		t.m = staffing.Step(t.m, lambda, mu, 1)
-		mean := staffing.PeakMean(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds())
+		// The same equation for the part that is not worth ordinary machines.
+		guests := t.guests.Rate(now)
+		t.mGuests = math.Min(t.m, staffing.Step(t.mGuests, guests, mu, 1))
+		all := staffing.PeakMean(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds())
 		servers := func(spot bool) float64 {
+			mean := all
+			if !spot {
+				mean = staffing.PeakMean(t.m-t.mGuests, math.Max(0, lambda-guests), mu, l.Tuning.ReviewInterval.Seconds())
+			}
 			if mean < 0.05 {
 				return 0 // formula (4) would keep a machine for nothing
 			}
@@ -289,9 +311,11 @@
 
 // waitingNeed is how many machines beyond the fleet the waiting tasks need to
 // be in time, by type.
-func (l *Leader) waitingNeed(now micros.Micros) map[string]float64 {
-	var waiting []staffing.Demand
-	var running []staffing.Running
+// The second result is what may be ordinary machines: it leaves out the patient jobs,
+// and what guests hold, since they give it back.
+func (l *Leader) waitingNeed(now micros.Micros) (need, dear map[string]float64) {
+	var waiting, impatient []staffing.Demand
+	var running, staying []staffing.Running
 	work := map[string]float64{} // by the type it is best for
 	total, supply, boot := 0.0, 0.0, math.Inf(1)
 	hidden := 0.0 // CPUs of machines whose tasks are not known
@@ -309,7 +333,11 @@
 			planned[j]++
 		}
 		for _, a := range m.tasks {
-			running = append(running, staffing.Running{CPUs: a.job.spec.CPUs, Left: l.left(a, now)})
+			r := staffing.Running{CPUs: a.job.spec.CPUs, Left: l.left(a, now)}
+			running = append(running, r)
+			if a.job.priority > 0 {
+				staying = append(staying, r)
+			}
 		}
 	}
 	for _, b := range l.bookings {
@@ -338,7 +366,8 @@
 		if j.old && hidden > 0 {
 			held := min(n, int(math.Ceil(hidden/math.Max(j.spec.CPUs, 0.001))))
 			hidden -= float64(held) * j.spec.CPUs
-			running = append(running, staffing.Running{CPUs: float64(held) * j.spec.CPUs, Left: l.expected(j.spec) / 2})
+			r := staffing.Running{CPUs: float64(held) * j.spec.CPUs, Left: l.expected(j.spec) / 2}
+			running, staying = append(running, r), append(staying, r)
 			if n -= held; n == 0 {
 				continue
 			}
@@ -351,22 +380,28 @@
 			in = 2 * t.BootS
 		}
 		waiting = append(waiting, staffing.Demand{Work: w, Due: in})
+		if !l.patient(j) {
+			impatient = append(impatient, staffing.Demand{Work: w, Due: in})
+		}
 		work[t.Name] += w
 		total += w
 	}
-	need := map[string]float64{}
+	need, dear = map[string]float64{}, map[string]float64{}
 	if total == 0 {
-		return need
+		return need, dear
 	}
-	mean := 0.0
+	mean, dearMean := 0.0, 0.0
 	for _, t := range l.types {
 		mean += t.m * t.CPUs
+		dearMean += (t.m - t.mGuests) * t.CPUs
 	}
 	short := staffing.Backlog(waiting, running, mean, supply, boot)
+	dearShort := staffing.Backlog(impatient, staying, dearMean, supply, boot)
 	for name, w := range work {
-		need[name] = short * w / total / math.Max(l.types[name].CPUs, 0.001)
+		part := w / total / math.Max(l.types[name].CPUs, 0.001)
+		need[name], dear[name] = short*part, math.Min(short, dearShort)*part
 	}
-	return need
+	return need, dear
 }
 
 // rentMore books up to n machines of a type and kind spread over the zones, and
