--- /dev/null
+++ b/internal/leader/consolidate.go
@@ -0,0 +1,91 @@
+package leader
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+
+	"caperlatch/internal/micros"
+	"caperlatch/placement"
+)
+
+// spread is why a machine is emptied whose few tasks have room elsewhere.
+const spread = "its tasks have room elsewhere"
+
+// A task is moved only after it has run for so long, since a start that is stopped
+// sooner helped nobody, and only if it should run for as long again.
+const movedAfter = 35 * micros.Second
+
+// consolidate empties machines that are not wanted and hold a few tasks that can save,
+// when others have room for all of these: long tasks of guests, spread thin, kept half
+// of a fleet up for minutes after everybody else had gone. It acts only while nothing
+// waits, so that a moved task finds its room at once.
+func (l *Leader) consolidate(now micros.Micros) {
+	if len(l.queue.jobs) > 0 || !l.Term.Held() || !l.Term.Sure() || l.unresolved() > 0 {
+		return
+	}
+	var ms []*machine
+	for _, m := range l.order {
+		if l.types[m.kind.Type] != nil && m.open(now) && len(m.tasks) > 0 && now-m.reported <= 2*l.report {
+			ms = append(ms, m)
+		}
+	}
+	// The dearest a held CPU first: these are emptied, into the others from the end.
+	perHeld := func(m *machine) float64 {
+		t := l.types[m.kind.Type]
+		return price(t, m.kind.Spot) / float64(max(1, t.capacity.CPU-m.free.CPU))
+	}
+	slices.SortStableFunc(ms, func(a, b *machine) int {
+		return cmp.Or(cmp.Compare(perHeld(b), perHeld(a)), cmp.Compare(a.id, b.id))
+	})
+	room := make([]placement.Resources, len(ms))
+	for i, m := range ms {
+		room[i] = m.free
+	}
+	for i, m := range ms {
+		if !m.surplus && !m.unworthy || !l.movable(m, now) {
+			continue
+		}
+		into := slices.Clone(room)
+		fits := true
+		for _, a := range m.tasks {
+			k := len(ms) - 1
+			for ; k > i; k-- {
+				o := ms[k]
+				if o.draining == "" && !o.unworthy && into[k].Fits(a.job.need) &&
+					placement.Allowed(&placement.Job{Types: a.job.spec.Types, Zone: a.job.spec.Zone, Spot: a.job.spec.Spot}, o.kind.Type, o.kind.Zone, o.kind.Spot) {
+					break
+				}
+			}
+			if fits = k > i; !fits {
+				break
+			}
+			into[k] = into[k].Plus(a.job.need, -1)
+		}
+		if !fits {
+			continue
+		}
+		room = into
+		m.draining = spread
+		slog.Debug("consolidating", "machine", m.id, "type", m.kind.Type, "spot", m.kind.Spot, "tasks", len(m.tasks))
+		for _, a := range m.tasks {
+			l.stop(a, micros.FromSeconds(a.job.spec.SaveS), spread)
+		}
+	}
+}
+
+// movable tells whether all tasks of a machine can save and are worth moving.
+func (l *Leader) movable(m *machine, now micros.Micros) bool {
+	for _, a := range m.tasks {
+		s := a.job.spec
+		if s.CheckpointS <= 0 || s.OneZone || s.Spread || a.job.over || a.stopped != 0 ||
+			a.running == 0 || now-a.running < movedAfter {
+			return false
+		}
+		// One that has outlasted its estimate may last for long.
+		if left := l.expected(s) - (now - a.began).Seconds(); left >= 0 && left < movedAfter.Seconds() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/leader/consolidate_test.go
@@ -0,0 +1,101 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/wire"
+)
+
+// TestConsolidate has long tasks thin on two machines. The one that is not wanted is
+// emptied into the other, unless that would help nobody or lose work.
+func TestConsolidate(t *testing.T) {
+	const s = micros.Second
+	cases := []struct {
+		name     string
+		saves    float64
+		ran      micros.Micros
+		surplus  bool
+		waiting  bool
+		tasks    [2]int // on each machine of four CPUs
+		held     bool
+		unworthy bool // the other machine
+		emptied  bool
+	}{
+		{"room elsewhere", 30, 60 * s, true, false, [2]int{1, 2}, true, false, true},
+		{"no room elsewhere", 30, 60 * s, true, false, [2]int{2, 3}, true, false, false},
+		{"the machine is wanted", 30, 60 * s, false, false, [2]int{1, 2}, true, false, false},
+		{"its tasks never save", 0, 60 * s, true, false, [2]int{1, 2}, true, false, false},
+		{"they have just begun", 30, 10 * s, true, false, [2]int{1, 2}, true, false, false},
+		{"they are nearly over", 30, 290 * s, true, false, [2]int{1, 2}, true, false, false},
+		{"other work waits for the room", 30, 60 * s, true, true, [2]int{1, 2}, true, false, false},
+		{"in doubt", 30, 60 * s, true, false, [2]int{1, 2}, false, false, false},
+		{"the room is to be given up as well", 30, 60 * s, true, false, [2]int{1, 2}, true, true, false},
+	}
+	for _, c := range cases {
+		l, term := newTest(t)
+		term.held = c.held
+		now := micros.Now() + 1000*s
+		j := newJob(replica.Job{Spec: &wire.Job{ID: "j-000300", Team: "blue", Tasks: 20, CPUs: 1, EstimateS: 300, Spot: true, CheckpointS: c.saves, SaveS: 3}}, false)
+		l.jobs = map[string]*job{j.spec.ID: j}
+		l.addMachine("i-2", l.bookings["r-1"], now)
+		for i, m := range l.order {
+			m.up, m.stored, m.upStored, m.resolved, m.current, m.reported = true, true, true, true, true, now
+			for range c.tasks[i] {
+				task, _ := j.take()
+				l.hold(&attempt{job: j, task: task, n: 1, machine: m, sentAt: 1, began: now - c.ran, running: now - c.ran, state: wire.TaskRunning})
+			}
+		}
+		l.order[0].surplus, l.order[1].unworthy = c.surplus, c.unworthy
+		if c.waiting {
+			l.queue.jobs = []*job{j}
+		}
+		l.consolidate(now)
+		if got := l.order[0].draining == spread; got != c.emptied || l.order[1].draining != "" {
+			t.Errorf("%s: emptied %v (the other: %q), want %v", c.name, got, l.order[1].draining, c.emptied)
+		}
+		for _, a := range l.order[0].tasks {
+			if stopped := a.stopped != 0 && a.grace == 3*s; stopped != c.emptied {
+				t.Errorf("%s: a task is stopped with time to save: %v", c.name, stopped)
+			}
+		}
+	}
+}
+
+// TestUnworthy has guests on ordinary machines that nobody else wants: no more of them
+// start there. What others use, or wait for, stays open to all.
+func TestUnworthy(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		priorities []int // of a task on each machine
+		want, need float64
+		unworthy   int
+	}{
+		{"nobody wants them", []int{0, 0, 0}, 0, 0, 3},
+		{"one holds other work", []int{0, 1, 0}, 0, 0, 2},
+		{"the formula wants two", []int{0, 0, 0}, 2, 0, 1},
+		{"other work waits", []int{0, 0, 0}, 0, 1, 0},
+	} {
+		l, _ := newTest(t)
+		for i, p := range c.priorities {
+			if i > 0 {
+				l.addMachine(fmt.Sprintf("i-%d", i+1), l.bookings["r-1"], l.began)
+			}
+			j := newJob(replica.Job{Spec: &wire.Job{ID: fmt.Sprintf("j-00030%d", i), Team: "blue", Tasks: 1, CPUs: 1, Spot: true}}, false)
+			j.priority = p
+			l.hold(&attempt{job: j, machine: l.order[i]})
+		}
+		l.markUnworthy(l.types["m4"], c.want, c.need)
+		n := 0
+		for _, m := range l.order {
+			if m.unworthy {
+				n++
+			}
+		}
+		if n != c.unworthy {
+			t.Errorf("%s: %d machines closed to guests, want %d", c.name, n, c.unworthy)
+		}
+	}
+}
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -46,6 +46,7 @@
 	images    imageCache
 	have      placement.ImageSet // these, and what is being fetched
 	surplus   bool               // not wanted by the formula
+	unworthy  bool               // an ordinary one that only patient work would use
 	draining  string             // why it gets no more tasks
 	leaving   bool               // a return has been asked for
 	recallAt  micros.Micros
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -190,6 +190,7 @@
 		w.Due, w.Later, w.Late = l.dues(j, covered[j], wall)
 		w.Pressing = w.Due-wall < 4*l.report && !j.probing()
 		w.Claims = j.priority > 0 && !j.probing()
+		w.Patient = l.patient(j)
 		w.Work = float64(n) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
 			w.PerZone = map[string]int{}
@@ -202,10 +203,10 @@
 			since = max(since, l.beganWall) // no earlier term's starts are known
 		}
 		if len(j.on) == 0 && wall-since > aged && !j.probing() {
-			w.Aged, w.Late = true, false
+			w.Aged, w.Late, w.Patient = true, false, false
 			if part := 1 + n/agedPart; !s.OneZone && !s.Spread && !w.Whole && part < n {
 				rest := *w
-				rest.Aged = false
+				rest.Aged, rest.Patient = false, l.patient(j)
 				w.Waiting, rest.Waiting = part, n-part
 				entries, waiting = append(entries, entry{&rest, j}), append(waiting, &rest)
 			}
@@ -351,7 +352,7 @@
 	p := placement.Machine{
 		ID: m.id, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.kind.Spot,
 		Free: m.free, Delay: max(0, m.reported+l.report-now), Idle: len(m.tasks) == 0,
-		Images: m.have, GBPerS: t.FetchGBPerS,
+		Unworthy: m.unworthy, Images: m.have, GBPerS: t.FetchGBPerS,
 		Dear: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
 	}
 	if m.surplus {
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -196,6 +196,7 @@
 			lean = have[t.Name]
 		}
 		l.markSurplus(t, have[t.Name]-lean)
+		l.markUnworthy(t, dearWant, dearNeed[t.Name])
 		given := float64(have[t.Name] + booked)
 		excess = math.Max(0, math.Max(want, floor)-given) * size
 		urgent = math.Max(0, math.Max(dearWant, dearFloor)-given) * size
@@ -210,6 +211,7 @@
 		}
 	}
 	l.rentSpecial(now)
+	l.consolidate(now)
 	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
 		l.dirty[replica.StaffingKey] = true
 		l.wakeFlush()
@@ -237,6 +239,40 @@
 	}
 }
 
+// markUnworthy picks the ordinary machines of a type that only patient work would use.
+// They get none of it, and so are returned when they are idle: once rented for others,
+// guests kept them for the rest of the day.
+func (l *Leader) markUnworthy(t *machineType, want, need float64) {
+	wanted := ceiling(want)
+	var ms []*machine
+	for _, m := range l.order {
+		if m.kind.Type != t.Name || m.leaving || m.draining != "" {
+			continue
+		}
+		m.unworthy = false
+		if m.kind.Spot {
+			wanted--
+			continue
+		}
+		only := true
+		for _, a := range m.tasks {
+			only = only && l.patient(a.job)
+		}
+		if only {
+			ms = append(ms, m)
+		} else {
+			wanted--
+		}
+	}
+	if need > 0.01 {
+		return
+	}
+	slices.SortStableFunc(ms, func(a, b *machine) int { return cmp.Compare(len(a.tasks), len(b.tasks)) })
+	for _, m := range ms[:max(0, min(len(ms), len(ms)-int(math.Max(0, wanted))))] {
+		m.unworthy = true
+	}
+}
+
 // ceiling rounds machines up, but not for a trace of one.
 func ceiling(machines float64) float64 { return math.Ceil(machines - 0.01) }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -62,6 +62,7 @@
 	Images         ImageSet      // cached or being fetched
 	GBPerS         float64       // image fetch
 	Dear           micros.Micros // wait that is put up with to leave it idle
+	Unworthy       bool          // of patient work: dear, and wanted by no other
 	Victims        []Victim      // running tasks that could be stopped
 }
 
@@ -90,6 +91,7 @@
 	Late            bool            // cannot be in time any more, or set aside
 	Pressing        bool            // would be late if it waited for others to end
 	Claims          bool            // need not wait for guests to end
+	Patient         bool            // not worth dear machines
 	Need            Resources
 	Waiting         int
 	Total           int
@@ -224,6 +226,11 @@
 		(j.Zone == "" || j.Zone == zone) && (j.Spot || !spot)
 }
 
+// admits tells the same of a machine, and whether the job is worth it.
+func admits(m *Machine, j *Job) bool {
+	return Allowed(j, m.Type, m.Zone, m.Spot) && !(j.Patient && m.Unworthy)
+}
+
 // zoneRoom tells how many more tasks of j may be in zone.
 func zoneRoom(j *Job, zone string) int {
 	if j.OneZone {
@@ -322,7 +329,7 @@
 			if best >= 0 && (seen == lookahead || claim(jobs[best], j) != 0) {
 				break
 			}
-			if !m.Free.Fits(j.Need) || !Allowed(j, m.Type, m.Zone, m.Spot) {
+			if !m.Free.Fits(j.Need) || !admits(m, j) {
 				continue
 			}
 			n := m.Free.Times(j.Need, teams[j.Team].Room(j.Need, min(j.Waiting, zoneRoom(j, m.Zone))))
@@ -407,7 +414,7 @@
 	var candidates []candidate
 	for _, k := range open {
 		m := &machines[k]
-		if m.Free.Fits(j.Need) && Allowed(j, m.Type, m.Zone, m.Spot) && zoneRoom(j, m.Zone) > 0 && worthWaiting(m, j) {
+		if m.Free.Fits(j.Need) && admits(m, j) && zoneRoom(j, m.Zone) > 0 && worthWaiting(m, j) {
 			candidates = append(candidates, candidate{k, cost(m, j)})
 		}
 	}
@@ -460,7 +467,7 @@
 	for k := range machines {
 		// What is being freed already will serve the first in the queue.
 		m := &machines[k]
-		if want > 0 && Allowed(j, m.Type, m.Zone, m.Spot) {
+		if want > 0 && admits(m, j) {
 			n := m.Free.Plus(m.Soon, 1).Times(j.Need, min(want, zoneRoom(j, m.Zone)))
 			m.Soon = m.Soon.Plus(j.Need, -int64(n))
 			want -= n
@@ -479,7 +486,7 @@
 	}
 	look := func(k int) (candidate, bool) {
 		m := &machines[k]
-		if !Allowed(j, m.Type, m.Zone, m.Spot) || zoneRoom(j, m.Zone) == 0 {
+		if !admits(m, j) || zoneRoom(j, m.Zone) == 0 {
 			return candidate{}, false
 		}
 		take, lost := victims(m, j)
