Late boots: replaced when late alone, waited for when most are late, sampled

Cause: whatever took 1.6 times the catalog's time was rented a second time and whatever took twice was returned, also when all were slow. Now a machine that is late with most of those rented with it, and no better after it, still counts; a tenth of these is replaced each half boot to see.

--- /dev/null
+++ b/internal/leader/boot_test.go
@@ -0,0 +1,70 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+
+	"caperlatch/internal/micros"
+)
+
+// TestBoots has machines come up late or never. One that is late alone is replaced, and
+// returned in the end; when most are late there is no second fleet beside the first.
+func TestBoots(t *testing.T) {
+	const s = micros.Second
+	cases := []struct {
+		name          string
+		up            int // of ten rented together
+		age           micros.Micros
+		came, never   float64 // late ones before
+		newer         int     // rented 20 s later, and up; less than 0: and late
+		overdue, left bool
+	}{
+		{"in time", 0, 30 * s, 0, 0, 0, false, false},
+		{"late alone", 9, 40 * s, 0, 0, 0, true, false},
+		{"late with most", 2, 40 * s, 0, 0, 0, false, false},
+		{"late with most for long", 2, 85 * s, 0, 0, 0, false, false},
+		{"late with most, and so are newer ones", 2, 60 * s, 0, 0, -3, false, false},
+		{"late with most for too long", 2, 95 * s, 0, 0, 0, false, true},
+		{"late with most, but newer ones are up", 2, 60 * s, 0, 0, 9, true, false},
+		{"late alone, where late ones came", 9, 60 * s, 1, 0, 0, true, false},
+		{"late alone, where they never did", 9, 60 * s, 0, 2, 0, true, true},
+	}
+	for _, c := range cases {
+		l, _ := newTest(t)
+		l.types["m4"].BootS = 20
+		l.returned(l.machines["i-1"])
+		now := l.began + 1000*s
+		l.lateBoots = boots{c.came, c.never}
+		add := func(i int, age micros.Micros, up bool) *machine {
+			m := l.addMachine(fmt.Sprintf("i-1%02d", i), &booking{id: "r-5", Type: "m4", Zone: "a", Answered: true}, now)
+			m.rentedAt, m.up, m.reported, m.answered = now-age, up, now, now
+			if up {
+				m.upList = 0
+			}
+			return m
+		}
+		for i := range 10 {
+			add(i, c.age, i < c.up)
+		}
+		for i := range max(c.newer, -c.newer) {
+			add(10+i, c.age-20*s, c.newer > 0)
+		}
+		l.watchMachines(now)
+		m := l.machines["i-109"]
+		probes := 0
+		for _, o := range l.order {
+			if o.leaving && o.withMost && o != m {
+				probes++
+			}
+		}
+		if want := c.age > 50*s && m.withMost && !c.left; (probes == 1) != want {
+			t.Errorf("%s: %d replaced to see whether others boot sooner", c.name, probes)
+		}
+		if got := l.overdue(m, now); got != c.overdue {
+			t.Errorf("%s: overdue %v, want %v", c.name, got, c.overdue)
+		}
+		if m.leaving != c.left {
+			t.Errorf("%s: returned %v, want %v", c.name, m.leaving, c.left)
+		}
+	}
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -83,6 +83,7 @@
 	plannedAt  micros.Micros
 	unseen     int // machines whose tasks are not known, as of the last look
 	preempted  micros.Micros
+	lateBoots  boots
 	ends       int // tasks that were done since endsAt
 	endsAt     micros.Micros
 	endsRate   float64
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -56,6 +56,7 @@
 	proven    micros.Micros   // when the latest task began that was done
 	notUntil  micros.Micros   // no starts before
 	busyTill  micros.Micros   // idle since, for returns
+	withMost  bool            // it is late as most that were rented with it
 }
 
 func (l *Leader) addMachine(id string, b *booking, now micros.Micros) *machine {
@@ -169,6 +170,8 @@
 func (l *Leader) watchMachines(now micros.Micros) {
 	w := l.Settings.Params.Workers
 	mass := l.massSilence(now)
+	l.watchBoots(now)
+	l.probeBoots(now)
 	l.unseen = l.unresolved()
 	for _, m := range slices.Clone(l.order) {
 		over := now > l.leaseOver(m)
@@ -190,6 +193,7 @@
 		case m.deaf >= deafAfter && now-m.deafSince > l.silentLimit(m) && (!mass || over):
 			l.giveUp(m, "it hears nothing")
 		case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*w.Report():
+			l.lateBoots.add(false)
 			l.giveUp(m, "did not boot")
 		case m.draining != "" && len(m.tasks) == 0 && m.resolved:
 			l.giveUp(m, m.draining)
@@ -211,22 +215,6 @@
 	}
 }
 
-// overdue tells whether a machine takes longer to come up than most do, or is silent
-// beyond its lease. It is no longer counted on, though it may still come.
-func (l *Leader) overdue(m *machine, now micros.Micros) bool {
-	t := l.types[m.kind.Type]
-	return m.expired != 0 || t != nil && !m.up && now-m.rentedAt > micros.FromSeconds(1.6*t.BootS)+2*micros.Second
-}
-
-// bootLimit is when a machine that has not come up counts as stuck.
-func (l *Leader) bootLimit(m *machine) micros.Micros {
-	boot := 30 * micros.Second
-	if t := l.types[m.kind.Type]; t != nil {
-		boot = micros.FromSeconds(t.BootS)
-	}
-	return boot*2 + 10*micros.Second
-}
-
 // hold counts a task as being on its machine.
 func (l *Leader) hold(a *attempt) {
 	a.machine.tasks[taskName(a.job.spec.ID, a.task)] = a
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -64,6 +64,9 @@
 	}
 	if m.first == 0 {
 		m.first = now
+		if !m.up {
+			l.booted(m, now)
+		}
 	}
 	if !m.up {
 		l.markUp(m)
