--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"math"
 	"slices"
 
 	"caperlatch/internal/micros"
@@ -83,7 +84,20 @@
 			return false
 		}
 		// One that has outlasted its estimate may last for long.
-		if left := l.expected(s) - (now - a.began).Seconds(); left >= 0 && left < movedAfter.Seconds() {
+		run := l.expected(s)
+		left := run - (now - a.began).Seconds()
+		if left >= 0 && left < movedAfter.Seconds() {
+			return false
+		}
+		if l.patient(a.job) {
+			continue
+		}
+		// It must not be late for being moved: on fleets whose images take 25 s to
+		// fetch, a fifth of the jobs with a deadline were.
+		wall := micros.Wall()
+		due, late := l.due(a.job, false, wall)
+		over := s.SaveS + s.ImageGB/math.Max(0.01, l.types[m.kind.Type].FetchGBPerS) + 2*l.report.Seconds()
+		if late || (due-wall).Seconds()+run-l.left(a, now) < 3*over {
 			return false
 		}
 	}
--- a/internal/leader/consolidate_test.go
+++ b/internal/leader/consolidate_test.go
@@ -22,23 +22,29 @@
 		tasks    [2]int // on each machine of four CPUs
 		held     bool
 		unworthy bool // the other machine
+		due      float64
 		emptied  bool
 	}{
-		{"room elsewhere", 30, 60 * s, true, false, [2]int{1, 2}, true, false, true},
-		{"no room elsewhere", 30, 60 * s, true, false, [2]int{2, 3}, true, false, false},
-		{"the machine is wanted", 30, 60 * s, false, false, [2]int{1, 2}, true, false, false},
-		{"its tasks never save", 0, 60 * s, true, false, [2]int{1, 2}, true, false, false},
-		{"they have just begun", 30, 10 * s, true, false, [2]int{1, 2}, true, false, false},
-		{"they are nearly over", 30, 290 * s, true, false, [2]int{1, 2}, true, false, false},
-		{"other work waits for the room", 30, 60 * s, true, true, [2]int{1, 2}, true, false, false},
-		{"in doubt", 30, 60 * s, true, false, [2]int{1, 2}, false, false, false},
-		{"the room is to be given up as well", 30, 60 * s, true, false, [2]int{1, 2}, true, true, false},
+		{"room elsewhere", 30, 60 * s, true, false, [2]int{1, 2}, true, false, 0, true},
+		{"no room elsewhere", 30, 60 * s, true, false, [2]int{2, 3}, true, false, 0, false},
+		{"the machine is wanted", 30, 60 * s, false, false, [2]int{1, 2}, true, false, 0, false},
+		{"its tasks never save", 0, 60 * s, true, false, [2]int{1, 2}, true, false, 0, false},
+		{"they have just begun", 30, 10 * s, true, false, [2]int{1, 2}, true, false, 0, false},
+		{"they are nearly over", 30, 290 * s, true, false, [2]int{1, 2}, true, false, 0, false},
+		{"other work waits for the room", 30, 60 * s, true, true, [2]int{1, 2}, true, false, 0, false},
+		{"in doubt", 30, 60 * s, true, false, [2]int{1, 2}, false, false, 0, false},
+		{"time enough to be moved", 30, 60 * s, true, false, [2]int{1, 2}, true, false, 700, true},
+		{"it would be late for being moved", 30, 60 * s, true, false, [2]int{1, 2}, true, false, 255, false},
+		{"the room is to be given up as well", 30, 60 * s, true, false, [2]int{1, 2}, true, true, 0, false},
 	}
 	for _, c := range cases {
 		l, term := newTest(t)
 		term.held = c.held
 		now := micros.Now() + 1000*s
 		j := newJob(replica.Job{Spec: &wire.Job{ID: "j-000300", Team: "blue", Tasks: 20, CPUs: 1, EstimateS: 300, Spot: true, CheckpointS: c.saves, SaveS: 3}}, false)
+		if j.submitted = micros.Wall(); c.due > 0 {
+			j.spec.DeadlineS = &c.due
+		}
 		l.jobs = map[string]*job{j.spec.ID: j}
 		l.addMachine("i-2", l.bookings["r-1"], now)
 		for i, m := range l.order {
