Tests: meetings of troubles under a checker of all rules; late writes of each kind

Every meeting that operators named is a case: ends on both sides of take-overs, the state service refusing one and then all, a leader cut from state service and peers, machines that can't be reached or don't hear, old copies, held commands, nodes back within a second.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -15,20 +15,20 @@
 	RunFor  func(task string) float64
 	ReportS float64
 	LeaseS  float64
+	Rules   *Rules
 
 	mu       sync.Mutex
 	bookings map[string][]string
 	machines map[string]*Worker
 	next     int
 	sites    map[string]string // task -> machine that has it
-	broken   []string
 	starts   int
 	rented   int
 }
 
 // NewCloud makes a cloud without machines.
-func NewCloud(n *Net, nodes []string, reportS, leaseS float64, runFor func(string) float64) *Cloud {
-	return &Cloud{Net: n, Nodes: nodes, RunFor: runFor, ReportS: reportS, LeaseS: leaseS,
+func NewCloud(n *Net, rules *Rules, nodes []string, reportS, leaseS float64, runFor func(string) float64) *Cloud {
+	return &Cloud{Net: n, Rules: rules, Nodes: nodes, RunFor: runFor, ReportS: reportS, LeaseS: leaseS,
 		bookings: map[string][]string{}, machines: map[string]*Worker{}, sites: map[string]string{}}
 }
 
@@ -65,6 +65,7 @@
 			c.next++
 			c.rented++
 			ids = append(ids, id)
+			c.Rules.Rented(id, q)
 			wk := newWorker(c, id, q)
 			c.machines[id] = wk
 			c.Net.Handle(wk.address, wk)
@@ -94,6 +95,7 @@
 	for task, m := range c.sites {
 		if m == id {
 			delete(c.sites, task)
+			c.Rules.Left(task, id, false)
 		}
 	}
 }
@@ -102,26 +104,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
-	if m, ok := c.sites[task]; ok && m != machine {
-		c.broken = append(c.broken, fmt.Sprintf("ran_twice: %s on %s and %s", task, m, machine))
-	}
+	c.Rules.Started(task, machine)
 	c.sites[task] = machine
 }
 
-func (c *Cloud) left(task, machine string) {
+func (c *Cloud) left(task, machine string, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sites[task] == machine {
 		delete(c.sites, task)
+		c.Rules.Left(task, machine, done)
 	}
 }
 
 // Broken lists the rules broken so far.
-func (c *Cloud) Broken() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return append([]string(nil), c.broken...)
-}
+func (c *Cloud) Broken() []string { return c.Rules.Broken() }
 
 // Starts counts the tasks started, Rented the machines rented.
 func (c *Cloud) Starts() int {
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -30,12 +30,13 @@
 	Copied
 )
 
-// lateBy is when a late request is carried out, copyBy when a copy of one is: well
-// over the tests' lease.
-const (
-	lateBy = 8 * time.Second
-	copyBy = 18 * time.Second
-)
+// lateBy is when the nth late request is carried out: 2 to 12 s after it was sent, so
+// that they overtake each other.
+func lateBy(n int) time.Duration { return 2*time.Second + time.Duration(n*7%11)*time.Second }
+
+// copyBy is when a copy of the nth request that is copied is carried out: from 2 s later
+// to well over the tests' lease.
+func copyBy(n int) time.Duration { return 2*time.Second + time.Duration(n*7%17)*time.Second }
 
 // Net carries requests to handlers by host.
 type Net struct {
@@ -45,6 +46,7 @@
 	late     sync.WaitGroup
 	calls    map[string]int // to workers in progress, by sender
 	most     int            // of these at a time, of any sender
+	lates    int            // late requests so far
 }
 
 // NewNet makes a network without faults.
@@ -123,17 +125,21 @@
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Header: http.Header{}, Request: r}, nil
 	case LostAnswer:
 		serve(r.Context())
-	case Late:
-		t.net.late.Go(func() {
-			time.Sleep(lateBy)
-			serve(context.Background())
-		})
-	case Copied:
+	case Late, Copied:
+		t.net.mu.Lock()
+		t.net.lates++
+		by := lateBy(t.net.lates)
+		if fault == Copied {
+			by = copyBy(t.net.lates)
+		}
+		t.net.mu.Unlock()
 		t.net.late.Go(func() {
-			time.Sleep(copyBy)
+			time.Sleep(by)
 			serve(context.Background())
 		})
-		return serve(r.Context()), nil
+		if fault == Copied {
+			return serve(r.Context()), nil
+		}
 	case Pass:
 		return serve(r.Context()), nil
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -58,7 +58,24 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// keepTime ends tasks on time, also while a report waits for its answer.
+func (w *Worker) keepTime(ctx context.Context) {
+	t := time.NewTicker(100 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			w.mu.Lock()
+			w.step()
+			w.mu.Unlock()
+		}
+	}
+}
+
 func (w *Worker) run(ctx context.Context) {
+	go w.keepTime(ctx)
 	for ctx.Err() == nil {
 		pause := w.cloud.ReportS
 		if !w.report(ctx) {
@@ -80,7 +97,7 @@
 	now := time.Now()
 	if now.Sub(w.renewed) > seconds(w.cloud.LeaseS) {
 		for _, t := range w.tasks {
-			w.cloud.left(t.Task, w.ID)
+			w.cloud.left(t.Task, w.ID, false)
 		}
 		w.tasks = nil
 		w.session++
@@ -89,7 +106,7 @@
 	for _, t := range w.tasks {
 		if t.State == wire.TaskRunning && !now.Before(t.ends) {
 			t.State, t.Cause = wire.TaskExited, wire.CauseDone
-			w.cloud.left(t.Task, w.ID)
+			w.cloud.left(t.Task, w.ID, true)
 		}
 	}
 }
@@ -196,7 +213,7 @@
 		case wire.VerbStop:
 			if i >= 0 && w.tasks[i].State != wire.TaskExited {
 				w.tasks[i].State, w.tasks[i].Cause = wire.TaskExited, wire.CauseStopped
-				w.cloud.left(c.Task, w.ID)
+				w.cloud.left(c.Task, w.ID, false)
 			}
 		case wire.VerbClear:
 			if i >= 0 && w.tasks[i].State == wire.TaskExited {
--- /dev/null
+++ b/meetings_test.go
@@ -0,0 +1,353 @@
+package caperlatch
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// Jobs of a meeting of troubles. Their tasks end far apart, so that ends lie on both
+// sides of whatever happens; the doomed ones are cancelled in its midst.
+var (
+	meetingTasks = map[string][]float64{
+		"j-000001": {2, 25}, "j-000002": {3, 14, 40}, "j-000003": {8, 50}, "j-000004": {1, 20, 33},
+		"j-000005": {4, 4, 4, 4, 4, 4}, // of a team with a limit of four CPUs
+		"j-000006": {300, 300}, "j-000007": {300, 2, 300}, "j-000008": {300},
+	}
+	meetingDoomed = []string{"j-000006", "j-000007", "j-000008"}
+)
+
+// meet has the jobs accepted, users ask every node about them all the time, and a
+// trouble happen. In its midst users cancel the doomed ones. Afterwards the others must
+// be done, and no rule broken at any moment.
+func meet(t *testing.T, nodes int, trouble func(c *cluster, cancel func())) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newClusterOf(t, nodes)
+		defer c.close()
+		c.cloud.RunFor = func(task string) float64 {
+			id, n, _ := strings.Cut(task, "/")
+			return meetingTasks[id][n[0]-'0']
+		}
+		submit := func(id string) {
+			job := testJob(id, len(meetingTasks[id]))
+			job["expect_s"] = 200.0 // for a fleet with room: a task that may start twice can
+			if id == "j-000005" {
+				job["desk"] = "small"
+			}
+			for try := range 90 {
+				if code, _ := c.request(http.MethodPost, try%nodes, "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+					return
+				}
+				time.Sleep(time.Second)
+			}
+			t.Errorf("%s was not accepted", id)
+		}
+		var ids []string
+		for i := range len(meetingTasks) {
+			ids = append(ids, fmt.Sprintf("j-%06d", i+1))
+		}
+		for _, id := range ids {
+			if id != "j-000004" {
+				submit(id)
+			}
+		}
+		over, asked := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(asked)
+			for n := 0; ; n++ {
+				select {
+				case <-over:
+					return
+				case <-time.After(300 * time.Millisecond):
+				}
+				id := "j-999999" // nobody submitted it
+				if n%9 < len(ids) {
+					id = ids[n%9]
+				}
+				go c.request(http.MethodGet, n/9%nodes, "/v1/jobs/"+id, nil)
+			}
+		}()
+		cancelled := make(chan struct{})
+		trouble(c, func() {
+			go func() {
+				defer close(cancelled)
+				for _, id := range meetingDoomed {
+					done := false
+					for try := 0; try < 90 && !done; try++ {
+						code, s := c.request(http.MethodPost, try%nodes, "/v1/jobs/"+id+"/abort", nil)
+						done = code == http.StatusOK && s.Status == wire.JobCancelled
+						time.Sleep(time.Second)
+					}
+					if !done {
+						t.Errorf("%s could not be cancelled", id)
+					}
+				}
+			}()
+		})
+		c.setFault(nil)
+		<-cancelled
+		submit("j-000004")
+		for _, id := range ids[:5] {
+			c.await(id, wire.JobDone, 3*time.Minute)
+		}
+		close(over)
+		<-asked
+		time.Sleep(time.Duration(cancelS) * time.Second)
+		c.answersAll(ids)
+		for _, rule := range c.rules.Broken() {
+			t.Error(rule)
+		}
+	})
+}
+
+func host(i int) string { return fmt.Sprintf("host-%d:8080", i) }
+
+// contains tells whether a request's body names a key.
+func contains(r *http.Request, key string) bool {
+	if r.GetBody == nil {
+		return false
+	}
+	body, err := r.GetBody()
+	if err != nil {
+		return false
+	}
+	b, err := io.ReadAll(body)
+	return err == nil && bytes.Contains(b, []byte(key))
+}
+
+// TestMeetings has two troubles meet.
+func TestMeetings(t *testing.T) {
+	isReport := func(r *http.Request) bool { return r.URL.Path == "/hello" }
+	isCommand := func(r *http.Request) bool { return r.URL.Path == "/commands" }
+	isTxn := func(r *http.Request) bool { return r.URL.Path == "/txn" }
+	// half are every other machine.
+	half := func(name string) bool {
+		return strings.HasPrefix(name, "i-") && (name[8-1]-'0')%2 == 0
+	}
+	every := func(n int, fault standin.Fault, match func(*http.Request) bool) func(string, *http.Request) standin.Fault {
+		count := 0
+		return func(_ string, r *http.Request) standin.Fault {
+			if match(r) {
+				if count++; count%n == 0 {
+					return fault
+				}
+			}
+			return standin.Pass
+		}
+	}
+	cases := []struct {
+		name    string
+		nodes   int
+		trouble func(c *cluster, cancel func())
+	}{
+		{"ends on both sides of changes of leader, records without an answer", 3, func(c *cluster, cancel func()) {
+			c.setFault(every(2, standin.LostAnswer, isTxn))
+			for range 4 {
+				time.Sleep(6 * time.Second)
+				c.back(c.leader())
+			}
+			cancel()
+			time.Sleep(5 * time.Second)
+		}},
+		{"the state service refuses the leader alone, then all for longer than cancel_s", 5, func(c *cluster, cancel func()) {
+			time.Sleep(8 * time.Second)
+			prefix := fmt.Sprintf("host-%d/", c.leader())
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if strings.HasPrefix(from, prefix) && isState(r) {
+					return standin.Refused
+				}
+				return standin.Pass
+			})
+			time.Sleep(5 * time.Second)
+			cancel()
+			time.Sleep(2 * time.Second)
+			c.setFault(func(_ string, r *http.Request) standin.Fault {
+				if isState(r) {
+					return standin.Refused
+				}
+				return standin.Pass
+			})
+			time.Sleep(time.Duration(cancelS+10) * time.Second)
+		}},
+		{"the same, with an outage in which nobody's hold ends", 5, func(c *cluster, cancel func()) {
+			time.Sleep(8 * time.Second)
+			cancel()
+			time.Sleep(time.Second)
+			c.state.SetDown(true)
+			time.Sleep(time.Duration(cancelS+10) * time.Second)
+			c.state.SetDown(false)
+		}},
+		{"the state service is slow and loses answers while users cancel", 3, func(c *cluster, cancel func()) {
+			time.Sleep(6 * time.Second)
+			c.setFault(every(3, standin.LostAnswer, isState))
+			cancel()
+			time.Sleep(40 * time.Second)
+		}},
+		{"a leader is cut from state service and peers, not from workers and users", 5, func(c *cluster, cancel func()) {
+			time.Sleep(8 * time.Second)
+			member := fmt.Sprintf("host-%d", c.leader())
+			c.pipes.Cut(func(from, to string) bool { return from == member || to == member })
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if strings.HasPrefix(from, member+"/") && isState(r) {
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			time.Sleep(6 * time.Second)
+			cancel()
+			time.Sleep(40 * time.Second)
+			c.pipes.Cut(func(string, string) bool { return false })
+		}},
+		{"a leader ends while half of the machines can't be reached", 5, func(c *cluster, cancel func()) {
+			time.Sleep(8 * time.Second)
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if half(from) || half(r.URL.Host) {
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			i := c.leader()
+			c.kill(i)
+			cancel()
+			time.Sleep(20 * time.Second)
+			c.start(i)
+		}},
+		{"a leader ends, and half of the machines don't hear the next", 5, func(c *cluster, cancel func()) {
+			time.Sleep(8 * time.Second)
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				switch {
+				case half(from) && isReport(r):
+					return standin.LostAnswer
+				case half(r.URL.Host):
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			c.back(c.leader())
+			cancel()
+			time.Sleep(20 * time.Second)
+		}},
+		{"old reports after newer ones, across changes of leader", 5, func(c *cluster, cancel func()) {
+			c.setFault(every(1, standin.Copied, isReport))
+			time.Sleep(8 * time.Second)
+			cancel()
+			for range 3 {
+				c.back(c.leader())
+				time.Sleep(9 * time.Second)
+			}
+		}},
+		{"copies of old reports are all that the next leader hears of half of the machines", 5, func(c *cluster, cancel func()) {
+			c.setFault(every(1, standin.Copied, isReport))
+			time.Sleep(7 * time.Second)
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if half(from) || half(r.URL.Host) || r.URL.Host == "cloud" {
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			c.back(c.leader())
+			time.Sleep(20 * time.Second)
+			cancel()
+		}},
+		{"reports late and answers lost", 3, func(c *cluster, cancel func()) {
+			c.setFault(every(3, standin.Late, isReport))
+			time.Sleep(10 * time.Second)
+			cancel()
+			c.back(c.leader())
+			time.Sleep(20 * time.Second)
+		}},
+		{"commands are held up, and so are their answers", 5, func(c *cluster, cancel func()) {
+			c.setFault(every(1, standin.Late, isCommand))
+			time.Sleep(8 * time.Second)
+			cancel()
+			c.back(c.leader())
+			time.Sleep(4 * time.Second)
+			c.setFault(every(1, standin.LostAnswer, isCommand))
+			c.back(c.leader())
+			time.Sleep(15 * time.Second)
+		}},
+		{"rentals and returns are carried out late", 3, func(c *cluster, cancel func()) {
+			c.setFault(every(2, standin.Late, func(r *http.Request) bool { return r.URL.Host == "cloud" && r.Method == http.MethodPost }))
+			time.Sleep(12 * time.Second)
+			cancel()
+			c.back(c.leader())
+			time.Sleep(30 * time.Second)
+		}},
+		{"handing over and back, all end, one returns within a second", 5, func(c *cluster, cancel func()) {
+			time.Sleep(7 * time.Second)
+			for range 3 {
+				c.back(c.leader())
+				time.Sleep(1300 * time.Millisecond)
+			}
+			for i := range 5 {
+				c.kill(i)
+			}
+			time.Sleep(300 * time.Millisecond)
+			c.start(3)
+			time.Sleep(8 * time.Second)
+			cancel()
+			time.Sleep(8 * time.Second)
+			for _, i := range []int{0, 1, 2, 4} {
+				c.start(i)
+			}
+		}},
+		{"all of it", 5, func(c *cluster, cancel func()) {
+			late, copied, lost := every(4, standin.Late, isTxn), every(3, standin.Copied, isReport), every(5, standin.LostAnswer, isReport)
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				return max(late(from, r), copied(from, r), lost(from, r))
+			})
+			time.Sleep(8 * time.Second)
+			cancel()
+			for n := range 4 {
+				i := c.leader()
+				c.back(i, (i+1+n)%5)
+				time.Sleep(7 * time.Second)
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) { meet(t, tc.nodes, tc.trouble) })
+	}
+}
+
+// TestLateWrites has each kind of write get no answer and be carried out 2 to 12 s
+// later, after newer ones, also of a leader that ended meanwhile.
+func TestLateWrites(t *testing.T) {
+	kinds := []struct{ name, key string }{
+		{"jobs: intake, cancellations and ends", "c/j/"}, {"progress", "c/p/"}, {"bookings", "c/b/"}, {"lists of machines", "c/u/"},
+		{"the leader key and the token", "c/token"}, {"the staffing record", "c/staffing"}, {"holds", ""},
+	}
+	for _, k := range kinds {
+		t.Run(k.name, func(t *testing.T) {
+			meet(t, 3, func(c *cluster, cancel func()) {
+				count := 0
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					if k.key != "" && r.URL.Path == "/txn" && contains(r, k.key) || k.key == "" && strings.HasPrefix(r.URL.Path, "/holds") {
+						if count++; count%3 != 0 {
+							return standin.Late
+						}
+					}
+					return standin.Pass
+				})
+				time.Sleep(10 * time.Second)
+				cancel()
+				c.back(c.leader())
+				time.Sleep(15 * time.Second)
+				c.back(c.leader())
+				time.Sleep(15 * time.Second)
+				if count < 3 {
+					c.t.Errorf("only %d such writes were seen", count)
+				}
+			})
+		})
+	}
+}
--- a/node_test.go
+++ b/node_test.go
@@ -32,6 +32,7 @@
 	pipes *standin.Pipes
 	state *standin.State
 	cloud *standin.Cloud
+	rules *standin.Rules
 	user  *http.Client
 
 	mu    sync.Mutex
@@ -87,7 +88,12 @@
 	}
 	s := nodeSettings(0, size)
 	tune(s)
-	c.cloud = standin.NewCloud(c.net, nodes, s.Params.Workers.ReportS, s.Params.Workers.LeaseS, func(string) float64 { return 5 })
+	limits := map[string]float64{}
+	for _, t := range s.Params.Teams {
+		limits[t.Name] = t.CPUsMax
+	}
+	c.rules = standin.NewRules(time.Duration(s.Params.Workers.CancelS*float64(time.Second)), limits)
+	c.cloud = standin.NewCloud(c.net, c.rules, nodes, s.Params.Workers.ReportS, s.Params.Workers.LeaseS, func(string) float64 { return 5 })
 	c.net.Handle("state", c.state)
 	c.net.Handle("cloud", c.cloud)
 	c.user = &http.Client{Transport: c.net.From("user")}
@@ -173,7 +179,12 @@
 			c.t.Fatal(err)
 		}
 		r = bytes.NewReader(b)
+		if spec, err := wire.ParseJob(b); err == nil {
+			c.rules.Submits(spec)
+		}
 	}
+	c.rules.Asks(path)
+	sent := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://host-%d:8080%s", node, path), r)
@@ -193,6 +204,9 @@
 	if len(b) > 0 {
 		_ = wire.Unmarshal(b, &s) // an error body has no status, which the callers see
 	}
+	if strings.HasPrefix(path, "/v1/jobs") {
+		c.rules.Told(method, path, sent, resp.StatusCode, s)
+	}
 	return resp.StatusCode, s
 }
 
