--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -127,22 +127,19 @@
 	}
 }
 
-// Asks notes a request that is about to be sent.
-func (r *Rules) Asks(path string) {
+// Asks notes a request about a job that is about to be sent, and names the job.
+func (r *Rules) Asks(path string) (id string) {
 	id, abort := strings.CutSuffix(strings.TrimPrefix(path, "/v1/jobs/"), "/abort")
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if w := r.jobs[id]; w != nil && abort {
 		w.asked = true
 	}
+	return id
 }
 
 // Told notes the answer to a request about a job that was sent at an instant.
-func (r *Rules) Told(method, path string, sent time.Time, code int, s wire.JobStatus) {
-	id := strings.TrimSuffix(strings.TrimPrefix(path, "/v1/jobs/"), "/abort")
-	if method == http.MethodPost && path == "/v1/jobs" {
-		id = s.ID
-	}
+func (r *Rules) Told(method, path, id string, sent time.Time, code int, s wire.JobStatus) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.jobs[id]
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -14,10 +14,11 @@
 func TestRules(t *testing.T) {
 	const poll, abort = "/v1/jobs/j-000001", "/v1/jobs/j-000001/abort"
 	told := func(r *Rules, method, path string, code int, status string) {
+		time.Sleep(time.Millisecond)
 		r.Asks(path)
 		sent := time.Now()
 		time.Sleep(time.Millisecond)
-		r.Told(method, path, sent, code, wire.JobStatus{ID: "j-000001", Status: status})
+		r.Told(method, path, strings.Split(path+"/j-000001", "/")[3], sent, code, wire.JobStatus{ID: "j-000001", Status: status})
 	}
 	cases := []struct {
 		rule string
--- a/meetings_test.go
+++ b/meetings_test.go
@@ -109,8 +109,6 @@
 	})
 }
 
-func host(i int) string { return fmt.Sprintf("host-%d:8080", i) }
-
 // contains tells whether a request's body names a key.
 func contains(r *http.Request, key string) bool {
 	if r.GetBody == nil {
--- a/node_test.go
+++ b/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -173,23 +174,25 @@
 
 func (c *cluster) request(method string, node int, path string, body any) (int, wire.JobStatus) {
 	var r io.Reader
+	submitted := ""
 	if body != nil {
 		b, err := wire.Marshal(body)
 		if err != nil {
-			c.t.Fatal(err)
+			panic(err)
 		}
 		r = bytes.NewReader(b)
 		if spec, err := wire.ParseJob(b); err == nil {
 			c.rules.Submits(spec)
 		}
+		submitted = wire.SubmittedID(b)
 	}
-	c.rules.Asks(path)
+	id := cmp.Or(submitted, c.rules.Asks(path))
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://host-%d:8080%s", node, path), r)
 	if err != nil {
-		c.t.Fatal(err)
+		panic(err)
 	}
 	resp, err := c.user.Do(req)
 	if err != nil {
@@ -205,7 +208,7 @@
 		_ = wire.Unmarshal(b, &s) // an error body has no status, which the callers see
 	}
 	if strings.HasPrefix(path, "/v1/jobs") {
-		c.rules.Told(method, path, sent, resp.StatusCode, s)
+		c.rules.Told(method, path, id, sent, resp.StatusCode, s)
 	}
 	return resp.StatusCode, s
 }
