A node that hears of neither the state service nor a peer is not ready

Cause: a leader cut from state service and peers, but not from users, called itself ready and told each of them to come back.

--- a/internal/peer/cohort.go
+++ b/internal/peer/cohort.go
@@ -162,6 +162,13 @@
 	return some
 }
 
+// Heard tells whether some peer has lately answered at all.
+func (c *Cohort) Heard() bool {
+	now, some := micros.Now(), false
+	c.each(func(s said) { some = some || s.sent != 0 && s.sent > now-HeardWithin })
+	return some
+}
+
 // Reachable tells whether a member answered lately.
 func (c *Cohort) Reachable(member string) bool {
 	c.mu.Lock()
--- a/node.go
+++ b/node.go
@@ -292,9 +292,11 @@
 }
 
 // Ready tells whether the node can take requests. Without the state service it
-// cannot, but when no peer can either, being skipped would not help anyone.
+// cannot, but when no peer can either, being skipped would not help anyone. A node that
+// hears of nobody, neither the state service nor a peer, is cut off: the others serve
+// its users better, who would only be told to come back later.
 func (n *Node) Ready() bool {
-	return n.replica.Loaded() && (n.store.SinceHeard() < peer.HeardWithin || !n.cohort.InContact())
+	return n.replica.Loaded() && (n.store.SinceHeard() < peer.HeardWithin || n.cohort.Heard() && !n.cohort.InContact())
 }
 
 // Counts shows how far a job is.
--- a/node_test.go
+++ b/node_test.go
@@ -621,6 +621,12 @@
 				if on := c.cloud.OnMachines(); len(on) > 0 {
 					t.Errorf("still on machines: %v", on)
 				}
+				// Its users are to go elsewhere, too.
+				for i := range size {
+					if code, _ := c.request(http.MethodGet, i, "/ready", nil); (code == http.StatusOK) != (i != cut) {
+						t.Errorf("node %d says %d to whether it is ready; %d is cut off", i, code, cut)
+					}
+				}
 				// The cut lasts; others serve the workers.
 				c.setFault(func(from string, r *http.Request) standin.Fault {
 					if strings.HasPrefix(from, member+"/") && isState(r) {
