explain answers in take-overs and outages, with attempts, errors and times; a readable log

Now it tells what the asked node holds, how old that is and what is missing; it is not shed with users' polls; the log tells rentals, returns and lost leases in a line a second and kind, and when the state service, peers and zones fall silent and come back.

--- a/cmd/caperlatch/explain.go
+++ b/cmd/caperlatch/explain.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"caperlatch/internal/leader"
+	"caperlatch/internal/micros"
 	"caperlatch/internal/wire"
 )
 
@@ -47,26 +48,42 @@
 	if _, err := io.Copy(&b, io.LimitReader(resp.Body, 1<<20)); err != nil {
 		return e, err
 	}
-	switch resp.StatusCode {
-	case http.StatusOK:
+	if resp.StatusCode == http.StatusOK {
 		return e, wire.Unmarshal(b.Bytes(), &e)
-	case http.StatusNotFound:
-		return e, fmt.Errorf("%s is not known", job)
 	}
-	return e, fmt.Errorf("node %s answered %s; ask again or ask another", node, resp.Status)
+	var why wire.ErrorBody
+	if err := wire.Unmarshal(b.Bytes(), &why); err != nil || why.Error == "" {
+		why.Error = resp.Status
+	}
+	return e, fmt.Errorf("%s: %s answers: %s", job, node, why.Error)
 }
 
 func printExplanation(w io.Writer, e leader.Explanation) {
-	fmt.Fprintf(w, "%s", e.Job)
-	if e.Tasks > 0 {
-		fmt.Fprintf(w, " (team %s): %d tasks, %d done, %d running, %d waiting", e.Team, e.Tasks, e.Done, e.Running, e.Waiting)
+	at := func(t micros.Micros) string { return time.UnixMicro(int64(t)).UTC().Format(time.RFC3339) }
+	fmt.Fprintf(w, "%s: %s, submitted %s", e.Job, e.State, at(e.Submitted))
+	if e.Ended != 0 {
+		fmt.Fprintf(w, ", ended %s", at(e.Ended))
 	}
 	fmt.Fprintln(w)
+	if e.Tasks > 0 {
+		fmt.Fprintf(w, "  class %s, team %s, priority %s: %d tasks, %d done, %d running, %d waiting\n",
+			e.Class, e.Team, e.Priority, e.Tasks, e.Done, e.Running, e.Waiting)
+	}
 	for _, why := range e.Why {
 		fmt.Fprintln(w, "  "+why)
 	}
+	for _, t := range e.On {
+		fmt.Fprintf(w, "  %s attempt %d on %s since %s: %s\n", t.Task, t.Attempt, t.Machine, at(t.Since), t.State)
+	}
 	for _, s := range e.Stops {
-		fmt.Fprintf(w, "  %s stopped on %s at %s: %s\n", s.Task, s.Machine,
-			time.UnixMicro(int64(s.At)).UTC().Format(time.RFC3339), s.Why)
+		fmt.Fprintf(w, "  %s attempt %d stopped on %s at %s: %s\n", s.Task, s.Attempt, s.Machine, at(s.At), s.Why)
+	}
+	for _, n := range e.Notes {
+		fmt.Fprintln(w, "  note: "+n)
 	}
+	fmt.Fprintf(w, "  as %s knew it", e.By)
+	if e.AgeS >= 1 {
+		fmt.Fprintf(w, " %.0f s ago", e.AgeS)
+	}
+	fmt.Fprintln(w)
 }
--- /dev/null
+++ b/explain_test.go
@@ -0,0 +1,153 @@
+package caperlatch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/leader"
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// why asks a node about a job.
+func (c *cluster) why(node int, id string) (int, leader.Explanation, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	status, b, err := wire.Exchange(ctx, c.user, http.MethodGet, fmt.Sprintf("http://%s/v1/jobs/%s/why", fmt.Sprintf("host-%d:8080", node), id), nil)
+	var e leader.Explanation
+	var body wire.ErrorBody
+	if err == nil && status == http.StatusOK {
+		err = wire.Unmarshal(b, &e)
+	} else if err == nil {
+		err = wire.Unmarshal(b, &body)
+	}
+	if err != nil {
+		c.t.Errorf("why %s at node %d: %v", id, node, err)
+	}
+	return status, e, body.Error
+}
+
+// TestExplain asks every node about jobs in every state, also while the state service or
+// the leader says nothing: the duty team could not tell why a job hung.
+func TestExplain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.cloud.RunFor = func(task string) float64 {
+			if strings.HasPrefix(task, "j-000001/") {
+				return 3
+			}
+			return 400
+		}
+		c.cloud.Fails = func(task, _ string) bool { return strings.HasPrefix(task, "j-000004/") }
+		c.submit("j-000001", 2) // done
+		c.await("j-000001", wire.JobDone, time.Minute)
+		c.submit("j-000002", 2) // runs
+		c.submit("j-000003", 1) // is cancelled
+		c.submit("j-000004", 8) // fails
+		limited := testJob("j-000005", 30) // waits for its team's limit
+		limited["desk"], limited["expect_s"] = "small", 300.0
+		c.request(http.MethodPost, 0, "/v1/jobs", limited)
+		time.Sleep(15 * time.Second)
+		if code, _ := c.request(http.MethodPost, 0, "/v1/jobs/j-000003/abort", nil); code != http.StatusOK {
+			t.Fatalf("abort answered %d", code)
+		}
+		time.Sleep(10 * time.Second)
+		lead := c.leader()
+		check := func(when string, node int, id, state string, parts ...string) {
+			t.Helper()
+			status, e, _ := c.why(node, id)
+			text := strings.Join(append(append([]string{}, e.Why...), e.Notes...), "\n")
+			for _, n := range e.On {
+				text += fmt.Sprintf("\n%s on %s: %s", n.Task, n.Machine, n.State)
+			}
+			for _, n := range e.Stops {
+				text += fmt.Sprintf("\n%s on %s: %s", n.Task, n.Machine, n.Why)
+			}
+			if status != http.StatusOK || e.State != state || e.By == "" || e.Submitted == 0 {
+				t.Errorf("%s, node %d: %d %+v", when, node, status, e)
+			}
+			for _, part := range parts {
+				if !strings.Contains(text, part) {
+					t.Errorf("%s, node %d: %s does not say %q:\n%s", when, node, id, part, text)
+				}
+			}
+		}
+		for node := range 3 {
+			check("quiet", node, "j-000001", wire.JobDone, "all tasks done")
+			check("quiet", node, "j-000002", wire.JobPending, "j-000002/1 on i-0000", "running")
+			check("quiet", node, "j-000003", wire.JobCancelled, "cancelled by its user")
+			check("quiet", node, "j-000004", wire.JobPending, "ended: error", "failed", "on i-0000")
+			check("quiet", node, "j-000005", wire.JobPending, "its team uses as many CPUs as it may")
+		}
+		if status, _, text := c.why(1, "j-777777"); status != http.StatusNotFound || text != "no such job" {
+			t.Errorf("unknown job: %d %q", status, text)
+		}
+		// The leader says nothing to the others.
+		member := fmt.Sprintf("host-%d", lead)
+		c.pipes.Cut(func(from, to string) bool { return from == member || to == member })
+		time.Sleep(2 * time.Second)
+		check("leader silent", (lead+1)%3, "j-000002", wire.JobPending, "the leader does not say more")
+		c.pipes.Cut(func(string, string) bool { return false })
+		// Nor does the state service, and a node cannot know what is new.
+		c.setFault(func(_ string, r *http.Request) standin.Fault {
+			if isState(r) {
+				return standin.Refused
+			}
+			return standin.Pass
+		})
+		time.Sleep(12 * time.Second)
+		for node := range 3 {
+			check("no state service", node, "j-000002", wire.JobPending, "the state service has not answered")
+			if status, _, text := c.why(node, "j-777777"); status != http.StatusServiceUnavailable || !strings.Contains(text, "not known here") {
+				t.Errorf("unknown job without the state service: %d %q", status, text)
+			}
+		}
+	})
+}
+
+// TestMistake has a large job that fails on every machine beside good ones: these are
+// done, no machine is returned for it, it stays known, and its cancellation is quick.
+func TestMistake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		fails := 0
+		c.cloud.Fails = func(task, _ string) bool {
+			if strings.HasPrefix(task, "j-000002/") {
+				fails++
+				return true
+			}
+			return false
+		}
+		c.submit("j-000001", 8)
+		c.submit("j-000002", 200)
+		time.Sleep(20 * time.Second)
+		before := fails
+		c.back(c.leader()) // the next leader must not begin from nothing
+		time.Sleep(60 * time.Second)
+		if fails-before > 12 {
+			t.Errorf("%d tasks failed in the minute after a take-over", fails-before)
+		}
+		c.submit("j-000003", 8)
+		c.await("j-000003", wire.JobDone, time.Minute)
+		c.await("j-000001", wire.JobDone, time.Second)
+		if code, s := c.request(http.MethodGet, 1, "/v1/jobs/j-000002", nil); code != http.StatusOK || s.Status == wire.JobDone {
+			t.Errorf("the failing job is %d %q", code, s.Status)
+		}
+		if code, _ := c.request(http.MethodPost, 1, "/v1/jobs/j-000002/abort", nil); code != http.StatusOK {
+			t.Errorf("abort answered %d", code)
+		}
+		if fails > 60 || fails < 4 {
+			t.Errorf("%d tasks failed", fails)
+		}
+		for _, rule := range c.rules.Broken() {
+			t.Error(rule)
+		}
+	})
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -78,7 +79,8 @@
 	e.POST("/v1/jobs", h.submit, limited(intake))
 	e.GET("/v1/jobs/:id", h.poll, limited(polls))
 	e.POST("/v1/jobs/:id/abort", h.abort, limited(intake))
-	e.GET("/v1/jobs/:id/why", h.explain, limited(polls))
+	// Users who ask very often must not keep the duty team from asking why.
+	e.GET("/v1/jobs/:id/why", h.explain, limited(newLimiter()))
 	e.GET("/ready", h.ready)
 	e.POST("/hello", h.report)
 	return e
@@ -384,6 +386,9 @@
 	return now-since > micros.Second
 }
 
+// explain tells what is known of a job. It answers in a take-over, in an outage of the
+// state service and beside a silent leader as well, when the duty team needs it most: then
+// with what this node holds, and how old that is.
 func (h *Handler) explain(c echo.Context) error {
 	ctx, cancel := context.WithTimeout(c.Request().Context(), userTimeout.Duration())
 	defer cancel()
@@ -391,20 +396,40 @@
 	if !wire.ValidJobID(id) {
 		return bad(c, http.StatusNotFound, errors.New("no such job"))
 	}
-	j, _, ok, err := h.known(ctx, id)
+	if !h.Replica.Loaded() {
+		return bad(c, http.StatusServiceUnavailable, errors.New("this node has not read the state service yet"))
+	}
+	asking, stop := context.WithTimeout(ctx, explainBarrier.Duration())
+	barrier := h.Replica.Barrier(asking)
+	stop()
+	j, _, ok := h.Replica.Job(id)
+	seen := (micros.Now() - h.Replica.Seen()).Seconds()
 	switch {
-	case err != nil:
-		return unavailable(c, http.StatusServiceUnavailable)
+	case !ok && barrier != nil:
+		return bad(c, http.StatusServiceUnavailable, fmt.Errorf("not known here, and the state service has not answered for %.0f s", seen))
 	case !ok:
 		return bad(c, http.StatusNotFound, errors.New("no such job"))
 	}
 	e, err := h.Node.Explain(ctx, id)
-	if err != nil && !j.Final() {
-		return unavailable(c, http.StatusServiceUnavailable)
+	if err != nil {
+		e = leader.Explanation{By: h.Settings.Member, AgeS: seen}
+		e.Notes = append(e.Notes, "the leader does not say more: "+err.Error())
+	}
+	if barrier != nil {
+		e.Notes = append(e.Notes, fmt.Sprintf("the state service has not answered %s for %.0f s: what was submitted, cancelled or stored since is not known here", h.Settings.Member, seen))
+	}
+	e.Job, e.State, e.Submitted, e.Ended = id, j.State, j.SubmittedAt, j.EndedAt
+	if s := j.Spec; s != nil {
+		e.Team, e.Class, e.Priority, e.Tasks = s.Team, s.Class, s.Priority, s.Tasks
+		if err != nil {
+			e.Done, e.Running = h.Node.Counts(id)
+		}
 	}
-	e.Job = id
 	if j.Final() {
 		e.Why = append(e.Why, "it is "+j.State+": "+j.Reason)
 	}
 	return reply(c, http.StatusOK, e)
 }
+
+// explainBarrier leaves time to ask the leader as well.
+const explainBarrier = 700 * micros.Millisecond
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 
 	"caperlatch/internal/micros"
@@ -13,16 +14,29 @@
 // StopNote says why a task stopped before it was done.
 type StopNote struct {
 	Task    string        `json:"task"`
+	Attempt uint64        `json:"attempt"`
 	Machine string        `json:"machine"`
 	At      micros.Micros `json:"at"` // time of day
 	Why     string        `json:"why"`
 }
 
-// keptNotes bounds the memory for notes.
-const keptNotes = 1000
+// TaskNote is a task that is on a machine.
+type TaskNote struct {
+	Task    string        `json:"task"`
+	Attempt uint64        `json:"attempt"`
+	Machine string        `json:"machine"`
+	State   string        `json:"state"`
+	Since   micros.Micros `json:"since"` // time of day
+}
+
+// Bounds of the memory for notes, and of what is shown of one job.
+const (
+	keptNotes  = 4000
+	shownNotes = 50
+)
 
 func (l *Leader) note(a *attempt, why string) {
-	n := StopNote{Task: taskName(a.job.spec.ID, a.task), Machine: a.machine.id, At: micros.Wall(), Why: why}
+	n := StopNote{Task: taskName(a.job.spec.ID, a.task), Attempt: a.n, Machine: a.machine.id, At: micros.Wall(), Why: why}
 	slog.Debug("task stopped", "task", n.Task, "machine", n.Machine, "why", why)
 	if len(l.lastStops) >= keptNotes {
 		l.lastStops = slices.Delete(l.lastStops, 0, keptNotes/4)
@@ -30,35 +44,72 @@
 	l.lastStops = append(l.lastStops, n)
 }
 
-// Explanation tells the duty team about a job.
+// Explanation tells the duty team about a job: what is known of it, by which node and
+// as of when.
 type Explanation struct {
-	Job     string     `json:"job"`
-	Team    string     `json:"team"`
-	Tasks   int        `json:"tasks"`
-	Done    int        `json:"done"`
-	Running int        `json:"running"`
-	Waiting int        `json:"waiting"`
-	Why     []string   `json:"why"`
-	Stops   []StopNote `json:"stops"`
+	Job       string        `json:"job"`
+	By        string        `json:"by"`    // node that knew it
+	AgeS      float64       `json:"age_s"` // how long ago that was so
+	Notes     []string      `json:"notes"` // what is missing, and why
+	State     string        `json:"state"`
+	Team      string        `json:"team"`
+	Class     string        `json:"class"`
+	Priority  string        `json:"priority"`
+	Submitted micros.Micros `json:"submitted"` // time of day, as are the next
+	Ended     micros.Micros `json:"ended"`
+	Tasks     int           `json:"tasks"`
+	Done      int           `json:"done"`
+	Running   int           `json:"running"`
+	Waiting   int           `json:"waiting"`
+	Why       []string      `json:"why"`
+	On        []TaskNote    `json:"on"`
+	Stops     []StopNote    `json:"stops"` // the latest
 }
 
-// Explain says why a job waits and why its tasks were stopped.
+// Explain says why a job waits, where its tasks are and why they were stopped.
 func (l *Leader) Explain(id string) (Explanation, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := Explanation{Job: id}
+	e := Explanation{Job: id, By: l.Settings.Member}
 	for _, s := range l.lastStops {
 		if job, _, err := parseTask(s.Task); err == nil && job == id {
 			e.Stops = append(e.Stops, s)
 		}
 	}
+	if more := len(e.Stops) - shownNotes; more > 0 {
+		e.Notes = append(e.Notes, fmt.Sprintf("%d earlier stops are not shown", more))
+		e.Stops = e.Stops[more:]
+	}
+	if !l.ready {
+		e.Notes = append(e.Notes, l.Settings.Member+" is taking over and has not read what is stored yet")
+	}
 	j := l.jobs[id]
 	if j == nil {
 		return e, len(e.Stops) > 0
 	}
-	e.Team, e.Tasks, e.Done, e.Running, e.Waiting = j.spec.Team, j.spec.Tasks, j.ndone, j.running, j.waiting()
+	e.Tasks, e.Done, e.Running, e.Waiting = j.spec.Tasks, j.ndone, j.running, j.waiting()
+	for _, t := range slices.Sorted(maps.Keys(j.on)) {
+		if len(e.On) == shownNotes {
+			e.Notes = append(e.Notes, fmt.Sprintf("%d more tasks are on machines", len(j.on)-shownNotes))
+			break
+		}
+		a := j.on[t]
+		n := TaskNote{Task: taskName(id, t), Attempt: a.n, Machine: a.machine.id, State: a.state, Since: micros.Wall() - (micros.Now() - max(a.began, a.running))}
+		switch {
+		case a.stopped != 0:
+			n.State = "being stopped: " + a.why
+		case n.State == "":
+			n.State = "start sent"
+		}
+		e.On = append(e.On, n)
+	}
 	if e.Waiting > 0 {
 		e.Why = l.whyWaiting(j)
+	} else if f := j.failing(micros.Now()); f != "" {
+		e.Why = append(e.Why, f)
+	}
+	if _, finishing := l.finals[id]; finishing {
+		e.Why = append(e.Why, "all its tasks are done, which is not stored yet")
 	}
 	return e, true
 }
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -176,7 +176,7 @@
 		id:   fmt.Sprintf("r-%d-%d", l.Token, l.bookingSeq),
 		Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: min(count, cloud.MaxRent), At: micros.Wall(),
 	}
-	slog.Info("renting", "booking", b.id, "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", b.Count)
+	slog.Debug("renting", "booking", b.id, "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", b.Count)
 	l.bookings[b.id] = b
 	l.markBooking(b)
 }
@@ -237,6 +237,7 @@
 		}
 		b.Machines = append(b.Machines, id)
 		l.addMachine(id, b, now)
+		l.tallies.add(fmt.Sprintf("rented: type %s, zone %s, spot %t", b.Type, b.Zone, b.Spot), id)
 	}
 	l.markBooking(b)
 	b.dropped = len(b.Machines) == 0
@@ -263,7 +264,7 @@
 	if !l.Term.Held() {
 		return
 	}
-	slog.Info("returning", "machine", m.id, "type", m.kind.Type, "spot", m.kind.Spot, "tasks", len(m.tasks), "why", why)
+	l.tallies.add("returning: "+why, m.id)
 	m.leaving = true
 	m.planned = nil
 	for _, a := range m.tasks {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -91,6 +91,7 @@
 	offers     map[offer]*offerState
 	estimates  map[string]*staffing.Estimate // by class
 	lastStops  []StopNote
+	tallies    tallies
 	// How the machines of a zone took to being asked for their tasks.
 	zoneAnswers map[string]answers
 	calls       chan struct{}   // calls to workers in progress
@@ -126,7 +127,7 @@
 		teams: map[string]settings.Team{}, used: map[string]placement.Resources{}, images: map[string]int{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
 		offers: map[offer]*offerState{}, estimates: map[string]*staffing.Estimate{},
 		flushNow: make(chan struct{}, 1), lost: make(chan struct{}),
-		zoneAnswers: map[string]answers{}, cutOff: map[string]bool{}, calls: make(chan struct{}, max(8, c.Settings.Params.Limits.MaxSockets/callShare)),
+		tallies: tallies{}, zoneAnswers: map[string]answers{}, cutOff: map[string]bool{}, calls: make(chan struct{}, max(8, c.Settings.Params.Limits.MaxSockets/callShare)),
 	}
 	for _, t := range c.Settings.Params.Teams {
 		l.teams[t.Name] = t
@@ -331,6 +332,7 @@
 		if now-staffed >= micros.Second {
 			staffed = now
 			l.staff(now)
+			l.tallies.tell()
 		}
 		if now-shown >= 5*micros.Second {
 			shown = now
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"log/slog"
 	"slices"
 
@@ -157,11 +158,12 @@
 			zones[m.kind.Zone] = n
 		}
 	}
-	clear(l.cutOff)
 	for zone, n := range zones {
-		if n.silent >= 3 && 2*n.silent > n.up {
-			l.cutOff[zone] = true
+		cut := n.silent >= 3 && 2*n.silent > n.up
+		if cut != l.cutOff[zone] {
+			slog.Info("zone", "zone", zone, "cut_off", cut, "silent", n.silent, "machines", n.up)
 		}
+		l.cutOff[zone] = cut
 	}
 	return all.silent >= 3 && 3*all.silent > all.up
 }
@@ -176,7 +178,7 @@
 	for _, m := range slices.Clone(l.order) {
 		over := now > l.leaseOver(m)
 		if over && (len(m.tasks) > 0 || !m.resolved) {
-			slog.Info("lease ended", "machine", m.id, "tasks", len(m.tasks))
+			l.tallies.add(fmt.Sprintf("lease ended, tasks lost: %t", len(m.tasks) > 0), m.id)
 			l.lose(m, "its lease ended")
 		}
 		if !over || !m.up {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -16,6 +16,7 @@
 	ReportS float64
 	LeaseS  float64
 	Rules   *Rules
+	Fails   func(task, machine string) bool // nil: nothing does
 
 	mu       sync.Mutex
 	bookings map[string][]string
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -203,6 +203,10 @@
 			t := &workerTask{ReportTask: wire.ReportTask{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}}
 			if slices.ContainsFunc(w.tasks, func(o *workerTask) bool { return o.Task == c.Task && o.State != wire.TaskExited }) {
 				t.State, t.Cause = wire.TaskExited, wire.CauseBusy
+			} else if w.cloud.Fails != nil && w.cloud.Fails(c.Task, w.ID) {
+				t.State, t.Cause = wire.TaskExited, wire.CauseError
+				w.cloud.started(c.Task, w.ID)
+				w.cloud.left(c.Task, w.ID, false)
 			} else {
 				run := seconds(w.cloud.RunFor(c.Task))
 				t.ends = time.Now().Add(run)
--- a/node.go
+++ b/node.go
@@ -140,7 +140,18 @@
 // stayInContact reads the changes now and then when the watch is quiet, so that
 // the node knows whether it is answered and has missed nothing: a watch may hang.
 func (n *Node) stayInContact(ctx context.Context) {
+	heard, reached := true, map[string]bool{}
 	micros.Every(ctx, micros.Second, func() {
+		if now := n.store.SinceHeard() < peer.HeardWithin; now != heard {
+			heard = now
+			slog.Info("state service", "answers", heard, "refuses", n.store.Unreachable())
+		}
+		for _, p := range n.settings.Peers {
+			if now := n.cohort.Reachable(p.Member); now != reached[p.Member] {
+				reached[p.Member] = now
+				slog.Info("peer", "member", p.Member, "answers", now)
+			}
+		}
 		if n.replica.Loaded() && micros.Now()-n.replica.Seen() > 1500*micros.Millisecond {
 			if err := n.replica.Barrier(ctx); err != nil {
 				slog.Debug("contact", "error", err)
