--- a/explain_test.go
+++ b/explain_test.go
@@ -47,9 +47,9 @@
 		c.cloud.Fails = func(task, _ string) bool { return strings.HasPrefix(task, "j-000004/") }
 		c.submit("j-000001", 2) // done
 		c.await("j-000001", wire.JobDone, time.Minute)
-		c.submit("j-000002", 2) // runs
-		c.submit("j-000003", 1) // is cancelled
-		c.submit("j-000004", 8) // fails
+		c.submit("j-000002", 2)            // runs
+		c.submit("j-000003", 1)            // is cancelled
+		c.submit("j-000004", 8)            // fails
 		limited := testJob("j-000005", 30) // waits for its team's limit
 		limited["desk"], limited["expect_s"] = "small", 300.0
 		c.request(http.MethodPost, 0, "/v1/jobs", limited)
