--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -13,9 +13,8 @@
 // spread is why a machine is emptied whose few tasks have room elsewhere.
 const spread = "its tasks have room elsewhere"
 
-// A task is moved only after it has run for so long, since a start that is stopped
-// sooner helped nobody, and only if it should run for as long again.
-const movedAfter = 35 * micros.Second
+// A task is moved only after it has run for so long, and if it should for as long again.
+const movedAfter = counted
 
 // consolidate empties machines that are not wanted and hold a few tasks that can save,
 // when others have room for all of these: long tasks of guests, spread thin, kept half
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -28,6 +28,7 @@
 	stored    bitset // what of done is in the state service
 	ndone     int
 	on        map[int]*attempt // tasks that may be on a machine
+	kept      int              // of these, see attempt.kept
 	running   int              // of these, seen running
 	returned  []int            // tasks to start again
 	cursor    int              // tasks from here on have not been started
@@ -63,6 +64,7 @@
 	stopped micros.Micros // when first told to stop, 0 if not
 	grace   micros.Micros
 	why     string
+	kept    bool // of the part of a job that is left alone until it has begun
 }
 
 func newJob(r replica.Job, old bool) *job {
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -242,6 +242,9 @@
 	if a.stopped != 0 {
 		a.machine.stopping--
 	}
+	if a.kept {
+		a.job.kept--
+	}
 	a.machine.free = a.machine.free.Plus(a.job.need, 1)
 	l.used[a.job.spec.Team] = l.used[a.job.spec.Team].Plus(a.job.need, -1)
 	if len(a.machine.tasks) == 0 {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -162,6 +162,12 @@
 	agedPart = 16
 )
 
+// counted is how long a task must run before its start is worth anything. The part of a
+// guests' job that starts first is left alone for so long: what begins loses least when it
+// is stopped, so a job let in after two minutes was stopped again within seconds, and had
+// not begun for six.
+const counted = 35 * micros.Second
+
 // newQueue lists the jobs that may start tasks now. A job that an earlier term
 // may have started waits until no machine's tasks are unknown.
 func (l *Leader) newQueue(now micros.Micros) queue {
@@ -387,10 +393,14 @@
 			if a.stopped != 0 {
 				p.Soon = p.Soon.Plus(a.job.need, 1)
 			} else if !a.job.over {
-				p.Victims = append(p.Victims, placement.Victim{
+				v := placement.Victim{
 					Job: a.job.spec.ID, Task: a.task, Team: a.job.spec.Team, Priority: a.job.priority,
 					Need: a.job.need, Covered: covered[a.job], Guest: a.job.priority == 0 && !covered[a.job], Lost: lostWork(a, now),
-				})
+				}
+				if a.kept && (a.running == 0 || now-a.running < counted) {
+					v.Guest, v.Lost = false, v.Lost+counted
+				}
+				p.Victims = append(p.Victims, v)
 			}
 		}
 		slices.SortFunc(p.Victims, func(a, b placement.Victim) int {
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -301,7 +301,10 @@
 			continue
 		}
 		n := l.attempt(j)
-		a := &attempt{job: j, task: task, n: n, machine: m, sentAt: m.seq, began: now}
+		a := &attempt{job: j, task: task, n: n, machine: m, sentAt: m.seq, began: now, kept: j.kept < 1+j.spec.Tasks/agedPart}
+		if a.kept {
+			j.kept++
+		}
 		l.hold(a)
 		orders = append(orders, wire.Command{Verb: wire.VerbStart, Task: taskName(j.spec.ID, task), Attempt: n})
 	}
