--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -159,6 +159,22 @@
 	return 6
 }
 
+// sweep has keys removed that belong to nothing any more: a booking or a job's progress
+// whose first write got no answer, was repeated, removed when over, and then carried out
+// after all. The next leader would rent once more for such a booking.
+func (l *Leader) sweep() {
+	for _, key := range l.Replica.Keys(replica.BookingPrefix) {
+		if l.bookings[strings.TrimPrefix(key, replica.BookingPrefix)] == nil {
+			l.markLazily(key)
+		}
+	}
+	for _, key := range l.Replica.Keys(replica.ProgressPrefix) {
+		if id, _, err := parseProgressKey(key); err == nil && l.jobs[id] == nil {
+			l.markLazily(key)
+		}
+	}
+}
+
 // markLazily has a key written when nothing more urgent is.
 func (l *Leader) markLazily(key string) {
 	if _, ok := l.dirty[key]; !ok {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// TestSweep has writes carried out late, when what they were for is over: they are
+// removed, and what is in use is not.
+func TestSweep(t *testing.T) {
+	l, _ := newTest(t)
+	ghosts := []string{replica.BookingPrefix + "r-9", progressKey("j-000009", 0)}
+	for _, key := range append(ghosts, replica.BookingPrefix+"r-1", progressKey("j-000001", 0)) {
+		l.Replica.Wrote(key, map[string]any{}, 5)
+	}
+	l.sweep()
+	ws, _ := l.gather()
+	var removed []string
+	for _, w := range ws {
+		if w.value != nil || w.stamp != 5 {
+			t.Errorf("written: %+v", w)
+		}
+		removed = append(removed, w.key)
+	}
+	if !slices.Equal(removed, ghosts) {
+		t.Errorf("removed %v, want %v", removed, ghosts)
+	}
+}
+
 // TestAged has a large job late and put off while others press: after two minutes
 // without a start a part of it goes before all others, so that it begins within four.
 func TestAged(t *testing.T) {
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -214,6 +214,7 @@
 	l.consolidate(now)
 	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
 		l.dirty[replica.StaffingKey] = true
+		l.sweep()
 		l.wakeFlush()
 	}
 }
