Followers' watches leave room for questions; a refused read is repeated once

Cause: with many small jobs each node's watch came back 10 times a second, and five of them took most of the state service's 60 requests; every question that waited for a refused read was sent away.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"caperlatch/internal/micros"
@@ -73,6 +74,7 @@
 // Replica is safe for concurrent use.
 type Replica struct {
 	store *statestore.Client
+	eager atomic.Bool
 
 	mu        sync.Mutex
 	loaded    bool
@@ -104,11 +106,18 @@
 // service's shared limit.
 const (
 	watchWait    = 10 * micros.Second
-	watchPause   = 100 * micros.Millisecond
+	eagerPause   = 100 * micros.Millisecond // the leader, who starts what comes in
+	watchPause   = 400 * micros.Millisecond
 	barrierPause = 150 * micros.Millisecond
 	retryPause   = 250 * micros.Millisecond
 )
 
+// SetEager has the replica follow the changes as closely as it may. Only the leader
+// needs that: questions are answered after a barrier. When all five nodes did, on a day
+// of many small jobs, their watches took most of the state service's limit, and questions
+// and submissions were refused.
+func (r *Replica) SetEager(eager bool) { r.eager.Store(eager) }
+
 // Run loads the replica and follows the changes until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -120,7 +129,11 @@
 			switch {
 			case err == nil:
 				r.Apply(e, sent)
-				micros.Pause(ctx, watchPause)
+				pause := watchPause
+				if r.eager.Load() {
+					pause = eagerPause
+				}
+				micros.Pause(ctx, pause)
 			case errors.Is(err, statestore.ErrCompacted):
 			case ctx.Err() == nil:
 				slog.Debug("watch failed", "error", err)
@@ -412,6 +425,13 @@
 	defer cancel()
 	sent := micros.Now()
 	e, err := r.store.Watch(ctx, Prefix, r.Revision(), 0)
+	if errors.Is(err, statestore.ErrTooMany) {
+		// All who wait share this request: a refusal for the rate limit, which
+		// passes soon, would send them all away.
+		micros.Pause(ctx, barrierPause)
+		sent = micros.Now()
+		e, err = r.store.Watch(ctx, Prefix, r.Revision(), 0)
+	}
 	if err != nil {
 		return fmt.Errorf("barrier: %w", err)
 	}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -28,6 +28,7 @@
 	LostAnswer
 	Late
 	Copied
+	TooMany
 )
 
 // lateBy is when the nth late request is carried out: 2 to 12 s after it was sent, so
@@ -123,6 +124,8 @@
 	switch fault {
 	case Refused:
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Header: http.Header{}, Request: r}, nil
+	case TooMany:
+		return &http.Response{StatusCode: http.StatusTooManyRequests, Body: http.NoBody, Header: http.Header{}, Request: r}, nil
 	case LostAnswer:
 		serve(r.Context())
 	case Late, Copied:
--- a/node.go
+++ b/node.go
@@ -283,6 +283,7 @@
 }
 
 func (n *Node) setLeading(l *leader.Leader) {
+	n.replica.SetEager(l != nil)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leading = l
--- a/node_test.go
+++ b/node_test.go
@@ -779,6 +779,54 @@
 	})
 }
 
+// TestManyQuestions has users ask very often while the state service refuses every other
+// read for its rate limit: questions share reads, each is answered, and the followers'
+// watches leave room for them.
+func TestManyQuestions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newClusterOf(t, 5)
+		defer c.close()
+		c.cloud.RunFor = func(string) float64 { return 60 }
+		c.submit("j-000001", 4)
+		time.Sleep(5 * time.Second)
+		var mu sync.Mutex
+		reads, watches, answers := 0, 0, map[int]int{}
+		c.setFault(func(_ string, r *http.Request) standin.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case r.URL.Path == "/watch" && strings.Contains(r.URL.RawQuery, "wait_ms=0"):
+				if reads++; reads%2 == 0 {
+					return standin.TooMany
+				}
+			case r.URL.Path == "/watch":
+				watches++
+			}
+			return standin.Pass
+		})
+		var wg sync.WaitGroup
+		for n := range 1000 { // in 20 s
+			if n%10 == 0 { // changes for the watches
+				go c.request(http.MethodPost, n/10%5, "/v1/jobs", testJob(fmt.Sprintf("j-1%05d", n), 1))
+			}
+			wg.Go(func() {
+				code, _ := c.request(http.MethodGet, n%5, "/v1/jobs/j-000001", nil)
+				mu.Lock()
+				defer mu.Unlock()
+				answers[code]++
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		wg.Wait()
+		if answers[http.StatusOK] < 990 {
+			t.Errorf("answers: %v", answers)
+		}
+		if reads > 800 || watches > 400 {
+			t.Errorf("%d reads and %d watches for 1000 questions and 100 jobs in 20 s", reads, watches)
+		}
+	})
+}
+
 // TestOrdinaryOnly has a job that may not use spot machines come to a fleet of
 // idle spot machines: it must get an ordinary one, not starve beside them.
 func TestOrdinaryOnly(t *testing.T) {
