A verdict on a job ends when a report shows its tasks to outlast what failed

Cause: with a fifth of the machines faulty, good jobs failed on three of them in their first second and were put aside until something of them was done.

--- a/internal/leader/blame.go
+++ b/internal/leader/blame.go
@@ -131,10 +131,8 @@
 	if machines < jobMachines && !proof {
 		return
 	}
-	for _, a := range j.on {
-		if a.running != 0 && now-a.running > 2*micros.Second+2*j.failTook && now-a.machine.reported < 2*l.report {
-			return
-		}
+	if j.outlasts() {
+		return
 	}
 	j.atFault = true
 	delete(failedOn.failed, j.spec.ID)
@@ -147,6 +145,26 @@
 	slog.Info("job is at fault", "job", j.spec.ID, "class", j.spec.Class, "machines", machines)
 }
 
+// outlasts tells whether a report shows a task of the job to run well beyond what failed.
+func (j *job) outlasts() bool {
+	for _, a := range j.on {
+		if a.running != 0 && a.machine.reported-a.running > 3*micros.Second+2*j.failTook {
+			return true
+		}
+	}
+	return false
+}
+
+// pardon ends a verdict that what runs shows to be wrong: when many machines are faulty
+// at once, a good job may fail on three of them in its first second.
+func (l *Leader) pardon(j *job, now micros.Micros) {
+	if j.atFault && j.outlasts() {
+		slog.Info("job is not at fault", "job", j.spec.ID)
+		j.atFault, j.rounds, j.tries, j.notBefore = false, 0, 0, 0
+		l.putBack(j, now)
+	}
+}
+
 // judgeMachine has a machine emptied on which what should succeed fails.
 func (l *Leader) judgeMachine(m *machine, now micros.Micros) {
 	suspects, lonely := 0, false
--- a/internal/leader/blame_test.go
+++ b/internal/leader/blame_test.go
@@ -140,3 +140,36 @@
 		t.Errorf("%d tasks may start after a success", n)
 	}
 }
+
+// TestPardon has a good job fail on three faulty machines in its first second: it is not
+// put aside for long, as a report shows its other tasks to run on.
+func TestPardon(t *testing.T) {
+	const s = micros.Second
+	for _, c := range []struct {
+		name             string
+		failTook, report micros.Micros // the latter of the machine of a running task, since it began
+		atFault          bool
+	}{
+		{"nothing was heard of it since", 0, s, true},
+		{"it runs on", 0, 4 * s, false},
+		{"it runs no longer than what failed", 10 * s, 15 * s, true},
+	} {
+		l, _ := newTest(t)
+		now := micros.Now()
+		j := newJob(replica.Job{Spec: &wire.Job{ID: "j-000200", Team: "blue", Tasks: 50, CPUs: 1, EstimateS: 10, Spot: true}}, false)
+		l.jobs[j.spec.ID] = j
+		j.failTook = c.failTook
+		l.hold(&attempt{job: j, machine: l.machines["i-1"], running: now})
+		for i := 2; i <= 4; i++ {
+			l.blame(l.addMachine(fmt.Sprintf("i-%d", i), l.bookings["r-1"], now), j, now)
+		}
+		if !j.atFault {
+			t.Fatalf("%s: not put aside", c.name)
+		}
+		l.machines["i-1"].reported = now + c.report
+		l.newQueue(now + c.report)
+		if j.atFault != c.atFault {
+			t.Errorf("%s: at fault %v, want %v", c.name, j.atFault, c.atFault)
+		}
+	}
+}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -183,6 +183,7 @@
 	var entries []entry
 	var waiting []*placement.Job
 	for _, j := range l.jobs {
+		l.pardon(j, now)
 		n := j.ready(now)
 		if n <= 0 || j.old && unresolved > 0 {
 			continue
