--- a/node_test.go
+++ b/node_test.go
@@ -791,12 +791,14 @@
 		time.Sleep(5 * time.Second)
 		var mu sync.Mutex
 		reads, watches, answers := 0, 0, map[int]int{}
-		c.setFault(func(_ string, r *http.Request) standin.Fault {
+		readsOf := map[string]int{}
+		c.setFault(func(from string, r *http.Request) standin.Fault {
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
 			case r.URL.Path == "/watch" && strings.Contains(r.URL.RawQuery, "wait_ms=0"):
-				if reads++; reads%2 == 0 {
+				reads++
+				if readsOf[from]++; readsOf[from]%2 == 0 {
 					return standin.TooMany
 				}
 			case r.URL.Path == "/watch":
