A machine that no booking explains is adopted when it hears this term

Cause: late copies of reports of machines long gone were adopted: counted as supply until silent, and stored as up, so that a next leader had to resolve them before old jobs went on.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -315,6 +315,35 @@
 	}
 }
 
+// TestUnknownMachine has reports of machines that no booking explains. One is adopted when
+// it shows that it hears this term; a late copy of one that is gone never does.
+func TestUnknownMachine(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		tokens  []uint64 // of its reports
+		gone    bool
+		adopted bool
+	}{
+		{"a late copy", []uint64{token - 1}, false, false},
+		{"copies", []uint64{token - 2, token - 1}, false, false},
+		{"rented late", []uint64{0, token}, false, true},
+		{"returned in this term", []uint64{token}, true, false},
+	} {
+		l, _ := newTest(t)
+		l.gone["i-7"] = c.gone
+		for i, n := range c.tokens {
+			r := report(uint64(i+1), n)
+			r.Machine = "i-7"
+			if a, err := l.Report(r); (err != nil) != c.gone || err == nil && (a.Token != token || len(a.Commands) > 0) {
+				t.Errorf("%s: answered %+v, %v", c.name, a, err)
+			}
+		}
+		if got := l.machines["i-7"] != nil; got != c.adopted {
+			t.Errorf("%s: adopted %v, want %v", c.name, got, c.adopted)
+		}
+	}
+}
+
 // TestEntitled has the proofs of leadership run out one after another.
 func TestEntitled(t *testing.T) {
 	l, term := newTest(t)
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -364,6 +364,12 @@
 			return nil // the booking's answer will name it
 		}
 	}
+	if r.Token != l.Token {
+		// It may be a late copy, and its machine long gone: taken for a machine it would
+		// count as supply, and a next leader would wait for what it may hold. The answer
+		// tells a live one this term's token, and it reports again at once.
+		return nil
+	}
 	b := &booking{
 		id: "x-" + r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: 1, Answered: true,
 		Machines: []string{r.Machine}, At: micros.Wall(),
