Cancellations are told between nodes by revision, not by time: none is left out

Now a node asks for all cancellations above the revision up to which it knows all, and takes them over as if read from the state service; a peer's word counts for leases and starts only if it was whole, and only after what it told has been taken over. So a cancellation told before a new leader's picture was built is not lost either.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -59,9 +59,11 @@
 	raised     bool // the means have been raised to it
 	superseded bool // a higher token is known
 	jobs       map[string]*job
+	ghosts     map[string]*job // cancelled before this term, with tasks still on machines
 	machines   map[string]*machine
 	order      []*machine                     // by name
 	used       map[string]placement.Resources // by what is on machines, a team
+	hidden     placement.Resources            // what machines with unknown tasks may hold, as of the last plan
 	images     map[string]int                 // the numbers that stand for images
 	bookings   map[string]*booking
 	ups        []*upList
@@ -122,7 +124,7 @@
 func New(c Config) *Leader {
 	l := &Leader{
 		Config: c, began: micros.Now(), beganWall: micros.Wall(), report: c.Settings.Params.Workers.Report(), lease: c.Settings.Params.Workers.Lease(),
-		jobs: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
+		jobs: map[string]*job{}, ghosts: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
 		strays: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
 		teams: map[string]settings.Team{}, used: map[string]placement.Resources{}, images: map[string]int{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
 		offers: map[offer]*offerState{}, estimates: map[string]*staffing.Estimate{},
@@ -321,9 +323,7 @@
 		}
 		now := micros.Now()
 		l.mu.Lock()
-		for _, id := range l.Replica.TakeChanged(false) {
-			l.jobChanged(id, false)
-		}
+		l.takeChanges()
 		if now-watched >= 200*micros.Millisecond {
 			watched = now
 			l.watchMachines(now)
@@ -342,6 +342,13 @@
 	}
 }
 
+// takeChanges takes over what the replica has seen since the last time.
+func (l *Leader) takeChanges() {
+	for _, id := range l.Replica.TakeChanged(false) {
+		l.jobChanged(id, false)
+	}
+}
+
 // jobChanged takes over a change that the replica saw. Old jobs are those
 // that an earlier term may have started tasks of.
 func (l *Leader) jobChanged(id string, old bool) {
@@ -376,18 +383,6 @@
 	l.lostOnce.Do(func() { close(l.lost) })
 }
 
-// Cancelled takes over cancellations that another node told of, while the state
-// service may not be reachable.
-func (l *Leader) Cancelled(ids []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, id := range ids {
-		if j := l.jobs[id]; j != nil {
-			l.forget(j, wire.JobCancelled)
-		}
-	}
-}
-
 // countsEvery is how often the counts are taken anew; they are for display only.
 const countsEvery = 2 * micros.Second
 
--- a/internal/peer/cohort.go
+++ b/internal/peer/cohort.go
@@ -70,6 +70,9 @@
 		slog.Debug("probe", "peer", member, "error", err)
 		return
 	}
+	// What it tells is taken over before its word counts: the word stands for all
+	// cancellations that it knows of.
+	c.heard(a.State)
 	c.mu.Lock()
 	s := c.last[member]
 	s.sent, s.state = sent, *a.State
@@ -78,7 +81,6 @@
 	}
 	c.last[member] = s
 	c.mu.Unlock()
-	c.heard(a.State)
 }
 
 // Client is the client of a member, if it is a peer.
@@ -95,13 +97,13 @@
 }
 
 // Confirmed is the latest instant at which every peer was known not to have
-// seen a token above mine, and had told of all its cancellations; 0 if never.
+// seen a token above mine, and had told of all cancellations that it knows; 0 if never.
 // It stands for contact with the state service: only nodes tell users that
 // jobs are cancelled, and only a node with a higher token may lead.
 func (c *Cohort) Confirmed(token uint64) micros.Micros {
 	at := micros.Now()
 	c.each(func(s said) {
-		if !s.state.Loaded || s.state.Token > token {
+		if !s.state.Loaded || s.state.Token > token || !s.state.Whole {
 			at = 0
 		}
 		at = min(at, s.sent)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,7 @@
 
 	"caperlatch/internal/leader"
 	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
 	"caperlatch/internal/wire"
 )
 
@@ -32,6 +33,7 @@
 	Leader string            `json:"leader"`           // whose token that is
 	Doubt  bool              `json:"doubt"`            // it leads, and does not know whether its hold has ended
 	Counts map[string][2]int `json:"counts,omitempty"` // done and running tasks, from the leader
+	Since  uint64            `json:"since"`            // revision up to which it knows all cancellations
 }
 
 // State is what a node tells of itself.
@@ -41,8 +43,12 @@
 	Leader     string        `json:"leader"`      // whose token that is
 	SinceHeard micros.Micros `json:"since_heard"` // since the state service last answered it
 	Promise    micros.Micros `json:"promise"`     // for this long it will not try to lead; 0: no promise
-	Aborted    []string      `json:"aborted"`     // jobs that it lately told users are cancelled
 	Fronts     bool          `json:"fronts"`      // it takes reports and passes them on to the one that asks
+	// Cancelled are the cancellations that it knows of since the revision asked for: all
+	// there are up to Through, and with Whole all that it ever told a user.
+	Cancelled []replica.Cancellation `json:"cancelled"`
+	Through   uint64                 `json:"through"`
+	Whole     bool                   `json:"whole"`
 }
 
 // Response answers the request of the same id.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -31,7 +31,9 @@
 	UpPrefix       = "c/u/"
 )
 
-// Job is a stored job. A job that is over keeps no description.
+// Job is a stored job. One that is done keeps no description. One that is cancelled does:
+// its tasks may still be on machines, and a leader that finds them there must know whose
+// limit they count against.
 type Job struct {
 	Spec        *wire.Job     `json:"job,omitempty"`
 	SubmittedAt micros.Micros `json:"at"` // time of day
@@ -61,9 +63,11 @@
 	stamp uint64
 }
 
-type ended struct {
-	id string
-	at micros.Micros
+// Cancellation is a job's stored cancellation, as nodes tell it each other.
+type Cancellation struct {
+	ID    string `json:"id"`
+	Stamp uint64 `json:"stamp"`
+	Job   Job    `json:"job"`
 }
 
 type storedJob struct {
@@ -83,8 +87,9 @@
 	items     map[string]item
 	jobs      map[string]storedJob
 	changed   map[string]bool // jobs changed since the last TakeChanged
-	cancelled []ended
-	wake      chan struct{} // closed at the next change
+	cancelled []string        // jobs, in the order of their stamps
+	told      uint64          // see CancelledThrough
+	wake      chan struct{}   // closed at the next change
 
 	barrierMu sync.Mutex
 	running   bool
@@ -202,10 +207,22 @@
 		slog.Error("stored job is unreadable", "job", id, "error", err)
 		return
 	}
+	r.putJob(id, j, stamp)
+}
+
+// putJob takes a job over unless what is known is as new.
+func (r *Replica) putJob(id string, j Job, stamp uint64) {
+	if stamp <= r.jobs[id].stamp {
+		return
+	}
 	r.jobs[id] = storedJob{j, stamp}
 	r.changed[id] = true
 	if j.State == wire.JobCancelled {
-		r.cancelled = append(r.cancelled, ended{id, j.EndedAt})
+		at := len(r.cancelled)
+		for at > 0 && r.jobs[r.cancelled[at-1]].stamp > stamp {
+			at--
+		}
+		r.cancelled = slices.Insert(r.cancelled, at, id)
 	}
 }
 
@@ -325,17 +342,55 @@
 	return ids
 }
 
-// Cancelled lists the jobs known here to have been cancelled after an instant
-// of the day; older ones are forgotten.
-func (r *Replica) Cancelled(after micros.Micros) []string {
+// maxTold bounds the cancellations in one message between nodes.
+const maxTold = 1000
+
+// CancelledThrough is a revision up to which every cancellation is known here: what the
+// changes have shown, or what another node told that had read further.
+func (r *Replica) CancelledThrough() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.revision, r.told)
+}
+
+// CancelledSince lists the cancellations known here with a stamp above since, oldest
+// first, and tells up to which revision these are all there are. With whole it is all that
+// is known here, which includes all that this node ever told a user: it is told by stamp
+// and not by time, as a transaction may be carried out minutes after it was sent.
+func (r *Replica) CancelledSince(since uint64) (list []Cancellation, through uint64, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cancelled = slices.DeleteFunc(r.cancelled, func(e ended) bool { return e.at < after })
-	ids := make([]string, len(r.cancelled))
-	for i, e := range r.cancelled {
-		ids[i] = e.id
+	from := len(r.cancelled)
+	for from > 0 && r.jobs[r.cancelled[from-1]].stamp > since {
+		from--
+	}
+	through, whole = r.revision, true
+	for _, id := range r.cancelled[from:] {
+		if len(list) == maxTold {
+			// A transaction's changes share one stamp, so the last may be told in part.
+			return list, min(through, list[maxTold-1].Stamp-1), false
+		}
+		s := r.jobs[id]
+		list = append(list, Cancellation{id, s.stamp, s.job})
+	}
+	return list, through, whole
+}
+
+// Adopt takes over what another node told by CancelledSince(since), where since was
+// CancelledThrough here or less. A cancellation is final, so it holds here as if it had
+// been read from the state service.
+func (r *Replica) Adopt(list []Cancellation, through uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range list {
+		if c.Job.State == wire.JobCancelled {
+			r.putJob(c.ID, c.Job, c.Stamp)
+		}
+	}
+	r.told = max(r.told, through)
+	if len(list) > 0 {
+		r.notify()
 	}
-	return ids
 }
 
 // Get decodes another key's value into v and returns its stamp, 0 if there is
--- a/node.go
+++ b/node.go
@@ -163,7 +163,7 @@
 // probe is what this node tells a peer when it asks it. Counts are sent once,
 // as encoding them for every probe took the leader a tenth of its processor.
 func (n *Node) probe(told *micros.Micros) *peer.Probe {
-	p := &peer.Probe{Member: n.settings.Member}
+	p := &peer.Probe{Member: n.settings.Member, Since: n.replica.CancelledThrough()}
 	p.Token, p.Leader = n.election.Highest()
 	if l := n.Leading(); l != nil {
 		p.Doubt = !l.Term.Held()
@@ -177,9 +177,9 @@
 // heard takes over what a peer tells.
 func (n *Node) heard(s *peer.State) {
 	n.election.Told(s.Token, s.Leader)
+	n.replica.Adopt(s.Cancelled, s.Through)
 	if l := n.Leading(); l != nil {
 		l.Supersede(s.Token)
-		l.Cancelled(s.Aborted)
 	}
 }
 
@@ -201,9 +201,7 @@
 	if p.Doubt && n.store.Unreachable() && n.election.Promise(peer.PromiseLife) {
 		s.Promise = peer.PromiseLife
 	}
-	w := n.settings.Params.Workers
-	within := w.Cancel() + 2*micros.FromSeconds(n.settings.Params.ClockErrorMS/1000)
-	s.Aborted = n.replica.Cancelled(micros.Wall() - within)
+	s.Cancelled, s.Through, s.Whole = n.replica.CancelledSince(p.Since)
 	return s
 }
 
