Tasks of jobs cancelled before a term count until gone; last check before starts

A leader that took over found tasks of cancelled jobs on machines and told them to stop, but did not count them: their team was filled up to its limit beside them. A cancelled job now keeps its description in the state service, and its tasks take their places until they are gone. A start is checked against place, zone and limit at the moment it is sent, as plans are older than reports. What this node or a peer told as cancelled is seen before each answer.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -286,7 +286,10 @@
 		case j.Final():
 			return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: j.State})
 		}
-		final := replica.Job{SubmittedAt: j.SubmittedAt, State: wire.JobCancelled, Reason: "cancelled by its user", EndedAt: micros.Wall()}
+		final := replica.Job{Spec: j.Spec, SubmittedAt: j.SubmittedAt, State: wire.JobCancelled, Reason: "cancelled by its user", EndedAt: micros.Wall()}
+		if !h.Store.FitsValue(final) {
+			final.Spec = nil // a cancellation must always be possible
+		}
 		key := replica.JobPrefix + id
 		rev, err := h.put(ctx, key, stamp, final)
 		switch {
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -28,6 +28,7 @@
 	stored    bitset // what of done is in the state service
 	ndone     int
 	on        map[int]*attempt // tasks that may be on a machine
+	zones     map[string]int   // of these
 	kept      int              // of these, see attempt.kept
 	running   int              // of these, seen running
 	returned  []int            // tasks to start again
@@ -74,7 +75,7 @@
 		need:     placement.Resources{CPU: ceil(s.CPUs), GPU: ceil(s.GPUs), Mem: ceil(s.MemoryGB)},
 		priority: wire.PriorityRank(s.Priority),
 		done:     newBitset(s.Tasks), stored: newBitset(s.Tasks),
-		on: map[int]*attempt{}, errors: map[string]micros.Micros{}, resumed: map[int]bool{},
+		on: map[int]*attempt{}, zones: map[string]int{}, errors: map[string]micros.Micros{}, resumed: map[int]bool{},
 	}
 }
 
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -221,7 +221,11 @@
 // hold counts a task as being on its machine.
 func (l *Leader) hold(a *attempt) {
 	a.machine.tasks[taskName(a.job.spec.ID, a.task)] = a
+	if other := a.job.on[a.task]; other != nil {
+		a.job.zones[other.machine.kind.Zone]--
+	}
 	a.job.on[a.task] = a
+	a.job.zones[a.machine.kind.Zone]++
 	a.machine.free = a.machine.free.Plus(a.job.need, -1)
 	a.machine.have = a.machine.have.With(a.job.image)
 	l.used[a.job.spec.Team] = l.used[a.job.spec.Team].Plus(a.job.need, 1)
@@ -253,10 +257,14 @@
 	}
 	if a.job.on[a.task] == a {
 		delete(a.job.on, a.task)
+		a.job.zones[a.machine.kind.Zone]--
 		if a.running != 0 {
 			a.job.running--
 		}
 		a.job.giveBack(a.task)
+		if len(a.job.on) == 0 {
+			delete(l.ghosts, a.job.spec.ID)
+		}
 		if a.running != 0 && !a.job.done.has(a.task) {
 			a.job.resumed[a.task] = true
 		}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -200,10 +201,7 @@
 		w.Patient = l.patient(j)
 		w.Work = float64(n) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
-			w.PerZone = map[string]int{}
-			for _, a := range j.on {
-				w.PerZone[a.machine.kind.Zone]++
-			}
+			w.PerZone = maps.Clone(j.zones)
 		}
 		since := max(j.submitted, j.lastStart)
 		if j.ndone > 0 {
@@ -336,19 +334,19 @@
 		teams[name] = &placement.Team{Used: l.used[name], Limit: placement.Resources{CPU: floor(t.CPUsMax), GPU: floor(t.GPUsMax)}}
 	}
 	unresolved := 0
-	var hidden placement.Resources
+	l.hidden = placement.Resources{}
 	for _, m := range l.order {
 		if !m.resolved {
 			unresolved++
 			if t := l.types[m.kind.Type]; t != nil {
-				hidden = hidden.Plus(t.capacity, 1)
+				l.hidden = l.hidden.Plus(t.capacity, 1)
 			}
 		}
 	}
 	for _, t := range teams {
 		// Not even a job that is over can be ruled out there, so all that
 		// these machines could hold counts for every team.
-		t.Used = t.Used.Plus(hidden, 1)
+		t.Used = t.Used.Plus(l.hidden, 1)
 	}
 	return teams, unresolved
 }
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"caperlatch/internal/micros"
@@ -36,6 +37,9 @@
 	if !l.ready || now >= l.Term.Confirmed()+l.Settings.Params.Workers.RenewFor() {
 		return answer, ErrNotEntitled
 	}
+	// What this node has told a user, or was told by a peer, holds for the answer: no
+	// task of a job that is known here as cancelled may start.
+	l.takeChanges()
 	m := l.machines[r.Machine]
 	if m == nil {
 		return answer, l.unknown(r, now)
@@ -51,7 +55,11 @@
 		return answer, ErrNotEntitled
 	}
 	if m.session != 0 && r.Session > m.session {
+		// That an earlier session ended says nothing of what earlier terms started in this
+		// one: a report held back from before a take-over may be all that is known of it.
+		resolved := m.resolved
 		l.lose(m, "the worker's session ended")
+		m.resolved = resolved
 		m.asked = 0
 		m.sent = m.sent[:0]
 	}
@@ -175,6 +183,8 @@
 	j := l.jobs[id]
 	if a != nil {
 		j = a.job
+	} else if j == nil {
+		j = l.ghost(id)
 	}
 	if err != nil || j == nil || task >= j.spec.Tasks {
 		if t.State == wire.TaskExited {
@@ -187,12 +197,15 @@
 	}
 	if t.State != wire.TaskExited {
 		if a == nil {
-			if other := j.on[task]; other != nil && other.machine != m || j.done.has(task) || j.over {
+			if other := j.on[task]; !j.over && (other != nil && other.machine != m || j.done.has(task)) {
 				m.clears = append(m.clears, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
 				return
 			}
-			a = &attempt{job: j, task: task, machine: m, began: now}
+			a = &attempt{job: j, task: task, n: t.Attempt, machine: m, began: now}
 			l.hold(a)
+			if j.over {
+				l.stop(a, 0, "job is over")
+			}
 		}
 		a.n = t.Attempt
 		if t.State == wire.TaskRunning && a.running == 0 {
@@ -215,6 +228,25 @@
 	l.exited(m, j, task, a, t, now)
 }
 
+// ghost is a job that was cancelled before this term saw it, but that a machine still
+// has tasks of: they were not told to stop, or the machine hung. Until they are gone they
+// take their places, and count against their team's limit; when they did not, a leader that
+// took over from one which had been cut off filled the team up beside them.
+func (l *Leader) ghost(id string) *job {
+	if j := l.ghosts[id]; j != nil {
+		return j
+	}
+	r, _, ok := l.Replica.Job(id)
+	if !ok || !r.Final() || r.Spec == nil {
+		return nil
+	}
+	j := newJob(r, true)
+	j.over = true
+	j.image = l.image(j.spec.Image)
+	l.ghosts[id] = j
+	return j
+}
+
 // exited takes over a task that has ended on its machine.
 func (l *Leader) exited(m *machine, j *job, task int, a *attempt, t *wire.ReportTask, now micros.Micros) {
 	if t.Cause == wire.CauseDone && j.spec.Shape != wire.ShapeService {
@@ -293,7 +325,7 @@
 	}
 	l.fill(m, now)
 	for _, j := range m.planned {
-		if len(orders) >= maxOrders || j.over || j.ready(now) == 0 || !m.free.Fits(j.need) {
+		if len(orders) >= maxOrders || j.over || j.ready(now) == 0 || !m.free.Fits(j.need) || !l.allowed(j, m) {
 			continue
 		}
 		task, ok := j.take()
@@ -312,6 +344,27 @@
 	return orders
 }
 
+// allowed tells whether a task of a job may begin on a machine as things are at this
+// moment. Plans see to all this, but are older: since then a machine may have shown tasks
+// that nobody knew of, or jobs may have lost the tasks that bound them to a zone.
+func (l *Leader) allowed(j *job, m *machine) bool {
+	s := j.spec
+	if len(s.Types) > 0 && !slices.Contains(s.Types, m.kind.Type) || s.Zone != "" && s.Zone != m.kind.Zone || m.kind.Spot && !s.Spot {
+		return false
+	}
+	if t := l.teams[s.Team]; t.CPUsMax > 0 || t.GPUsMax > 0 {
+		used := l.used[s.Team].Plus(l.hidden, 1).Plus(j.need, 1)
+		if t.CPUsMax > 0 && used.CPU > floor(t.CPUsMax) || t.GPUsMax > 0 && used.GPU > floor(t.GPUsMax) {
+			return false
+		}
+	}
+	if !s.OneZone && !s.Spread {
+		return true
+	}
+	here := j.zones[m.kind.Zone]
+	return (!s.OneZone || here == len(j.on)) && (!s.Spread || 2*(here+1) <= s.Tasks+1)
+}
+
 // attempt is the number for a start: rising across terms without a write, as the
 // term's token stands above. Tasks of a gang that start together share one.
 func (l *Leader) attempt(j *job) uint64 {
