Every answer that renews a lease stops cancelled tasks; tests of what may start

After a take-over a machine's first report, which does not carry the new token yet, was answered without stops for jobs that were cancelled meanwhile. If it heard nothing more after that, its lease, renewed once more, let them run until cancel_s and most of a lease. Now such answers, and those to unknown machines, stop the listed tasks of jobs that are over; stops come first and are never left out for want of room.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -488,3 +488,91 @@
 		}
 	}
 }
+
+// TestCancelledBefore has a machine show tasks of a job that was cancelled before this
+// term. Whatever else is thought of a report, its answer renews the lease, so it must have
+// them stopped; and they count against their team's limit until they are gone.
+func TestCancelledBefore(t *testing.T) {
+	l, _ := newTest(t)
+	l.teams["blue"] = settings.Team{Name: "blue", CPUsMax: 3}
+	l.Replica.Wrote(replica.JobPrefix+"j-000002", replica.Job{State: wire.JobCancelled, Spec: &wire.Job{
+		ID: "j-000002", Team: "blue", Shape: wire.ShapeArray, Tasks: 8, CPUs: 1, MemoryGB: 1, SaveS: 5, CheckpointS: 1, Spot: true}}, 2)
+	l.machines["i-1"].free.CPU = 8000 // the limit alone is in the way
+	task := func(n int, state string) wire.ReportTask {
+		w := wire.ReportTask{Task: taskName("j-000002", n), Attempt: 3<<32 | 1, State: state}
+		if state == wire.TaskExited {
+			w.Cause = wire.CauseStopped
+		}
+		return w
+	}
+	started := func(n int) wire.ReportTask {
+		return wire.ReportTask{Task: taskName("j-000001", n), Attempt: token<<32 | uint64(n+1), State: wire.TaskRunning}
+	}
+	stranger := report(1, 0, task(0, wire.TaskRunning))
+	stranger.Machine = "i-2"
+	steps := []struct {
+		name   string
+		report *wire.Report
+		want   []string
+	}{
+		{"an unknown machine", stranger, []string{"stop j-000002/0"}},
+		{"a report from before this term", report(1, 3, task(0, wire.TaskRunning), task(1, wire.TaskSaving)),
+			[]string{"stop j-000002/0", "stop j-000002/1"}},
+		{"two of the team's three", report(2, token, task(0, wire.TaskRunning), task(1, wire.TaskSaving)),
+			[]string{"start j-000001/0", "stop j-000002/0", "stop j-000002/1"}},
+		{"one is gone", report(3, token, started(0), task(0, wire.TaskExited), task(1, wire.TaskSaving)),
+			[]string{"clear j-000002/0", "start j-000001/1", "stop j-000002/1"}},
+		{"the other too", report(4, token, started(0), started(1), task(1, wire.TaskExited)),
+			[]string{"clear j-000002/1", "start j-000001/2"}},
+	}
+	for _, s := range steps {
+		l.replan, l.plannedAt = true, 0
+		answer, err := l.Report(s.report)
+		if got := verbs(answer); err != nil || !slices.Equal(got, s.want) {
+			t.Errorf("%s: %v, %v, want %v", s.name, got, err, s.want)
+		}
+	}
+	if len(l.ghosts) > 0 || l.used["blue"].CPU != 3000 {
+		t.Errorf("%d ghosts are left, the team uses %v", len(l.ghosts), l.used["blue"])
+	}
+}
+
+// TestAllowed checks what binds a start at the moment it is sent, whatever was planned.
+func TestAllowed(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(l *Leader, j *job, m *machine)
+		want bool
+	}{
+		{"nothing in the way", func(*Leader, *job, *machine) {}, true},
+		{"another type", func(_ *Leader, j *job, _ *machine) { j.spec.Types = []string{"m8"} }, false},
+		{"another zone", func(_ *Leader, j *job, _ *machine) { j.spec.Zone = "b" }, false},
+		{"no spot machine", func(_ *Leader, j *job, m *machine) { j.spec.Spot, m.kind.Spot = false, true }, false},
+		{"at the team's limit", func(l *Leader, j *job, _ *machine) {
+			l.teams["blue"] = settings.Team{CPUsMax: 2}
+			l.used["blue"] = l.used["blue"].Plus(j.need, 2)
+		}, false},
+		{"machines with unknown tasks may be at it", func(l *Leader, j *job, _ *machine) {
+			l.teams["blue"] = settings.Team{CPUsMax: 2}
+			l.hidden = l.hidden.Plus(j.need, 2)
+		}, false},
+		{"its other tasks are in another zone", func(_ *Leader, j *job, m *machine) {
+			j.spec.OneZone = true
+			j.on[0], j.zones["b"] = &attempt{}, 1
+		}, false},
+		{"its other tasks are here", func(_ *Leader, j *job, m *machine) {
+			j.spec.OneZone = true
+			j.on[0], j.zones["a"] = &attempt{}, 1
+		}, true},
+		{"two of three are here", func(_ *Leader, j *job, m *machine) { j.spec.Spread, j.zones["a"] = true, 2 }, false},
+		{"one of three is here", func(_ *Leader, j *job, m *machine) { j.spec.Spread, j.zones["a"] = true, 1 }, true},
+	}
+	for _, c := range cases {
+		l, _ := newTest(t)
+		j, m := l.jobs["j-000001"], l.machines["i-1"]
+		c.set(l, j, m)
+		if got := l.allowed(j, m); got != c.want {
+			t.Errorf("%s: %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -42,6 +42,7 @@
 	l.takeChanges()
 	m := l.machines[r.Machine]
 	if m == nil {
+		answer.Commands = append(answer.Commands, l.stopsOf(r)...)
 		return answer, l.unknown(r, now)
 	}
 	if !l.Term.Sure() && now-m.bounced > bounceAgain {
@@ -87,6 +88,9 @@
 	m.told = true
 	if m.current {
 		l.picture(m, r, now)
+	} else {
+		// The answer may renew the machine's lease, whatever is thought of the report.
+		m.clears = l.stopsOf(r)
 	}
 	l.drainOnNotice(m, now)
 	l.planIfNeeded(now)
@@ -228,6 +232,24 @@
 	l.exited(m, j, task, a, t, now)
 }
 
+// stopsOf has the tasks of jobs that are over stopped by the answer to a report which is
+// not taken for the machine's picture. Every answer that renews a lease must do that: one
+// that came first after a take-over, to a machine which then heard nothing more, kept
+// cancelled tasks for a lease too long.
+func (l *Leader) stopsOf(r *wire.Report) (stops []wire.Command) {
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id, _, err := parseTask(t.Task)
+		if err != nil || t.State == wire.TaskExited {
+			continue
+		}
+		if j, _, ok := l.Replica.Job(id); ok && j.Final() {
+			stops = append(stops, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
+		}
+	}
+	return stops
+}
+
 // ghost is a job that was cancelled before this term saw it, but that a machine still
 // has tasks of: they were not told to stop, or the machine hung. Until they are gone they
 // take their places, and count against their team's limit; when they did not, a leader that
@@ -305,8 +327,19 @@
 
 // orders are the commands for a machine that has just reported.
 func (l *Leader) orders(m *machine, now micros.Micros) (orders []wire.Command) {
-	orders = make([]wire.Command, 0, len(m.clears)+len(m.planned))
-	orders = append(orders, m.clears[:min(len(m.clears), maxOrders)]...)
+	// Stops first, and all of them: an answer that renews the lease must not leave one out.
+	// There are no more than tasks on the machine.
+	orders = make([]wire.Command, 0, len(m.clears)+m.stopping+len(m.planned))
+	for name, a := range m.tasks {
+		if a.stopped != 0 && a.n != 0 {
+			orders = append(orders, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: a.n, GraceS: seconds(a.grace)})
+		}
+	}
+	for _, c := range m.clears {
+		if c.Verb == wire.VerbStop || len(orders) < maxOrders {
+			orders = append(orders, c)
+		}
+	}
 	defer func() {
 		m.sent = m.sent[:0]
 		for _, c := range orders {
@@ -315,11 +348,6 @@
 			}
 		}
 	}()
-	for name, a := range m.tasks {
-		if a.stopped != 0 && len(orders) < maxOrders && a.n != 0 {
-			orders = append(orders, wire.Command{Verb: wire.VerbStop, Task: name, Attempt: a.n, GraceS: seconds(a.grace)})
-		}
-	}
 	if !l.mayStart(m, now) {
 		return orders
 	}
