--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -8,7 +8,7 @@
 	"caperlatch/internal/wire"
 )
 
-// Cloud is a stand-in of the cloud: one type, one zone, machines up at once.
+// Cloud is a stand-in of the cloud: one type, machines up at once.
 type Cloud struct {
 	Net     *Net
 	Nodes   []string // hosts of the controllers
@@ -17,6 +17,8 @@
 	LeaseS  float64
 	Rules   *Rules
 	Fails   func(task, machine string) bool // nil: nothing does
+	Zones   []string                        // nil: one, a
+	FetchS  float64                         // how long a machine fetches an image
 
 	mu       sync.Mutex
 	bookings map[string][]string
@@ -51,7 +53,11 @@
 	defer c.mu.Unlock()
 	switch r.Method + r.URL.Path {
 	case "GET/catalog":
-		send(w, http.StatusOK, Catalog())
+		offers := Catalog()
+		if c.Zones != nil {
+			offers.Types[0].Zones = c.Zones
+		}
+		send(w, http.StatusOK, offers)
 	case "GET/hosts":
 		send(w, http.StatusOK, wire.MachineList{Machines: []wire.ListedMachine{}})
 	case "POST/hosts":
@@ -83,6 +89,7 @@
 			if wk := c.machines[id]; wk != nil {
 				wk.stop()
 				delete(c.machines, id)
+				c.Net.Handle(wk.address, nil)
 				c.release(id)
 			}
 		}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -15,29 +15,34 @@
 // protocol by its name there.
 type Rules struct {
 	Cancel time.Duration      // cancel_s
-	Limits map[string]float64 // CPUs that a team may use
+	Limits map[string]float64 // CPUs that a team may use, by team; 0: no limit
+	Offers []wire.MachineType // what the cloud has
 
-	mu     sync.Mutex
-	jobs   map[string]*watched
-	on     map[string]string // task -> machine that has it
-	used   map[string]float64
-	kinds  map[string]wire.Rental // of machines
-	broken []string
+	mu        sync.Mutex
+	jobs      map[string]*watched
+	on        map[string]string // task -> machine that has it
+	used      map[string]float64
+	kinds     map[string]wire.Rental // of machines
+	cancelled []*watched             // jobs that users were told are cancelled
+	after     int                    // starts of these
+	broken    []string
 }
 
 // watched is a job as its user knows it.
 type watched struct {
 	spec     wire.Job
-	accepted time.Time
+	wrong    string    // why it must not be accepted, if so
+	accepted time.Time // when a user was first told of it
 	asked    bool      // to be cancelled
 	final    string    // status told, if it is one that stays
 	told     time.Time // when
 	done     map[string]bool
+	on       map[string]bool // its tasks on machines
 }
 
 // NewRules watches nothing yet.
 func NewRules(cancel time.Duration, limits map[string]float64) *Rules {
-	return &Rules{Cancel: cancel, Limits: limits, jobs: map[string]*watched{}, on: map[string]string{},
+	return &Rules{Cancel: cancel, Limits: limits, Offers: Catalog().Types, jobs: map[string]*watched{}, on: map[string]string{},
 		used: map[string]float64{}, kinds: map[string]wire.Rental{}}
 }
 
@@ -75,16 +80,20 @@
 		return
 	}
 	kind := r.kinds[machine]
+	r.zones(w, task, kind.Zone)
 	if len(w.spec.Types) > 0 && !slices.Contains(w.spec.Types, kind.Type) || w.spec.Zone != "" && w.spec.Zone != kind.Zone || kind.Spot && !w.spec.Spot {
 		r.breaks("wrong_place", "%s on %+v", task, kind)
 	}
+	if w.final == wire.JobCancelled {
+		r.after++
+	}
 	if w.final == wire.JobCancelled && time.Since(w.told) > r.Cancel {
 		r.breaks("ran_cancelled", "%s starts %v after its user was told", task, time.Since(w.told))
 	}
 	if _, ok := r.on[task]; !ok {
 		r.used[w.spec.Team] += w.spec.CPUs
 	}
-	r.on[task] = machine
+	r.on[task], w.on[task] = machine, true
 	if limit := r.Limits[w.spec.Team]; limit > 0 && r.used[w.spec.Team] > limit {
 		r.breaks("quota", "team %s uses %v of %v CPUs", w.spec.Team, r.used[w.spec.Team], limit)
 	}
@@ -101,30 +110,107 @@
 		return
 	}
 	delete(r.on, task)
+	delete(w.on, task)
 	r.used[w.spec.Team] -= w.spec.CPUs
 	if done {
 		w.done[task] = true
 	}
 }
 
-// overstayed looks for tasks of jobs cancelled too long ago.
+// zones checks where a task of a job that binds its tasks to each other's zones starts,
+// given where its other tasks are.
+func (r *Rules) zones(w *watched, task, zone string) {
+	if !w.spec.OneZone && !w.spec.Spread {
+		return
+	}
+	here := 1
+	for other := range w.on {
+		if other == task {
+			continue
+		}
+		if z := r.kinds[r.on[other]].Zone; z == zone {
+			here++
+		} else if w.spec.OneZone {
+			r.breaks("wrong_place", "%s starts in zone %s while %s is in %s", task, zone, other, z)
+		}
+	}
+	if w.spec.Spread && here > (w.spec.Tasks+1)/2 {
+		r.breaks("wrong_place", "%s makes %d of %d tasks in zone %s", task, here, w.spec.Tasks, zone)
+	}
+}
+
+// overstayed looks for tasks of jobs cancelled too long ago. It comes before every
+// change, so a task that stays a moment too long is seen when it leaves.
 func (r *Rules) overstayed() {
-	for task, machine := range r.on {
-		id, _, _ := strings.Cut(task, "/")
-		if w := r.jobs[id]; w != nil && w.final == wire.JobCancelled && time.Since(w.told) > r.Cancel {
-			r.breaks("ran_cancelled", "%s is on %s %v after its user was told", task, machine, time.Since(w.told))
+	for _, w := range r.cancelled {
+		if time.Since(w.told) <= r.Cancel {
+			continue
+		}
+		for task := range w.on {
+			r.breaks("ran_cancelled", "%s is on %s %v after its user was told", task, r.on[task], time.Since(w.told))
 			delete(r.on, task)
+			delete(w.on, task)
+			r.used[w.spec.Team] -= w.spec.CPUs
 		}
 	}
 }
 
+// StartsAfterCancel counts the starts after a user was told that the job is cancelled,
+// also those that the protocol admits because the command was on its way.
+func (r *Rules) StartsAfterCancel() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.after
+}
+
+// Job is a job as it was submitted.
+func (r *Rules) Job(id string) wire.Job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w := r.jobs[id]; w != nil {
+		return w.spec
+	}
+	return wire.Job{}
+}
+
 // Submits notes that a user is about to submit a job.
 func (r *Rules) Submits(spec wire.Job) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.jobs[spec.ID] == nil {
-		r.jobs[spec.ID] = &watched{spec: spec, done: map[string]bool{}}
+	r.submits(spec, r.wrong(&spec))
+}
+
+// SubmitsMalformed notes that a user is about to submit a job that lacks a field.
+func (r *Rules) SubmitsMalformed(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.submits(wire.Job{ID: id}, "malformed")
+}
+
+// submits keeps the first submission that may be accepted: what a repeat says counts
+// for nothing.
+func (r *Rules) submits(spec wire.Job, wrong string) {
+	if w := r.jobs[spec.ID]; w == nil || w.wrong != "" && wrong == "" {
+		r.jobs[spec.ID] = &watched{spec: spec, wrong: wrong, done: map[string]bool{}, on: map[string]bool{}}
+	}
+}
+
+// wrong tells why a job can never run, if so.
+func (r *Rules) wrong(spec *wire.Job) string {
+	limit, known := r.Limits[spec.Team]
+	switch {
+	case !known:
+		return "unknown team"
+	case limit > 0 && spec.CPUs > limit:
+		return "over the team's limit"
 	}
+	for _, t := range r.Offers {
+		if (len(spec.Types) == 0 || slices.Contains(spec.Types, t.Name)) && (spec.Zone == "" || slices.Contains(t.Zones, spec.Zone)) &&
+			spec.CPUs <= t.CPUs && spec.GPUs <= t.GPUs && spec.MemoryGB <= t.MemoryGB {
+			return ""
+		}
+	}
+	return "fits no machine"
 }
 
 // Asks notes a request about a job that is about to be sent, and names the job.
@@ -160,7 +246,10 @@
 	default:
 		return
 	}
-	if w.accepted.IsZero() && method == http.MethodPost {
+	if w.accepted.IsZero() {
+		if w.wrong != "" {
+			r.breaks("accepted_wrong", "%s: %s", id, w.wrong)
+		}
 		w.accepted = time.Now()
 	}
 	if w.final != "" && w.told.Before(sent) && s.Status != w.final {
@@ -180,5 +269,8 @@
 	}
 	if w.final == "" {
 		w.final, w.told = s.Status, time.Now()
+		if s.Status == wire.JobCancelled {
+			r.cancelled = append(r.cancelled, w)
+		}
 	}
 }
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -20,6 +21,19 @@
 		time.Sleep(time.Millisecond)
 		r.Told(method, path, strings.Split(path+"/j-000001", "/")[3], sent, code, wire.JobStatus{ID: "j-000001", Status: status})
 	}
+	// apart starts the tasks of a job on these machines.
+	apart := func(r *Rules, job wire.Job, machines ...string) {
+		job.ID, job.Team, job.Tasks, job.Spot = "j-000002", "blue", 4, true
+		r.Submits(job)
+		for i, m := range machines {
+			r.Started(fmt.Sprintf("j-000002/%d", i), m)
+		}
+	}
+	accepted := func(r *Rules, job wire.Job) {
+		job.ID, job.Tasks = "j-000002", 1
+		r.Submits(job)
+		r.Told("POST", "/v1/jobs", job.ID, time.Now(), 201, wire.JobStatus{ID: job.ID, Status: wire.JobPending})
+	}
 	cases := []struct {
 		rule string
 		day  func(r *Rules)
@@ -65,10 +79,53 @@
 			told(r, "GET", poll, 200, wire.JobPending)
 		}},
 		{"went_back", func(r *Rules) { told(r, "GET", poll, 200, wire.JobCancelled) }},
+		{"went_back", func(r *Rules) {
+			told(r, "POST", abort, 200, wire.JobCancelled)
+			told(r, "POST", "/v1/jobs", 200, wire.JobPending)
+		}},
+		{"forgotten", func(r *Rules) { told(r, "POST", "/v1/jobs", 404, "") }},
+		{"forgotten", func(r *Rules) { told(r, "POST", abort, 404, "") }},
+		// A question may be answered before the submission is.
+		{"forgotten", func(r *Rules) {
+			r.Submits(wire.Job{ID: "j-000003", Team: "small", Tasks: 1, CPUs: 1})
+			r.Told("GET", "/v1/jobs/j-000003", "j-000003", time.Now(), 200, wire.JobStatus{ID: "j-000003", Status: wire.JobPending})
+			time.Sleep(time.Millisecond)
+			r.Told("GET", "/v1/jobs/j-000003", "j-000003", time.Now(), 404, wire.JobStatus{})
+		}},
+		// It left, but too late, and nothing else happened meanwhile.
+		{"ran_cancelled", func(r *Rules) {
+			r.Started("j-000001/0", "i-1")
+			told(r, "POST", abort, 200, wire.JobCancelled)
+			time.Sleep(10*time.Second + time.Millisecond)
+			r.Left("j-000001/0", "i-1", false)
+		}},
+		{"", func(r *Rules) {
+			r.Started("j-000001/0", "i-1")
+			told(r, "POST", abort, 200, wire.JobCancelled)
+			time.Sleep(10 * time.Second)
+			r.Left("j-000001/0", "i-1", false)
+		}},
+		{"wrong_place", func(r *Rules) { apart(r, wire.Job{OneZone: true}, "i-1", "i-3") }},
+		{"", func(r *Rules) { apart(r, wire.Job{OneZone: true}, "i-1", "i-2", "i-2") }},
+		{"wrong_place", func(r *Rules) { apart(r, wire.Job{Spread: true}, "i-1", "i-3", "i-2", "i-1") }},
+		{"", func(r *Rules) { apart(r, wire.Job{Spread: true}, "i-1", "i-3", "i-2") }},
+		{"accepted_wrong", func(r *Rules) { accepted(r, wire.Job{Team: "small", CPUs: 3}) }},
+		{"accepted_wrong", func(r *Rules) { accepted(r, wire.Job{Team: "blue", CPUs: 5}) }},
+		{"accepted_wrong", func(r *Rules) { accepted(r, wire.Job{Team: "blue", CPUs: 1, Zone: "z"}) }},
+		{"accepted_wrong", func(r *Rules) { accepted(r, wire.Job{Team: "nobody's", CPUs: 1}) }},
+		{"accepted_wrong", func(r *Rules) {
+			r.SubmitsMalformed("j-000002")
+			r.Told("POST", "/v1/jobs", "j-000002", time.Now(), 201, wire.JobStatus{ID: "j-000002", Status: wire.JobPending})
+		}},
+		// The repeat of a job that was accepted may say anything.
+		{"", func(r *Rules) {
+			r.SubmitsMalformed("j-000001")
+			told(r, "POST", "/v1/jobs", 200, wire.JobPending)
+		}},
 	}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
-			r := NewRules(10*time.Second, map[string]float64{"small": 2})
+			r := NewRules(10*time.Second, map[string]float64{"small": 2, "blue": 0})
 			for _, m := range []string{"i-1", "i-2"} {
 				r.Rented(m, wire.Rental{Type: "m4", Zone: "a", Spot: true})
 			}
@@ -83,3 +140,21 @@
 		})
 	}
 }
+
+// TestStartsAfterCancel counts the starts of a job that its user knows to be cancelled,
+// also those within cancel_s.
+func TestStartsAfterCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := NewRules(10*time.Second, map[string]float64{"blue": 0})
+		r.Submits(wire.Job{ID: "j-000001", Team: "blue", Tasks: 2, CPUs: 1})
+		r.Asks("/v1/jobs/j-000001/abort")
+		for i, want := range []int{0, 1} {
+			r.Started(fmt.Sprintf("j-000001/%d", i), "i-1")
+			if got := r.StartsAfterCancel(); got != want {
+				t.Errorf("start %d: %d counted, want %d", i, got, want)
+			}
+			r.Told("POST", "/v1/jobs/j-000001/abort", "j-000001", time.Now(), 200, wire.JobStatus{ID: "j-000001", Status: wire.JobCancelled})
+			time.Sleep(time.Second)
+		}
+	})
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	cloud   *Cloud
 	address string
 	rental  wire.Rental
+	ctx     context.Context // ends with the machine
 	cancel  context.CancelFunc
 	client  *http.Client
 
@@ -32,23 +34,75 @@
 	renewed time.Time // send time of the last answered report
 	node    int
 	changed chan struct{}
+	hung    chan struct{} // closed when the machine goes on; nil: it does not hang
+	images  map[string]bool
 }
 
 type workerTask struct {
 	wire.ReportTask
-	ends time.Time
+	ends time.Time // of what its state says
 }
 
 func newWorker(c *Cloud, id string, r wire.Rental) *Worker {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &Worker{ID: id, cloud: c, address: id + workerPort, rental: r, cancel: cancel, session: 1,
-		client: &http.Client{Transport: c.Net.From(id)}, renewed: time.Now(), changed: make(chan struct{}, 1)}
+	w := &Worker{ID: id, cloud: c, address: id + workerPort, rental: r, ctx: ctx, cancel: cancel, session: 1,
+		client: &http.Client{Transport: c.Net.From(id)}, renewed: time.Now(), changed: make(chan struct{}, 1), images: map[string]bool{}}
 	go w.run(ctx)
 	return w
 }
 
 func (w *Worker) stop() { w.cancel() }
 
+// Hang has the machine hang for a while: it runs nothing, reports nothing, and executes
+// what was sent to it when it goes on, if token and session still match. Its lease ends
+// meanwhile all the same: that is the first thing that it notices when it goes on.
+func (w *Worker) Hang(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.hung != nil {
+		return
+	}
+	over := make(chan struct{})
+	w.hung = over
+	time.AfterFunc(d, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, t := range w.tasks {
+			t.ends = t.ends.Add(d)
+		}
+		w.hung = nil
+		w.step()
+		close(over)
+		w.wake()
+	})
+}
+
+// awake waits until the machine does not hang.
+func (w *Worker) awake() {
+	for {
+		w.mu.Lock()
+		hung := w.hung
+		w.mu.Unlock()
+		if hung == nil {
+			return
+		}
+		<-hung
+	}
+}
+
+// Tasks lists the tasks that the machine has and that have not ended.
+func (w *Worker) Tasks() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for _, t := range w.tasks {
+		if t.State != wire.TaskExited {
+			out = append(out, t.Task)
+		}
+	}
+	return out
+}
+
 // Token is the highest token that the worker has seen.
 func (w *Worker) Token() uint64 {
 	w.mu.Lock()
@@ -78,6 +132,7 @@
 	go w.keepTime(ctx)
 	for ctx.Err() == nil {
 		pause := w.cloud.ReportS
+		w.awake()
 		if !w.report(ctx) {
 			pause = min(pause, 1) // until the next node is tried
 		}
@@ -94,6 +149,10 @@
 
 // step ends what has run its time, and everything when the lease is over.
 func (w *Worker) step() {
+	if w.ctx.Err() != nil {
+		w.tasks = nil
+		return
+	}
 	now := time.Now()
 	if now.Sub(w.renewed) > seconds(w.cloud.LeaseS) {
 		for _, t := range w.tasks {
@@ -103,14 +162,46 @@
 		w.session++
 		w.renewed = now
 	}
+	if w.hung != nil {
+		return
+	}
 	for _, t := range w.tasks {
-		if t.State == wire.TaskRunning && !now.Before(t.ends) {
+		if now.Before(t.ends) {
+			continue
+		}
+		switch t.State {
+		case wire.TaskFetching:
+			w.images[w.image(t.Task)] = true
+			w.begin(t)
+		case wire.TaskRunning:
 			t.State, t.Cause = wire.TaskExited, wire.CauseDone
 			w.cloud.left(t.Task, w.ID, true)
+		case wire.TaskSaving:
+			t.State, t.Cause, t.Saved = wire.TaskExited, wire.CauseStopped, true
+			w.cloud.left(t.Task, w.ID, false)
+		default:
+			continue
 		}
+		w.wake()
 	}
 }
 
+// job is the description of a task's job, which its user has uploaded.
+func (w *Worker) job(task string) wire.Job {
+	id, _, _ := strings.Cut(task, "/")
+	return w.cloud.Rules.Job(id)
+}
+
+func (w *Worker) image(task string) string { return w.job(task).Image }
+
+// begin has a task run that has its image.
+func (w *Worker) begin(t *workerTask) {
+	run := seconds(w.cloud.RunFor(t.Task))
+	t.State, t.ends = wire.TaskRunning, time.Now().Add(run)
+	w.cloud.started(t.Task, w.ID)
+	time.AfterFunc(run, w.wake)
+}
+
 func (w *Worker) message() *wire.Report {
 	w.seq++
 	r := &wire.Report{Machine: w.ID, Address: w.address, Type: w.rental.Type, Zone: w.rental.Zone, Spot: w.rental.Spot,
@@ -130,11 +221,18 @@
 	w.mu.Unlock()
 	sent := time.Now()
 	code, body := w.post(ctx, node, r)
+	w.awake()
+	if time.Since(sent) > answerWithin {
+		code = 0 // it waited too long, perhaps hanging
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch code {
 	case http.StatusOK:
 		var a wire.ReportAnswer
+		if w.ctx.Err() != nil {
+			return true
+		}
 		if wire.Unmarshal(body, &a) != nil || a.Token < w.token || r.Session != w.session {
 			return true
 		}
@@ -162,6 +260,9 @@
 	return false
 }
 
+// answerWithin is how long a worker waits for the answer to a report.
+const answerWithin = 4 * time.Second
+
 func (w *Worker) wake() {
 	select {
 	case w.changed <- struct{}{}:
@@ -174,7 +275,7 @@
 	if err != nil {
 		panic(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/hello", bytes.NewReader(b))
 	if err != nil {
@@ -207,15 +308,26 @@
 				t.State, t.Cause = wire.TaskExited, wire.CauseError
 				w.cloud.started(c.Task, w.ID)
 				w.cloud.left(c.Task, w.ID, false)
+			} else if w.cloud.FetchS > 0 && !w.images[w.image(c.Task)] {
+				t.State, t.ends = wire.TaskFetching, time.Now().Add(seconds(w.cloud.FetchS))
 			} else {
-				run := seconds(w.cloud.RunFor(c.Task))
-				t.ends = time.Now().Add(run)
-				w.cloud.started(c.Task, w.ID)
-				time.AfterFunc(run, w.wake)
+				w.begin(t)
 			}
 			w.tasks = append(w.tasks, t)
 		case wire.VerbStop:
-			if i >= 0 && w.tasks[i].State != wire.TaskExited {
+			if i < 0 || w.tasks[i].State == wire.TaskExited {
+				continue
+			}
+			grace := 0.0
+			if c.GraceS != nil {
+				grace = *c.GraceS
+			}
+			job := w.job(c.Task)
+			switch {
+			case w.tasks[i].State == wire.TaskRunning && job.CheckpointS > 0 && job.SaveS > 0 && grace >= job.SaveS:
+				w.tasks[i].State, w.tasks[i].ends = wire.TaskSaving, time.Now().Add(seconds(job.SaveS))
+			case w.tasks[i].State == wire.TaskSaving && grace > 0:
+			default:
 				w.tasks[i].State, w.tasks[i].Cause = wire.TaskExited, wire.CauseStopped
 				w.cloud.left(c.Task, w.ID, false)
 			}
@@ -236,9 +348,14 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	w.awake()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.step()
+	if w.ctx.Err() != nil {
+		rw.WriteHeader(http.StatusServiceUnavailable) // what was held by the machine is gone with it
+		return
+	}
 	if c.Token < w.token || c.Session != w.session {
 		send(rw, http.StatusConflict, w.message())
 		return
--- a/node_test.go
+++ b/node_test.go
@@ -183,6 +183,8 @@
 		r = bytes.NewReader(b)
 		if spec, err := wire.ParseJob(b); err == nil {
 			c.rules.Submits(spec)
+		} else if id := wire.SubmittedID(b); id != "" {
+			c.rules.SubmitsMalformed(id)
 		}
 		submitted = wire.SubmittedID(b)
 	}
