--- a/fleet_test.go
+++ b/fleet_test.go
@@ -8,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"caperlatch/internal/replica"
 	"caperlatch/internal/settings"
 	"caperlatch/internal/standin"
 	"caperlatch/internal/wire"
@@ -51,17 +50,10 @@
 		}
 		rented := c.cloud.Rented()
 
-		token := func() uint64 {
-			var n replica.Token
-			if e, ok := c.state.Get(replica.TokenKey); !ok || wire.Unmarshal(e.Value, &n) != nil {
-				t.Fatal("no token is stored")
-			}
-			return n.Token
-		}
 		// led waits for another leader than before, and tells how many machines it
 		// has told of itself after a time.
 		led := func(before uint64, after time.Duration) (told int) {
-			for i := 0; token() == before; i++ {
+			for i := 0; c.token() == before; i++ {
 				if i == 200 {
 					t.Fatal("nobody leads")
 				}
@@ -75,7 +67,7 @@
 			}
 			return told
 		}
-		before := token()
+		before := c.token()
 		for i := range 5 {
 			c.kill(i)
 		}
@@ -94,7 +86,7 @@
 			}
 			return standin.Pass
 		})
-		before = token()
+		before = c.token()
 		i := c.leader()
 		c.kill(i)
 		if told := led(before, 6*time.Second); told < all/2 {
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -144,7 +144,18 @@
 			return serve(r.Context()), nil
 		}
 	case Pass:
-		return serve(r.Context()), nil
+		if !strings.HasSuffix(r.URL.Host, workerPort) {
+			return serve(r.Context()), nil
+		}
+		// A machine that hangs has what was sent to it, also when the caller gives up.
+		answer := make(chan *http.Response, 1)
+		t.net.late.Go(func() { answer <- serve(context.WithoutCancel(r.Context())) })
+		select {
+		case resp := <-answer:
+			return resp, nil
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
 	}
 	<-r.Context().Done()
 	return nil, r.Context().Err()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -16,6 +16,8 @@
 	// Limits, 0: none. They are set before the first request.
 	RPS, WriteRPS float64
 	TxnOps        int
+	// Check is shown each transaction's conditions and the keys that it changes, if set.
+	Check func(conditions []wire.Condition, keys []string)
 
 	requests, writes bucket
 	mu               sync.Mutex
@@ -196,6 +198,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.Check != nil {
+		var keys []string
+		for _, op := range t.Then {
+			keys = append(keys, op.Write+op.Remove)
+		}
+		s.Check(t.If, keys)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.TxnOps > 0 && len(t.Then) > s.TxnOps {
--- a/meetings_test.go
+++ b/meetings_test.go
@@ -35,7 +35,10 @@
 		defer c.close()
 		c.cloud.RunFor = func(task string) float64 {
 			id, n, _ := strings.Cut(task, "/")
-			return meetingTasks[id][n[0]-'0']
+			if tasks := meetingTasks[id]; tasks != nil {
+				return tasks[n[0]-'0']
+			}
+			return 5 // of a job that a case adds
 		}
 		submit := func(id string) {
 			job := testJob(id, len(meetingTasks[id]))
--- a/node_test.go
+++ b/node_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"caperlatch/internal/replica"
 	"caperlatch/internal/settings"
 	"caperlatch/internal/standin"
 	"caperlatch/internal/wire"
@@ -95,6 +96,7 @@
 	}
 	c.rules = standin.NewRules(time.Duration(s.Params.Workers.CancelS*float64(time.Second)), limits)
 	c.cloud = standin.NewCloud(c.net, c.rules, nodes, s.Params.Workers.ReportS, s.Params.Workers.LeaseS, func(string) float64 { return 5 })
+	c.state.Check = c.conditioned
 	c.net.Handle("state", c.state)
 	c.net.Handle("cloud", c.cloud)
 	c.user = &http.Client{Transport: c.net.From("user")}
@@ -172,6 +174,34 @@
 	return -1
 }
 
+// token is the highest token given out, as stored.
+func (c *cluster) token() uint64 {
+	c.t.Helper()
+	var n replica.Token
+	if e, ok := c.state.Get(replica.TokenKey); !ok || wire.Unmarshal(e.Value, &n) != nil {
+		c.t.Fatal("no token is stored")
+	}
+	return n.Token
+}
+
+// conditioned checks that no write can be carried out late to harm: each is conditioned
+// on its key's version, and the leader's on its leader key.
+func (c *cluster) conditioned(conditions []wire.Condition, keys []string) {
+	has := func(key string, none bool) bool {
+		return slices.ContainsFunc(conditions, func(x wire.Condition) bool { return x.Key == key && (none || x.Stamp != 0) })
+	}
+	for _, key := range keys {
+		if !has(key, true) {
+			c.t.Errorf("%s is written whatever its version", key)
+		}
+		of := func(prefix string) bool { return strings.HasPrefix(key, prefix) }
+		if (of(replica.ProgressPrefix) || of(replica.BookingPrefix) || of(replica.UpPrefix) || key == replica.StaffingKey || key == replica.CatalogKey) &&
+			!has(replica.LeaderKey, false) {
+			c.t.Errorf("%s is written whoever leads", key)
+		}
+	}
+}
+
 func (c *cluster) request(method string, node int, path string, body any) (int, wire.JobStatus) {
 	var r io.Reader
 	submitted := ""
