--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -19,6 +19,7 @@
 	Fails   func(task, machine string) bool // nil: nothing does
 	Zones   []string                        // nil: one, a
 	FetchS  float64                         // how long a machine fetches an image
+	Most    int                             // machines that it has, 0: any number
 
 	mu       sync.Mutex
 	bookings map[string][]string
@@ -67,7 +68,11 @@
 			return
 		}
 		ids, known := c.bookings[q.Request]
-		for i := 0; i < q.Count && !known; i++ {
+		if !known && c.Most > 0 && len(c.machines) >= c.Most {
+			send(w, http.StatusServiceUnavailable, wire.ErrorBody{Error: "no capacity"})
+			return
+		}
+		for i := 0; i < q.Count && !known && (c.Most == 0 || len(c.machines) < c.Most); i++ {
 			id := fmt.Sprintf("i-%06d", c.next)
 			c.next++
 			c.rented++
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -20,7 +20,7 @@
 
 // The faults. With LostAnswer the request is carried out and nobody hears of
 // it; with Late it is carried out after the caller has given up; with Copied it is
-// answered, and a copy of it comes late.
+// answered, and a copy of it comes late; with Slow it and its answer take a while.
 const (
 	Pass Fault = iota
 	Refused
@@ -29,6 +29,7 @@
 	Late
 	Copied
 	TooMany
+	Slow
 )
 
 // lateBy is when the nth late request is carried out: 2 to 12 s after it was sent, so
@@ -39,6 +40,9 @@
 // to well over the tests' lease.
 func copyBy(n int) time.Duration { return 2*time.Second + time.Duration(n*7%17)*time.Second }
 
+// slowBy is how long a slow message takes.
+const slowBy = 300 * time.Millisecond
+
 // Net carries requests to handlers by host.
 type Net struct {
 	mu       sync.Mutex
@@ -126,6 +130,11 @@
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Header: http.Header{}, Request: r}, nil
 	case TooMany:
 		return &http.Response{StatusCode: http.StatusTooManyRequests, Body: http.NoBody, Header: http.Header{}, Request: r}, nil
+	case Slow:
+		time.Sleep(slowBy)
+		resp := serve(r.Context())
+		time.Sleep(slowBy)
+		return resp, r.Context().Err()
 	case LostAnswer:
 		serve(r.Context())
 	case Late, Copied:
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -90,6 +90,9 @@
 	}
 }
 
+// Zone is where the machine is.
+func (w *Worker) Zone() string { return w.rental.Zone }
+
 // Tasks lists the tasks that the machine has and that have not ended.
 func (w *Worker) Tasks() []string {
 	w.mu.Lock()
--- a/meetings_test.go
+++ b/meetings_test.go
@@ -301,6 +301,106 @@
 				c.start(i)
 			}
 		}},
+		{"half of the machines reach no node, while commands reach them", 5, func(c *cluster, cancel func()) {
+			time.Sleep(8 * time.Second)
+			var mute tally
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if half(from) {
+					mute.add("report")
+					return standin.LostRequest
+				}
+				if half(r.URL.Host) {
+					mute.add("command")
+				}
+				return standin.Pass
+			})
+			c.back(c.leader())
+			cancel()
+			time.Sleep(20 * time.Second)
+			if mute.of("report") == 0 || mute.of("command") == 0 {
+				c.t.Errorf("met %v", mute.n)
+			}
+		}},
+		{"machines hang with commands on their way, and the leader changes", 5, func(c *cluster, cancel func()) {
+			time.Sleep(8 * time.Second)
+			ran := 0
+			for _, w := range c.cloud.Workers() {
+				w.Hang(time.Duration(3+len(w.Tasks())) * time.Second)
+				ran += len(w.Tasks())
+			}
+			cancel()
+			time.Sleep(time.Second)
+			c.back(c.leader())
+			time.Sleep(15 * time.Second)
+			if ran == 0 {
+				c.t.Error("nothing ran on the machines that hung")
+			}
+		}},
+		{"all nodes are away for longer than lease_s", 3, func(c *cluster, cancel func()) {
+			time.Sleep(8 * time.Second)
+			ran := len(c.cloud.OnMachines())
+			for i := range 3 {
+				c.kill(i)
+			}
+			time.Sleep(time.Duration(leaseS+3) * time.Second)
+			if on := len(c.cloud.OnMachines()); ran == 0 || on > 0 {
+				c.t.Errorf("%d tasks ran, and %d after lease_s without nodes", ran, on)
+			}
+			for i := range 3 {
+				c.start(i)
+			}
+			cancel()
+			time.Sleep(10 * time.Second)
+		}},
+		{"leaders change ten times in two minutes, also inside an outage", 5, func(c *cluster, cancel func()) {
+			time.Sleep(6 * time.Second)
+			first := c.token()
+			for n := range 11 {
+				switch n {
+				case 4:
+					c.state.SetDown(true)
+					cancel()
+				case 6:
+					c.state.SetDown(false)
+				}
+				c.back(c.leader())
+				time.Sleep(9 * time.Second)
+			}
+			if n := c.token() - first; n < 9 {
+				c.t.Errorf("only %d changes", n)
+			}
+		}},
+		{"more work than room, urgent and not, over slow links", 3, func(c *cluster, cancel func()) {
+			c.cloud.Most = max(1, len(c.cloud.Workers()))
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if from == "user" {
+					return standin.Pass
+				}
+				return standin.Slow
+			})
+			for n := range 6 {
+				job := testJob(fmt.Sprintf("j-10000%d", n), 6)
+				job["rank"] = []string{"normal", "urgent", "idle"}[n%3]
+				for try := range 40 {
+					if code, _ := c.request(http.MethodPost, try%3, "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+						break
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+			}
+			time.Sleep(10 * time.Second)
+			cancel()
+			c.back(c.leader())
+			time.Sleep(20 * time.Second)
+			if on, room := len(c.cloud.OnMachines()), 4*c.cloud.Most; on < room/2 {
+				c.t.Errorf("%d tasks ran where %d have room", on, room)
+			}
+			c.setFault(nil)
+			for n := range 6 {
+				c.await(fmt.Sprintf("j-10000%d", n), wire.JobDone, 3*time.Minute)
+			}
+			c.cloud.Most = 0
+		}},
 		{"all of it", 5, func(c *cluster, cancel func()) {
 			late, copied, lost := every(4, standin.Late, isTxn), every(3, standin.Copied, isReport), every(5, standin.LostAnswer, isReport)
 			c.setFault(func(from string, r *http.Request) standin.Fault {
--- a/troubles_test.go
+++ b/troubles_test.go
@@ -187,6 +187,122 @@
 	}
 }
 
+// TestCancelAtEnd has users cancel, ask and repeat submissions at the very moment at which
+// a job's last task ends, at different nodes: whichever is decided, all say the same.
+func TestCancelAtEnd(t *testing.T) {
+	for _, nodes := range []int{3, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newClusterOf(t, nodes)
+			defer c.close()
+			c.cloud.RunFor = func(string) float64 { return 3 }
+			c.submit("j-000009", 1)
+			c.await("j-000009", wire.JobDone, time.Minute)
+			results := map[string]int{}
+			var seen tally
+			for n := range 30 {
+				job := testJob(fmt.Sprintf("j-%06d", 100+n), 1)
+				c.runJob(job)
+				id := job["id"].(string)
+				for c.running(id) > 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				// Its end is reported half a second later at most, and stored after that.
+				time.Sleep(time.Duration(n) * 40 * time.Millisecond)
+				var wg sync.WaitGroup
+				wg.Go(func() { c.lookClosely(job, false, 600*time.Millisecond, &seen) })
+				for node := range nodes {
+					wg.Go(func() { c.cancelJob(id, node) })
+				}
+				wg.Wait()
+				_, s := c.request(http.MethodGet, n%nodes, "/v1/jobs/"+id, nil)
+				results[s.Status]++
+			}
+			if results[wire.JobDone] < 3 || results[wire.JobCancelled] < 3 {
+				t.Errorf("%d nodes: ended as %v, want some of both", nodes, results)
+			}
+			c.broken()
+		})
+	}
+}
+
+// TestZones has jobs that are bound to one zone, or spread over zones, lose machines as a
+// zone with a node is cut off for longer than lease_s, and the leader is in it or not.
+func TestZones(t *testing.T) {
+	cases := []struct {
+		name    string
+		leads   bool // the leader is in the zone that is cut off
+		returns bool // the cloud takes machines back meanwhile
+	}{
+		{"the leader is cut off with its zone", true, true},
+		{"a follower is cut off with its zone", false, true},
+		{"a follower is cut off with its zone, and no return is answered", false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTunedCluster(t, 5, func(s *settings.Settings) { s.Params.Zones = []string{"a", "b"} })
+				defer c.close()
+				c.cloud.Zones = []string{"a", "b"}
+				c.rules.Offers[0].Zones = c.cloud.Zones
+				c.cloud.FetchS = 1
+				c.cloud.RunFor = func(string) float64 { return 40 }
+				time.Sleep(3 * time.Second)
+				for n, bind := range []map[string]any{{"together": true}, {"scatter": true}, {"hall": "a"}, {"hall": "b"}, {}} {
+					job := testJob(fmt.Sprintf("j-00000%d", n+1), 6)
+					job["expect_s"] = 200.0
+					for k, v := range bind {
+						job[k] = v
+					}
+					c.runJob(job)
+				}
+				inside := c.leader()
+				if !tc.leads {
+					inside = (inside + 1) % 5
+				}
+				zones := map[string]string{}
+				for _, w := range c.cloud.Workers() {
+					zones[w.ID] = w.Zone()
+				}
+				host := fmt.Sprintf("host-%d", inside)
+				// Where a name is; the services and users are in no zone.
+				cutOff := func(name string) bool {
+					return zones[machineOf(name)] == "a" || strings.HasPrefix(name, host+"/") || strings.HasPrefix(name, host+":")
+				}
+				var cut tally
+				c.pipes.Cut(func(from, to string) bool { return (from == host) != (to == host) })
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					if cutOff(from) != cutOff(r.URL.Host) {
+						cut.add("cut")
+						return standin.LostRequest
+					}
+					if r.URL.Path == "/hosts/return" && !tc.returns {
+						return standin.Refused
+					}
+					return standin.Pass
+				})
+				held := 0
+				for i := 0; i < int(leaseS)+10; i++ {
+					time.Sleep(time.Second)
+					for _, w := range c.cloud.Workers() {
+						if zones[w.ID] == "a" {
+							held += len(w.Tasks())
+						}
+					}
+				}
+				c.setFault(nil)
+				c.pipes.Cut(func(string, string) bool { return false })
+				if cut.of("cut") == 0 || held == 0 {
+					t.Errorf("%d messages were cut, %d tasks seen in the zone", cut.of("cut"), held)
+				}
+				for n := range 5 {
+					c.await(fmt.Sprintf("j-00000%d", n+1), wire.JobDone, 5*time.Minute)
+				}
+				c.broken()
+			})
+		})
+	}
+}
+
 // TestLostAnswers has each kind of write carried out at once and only its answer lost,
 // while all nodes read what it wrote: a repeat that fails for its condition may mean that
 // the first one was carried out.
