--- a/node_test.go
+++ b/node_test.go
@@ -884,6 +884,7 @@
 		c := newCluster(t)
 		defer c.close()
 		c.submit("j-000009", 1)
+		time.Sleep(time.Second) // until every node knows the catalog
 		job := testJob("j-000001", 12)
 		job["desk"] = "small"
 		if code, _ := c.request(http.MethodPost, 0, "/v1/jobs", job); code != http.StatusCreated {
