--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"caperlatch/internal/wire"
 )
 
 // Fault is what happens to a request on its way.
@@ -20,7 +22,8 @@
 
 // The faults. With LostAnswer the request is carried out and nobody hears of
 // it; with Late it is carried out after the caller has given up; with Copied it is
-// answered, and a copy of it comes late; with Slow it and its answer take a while.
+// answered, and a copy of it comes late; with Slow it and its answer take a while;
+// with HeldStarts an answer that carries starts is held up for nearly as long as a worker waits.
 const (
 	Pass Fault = iota
 	Refused
@@ -30,6 +33,7 @@
 	Copied
 	TooMany
 	Slow
+	HeldStarts
 )
 
 // lateBy is when the nth late request is carried out: 2 to 12 s after it was sent, so
@@ -40,6 +44,9 @@
 // to well over the tests' lease.
 func copyBy(n int) time.Duration { return 2*time.Second + time.Duration(n*7%17)*time.Second }
 
+// startsBy is how long answers with starts are held up.
+const startsBy = 3500 * time.Millisecond
+
 // slowBy is how long a slow message takes.
 const slowBy = 300 * time.Millisecond
 
@@ -52,6 +59,14 @@
 	calls    map[string]int // to workers in progress, by sender
 	most     int            // of these at a time, of any sender
 	lates    int            // late requests so far
+	starts   int            // answers with starts that were held up
+}
+
+// StartsHeld counts the answers with starts that were held up.
+func (n *Net) StartsHeld() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.starts
 }
 
 // NewNet makes a network without faults.
@@ -135,6 +150,20 @@
 		resp := serve(r.Context())
 		time.Sleep(slowBy)
 		return resp, r.Context().Err()
+	case HeldStarts:
+		resp := serve(r.Context())
+		b, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return nil, err
+		}
+		resp.Body = io.NopCloser(bytes.NewReader(b))
+		if bytes.Contains(b, []byte(wire.VerbStart)) {
+			t.net.mu.Lock()
+			t.net.starts++
+			t.net.mu.Unlock()
+			time.Sleep(startsBy)
+		}
+		return resp, r.Context().Err()
 	case LostAnswer:
 		serve(r.Context())
 	case Late, Copied:
--- a/troubles_test.go
+++ b/troubles_test.go
@@ -970,6 +970,68 @@
 	}
 }
 
+// TestStartsInFlight has a leader end while its starts are on their way to machines that
+// are in their second session, which the next leader does not know: it is told so by an
+// answer that shows their tasks but does not carry its token. Taken for a picture, it
+// would have the tasks started elsewhere before the starts arrive.
+func TestStartsInFlight(t *testing.T) {
+	for _, sessions := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t)
+			defer c.close()
+			c.cloud.RunFor = func(string) float64 { return 120 }
+			noReturns := func(_ string, r *http.Request) standin.Fault {
+				if r.URL.Path == "/hosts/return" {
+					return standin.Refused
+				}
+				return standin.Pass
+			}
+			c.setFault(noReturns)
+			base := testJob("j-000009", 4) // a CPU of each machine is left
+			base["vcpus"], base["expect_s"] = 3.0, 200.0
+			c.runJob(base)
+			time.Sleep(2 * time.Second)
+			if sessions == 2 {
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					if machineOf(from) != "" {
+						return standin.LostRequest
+					}
+					return noReturns(from, r)
+				})
+				time.Sleep(time.Duration(leaseS+2) * time.Second)
+				c.setFault(noReturns)
+				c.runJob(base)
+				time.Sleep(2 * time.Second)
+			}
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if r.URL.Path == "/hello" {
+					return standin.HeldStarts
+				}
+				return noReturns(from, r)
+			})
+			job := testJob("j-000001", 3)
+			job["expect_s"] = 200.0
+			if code, _ := c.request(http.MethodPost, c.leader(), "/v1/jobs", job); code != http.StatusCreated {
+				t.Fatalf("submission answered %d", code)
+			}
+			for i := 0; c.net.StartsHeld() == 0 && i < 500; i++ {
+				time.Sleep(20 * time.Millisecond)
+			}
+			before := c.token()
+			c.back(c.leader())
+			c.setFault(noReturns)
+			c.ledAfter(before)
+			if held, on := c.net.StartsHeld(), c.running("j-000001"); held == 0 || on > 0 {
+				t.Errorf("%d answers with starts were held up, %d of the tasks ran when the next leader led", held, on)
+			}
+			time.Sleep(5 * time.Second)
+			c.setFault(nil)
+			c.await("j-000001", wire.JobDone, 4*time.Minute)
+			c.broken()
+		})
+	}
+}
+
 // TestManyJobs has one-task jobs come four a second for two minutes, a quarter of them
 // cancelled, at the least limits that a deployment has. Neither their ends nor their
 // cancellations may be held up by each other.
