--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -85,6 +85,13 @@
 	s.wake()
 }
 
+// Down tells whether there is an outage.
+func (s *State) Down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 // Close ends the holds' timers.
 func (s *State) Close() {
 	s.mu.Lock()
--- a/meetings_test.go
+++ b/meetings_test.go
@@ -63,6 +63,7 @@
 				submit(id)
 			}
 		}
+		ran := 0 // tasks of jobs to be cancelled at a time, once there was trouble
 		over, asked := make(chan struct{}), make(chan struct{})
 		go func() {
 			defer close(asked)
@@ -77,6 +78,11 @@
 					id = ids[n%9]
 				}
 				go c.request(http.MethodGet, n/9%nodes, "/v1/jobs/"+id, nil)
+				if c.troubled() > 0 || c.state.Down() {
+					for _, id := range meetingDoomed {
+						ran = max(ran, c.running(id))
+					}
+				}
 			}
 		}()
 		cancelled := make(chan struct{})
@@ -104,6 +110,9 @@
 		}
 		close(over)
 		<-asked
+		if ran == 0 {
+			t.Error("no task of a job to be cancelled ran in the trouble")
+		}
 		time.Sleep(time.Duration(cancelS) * time.Second)
 		c.answersAll(ids)
 		for _, rule := range c.rules.Broken() {
@@ -193,6 +202,14 @@
 			cancel()
 			time.Sleep(40 * time.Second)
 		}},
+		{"the state service is slow while users cancel and ask", 3, func(c *cluster, cancel func()) {
+			c.setFault(every(1, standin.Slow, isState))
+			time.Sleep(12 * time.Second)
+			cancel()
+			time.Sleep(20 * time.Second)
+			c.back(c.leader())
+			time.Sleep(10 * time.Second)
+		}},
 		{"a leader is cut from state service and peers, not from workers and users", 5, func(c *cluster, cancel func()) {
 			time.Sleep(8 * time.Second)
 			member := fmt.Sprintf("host-%d", c.leader())
@@ -371,7 +388,8 @@
 			}
 		}},
 		{"more work than room, urgent and not, over slow links", 3, func(c *cluster, cancel func()) {
-			c.cloud.Most = max(1, len(c.cloud.Workers()))
+			c.cloud.Most = max(5, len(c.cloud.Workers()))
+			time.Sleep(8 * time.Second)
 			c.setFault(func(from string, r *http.Request) standin.Fault {
 				if from == "user" {
 					return standin.Pass
@@ -379,7 +397,7 @@
 				return standin.Slow
 			})
 			for n := range 6 {
-				job := testJob(fmt.Sprintf("j-10000%d", n), 6)
+				job := testJob(fmt.Sprintf("j-10000%d", n), 20)
 				job["rank"] = []string{"normal", "urgent", "idle"}[n%3]
 				for try := range 40 {
 					if code, _ := c.request(http.MethodPost, try%3, "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
@@ -388,13 +406,13 @@
 					time.Sleep(500 * time.Millisecond)
 				}
 			}
-			time.Sleep(10 * time.Second)
-			cancel()
-			c.back(c.leader())
-			time.Sleep(20 * time.Second)
+			time.Sleep(5 * time.Second)
 			if on, room := len(c.cloud.OnMachines()), 4*c.cloud.Most; on < room/2 {
 				c.t.Errorf("%d tasks ran where %d have room", on, room)
 			}
+			cancel()
+			c.back(c.leader())
+			time.Sleep(20 * time.Second)
 			c.setFault(nil)
 			for n := range 6 {
 				c.await(fmt.Sprintf("j-10000%d", n), wire.JobDone, 3*time.Minute)
--- a/node_test.go
+++ b/node_test.go
@@ -41,8 +41,10 @@
 	dead  map[string]bool // senders that are no more
 	tune  func(*settings.Settings)
 	fault func(from string, r *http.Request) standin.Fault
-	stops []func()
-	lives []int
+	// faults counts the messages that met one, so that a test can show that it happened.
+	faults int
+	stops  []func()
+	lives  []int
 }
 
 func nodeSettings(i, nodes int) *settings.Settings {
@@ -80,7 +82,11 @@
 			return standin.LostRequest
 		}
 		if c.fault != nil {
-			return c.fault(from, r)
+			f := c.fault(from, r)
+			if f != standin.Pass {
+				c.faults++
+			}
+			return f
 		}
 		return standin.Pass
 	})
@@ -145,6 +151,18 @@
 	c.fault = f
 }
 
+// troubled counts what went wrong so far: messages that met a fault, and lives of nodes
+// beyond the first.
+func (c *cluster) troubled() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n = c.faults
+	for _, lives := range c.lives {
+		n += lives - 1
+	}
+	return n
+}
+
 func (c *cluster) close() {
 	c.setFault(nil)
 	for i := range c.stops {
--- a/troubles_test.go
+++ b/troubles_test.go
@@ -309,6 +309,106 @@
 	}
 }
 
+// TestOddRequests has users send what cannot be, at every node: also at one that has just
+// started, and at nodes that know the machine types from the store alone.
+func TestOddRequests(t *testing.T) {
+	with := func(field string, value any) func(map[string]any) {
+		return func(job map[string]any) { job[field] = value }
+	}
+	without := func(field string) func(map[string]any) {
+		return func(job map[string]any) { delete(job, field) }
+	}
+	odd := []struct {
+		name string
+		edit func(map[string]any)
+		want int
+	}{
+		{"no image", without("bundle"), http.StatusBadRequest},
+		{"no number of tasks", without("pieces"), http.StatusBadRequest},
+		{"no estimate", without("expect_s"), http.StatusBadRequest},
+		{"too many tasks", with("pieces", 100001), http.StatusBadRequest},
+		{"an unknown priority", with("rank", "high"), http.StatusBadRequest},
+		{"an unknown team", with("desk", "nobody's"), http.StatusUnprocessableEntity},
+		{"more than any machine has", with("vcpus", 5.0), http.StatusUnprocessableEntity},
+		{"cards where no machine has any", with("cards", 1.0), http.StatusUnprocessableEntity},
+		{"a zone that there is not", with("hall", "z"), http.StatusUnprocessableEntity},
+		{"a type that there is not", with("builds", []string{"m5"}), http.StatusUnprocessableEntity},
+		{"more than its team may use", func(job map[string]any) { job["desk"], job["vcpus"] = "small", 4.5 }, http.StatusUnprocessableEntity},
+	}
+	cases := []struct {
+		name    string
+		trouble func(c *cluster)
+		refuses bool // the catalog is not known
+	}{
+		{"no trouble", func(*cluster) {}, false},
+		{"all have just started, and the cloud is away", func(c *cluster) {
+			c.setFault(func(_ string, r *http.Request) standin.Fault {
+				if r.URL.Host == "cloud" {
+					return standin.Refused
+				}
+				return standin.Pass
+			})
+			c.back(0, 1, 2)
+			time.Sleep(2 * time.Second)
+		}, false},
+		{"nobody knows the catalog", func(c *cluster) {
+			c.setFault(func(_ string, r *http.Request) standin.Fault {
+				if r.URL.Host == "cloud" {
+					return standin.Refused
+				}
+				return standin.Pass
+			})
+		}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				if tc.refuses {
+					tc.trouble(c)
+					time.Sleep(5 * time.Second)
+				} else {
+					c.submit("j-000001", 1)
+					c.await("j-000001", wire.JobDone, time.Minute)
+					tc.trouble(c)
+				}
+				for i, o := range odd {
+					for node := range c.stops {
+						job := testJob(fmt.Sprintf("j-%06d", 100+i), 1)
+						o.edit(job)
+						want := o.want
+						if tc.refuses && want == http.StatusUnprocessableEntity {
+							want = http.StatusServiceUnavailable
+						}
+						if code, _ := c.request(http.MethodPost, node, "/v1/jobs", job); code != want {
+							t.Errorf("%s: node %d answers %d, want %d", o.name, node, code, want)
+						}
+						if code, _ := c.request(http.MethodGet, node, "/v1/jobs/"+job["id"].(string), nil); code != http.StatusNotFound {
+							t.Errorf("%s: node %d answers %d about what it refused", o.name, node, code)
+						}
+						if code, _ := c.request(http.MethodPost, node, "/v1/jobs/"+job["id"].(string)+"/abort", nil); code != http.StatusNotFound {
+							t.Errorf("%s: node %d answers %d to cancelling what it refused", o.name, node, code)
+						}
+						if tc.refuses {
+							continue
+						}
+						// The repeat of an accepted job is answered whatever it says.
+						job["id"] = "j-000001"
+						if code, s := c.request(http.MethodPost, node, "/v1/jobs", job); code != http.StatusOK || s.Status != wire.JobDone {
+							t.Errorf("%s: node %d answers %d %q to the repeat of a job that is done", o.name, node, code, s.Status)
+						}
+						if code, s := c.request(http.MethodPost, node, "/v1/jobs/j-000001/abort", nil); code != http.StatusOK || s.Status != wire.JobDone {
+							t.Errorf("node %d answers %d %q to cancelling a job that is done", node, code, s.Status)
+						}
+					}
+				}
+				c.broken()
+			})
+		})
+	}
+}
+
 // TestLostAnswers has each kind of write carried out at once and only its answer lost,
 // while all nodes read what it wrote: a repeat that fails for its condition may mean that
 // the first one was carried out.
@@ -351,6 +451,8 @@
 				c.submit("j-000010", 2) // after the fault was set
 				time.Sleep(6 * time.Second)
 				look()
+				c.back(c.leader()) // so that a leader key and holds are among the writes
+				time.Sleep(time.Second)
 				cancel()
 				for range 8 {
 					look()
