--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -515,10 +515,11 @@
 		if j.ready(now) <= 0 || now-j.seen < specialWait || wall-j.lastStart < specialWait {
 			continue
 		}
-		probe := placement.Job{Types: j.spec.Types, Zone: j.spec.Zone, Spot: j.spec.Spot}
+		probe := placement.Job{Types: j.spec.Types, Zone: j.spec.Zone, Spot: j.spec.Spot,
+			OneZone: j.spec.OneZone, Spread: j.spec.Spread, Total: j.spec.Tasks, PerZone: j.zones}
 		closed, coming := 0, 0
 		for o, n := range kinds {
-			if placement.Allowed(&probe, o.Type, o.Zone, o.Spot) {
+			if placement.Open(&probe, o.Type, o.Zone, o.Spot) {
 				coming += n.coming
 			} else {
 				closed += n.all
@@ -528,6 +529,9 @@
 			continue // the targets serve it
 		}
 		for _, o := range l.offersFor(j) {
+			if !placement.Open(&probe, o.Type, o.Zone, o.Spot) {
+				continue // its other tasks bind it to another zone
+			}
 			if l.pending(o) {
 				break // its answer comes first
 			}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -231,6 +231,12 @@
 	return Allowed(j, m.Type, m.Zone, m.Spot) && !(j.Patient && m.Unworthy)
 }
 
+// Open tells the same as things are now: where a job's other tasks are may bind the next
+// one to their zone, or keep it out.
+func Open(j *Job, typ, zone string, spot bool) bool {
+	return Allowed(j, typ, zone, spot) && zoneRoom(j, zone) > 0
+}
+
 // zoneRoom tells how many more tasks of j may be in zone.
 func zoneRoom(j *Job, zone string) int {
 	if j.OneZone {
