--- a/gap_test.go
+++ b/gap_test.go
@@ -231,7 +231,7 @@
 					if tc.late {
 						g.submit("j-000001", 8)
 					}
-					for i := 0; i < 2000 && len(g.on("j-000001/")) == 0; i++ {
+					for i := 0; i < 2000 && len(g.on("j-000001/")) < 8 && !(tc.late && len(g.on("j-000001/")) > 0); i++ {
 						time.Sleep(20 * time.Millisecond)
 					}
 					g.mu.Lock()
