--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,12 +89,45 @@
 	return max(0, w.Cancel()-w.Lease()-micros.Drift(w.Cancel())-2*micros.Second)
 }
 
-// State holds the state service's limits.
+// State holds the state service's limits: the present ones and, in Next, those that
+// come into force some time later without notice.
 type State struct {
-	RPS      float64 `toml:"rps"`
-	WriteRPS float64 `toml:"write_rps"`
-	ValueKB  float64 `toml:"value_kb"`
-	TxnOps   int     `toml:"txn_ops"`
+	RPS      float64    `toml:"rps"`
+	WriteRPS float64    `toml:"write_rps"`
+	ValueKB  float64    `toml:"value_kb"`
+	TxnOps   int        `toml:"txn_ops"`
+	Next     StateLater `toml:"next"`
+}
+
+// StateLater holds limits of a later time; what is nil does not change.
+type StateLater struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// Later is the limits after the change; without one they are the present ones.
+func (s State) Later() State {
+	later := State{RPS: s.RPS, WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps}
+	for _, f := range []struct{ to, from *float64 }{{&later.RPS, s.Next.RPS}, {&later.WriteRPS, s.Next.WriteRPS}, {&later.ValueKB, s.Next.ValueKB}} {
+		if f.from != nil {
+			*f.to = *f.from
+		}
+	}
+	if s.Next.TxnOps != nil {
+		later.TxnOps = *s.Next.TxnOps
+	}
+	return later
+}
+
+// Always is the limits that hold at any time, before the change and after it: the
+// smaller of each two. The change comes without notice, so a node that kept to the
+// present ones would learn of it by refusals, in the middle of whatever it does.
+func (s State) Always() State {
+	later := s.Later()
+	return State{RPS: min(s.RPS, later.RPS), WriteRPS: min(s.WriteRPS, later.WriteRPS),
+		ValueKB: min(s.ValueKB, later.ValueKB), TxnOps: min(s.TxnOps, later.TxnOps)}
 }
 
 // Cloud holds the cloud's limits.
@@ -177,10 +210,8 @@
 	c.amount("params.workers.lease_s", p.Workers.LeaseS, little)
 	c.amount("params.workers.cancel_s", p.Workers.CancelS, little)
 	c.that(p.Workers.CancelS > p.Workers.LeaseS, "params.workers.cancel_s", "must be over lease_s")
-	c.amount("params.state.rps", p.State.RPS, little)
-	c.amount("params.state.write_rps", p.State.WriteRPS, little)
-	c.amount("params.state.value_kb", p.State.ValueKB, 3)
-	c.that(p.State.TxnOps >= 3, "params.state.txn_ops", "must be at least 3")
+	c.state("params.state.", p.State)
+	c.state("params.state.next.", p.State.Later())
 	c.amount("params.cloud.rps", p.Cloud.RPS, little)
 	c.amount("params.cloud.list_lag_s", p.Cloud.ListLagS, 0)
 	c.amount("params.limits.cpu", p.Limits.CPU, little)
@@ -198,6 +229,18 @@
 	}
 }
 
+// leastValueKB is what the largest value needs that cannot be split: the progress of
+// 8192 tasks.
+const leastValueKB = 2
+
+func (c *checker) state(at string, s State) {
+	const little = 1e-3
+	c.amount(at+"rps", s.RPS, little)
+	c.amount(at+"write_rps", s.WriteRPS, little)
+	c.amount(at+"value_kb", s.ValueKB, leastValueKB)
+	c.that(s.TxnOps >= 3, at+"txn_ops", "must be at least 3")
+}
+
 func (c *checker) text(field, v string) { c.that(v != "", field, "is missing") }
 
 func (c *checker) addr(field, v string) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -75,6 +75,15 @@
 		{"no lease", "lease_s = 16.0", "", "params.workers.lease_s"},
 		{"a cancellation within the lease", "cancel_s = 41.0", "cancel_s = 10.0", "params.workers.cancel_s"},
 		{"not a number", "rps = 60.0", "rps = nan", "params.state.rps"},
+		{"limits of a later time", "[params.cloud]", next("write_rps = 9.0\nvalue_kb = 2.0\ntxn_ops = 4"), ""},
+		{"one limit of a later time", "[params.cloud]", next("txn_ops = 3"), ""},
+		{"a later time without a limit", "[params.cloud]", next("colour = 2"), ""},
+		{"a later value too small", "[params.cloud]", next("value_kb = 1.5"), "params.state.next.value_kb"},
+		{"a later transaction too small", "[params.cloud]", next("txn_ops = 2"), "params.state.next.txn_ops"},
+		{"no changes at a later time", "[params.cloud]", next("write_rps = 0.0"), "params.state.next.write_rps"},
+		{"text for a later limit", "[params.cloud]", next(`value_kb = "2"`), "value_kb"},
+		{"a later limit of no number", "[params.cloud]", next("value_kb = nan"), "params.state.next.value_kb"},
+		{"a present transaction too small, the later one well", "txn_ops = 12", "txn_ops = 2\n[params.state.next]\ntxn_ops = 4", "params.state.txn_ops"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -92,6 +101,38 @@
 	}
 }
 
+func next(fields string) string { return "[params.state.next]\n" + fields + "\n[params.cloud]" }
+
+// TestLimits asks which limits hold before and after a change of them.
+func TestLimits(t *testing.T) {
+	present := State{RPS: 60, WriteRPS: 15, ValueKB: 8, TxnOps: 12}
+	cases := []struct {
+		name, next    string
+		later, always State
+	}{
+		{name: "no change", later: present, always: present},
+		{name: "all lower", next: "write_rps = 9.0\nvalue_kb = 2.0\ntxn_ops = 4",
+			later: State{RPS: 60, WriteRPS: 9, ValueKB: 2, TxnOps: 4}, always: State{RPS: 60, WriteRPS: 9, ValueKB: 2, TxnOps: 4}},
+		// What is missing stays; a limit that is raised may not be used before.
+		{name: "one lower, one higher", next: "value_kb = 16.0\ntxn_ops = 4",
+			later: State{RPS: 60, WriteRPS: 15, ValueKB: 16, TxnOps: 4}, always: State{RPS: 60, WriteRPS: 15, ValueKB: 8, TxnOps: 4}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, err := Parse([]byte(strings.Replace(file, "[params.cloud]", next(c.next), 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := s.Params.State.Later(); got != c.later {
+				t.Errorf("later %+v, want %+v", got, c.later)
+			}
+			if got := s.Params.State.Always(); got != c.always {
+				t.Errorf("at any time %+v, want %+v", got, c.always)
+			}
+		})
+	}
+}
+
 func TestRenewFor(t *testing.T) {
 	// A lease renewed at the very end must run out before cancel_s.
 	for _, w := range []Workers{{ReportS: 2, LeaseS: 16, CancelS: 41}, {ReportS: 3, LeaseS: 45, CancelS: 75}, {ReportS: 1, LeaseS: 10, CancelS: 11}} {
