No write is larger than the state service takes before or after its limits change

A stored list of machines over the limit is divided, the new lists first; what is refused as it is goes in halves and is given up alone; the stand-in state service keeps to limits that tests lower.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -180,7 +180,7 @@
 	}
 	spec, err := wire.ParseJob(body)
 	code := http.StatusBadRequest
-	if err == nil && !h.Store.FitsValue(replica.Job{Spec: &spec, SubmittedAt: micros.Wall(), State: wire.JobPending}) {
+	if err == nil && !h.Store.AcceptsValue(replica.Job{Spec: &spec, SubmittedAt: micros.Wall(), State: wire.JobPending}) {
 		err = errors.New("the description is too long")
 	}
 	if err == nil {
@@ -214,6 +214,16 @@
 		return reply(c, http.StatusCreated, wire.JobStatus{ID: id, Status: wire.JobPending})
 	case errors.Is(err, statestore.ErrConflict):
 		return h.answerKnown(c, id)
+	case errors.Is(err, statestore.ErrRefused):
+		// Its description is over a limit that has come into force. From then on no copy
+		// of it that got no answer is stored either; one may have been before.
+		if _, _, ok, kerr := h.known(ctx, id); kerr != nil {
+			return unavailable(c, http.StatusServiceUnavailable)
+		} else if ok {
+			return h.answerKnown(c, id)
+		}
+		slog.Info("submission refused by the state service", "job", id, "error", err)
+		return bad(c, http.StatusBadRequest, errors.New("the description is too long"))
 	}
 	slog.Debug("submission", "job", id, "error", err)
 	return unavailable(c, http.StatusServiceUnavailable)
@@ -241,7 +251,8 @@
 	for {
 		rev, err = h.Batch.Put(ctx, key, stamp, value)
 		switch {
-		case err == nil, errors.Is(err, statestore.ErrConflict), errors.Is(err, statestore.ErrUnavailable):
+		case err == nil, errors.Is(err, statestore.ErrConflict), errors.Is(err, statestore.ErrUnavailable),
+			errors.Is(err, statestore.ErrRefused):
 			return rev, err
 		case ctx.Err() != nil || micros.Now()-begun > putWithin:
 			return rev, err
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -22,6 +22,8 @@
 	Life        = 3 * micros.Second
 	extendEvery = 700 * micros.Millisecond
 	retryEvery  = 200 * micros.Millisecond
+	// refusedPause is between campaigns that the service refuses as they are.
+	refusedPause = 5 * micros.Second
 )
 
 // Peers is what the election asks of the other nodes' words.
@@ -104,6 +106,7 @@
 	began   micros.Micros
 	// forgotten is how long a promise of an earlier life may bind.
 	forgotten micros.Micros
+	pause     micros.Micros // after a campaign in vain
 
 	mu       sync.Mutex
 	promised micros.Micros // until then this node must not try to lead
@@ -114,7 +117,7 @@
 // New makes an election; lead is called for each term and must return soon
 // after its context ends.
 func New(member string, store *statestore.Client, r *replica.Replica, peers Peers, forgotten micros.Micros, lead func(context.Context, *Term)) *Election {
-	return &Election{member: member, store: store, replica: r, peers: peers, lead: lead, began: micros.Now(), forgotten: forgotten}
+	return &Election{member: member, store: store, replica: r, peers: peers, lead: lead, began: micros.Now(), forgotten: forgotten, pause: retryEvery}
 }
 
 // Promise has this node not try to lead for a while, if it is in a position to
@@ -203,7 +206,7 @@
 			if t != nil {
 				continue
 			}
-			wait = retryEvery + micros.Micros(rand.Int64N(int64(retryEvery)))
+			wait = e.pause + micros.Micros(rand.Int64N(int64(retryEvery)))
 		case l.Member == e.member:
 			// An earlier life of this member, or an unanswered campaign of
 			// this one, holds the key. Nothing acts for it any more: every
@@ -246,7 +249,14 @@
 			{Write: replica.TokenKey, Value: next},
 		},
 	})
+	e.pause = retryEvery
 	if err != nil {
+		if errors.Is(err, statestore.ErrRefused) {
+			// Two short values: nothing could be made smaller. Whatever it is, being
+			// asked five times a second does not mend it.
+			slog.Error("the state service refuses to store who leads", "error", err)
+			e.pause = refusedPause
+		}
 		slog.Debug("campaign", "error", err)
 		if err := e.store.Release(ctx, hold); err != nil {
 			slog.Debug("release", "error", err)
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -78,6 +78,10 @@
 // address, so that a next leader can ask it for its tasks.
 type upList struct {
 	Machines []string `json:"m"` // "id address"
+
+	// apart is set while a list that is too large is being split: it has the list
+	// that these machines stand in until this one is stored.
+	apart *int
 }
 
 func upEntry(m *machine) string { return m.id + " " + m.address }
@@ -97,21 +101,85 @@
 		if _, err := l.Replica.Get(key, l.ups[n]); err != nil {
 			return err
 		}
-		for _, entry := range l.ups[n].Machines {
+	}
+	for n, up := range l.ups {
+		for _, entry := range up.Machines {
 			id, address, _ := strings.Cut(entry, " ")
 			if m := l.machines[id]; m != nil {
 				m.up, m.upStored, m.resolved, m.upList, m.address = true, true, false, n, address
 			}
 		}
 	}
+	for n, up := range l.ups {
+		// A leader that ended while it split a list left machines in two.
+		if before := len(up.Machines); l.keepOwn(n) < before {
+			l.markLazily(upKey(n))
+		}
+	}
+	for n := range l.ups {
+		l.splitUp(n)
+	}
 	return nil
 }
 
+// keepOwn takes machines off a list that stand in another as well, and tells how many
+// are left.
+func (l *Leader) keepOwn(n int) int {
+	up := l.ups[n]
+	up.Machines = slices.DeleteFunc(up.Machines, func(entry string) bool {
+		id, _, _ := strings.Cut(entry, " ")
+		m := l.machines[id]
+		return m != nil && m.upList != n || l.gone[id]
+	})
+	return len(up.Machines)
+}
+
+// splitUp divides a list that an earlier version stored larger than the state service
+// may take now. The new lists are written first; the old one, which may not be written
+// as it is, names their machines until they are known to be stored. So at no moment,
+// whatever gets no answer and whoever takes over, a machine stands in no list.
+func (l *Leader) splitUp(n int) {
+	whole := l.ups[n].Machines
+	fits := func(entries []string) int {
+		lo, hi := 1, len(entries)
+		for lo < hi { // the most that fit
+			if mid := (lo + hi + 1) / 2; l.Store.FitsValue(upList{Machines: entries[:mid]}) {
+				lo = mid
+			} else {
+				hi = mid - 1
+			}
+		}
+		return lo
+	}
+	for rest := whole[min(len(whole), fits(whole)):]; len(rest) > 0; {
+		part := rest[:fits(rest)]
+		rest = rest[len(part):]
+		l.ups = append(l.ups, &upList{Machines: slices.Clone(part), apart: &n})
+		for _, entry := range part {
+			id, _, _ := strings.Cut(entry, " ")
+			if m := l.machines[id]; m != nil {
+				m.upList = len(l.ups) - 1
+			}
+		}
+		l.dirty[upKey(len(l.ups)-1)] = true
+	}
+}
+
+// parted is called once a part of a list that was split is stored, or is empty: the
+// list that it was part of need not name its machines any more.
+func (l *Leader) parted(n int) {
+	if of := l.ups[n].apart; of != nil {
+		l.ups[n].apart = nil
+		l.keepOwn(*of)
+		l.dirty[upKey(*of)] = true
+	}
+}
+
 // markUp has it stored that a machine may get tasks.
 func (l *Leader) markUp(m *machine) {
 	m.up = true
 	n := len(l.ups) - 1
-	if n < 0 || !l.Store.FitsValue(upList{append(l.ups[n].Machines, upEntry(m), upEntry(m))}) {
+	if n < 0 || !l.Store.FitsValue(upList{Machines: append(l.ups[n].Machines, upEntry(m), upEntry(m))}) {
 		l.ups = append(l.ups, &upList{})
 		n++
 	}
@@ -128,10 +196,15 @@
 	}
 	snapshot := slices.Clone(l.ups[n].Machines)
 	if len(snapshot) == 0 {
+		l.parted(n)
 		return w, w.stamp != 0
 	}
-	w.value = upList{snapshot}
+	w.value = upList{Machines: snapshot}
+	if w.stamp != 0 && len(snapshot) > 1 && !l.Store.FitsValue(w.value) {
+		return w, false // it is being split
+	}
 	w.stored = func() {
+		l.parted(n)
 		for _, entry := range snapshot {
 			id, _, _ := strings.Cut(entry, " ")
 			if m := l.machines[id]; m != nil {
--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -97,6 +97,11 @@
 		slog.Info("a newer term has begun")
 		l.lostOnce.Do(func() { close(l.lost) })
 		return false
+	case errors.Is(err, statestore.ErrRefused):
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.flushRefused(ws, err)
+		return true
 	default:
 		slog.Debug("flush", "error", err)
 	}
@@ -113,6 +118,25 @@
 	return false
 }
 
+// flushRefused makes a transaction smaller that the state service refuses as it is.
+// Halves tell whether the number of changes is at fault, which then stays lower, or a
+// value: one that is refused alone is given up until it is smaller, while the others go
+// on. It was sent again for ever, with all that stood beside it.
+func (l *Leader) flushRefused(ws []write, err error) {
+	if len(ws) == 1 {
+		w := ws[0]
+		l.tooLarge[w.key] = wire.JSONSize(w.value)
+		l.flushOps = l.Store.FlushOps()
+		slog.Error("the state service refuses a value, which is given up", "key", w.key, "bytes", l.tooLarge[w.key], "error", err)
+		return
+	}
+	l.flushOps = (len(ws) + 1) / 2
+	slog.Info("the state service refuses a transaction: it goes in parts", "changes", len(ws), "error", err)
+	for _, w := range ws {
+		l.dirty[w.key] = true
+	}
+}
+
 // gather takes the most urgent dirty keys that fit into one transaction.
 func (l *Leader) gather() (ws []write, more bool) {
 	keys := make([]string, 0, len(l.dirty))
@@ -129,8 +153,16 @@
 			delete(l.dirty, key)
 			continue
 		}
-		s := wire.JSONSize(w.value) + 3*len(key) + 128
-		if len(ws) == l.Store.FlushOps() || len(ws) > 0 && size+s > wire.MaxBody {
+		s := wire.JSONSize(w.value)
+		if refused, ok := l.tooLarge[key]; ok {
+			if s >= refused {
+				delete(l.dirty, key)
+				continue
+			}
+			delete(l.tooLarge, key)
+		}
+		s += 3*len(key) + 128
+		if len(ws) == l.flushOps || len(ws) > 0 && size+s > wire.MaxBody {
 			return ws, true
 		}
 		size += s
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -99,8 +100,12 @@
 	calls       chan struct{}   // calls to workers in progress
 	cutOff      map[string]bool // zones in which most machines are silent
 	flushNow    chan struct{}
-	lost        chan struct{} // closed when a write proved that the term is over
-	lostOnce    sync.Once
+	flushOps    int            // most changes in a transaction
+	tooLarge    map[string]int // sizes of values that the state service refused, by key
+	// A catalog that was refused is not sent again.
+	catalogRefused *wire.Catalog
+	lost           chan struct{} // closed when a write proved that the term is over
+	lostOnce       sync.Once
 }
 
 // machineType is a type of the catalog with its staffing.
@@ -128,7 +133,7 @@
 		strays: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
 		teams: map[string]settings.Team{}, used: map[string]placement.Resources{}, images: map[string]int{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
 		offers: map[offer]*offerState{}, estimates: map[string]*staffing.Estimate{},
-		flushNow: make(chan struct{}, 1), lost: make(chan struct{}),
+		flushNow: make(chan struct{}, 1), flushOps: c.Store.FlushOps(), tooLarge: map[string]int{}, lost: make(chan struct{}),
 		tallies: tallies{}, zoneAnswers: map[string]answers{}, cutOff: map[string]bool{}, calls: make(chan struct{}, max(8, c.Settings.Params.Limits.MaxSockets/callShare)),
 	}
 	for _, t := range c.Settings.Params.Teams {
@@ -203,10 +208,20 @@
 	if stamp != 0 && sameTypes(stored, c) {
 		return nil
 	}
+	if l.catalogRefused != nil && sameTypes(*l.catalogRefused, c) {
+		return nil
+	}
 	rev, err := l.Store.Commit(ctx, wire.Txn{
 		If:   []wire.Condition{{Key: replica.LeaderKey, Stamp: l.Stamp}, {Key: replica.CatalogKey, Stamp: stamp}},
 		Then: []wire.Op{{Write: replica.CatalogKey, Value: c}},
 	})
+	if errors.Is(err, statestore.ErrRefused) {
+		// The leader goes on with what it was told. Submissions are judged by the
+		// catalog stored before; a take-over must not wait for what cannot be.
+		l.catalogRefused = &c
+		slog.Error("the state service refuses the catalog, which is not stored", "types", len(c.Types), "bytes", wire.JSONSize(c), "error", err)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -630,6 +630,9 @@
 			r.Types[b.Type] = x
 		}
 	}
+	if !l.Store.FitsValue(r) {
+		r.AtFault = nil // a next leader finds that again
+	}
 	return r
 }
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -28,6 +28,7 @@
 	nextHold         uint64
 	changed          chan struct{}
 	down             bool
+	limits           limits
 }
 
 // bucket counts what was used of a rate; bursts of a second's worth are allowed.
@@ -222,6 +223,16 @@
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
+	var values []wire.Raw
+	for _, op := range t.Then {
+		if op.Remove == "" {
+			values = append(values, op.Value)
+		}
+	}
+	if code := s.limits.check(values, len(t.If), len(t.Then)); code != 0 {
+		w.WriteHeader(code)
+		return
+	}
 	for _, op := range t.Then {
 		if op.Hold != 0 && s.holds[op.Hold] == nil {
 			send(w, http.StatusBadRequest, wire.ErrorBody{Error: "no such lease"})
--- a/internal/statestore/batch.go
+++ b/internal/statestore/batch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	mu      sync.Mutex
 	waiting []*put
 	running bool
+	most    int // writes in a transaction
 }
 
 type put struct {
@@ -33,7 +35,7 @@
 }
 
 // NewBatcher makes a batcher over client.
-func NewBatcher(client *Client) *Batcher { return &Batcher{client: client} }
+func NewBatcher(client *Client) *Batcher { return &Batcher{client: client, most: client.MaxOps()} }
 
 // Put writes value under key if the key has the given version (0: if there is
 // no such key). It returns the write's revision.
@@ -68,7 +70,7 @@
 		}
 		n, size := 0, 4096
 		keys := map[string]bool{}
-		for n < len(b.waiting) && n < b.client.MaxOps() {
+		for n < len(b.waiting) && n < b.most {
 			p := b.waiting[n]
 			size += p.size
 			if n > 0 && size > wire.MaxBody || keys[p.key] {
@@ -89,7 +91,8 @@
 }
 
 // send commits a batch; writes whose condition fails leave it, and the others
-// go on without them.
+// go on without them. A batch that is refused as it is goes in halves, so that one
+// value that is too large takes no other with it, and is itself not tried again.
 func (b *Batcher) send(batch []*put) error {
 	ctx, cancel := context.WithTimeout(context.Background(), (2 * Timeout).Duration())
 	defer cancel()
@@ -101,6 +104,14 @@
 		}
 		rev, err := b.client.Commit(ctx, t)
 		var conflict *Conflict
+		if errors.Is(err, ErrRefused) && len(batch) > 1 {
+			half := len(batch) / 2
+			one, two := b.send(batch[:half]), b.send(batch[half:])
+			if one == nil && two == nil {
+				b.shrink(half) // no value was at fault, but their number
+			}
+			return errors.Join(one, two)
+		}
 		if !errors.As(err, &conflict) {
 			for _, p := range batch {
 				p.finish(rev, err)
@@ -126,6 +137,17 @@
 	return nil
 }
 
+// shrink lowers how many writes share a transaction, when the service takes fewer than
+// the settings say.
+func (b *Batcher) shrink(most int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if most = max(1, most); most < b.most {
+		b.most = most
+		slog.Warn("the state service refuses transactions of a size that the settings allow", "changes_now", most)
+	}
+}
+
 func (p *put) finish(rev uint64, err error) {
 	p.rev, p.err = rev, err
 	close(p.done)
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -27,6 +27,8 @@
 	ErrUnavailable = fmt.Errorf("%w: unavailable", ErrNotExecuted)
 	ErrTooMany     = fmt.Errorf("%w: too many requests", ErrNotExecuted)
 	ErrCompacted   = errors.New("revision too old")
+	// ErrRefused: as it is, the request will never be executed, for its size.
+	ErrRefused = fmt.Errorf("%w: refused as it is", ErrNotExecuted)
 )
 
 // Conflict carries the keys whose conditions failed.
@@ -50,6 +52,7 @@
 	maxOps  int
 	flush   int // most changes of the leader in a transaction
 	valueKB float64
+	present float64      // of valueKB, before the limits change
 	heard   atomic.Int64 // when the service last answered
 	failed  atomic.Int64 // when it last did not
 }
@@ -60,7 +63,12 @@
 // in transactions that leave most of the service's burst: users wait for intake,
 // which is not held back here. When both passed one limit, submissions at the
 // leader's node queued behind its progress for a second and more.
+//
+// All writes keep to the limits that hold before and after a change of them: see
+// settings.State.Always. Only a new job's description may be larger, see AcceptsValue.
 func New(addr string, limits settings.State, transport http.RoundTripper) *Client {
+	present := limits.ValueKB
+	limits = limits.Always()
 	return &Client{
 		base:    "http://" + addr,
 		http:    &http.Client{Transport: transport},
@@ -69,6 +77,7 @@
 		maxOps:  limits.TxnOps,
 		flush:   min(limits.TxnOps, max(3, int(limits.WriteRPS/3))),
 		valueKB: limits.ValueKB,
+		present: present,
 	}
 }
 
@@ -78,9 +87,14 @@
 // FlushOps is the most changes of the leader in a transaction.
 func (c *Client) FlushOps() int { return c.flush }
 
-// FitsValue tells whether v may be stored under one key.
+// FitsValue tells whether v may be stored under one key at any time.
 func (c *Client) FitsValue(v any) bool { return float64(wire.JSONSize(v)) <= c.valueKB*1024 }
 
+// AcceptsValue tells whether v may be stored under one key as long as the present
+// limits hold. A job that could be accepted before the change is not refused for a
+// limit that may not hold yet: the write is tried, and ErrRefused tells.
+func (c *Client) AcceptsValue(v any) bool { return float64(wire.JSONSize(v)) <= c.present*1024 }
+
 // SinceHeard is how long ago the service last answered anything but that it
 // is unavailable.
 func (c *Client) SinceHeard() micros.Micros {
@@ -124,7 +138,7 @@
 		if wire.Unmarshal(b, &e) == nil && e.Error == "no such lease" {
 			return status, ErrNoHold
 		}
-		return status, fmt.Errorf("state service: %w: %s", ErrNotExecuted, e.Error)
+		return status, fmt.Errorf("state service: %w: %s", ErrRefused, e.Error)
 	}
 	return status, nil
 }
--- /dev/null
+++ b/limits_test.go
@@ -0,0 +1,281 @@
+package caperlatch
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// lowered are the limits that the state service has from some moment on.
+var lowered = standin.StateLimits{ValueKB: 2, TxnOps: 4, WriteRPS: 15}
+
+// tellNext has the settings tell of the lowered limits.
+func tellNext(s *settings.Settings) {
+	l := lowered
+	s.Params.State = settings.State{RPS: 200, WriteRPS: 30, ValueKB: 8, TxnOps: 12,
+		Next: settings.StateLater{WriteRPS: &l.WriteRPS, ValueKB: &l.ValueKB, TxnOps: &l.TxnOps}}
+}
+
+// TestLoweredLimits lowers the state service's limits in the midst of other things. No
+// write may be refused for its size when the settings told of the limits, before or
+// after; and the jobs are done, no rule is broken.
+func TestLoweredLimits(t *testing.T) {
+	lower := func(c *cluster) { c.state.SetLimits(lowered) }
+	cases := []struct {
+		name    string
+		trouble func(c *cluster)
+	}{
+		{"from the start", lower},
+		{"in the midst of traffic", func(c *cluster) {
+			time.Sleep(4 * time.Second)
+			lower(c)
+			time.Sleep(4 * time.Second)
+		}},
+		{"during a take-over", func(c *cluster) {
+			i := c.leader()
+			time.Sleep(4 * time.Second)
+			c.kill(i)
+			time.Sleep(3 * time.Second)
+			lower(c)
+			time.Sleep(5 * time.Second)
+			c.start(i)
+		}},
+		{"while no transaction is answered", func(c *cluster) {
+			isTxn := func(r *http.Request) bool { return isState(r) && r.URL.Path == "/txn" }
+			c.setFault(nth(2, standin.LostAnswer, isTxn))
+			time.Sleep(3 * time.Second)
+			lower(c)
+			time.Sleep(10 * time.Second)
+		}},
+		{"while transactions are applied late", func(c *cluster) {
+			c.setFault(nth(3, standin.Late, func(r *http.Request) bool { return isState(r) && r.URL.Path == "/txn" }))
+			time.Sleep(3 * time.Second)
+			lower(c)
+			time.Sleep(20 * time.Second)
+		}},
+		{"as all nodes end", func(c *cluster) {
+			time.Sleep(3 * time.Second)
+			for i := range c.stops {
+				c.kill(i)
+			}
+			lower(c)
+			for i := range c.stops {
+				c.start(i)
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTunedCluster(t, 3, tellNext)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 8 }
+				var ids []string
+				for i := range 10 {
+					ids = append(ids, fmt.Sprintf("j-%06d", i+1))
+				}
+				for _, id := range ids[:5] {
+					c.submit(id, 8)
+				}
+				tc.trouble(c)
+				c.setFault(nil)
+				for _, id := range ids[5:] {
+					c.submit(id, 8)
+				}
+				for _, id := range ids {
+					c.await(id, wire.JobDone, 120*time.Second)
+				}
+				c.answersAll(ids)
+				if broken := c.cloud.Broken(); broken != nil {
+					t.Error(broken)
+				}
+				if n := c.state.Refused(); n != 0 {
+					t.Errorf("%d transactions were refused for their size", n)
+				}
+			})
+		})
+	}
+}
+
+// TestLimitsNobodyToldOf lowers the limits with settings that say nothing of it. What
+// is refused must not be sent for ever as it is, nor take others with it.
+func TestLimitsNobodyToldOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTunedCluster(t, 3, func(s *settings.Settings) {
+			s.Params.State = settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 12}
+		})
+		defer c.close()
+		c.submit("j-000001", 30)
+		time.Sleep(5 * time.Second)
+		c.state.SetLimits(lowered)
+		// Many at once at one node, to share transactions; one of them is too large.
+		large := testJob("j-000009", 2)
+		large["lane"] = strings.Repeat("l", 3000)
+		codes := make(chan int, 9)
+		for i := 2; i <= 9; i++ {
+			job := testJob(fmt.Sprintf("j-%06d", i), 4)
+			if i == 9 {
+				job = large
+			}
+			go func() {
+				code, _ := c.request(http.MethodPost, 1, "/v1/jobs", job)
+				codes <- code
+			}()
+		}
+		got := map[int]int{}
+		for range 8 {
+			got[<-codes]++
+		}
+		if got[http.StatusCreated] != 7 || got[http.StatusBadRequest] != 1 {
+			t.Errorf("answers to submissions: %v, want seven of 201 and one of 400", got)
+		}
+		for i := 1; i <= 8; i++ {
+			c.await(fmt.Sprintf("j-%06d", i), wire.JobDone, 120*time.Second)
+		}
+		before := c.state.Refused()
+		time.Sleep(2 * time.Minute)
+		if n := c.state.Refused() - before; n != 0 {
+			t.Errorf("%d transactions are still refused", n)
+		}
+		if broken := c.cloud.Broken(); broken != nil {
+			t.Error(broken)
+		}
+	})
+}
+
+// TestLargerValuesStored lowers the limits where larger values are stored already: a
+// list of the machines that are up and a job's description. The list is divided, at no
+// moment does a machine stand in none; the job can be cancelled; also when the leader
+// ends in the midst, and when transactions get no answer.
+func TestLargerValuesStored(t *testing.T) {
+	isTxn := func(r *http.Request) bool { return isState(r) && r.URL.Path == "/txn" }
+	cases := []struct {
+		name  string
+		fault standin.Fault
+		kill  time.Duration // after the take-over, 0: no further one
+	}{
+		{name: "quiet"},
+		{name: "transactions get no answer", fault: standin.LostAnswer},
+		{name: "transactions are applied late", fault: standin.Late},
+		{name: "the next leader ends while it divides", fault: standin.LostAnswer, kill: 300 * time.Millisecond},
+		{name: "the next leader ends soon", kill: time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				told := false
+				c := newTunedCluster(t, 3, func(s *settings.Settings) {
+					s.Params.State = settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 12}
+					if told {
+						tellNext(s)
+					}
+				})
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 60 }
+				time.Sleep(3 * time.Second)
+				big, many := testJob("j-000002", 2), testJob("j-000001", 600)
+				big["lane"], many["expect_s"] = strings.Repeat("l", 3000), 60.0
+				for _, job := range []map[string]any{big, many} {
+					if code, _ := c.request(http.MethodPost, 0, "/v1/jobs", job); code != http.StatusCreated {
+						t.Fatalf("%s: %d", job["id"], code)
+					}
+				}
+				time.Sleep(25 * time.Second)
+				up := c.upMachines()
+				if len(up) < 100 || len(c.upLists()) != 1 {
+					t.Fatalf("%d machines in %d lists, want a hundred in one", len(up), len(c.upLists()))
+				}
+				told = true
+				c.state.SetLimits(lowered)
+				for i := range c.stops {
+					c.kill(i)
+				}
+				for i := range c.stops {
+					c.start(i)
+				}
+				if tc.fault != 0 {
+					c.setFault(nth(2, tc.fault, isTxn))
+				}
+				missing := func() (out []string) {
+					now := c.upMachines()
+					for _, w := range c.cloud.Workers() {
+						if slices.Contains(up, w.ID) && !slices.Contains(now, w.ID) {
+							out = append(out, w.ID)
+						}
+					}
+					return out
+				}
+				killed := tc.kill == 0
+				i := c.leader()
+				began := time.Now()
+				for time.Since(began) < 20*time.Second {
+					if !killed && time.Since(began) >= tc.kill {
+						killed = true
+						c.kill(i)
+						c.start(i)
+					}
+					if m := missing(); m != nil {
+						t.Fatalf("%d machines that are up stand in no list: %v", len(m), m[0])
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				c.setFault(nil)
+				time.Sleep(5 * time.Second)
+				for key, value := range c.upLists() {
+					if n := wire.JSONSize(value); n > int(lowered.ValueKB*1024) {
+						t.Errorf("%s still has %d bytes", key, n)
+					}
+				}
+				if code, s := c.request(http.MethodPost, 1, "/v1/jobs/j-000002/abort", nil); code != http.StatusOK {
+					t.Errorf("the large job's cancellation: %d %s", code, s.Status)
+				}
+				c.await("j-000001", wire.JobDone, 4*time.Minute)
+				if n := c.state.Refused(); n != 0 {
+					t.Errorf("%d transactions were refused for their size", n)
+				}
+				if broken := c.cloud.Broken(); broken != nil {
+					t.Error(broken)
+				}
+			})
+		})
+	}
+}
+
+type storedUps struct {
+	Machines []string `json:"m"`
+}
+
+// upLists are the stored lists of machines that are up.
+func (c *cluster) upLists() map[string]storedUps {
+	out := map[string]storedUps{}
+	for n := range 50 {
+		key := fmt.Sprintf("%s%d", replica.UpPrefix, n)
+		if e, ok := c.state.Get(key); ok {
+			var l storedUps
+			if err := wire.Unmarshal(e.Value, &l); err != nil {
+				c.t.Fatal(err)
+			}
+			out[key] = l
+		}
+	}
+	return out
+}
+
+func (c *cluster) upMachines() (ids []string) {
+	for _, l := range c.upLists() {
+		for _, entry := range l.Machines {
+			id, _, _ := strings.Cut(entry, " ")
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
