--- /dev/null
+++ b/ci_test.go
@@ -0,0 +1,90 @@
+package caperlatch
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestCIChecks runs the checks of KNOWN-RED.txt and of the production version in a
+// repository of their own.
+func TestCIChecks(t *testing.T) {
+	dir := t.TempDir()
+	git := func(args ...string) string {
+		t.Helper()
+		cmd := exec.Command("git", append([]string{"-c", "user.name=t", "-c", "user.email=t@example.org"}, args...)...)
+		cmd.Dir = dir
+		out, err := cmd.CombinedOutput()
+		if err != nil {
+			t.Fatalf("git %v: %v: %s", args, err, out)
+		}
+		return strings.TrimSpace(string(out))
+	}
+	write := func(name, text string) {
+		t.Helper()
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o755); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, script := range []string{".ci/known-red", ".ci/production"} {
+		b, err := os.ReadFile(script)
+		if err != nil {
+			t.Fatal(err)
+		}
+		write(script, string(b))
+	}
+	write("x/x_test.go", "package x\nfunc TestOne(t *testing.T) {}\nfunc TestTwo(t *testing.T) {}\nfunc TestOneMore(t *testing.T) {}\nfunc TestFour(t *testing.T) {}\n")
+	git("init", "-q")
+	git("add", "-A")
+	git("commit", "-qm", "before the deploy file")
+	bare := git("rev-parse", "HEAD")
+	write("deploy/service.toml", "run = \"x\"\n")
+	git("add", "-A")
+	git("commit", "-qm", "with it")
+	good := git("rev-parse", "HEAD")
+	git("checkout", "-q", "-b", "side")
+	git("commit", "-q", "--allow-empty", "-m", "aside")
+	aside := git("rev-parse", "HEAD")
+	git("checkout", "-q", "-")
+
+	cases := []struct {
+		name, script, file, text string
+		ok                       bool
+		want                     string
+	}{
+		{"no file", "known-red", "", "", true, ""},
+		{"one", "known-red", "KNOWN-RED.txt", "TestOne, a cause, with a comma, issue 17\n", true, "TestOne"},
+		{"three", "known-red", "KNOWN-RED.txt", "TestOne, a, 1\nTestTwo, b, 2\nTestFour, c, 3", true, "TestOne\nTestTwo\nTestFour"},
+		{"four", "known-red", "KNOWN-RED.txt", "TestOne, a, 1\nTestTwo, b, 2\nTestFour, c, 3\nTestOneMore, d, 4\n", false, ""},
+		{"no such test", "known-red", "KNOWN-RED.txt", "TestOn, a, 1\n", false, ""},
+		{"a pattern", "known-red", "KNOWN-RED.txt", "Test.*, a, 1\n", false, ""},
+		{"no cause", "known-red", "KNOWN-RED.txt", "TestOne, issue 17\n", false, ""},
+		{"one twice", "known-red", "KNOWN-RED.txt", "TestOne, a, 1\nTestOne, b, 2\n", false, ""},
+		{"nothing in it", "known-red", "KNOWN-RED.txt", "\n", true, ""},
+		{"no production", "production", "deploy/service.toml", "run = \"x\"\n", true, ""},
+		{"a commit", "production", "deploy/service.toml", "production = \"" + good + "\"\n", true, good},
+		{"half a hash", "production", "deploy/service.toml", "production = \"" + good[:12] + "\"\n", false, ""},
+		{"an empty one", "production", "deploy/service.toml", "production = \"\"\n", false, ""},
+		{"no commit", "production", "deploy/service.toml", "production = \"" + strings.Repeat("0", 40) + "\"\n", false, ""},
+		{"of another branch", "production", "deploy/service.toml", "production = \"" + aside + "\"\n", false, ""},
+		{"without a deploy file", "production", "deploy/service.toml", "production = \"" + bare + "\"\n", false, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if c.file != "" {
+				write(c.file, c.text)
+			}
+			cmd := exec.Command(filepath.Join(dir, ".ci", c.script))
+			out, err := cmd.Output()
+			if (err == nil) != c.ok || strings.TrimSpace(string(out)) != c.want {
+				t.Errorf("%v, %q; want ok %v, %q", err, out, c.ok, c.want)
+			}
+		})
+	}
+}
