--- a/cmd/caperlatch/main.go
+++ b/cmd/caperlatch/main.go
@@ -33,7 +33,7 @@
 	root.Flags().StringVar(&config, "config", "", "settings file (TOML)")
 	runCmd := &cobra.Command{Use: "run", Short: "Run a node until it is killed", Args: cobra.NoArgs, RunE: run}
 	runCmd.Flags().StringVar(&config, "config", "", "settings file (TOML)")
-	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionCommand())
+	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionsCommand(), versionCommand())
 	return root
 }
 
--- /dev/null
+++ b/cmd/caperlatch/versions.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"caperlatch/internal/peer"
+	"caperlatch/internal/wire"
+)
+
+func versionsCommand() *cobra.Command {
+	var node string
+	cmd := &cobra.Command{
+		Use: "versions", Short: "Say which nodes serve with which version", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ready, v, err := askVersions(cmd.Context(), node)
+			if err != nil {
+				return err
+			}
+			printVersions(cmd.OutOrStdout(), node, ready, v)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&node, "node", "127.0.0.1:8080", "address of any node (its client_listen)")
+	return cmd
+}
+
+// askVersions asks a node; one of version 0 answers without a word of it.
+func askVersions(ctx context.Context, node string) (ready bool, v peer.Versions, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	status, b, err := wire.Exchange(ctx, http.DefaultClient, http.MethodGet, "http://"+node+"/ready", nil)
+	if err != nil {
+		return false, v, err
+	}
+	if status != http.StatusOK && status != http.StatusServiceUnavailable {
+		return false, v, fmt.Errorf("%s answers %d", node, status)
+	}
+	if len(b) > 0 {
+		err = wire.Unmarshal(b, &v)
+	}
+	return status == http.StatusOK, v, err
+}
+
+func printVersions(w io.Writer, node string, ready bool, v peer.Versions) {
+	state := "ready"
+	if !ready {
+		state = "not ready"
+	}
+	if v.Member == "" {
+		fmt.Fprintf(w, "%s: version 0 (it does not say), %s; ask a node of a later version for the others\n", node, state)
+		return
+	}
+	fmt.Fprintf(w, "%s: version %d, %s\n", v.Member, v.Version, state)
+	for _, p := range v.Peers {
+		if p.Heard {
+			fmt.Fprintf(w, "%s: version %d\n", p.Member, p.Version)
+		} else {
+			fmt.Fprintf(w, "%s: not heard by %s, counts as version 0\n", p.Member, v.Member)
+		}
+	}
+	fmt.Fprintf(w, "all speak version %d\n", v.Common)
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -16,6 +16,7 @@
 
 	"caperlatch/internal/leader"
 	"caperlatch/internal/micros"
+	"caperlatch/internal/peer"
 	"caperlatch/internal/replica"
 	"caperlatch/internal/settings"
 	"caperlatch/internal/statestore"
@@ -30,6 +31,8 @@
 	LeaderMember() string
 	// Ready tells whether the node can take requests.
 	Ready() bool
+	// Versions tells which versions serve, as far as it is known here.
+	Versions() peer.Versions
 	// Counts shows how far a job is, as well as it is known here.
 	Counts(id string) (done, running int)
 	// Relays tells whether reports can be passed on to the leader, and Relay asks
@@ -316,10 +319,11 @@
 }
 
 func (h *Handler) ready(c echo.Context) error {
+	code := http.StatusOK
 	if !h.Node.Ready() {
-		return c.NoContent(http.StatusServiceUnavailable)
+		code = http.StatusServiceUnavailable
 	}
-	return c.NoContent(http.StatusOK)
+	return reply(c, code, h.Node.Versions())
 }
 
 // report answers a worker. The leader has the other nodes take the reports, which
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -49,6 +49,7 @@
 	Cancelled []replica.Cancellation `json:"cancelled"`
 	Through   uint64                 `json:"through"`
 	Whole     bool                   `json:"whole"`
+	Version   int                    `json:"version,omitempty"` // that it speaks
 }
 
 // Response answers the request of the same id.
--- /dev/null
+++ b/internal/peer/version.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"maps"
+	"slices"
+
+	"caperlatch/internal/micros"
+)
+
+// Version is what this node speaks: what it stores and what it says to its peers. It is
+// raised when a version before it would misread either. Nodes of before there were
+// versions say nothing of theirs, which is read as 0.
+const Version = 1
+
+// Versions tells who serves with which version, as one node knows it.
+type Versions struct {
+	Member  string        `json:"member"`
+	Version int           `json:"version"`
+	Common  int           `json:"common"` // what all nodes are known to speak at least
+	Peers   []PeerVersion `json:"peers"`
+}
+
+// PeerVersion is what a node knows of a peer. One that has not been heard lately may
+// have come back with any version, and counts as 0.
+type PeerVersion struct {
+	Member  string `json:"member"`
+	Heard   bool   `json:"heard"`
+	Version int    `json:"version"`
+}
+
+// Versions is what the nodes speak as far as it is known to member, which is this one. A
+// peer with a later version than this node's speaks this one as well.
+func (c *Cohort) Versions(member string) Versions {
+	v := Versions{Member: member, Version: Version, Common: Version}
+	now := micros.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range slices.Sorted(maps.Keys(c.clients)) {
+		p := PeerVersion{Member: m}
+		if s := c.last[m]; s.sent != 0 && s.sent > now-HeardWithin {
+			p.Heard, p.Version = true, max(0, s.state.Version)
+		}
+		v.Common = min(v.Common, p.Version)
+		v.Peers = append(v.Peers, p)
+	}
+	return v
+}
--- a/node.go
+++ b/node.go
@@ -140,7 +140,7 @@
 // stayInContact reads the changes now and then when the watch is quiet, so that
 // the node knows whether it is answered and has missed nothing: a watch may hang.
 func (n *Node) stayInContact(ctx context.Context) {
-	heard, reached := true, map[string]bool{}
+	heard, reached, versions := true, map[string]bool{}, map[string]int{}
 	micros.Every(ctx, micros.Second, func() {
 		if now := n.store.SinceHeard() < peer.HeardWithin; now != heard {
 			heard = now
@@ -152,6 +152,12 @@
 				slog.Info("peer", "member", p.Member, "answers", now)
 			}
 		}
+		for _, p := range n.Versions().Peers {
+			if was, known := versions[p.Member]; p.Heard && (!known || was != p.Version) {
+				versions[p.Member] = p.Version
+				slog.Info("peer", "member", p.Member, "version", p.Version, "own", peer.Version)
+			}
+		}
 		if n.replica.Loaded() && micros.Now()-n.replica.Seen() > 1500*micros.Millisecond {
 			if err := n.replica.Barrier(ctx); err != nil {
 				slog.Debug("contact", "error", err)
@@ -193,7 +199,7 @@
 		n.counts, n.countsAt = p.Counts, micros.Now()
 		n.mu.Unlock()
 	}
-	s := &peer.State{Loaded: n.replica.Loaded(), SinceHeard: n.store.SinceHeard(), Fronts: n.cohort.Reachable(p.Member)}
+	s := &peer.State{Version: peer.Version, Loaded: n.replica.Loaded(), SinceHeard: n.store.SinceHeard(), Fronts: n.cohort.Reachable(p.Member)}
 	s.Token, s.Leader = n.election.Highest()
 	if l := n.Leading(); l != nil {
 		l.Supersede(s.Token)
@@ -309,6 +315,9 @@
 	return n.replica.Loaded() && (n.store.SinceHeard() < peer.HeardWithin || n.cohort.Heard() && !n.cohort.InContact())
 }
 
+// Versions tells which versions serve.
+func (n *Node) Versions() peer.Versions { return n.cohort.Versions(n.settings.Member) }
+
 // Counts shows how far a job is.
 func (n *Node) Counts(id string) (done, running int) {
 	if l := n.Leading(); l != nil {
