--- a/internal/leader/ask_test.go
+++ b/internal/leader/ask_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -141,3 +142,39 @@
 		}
 	}
 }
+
+// TestCutOffZone counts silent machines of a zone that stop being there. While a zone is
+// cut off nothing is rented in it; once its machines are returned, none of them can show
+// that it is not cut off any more.
+func TestCutOffZone(t *testing.T) {
+	steps := []struct {
+		name     string
+		machines int
+		silent   bool
+		cut      bool
+	}{
+		{"all heard", 4, false, false},
+		{"all silent", 4, true, true},
+		{"too few to tell", 2, true, false},
+		{"all silent again", 4, true, true},
+		{"all returned", 0, true, false},
+	}
+	l, _ := newTest(t)
+	b := l.bookings["r-1"]
+	now := micros.Now() + micros.Second
+	for _, s := range steps {
+		l.order, l.machines = nil, map[string]*machine{}
+		now += 100 * micros.Second
+		for i := range s.machines {
+			m := l.addMachine(fmt.Sprintf("i-%d", i), b, now)
+			m.up = true
+			if m.reported = now; s.silent {
+				m.reported = now - 50*micros.Second
+			}
+		}
+		l.massSilence(now)
+		if l.cutOff["a"] != s.cut {
+			t.Errorf("%s: cut off %v, want %v", s.name, l.cutOff["a"], s.cut)
+		}
+	}
+}
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -159,6 +159,14 @@
 			zones[m.kind.Zone] = n
 		}
 	}
+	for zone := range l.cutOff {
+		// All its machines may have been returned meanwhile. Then none is left that
+		// could be heard again, and a zone that stayed cut off for it got no others for
+		// as long as the term lasted.
+		if _, some := zones[zone]; !some {
+			zones[zone] = count{}
+		}
+	}
 	for zone, n := range zones {
 		cut := n.silent >= 3 && 2*n.silent > n.up
 		if cut != l.cutOff[zone] {
