--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -20,6 +20,8 @@
 	Zones   []string                        // nil: one, a
 	FetchS  float64                         // how long a machine fetches an image
 	Most    int                             // machines that it has, 0: any number
+	// Serve has a worker's handler served somewhere and returns its address; nil: Net.
+	Serve func(h http.Handler) (address string)
 
 	mu       sync.Mutex
 	bookings map[string][]string
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -70,6 +70,16 @@
 	return e, ok
 }
 
+// Put stores a value, whatever the limits are.
+func (s *State) Put(key string, value wire.Raw) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.keys[key] = wire.Entry{Key: key, Value: value, Stamp: s.revision}
+	s.log = append(s.log, wire.Event{Write: key, Value: value, Stamp: s.revision})
+	s.wake()
+}
+
 // SetDown begins or ends an outage: requests get 503, open watches wait, and
 // afterwards every hold has its full time again.
 func (s *State) SetDown(down bool) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -47,6 +47,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Worker{ID: id, cloud: c, address: id + workerPort, rental: r, ctx: ctx, cancel: cancel, session: 1,
 		client: &http.Client{Transport: c.Net.From(id)}, renewed: time.Now(), changed: make(chan struct{}, 1), images: map[string]bool{}}
+	if c.Serve != nil {
+		w.address = c.Serve(w)
+	}
 	go w.run(ctx)
 	return w
 }
