--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -306,6 +306,11 @@
 		}
 		key := replica.JobPrefix + id
 		rev, err := h.put(ctx, key, stamp, final)
+		if errors.Is(err, statestore.ErrRefused) && final.Spec != nil {
+			// The service takes less than the settings say.
+			final.Spec = nil
+			rev, err = h.put(ctx, key, stamp, final)
+		}
 		switch {
 		case err == nil:
 			h.Replica.Wrote(key, final, rev)
