--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -171,7 +171,7 @@
 	if of := l.ups[n].apart; of != nil {
 		l.ups[n].apart = nil
 		l.keepOwn(*of)
-		l.dirty[upKey(*of)] = true
+		l.markLazily(upKey(*of))
 	}
 }
 
--- a/limits_test.go
+++ b/limits_test.go
@@ -279,3 +279,72 @@
 	}
 	return ids
 }
+
+// TestNextToNothingFits has a state service that takes hardly any value: no catalog that
+// is new, no booking, no job. Who leads must take over all the same and use the machines
+// that are there, cancellations be stored, and what is refused must not come for ever.
+func TestNextToNothingFits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTunedCluster(t, 3, tellNext)
+		defer c.close()
+		c.cloud.RunFor = func(task string) float64 {
+			if strings.HasPrefix(task, "j-000002/") {
+				return 400
+			}
+			return 5
+		}
+		c.submit("j-000001", 3)
+		c.await("j-000001", wire.JobDone, time.Minute)
+		for i := range c.stops {
+			c.kill(i)
+		}
+		var catalog wire.Catalog
+		e, _ := c.state.Get(replica.CatalogKey)
+		if err := wire.Unmarshal(e.Value, &catalog); err != nil {
+			t.Fatal(err)
+		}
+		catalog.Types[0].Zones = append(catalog.Types[0].Zones, "gone")
+		b, err := wire.Marshal(catalog)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.state.Put(replica.CatalogKey, b)
+		job := testJob("j-000002", 40)
+		b, err = wire.Marshal(job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		spec, err := wire.ParseJob(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err = wire.Marshal(replica.Job{Spec: &spec, State: wire.JobPending})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.state.Put(replica.JobPrefix+spec.ID, b)
+		c.rules.Submits(spec)
+		c.state.SetLimits(standin.StateLimits{ValueKB: 0.12, TxnOps: 3, WriteRPS: 15})
+		for i := range c.stops {
+			c.start(i)
+		}
+		c.leader()
+		time.Sleep(70 * time.Second)
+		if code, e, _ := c.why(0, spec.ID); code != http.StatusOK || e.Waiting == 0 || e.Waiting+e.Running != 40 {
+			t.Errorf("the leader has not taken over: %d, %+v", code, e)
+		}
+		if code, _ := c.request(http.MethodPost, 1, "/v1/jobs", testJob("j-000003", 1)); code != http.StatusBadRequest {
+			t.Errorf("a job that cannot be stored: %d", code)
+		}
+		before := c.state.Refused()
+		time.Sleep(3 * time.Minute)
+		n := c.state.Refused() - before
+		t.Logf("%d refused at first, %d then", before, n)
+		if n > 20 { // each of a size that was not refused before
+			t.Errorf("%d transactions were refused in three minutes", n)
+		}
+		if code, s := c.request(http.MethodPost, 1, "/v1/jobs/j-000002/abort", nil); code != http.StatusOK {
+			t.Errorf("cancellation: %d %s", code, s.Status)
+		}
+	})
+}
