--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -162,8 +162,8 @@
 // TestRollingUpgrade runs processes of production, built from the repository's history,
 // and of this version side by side on loopback, against the stand-ins: production's are
 // killed one after the other and come back with this version; one comes back old first,
-// and one goes back to the old one. Then the state service lowers its limits. All under
-// the checker of rules.
+// and one goes back to the old one; meanwhile the state service is down for a while. Then
+// it lowers its limits. All under the checker of rules.
 func TestRollingUpgrade(t *testing.T) {
 	if os.Getenv(upgradeVariable) == "" {
 		t.Skip(upgradeVariable + " is not set")
@@ -220,6 +220,9 @@
 	submit(2)
 	swap(c.leader(), now, time.Second) // old or new, it ends
 	submit(2)
+	c.state.SetDown(true) // while both serve
+	time.Sleep(4 * time.Second)
+	c.state.SetDown(false)
 	swap((leader+1)%3, old, 300*time.Millisecond) // and back
 	submit(1)
 	for i := range c.stops { // now all
