--- a/cmd/caperlatch/versions.go
+++ b/cmd/caperlatch/versions.go
@@ -64,5 +64,5 @@
 			fmt.Fprintf(w, "%s: not heard by %s, counts as version 0\n", p.Member, v.Member)
 		}
 	}
-	fmt.Fprintf(w, "all speak version %d\n", v.Common)
+	fmt.Fprintf(w, "known to be spoken by all: version %d\n", v.Common)
 }
