--- a/internal/standin/limits.go
+++ b/internal/standin/limits.go
@@ -13,14 +13,15 @@
 type StateLimits struct {
 	ValueKB  float64
 	TxnOps   int     // changes in a transaction; conditions four times as many
-	WriteRPS float64 // changes a second, with one second's worth at once
+	RPS      float64 // requests a second, with one second's worth at once
+	WriteRPS float64 // changes a second, likewise
 }
 
 // limits is the part of State that keeps to them.
 type limits struct {
 	StateLimits
-	writes  *rate.Limiter
-	refused int // transactions refused for their size
+	requests, writes *rate.Limiter // nil: no limit
+	refused          int           // transactions refused for their size
 }
 
 // SetLimits changes the limits from now on, as the service does, without notice; what
@@ -28,12 +29,20 @@
 func (s *State) SetLimits(l StateLimits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limits.StateLimits, s.limits.writes = l, nil
-	if l.WriteRPS > 0 {
-		s.limits.writes = rate.NewLimiter(rate.Limit(l.WriteRPS), max(1, int(l.WriteRPS)))
+	s.limits.StateLimits = l
+	s.limits.requests, s.limits.writes = limiter(l.RPS), limiter(l.WriteRPS)
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond == 0 {
+		return nil
 	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
+// take tells whether n more are within a limit.
+func (*limits) take(l *rate.Limiter, n int) bool { return l == nil || l.AllowN(time.Now(), n) }
+
 // Refused counts the transactions refused for their size.
 func (s *State) Refused() int {
 	s.mu.Lock()
@@ -55,7 +64,7 @@
 	case tooLarge:
 		l.refused++
 		return http.StatusBadRequest
-	case l.writes != nil && !l.writes.AllowN(time.Now(), changes):
+	case !l.take(l.writes, changes):
 		return http.StatusTooManyRequests
 	}
 	return 0
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -13,43 +13,18 @@
 
 // State is a stand-in of the state service.
 type State struct {
-	// Limits, 0: none. They are set before the first request.
-	RPS, WriteRPS float64
-	TxnOps        int
 	// Check is shown each transaction's conditions and the keys that it changes, if set.
 	Check func(conditions []wire.Condition, keys []string)
 
-	requests, writes bucket
-	mu               sync.Mutex
-	revision         uint64
-	keys             map[string]wire.Entry
-	log              []wire.Event
-	holds            map[uint64]*hold
-	nextHold         uint64
-	changed          chan struct{}
-	down             bool
-	limits           limits
-}
-
-// bucket counts what was used of a rate; bursts of a second's worth are allowed.
-type bucket struct {
-	used float64
-	at   time.Time
-}
-
-// take tells whether n more fit.
-func (b *bucket) take(rate, n float64) bool {
-	now := time.Now()
-	b.used = max(0, b.used-now.Sub(b.at).Seconds()*rate)
-	b.at = now
-	if rate == 0 {
-		return true
-	}
-	if b.used+n > rate {
-		return false
-	}
-	b.used += n
-	return true
+	mu       sync.Mutex
+	revision uint64
+	keys     map[string]wire.Entry
+	log      []wire.Event
+	holds    map[uint64]*hold
+	nextHold uint64
+	changed  chan struct{}
+	down     bool
+	limits   limits
 }
 
 type hold struct {
@@ -120,7 +95,7 @@
 		return
 	}
 	s.mu.Lock()
-	down, allowed := s.down, s.requests.take(s.RPS, 1)
+	down, allowed := s.down, s.limits.take(s.limits.requests, 1)
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -225,14 +200,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.TxnOps > 0 && len(t.Then) > s.TxnOps {
-		send(w, http.StatusBadRequest, wire.ErrorBody{Error: "too many changes"})
-		return
-	}
-	if !s.writes.take(s.WriteRPS, float64(len(t.Then))) {
-		w.WriteHeader(http.StatusTooManyRequests)
-		return
-	}
 	var values []wire.Raw
 	for _, op := range t.Then {
 		if op.Remove == "" {
--- a/troubles_test.go
+++ b/troubles_test.go
@@ -1143,7 +1143,7 @@
 			s.Params.State = settings.State{RPS: 60, WriteRPS: 15, ValueKB: 4, TxnOps: 12}
 		})
 		defer c.close()
-		c.state.RPS, c.state.WriteRPS, c.state.TxnOps = 60, 15, 12
+		c.state.SetLimits(standin.StateLimits{RPS: 60, WriteRPS: 15, TxnOps: 12})
 		c.cloud.RunFor = func(string) float64 { return 3 }
 		c.submit("j-000009", 1)
 		c.await("j-000009", wire.JobDone, time.Minute)
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -65,7 +65,7 @@
 		}
 		ends[id] = j.State
 		// Of a job that is over the capture alone tells what it was.
-		c.rules.Submits(wire.Job{ID: id, Tasks: 2})
+		c.rules.Submits(wire.Job{ID: id, Team: "blue", Tasks: 2})
 		if j.State == wire.JobCancelled {
 			c.rules.Asks("/v1/jobs/" + id + "/abort")
 		} else {
