--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -71,6 +72,19 @@
 	ReportS float64 `toml:"report_s"`
 	LeaseS  float64 `toml:"lease_s"`
 	CancelS float64 `toml:"cancel_s"`
+	// Of gangs; 0: not given, as by deployments that have none.
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+}
+
+// GangWait is how long a gang's task waits for the others before it exits. If nobody
+// says, a task's lease is taken: longer than that no task waits unheard.
+func (w Workers) GangWait() micros.Micros { return micros.FromSeconds(cmp.Or(w.GangWaitS, w.LeaseS)) }
+
+// GangPeer is within what time all tasks of a gang must be told to stop, and how soon
+// they notice that one is gone. If nobody says, two reports are taken.
+func (w Workers) GangPeer() micros.Micros {
+	return micros.FromSeconds(cmp.Or(w.GangPeerS, 2*w.ReportS))
 }
 
 // Lease is the worker lease.
@@ -210,6 +224,8 @@
 	c.amount("params.workers.lease_s", p.Workers.LeaseS, little)
 	c.amount("params.workers.cancel_s", p.Workers.CancelS, little)
 	c.that(p.Workers.CancelS > p.Workers.LeaseS, "params.workers.cancel_s", "must be over lease_s")
+	c.amount("params.workers.gang_wait_s", p.Workers.GangWaitS, 0)
+	c.amount("params.workers.gang_peer_s", p.Workers.GangPeerS, 0)
 	c.state("params.state.", p.State)
 	c.state("params.state.next.", p.State.Later())
 	c.amount("params.cloud.rps", p.Cloud.RPS, little)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -73,6 +73,8 @@
 		{"a guarantee over the limit", "cpus = 4.0", "cpus = 9.0", "params.teams[0].cpus"},
 		{"text for a number", "lease_s = 16.0", `lease_s = "16"`, "lease_s"},
 		{"no lease", "lease_s = 16.0", "", "params.workers.lease_s"},
+		{"a negative wait of gangs", "lease_s = 16.0", "lease_s = 16.0\ngang_wait_s = -1.0", "params.workers.gang_wait_s"},
+		{"text for a gang's time", "lease_s = 16.0", "lease_s = 16.0\ngang_peer_s = \"4\"", "gang_peer_s"},
 		{"a cancellation within the lease", "cancel_s = 41.0", "cancel_s = 10.0", "params.workers.cancel_s"},
 		{"not a number", "rps = 60.0", "rps = nan", "params.state.rps"},
 		{"limits of a later time", "[params.cloud]", next("write_rps = 9.0\nvalue_kb = 2.0\ntxn_ops = 4"), ""},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -96,9 +96,9 @@
 	return -1
 }
 
-// Shapes of jobs: independent tasks; tasks that run at the same time; tasks that
-// run until the job is cancelled. The protocol tells of the first alone; see
-// docs/questions.md.
+// Shapes of jobs: independent tasks; tasks that run at the same time or not at all;
+// tasks that run until the job is cancelled. The protocol tells of the first two
+// alone; see docs/questions.md.
 const (
 	ShapeArray   = "sweep"
 	ShapeGang    = "gang"
@@ -121,9 +121,12 @@
 	Running *int   `json:"running,omitempty"`
 }
 
-// Task states in reports.
+// Task states in reports. A gang's task waits when it has its image and others of its
+// attempt do not. One that loses its gang or is being stopped with it is still called
+// running until it exits.
 const (
 	TaskFetching = "pulling"
+	TaskWaiting  = "waiting"
 	TaskRunning  = "running"
 	TaskSaving   = "flushing"
 	TaskExited   = "ended"
@@ -137,6 +140,9 @@
 	CauseNoRoom  = "no_room"
 	CauseBusy    = "busy"
 	CauseNoSuch  = "no_such"
+	// Of a gang's tasks: another one is gone; not all were there within gang_wait_s.
+	CausePeers      = "peers"
+	CauseIncomplete = "incomplete"
 )
 
 // Report is what a worker tells of itself.
