--- a/internal/leader/blame.go
+++ b/internal/leader/blame.go
@@ -44,8 +44,10 @@
 // ready is how many of the waiting tasks may be started.
 func (j *job) ready(now micros.Micros) int {
 	switch {
-	case now < j.notBefore || j.broken:
+	case now < j.notBefore:
 		return 0
+	case j.isGang():
+		return j.gangReady()
 	case j.probing():
 		return min(j.waiting(), max(0, probeTasks-len(j.on)))
 	}
@@ -184,7 +186,9 @@
 	m.draining = faulty
 	m.faultyAt = now
 	for _, a := range m.tasks {
-		if a.job.spec.CheckpointS > 0 {
+		if a.job.isGang() {
+			l.leaveWith(a, saveGrace(a.job), "its machine is faulty", now)
+		} else if a.job.spec.CheckpointS > 0 {
 			l.stop(a, micros.FromSeconds(a.job.spec.SaveS), "its machine is faulty")
 		}
 	}
--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -81,8 +81,9 @@
 	// in 8 s 0.87 -> 0.78). Guests never come so pressingly.
 	kept := m.surplusAt != 0 && now-m.surplusAt > l.idleLimit(l.types[m.kind.Type], m.kind.Spot)
 	for _, a := range m.tasks {
+		// A gang would be stopped whole, wherever else its tasks are.
 		s := a.job.spec
-		if s.CheckpointS <= 0 || s.OneZone || s.Spread || a.job.over || a.stopped != 0 ||
+		if a.job.isGang() || s.CheckpointS <= 0 || s.OneZone || s.Spread || a.job.over || a.stopped != 0 ||
 			a.running == 0 || now-a.running < movedAfter {
 			return false
 		}
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
 	"caperlatch/placement"
 )
 
@@ -98,6 +99,10 @@
 		switch {
 		case a.stopped != 0:
 			n.State = "being stopped: " + a.why
+		case a.reserved:
+			n.State = "its place is reserved, the start goes with its machine's next report"
+		case a.state == wire.TaskWaiting:
+			n.State = "waiting for the other tasks of its gang"
 		case n.State == "":
 			n.State = "start sent"
 		}
@@ -131,6 +136,19 @@
 	if t := teams[j.spec.Team]; t != nil && t.Limit.GPU > 0 && t.Used.GPU+j.need.GPU > t.Limit.GPU {
 		why = append(why, "its team uses as many GPUs as it may")
 	}
+	if j.isGang() {
+		if t := teams[j.spec.Team]; len(why) == 0 && t.Room(j.need, j.waiting()) < j.waiting() {
+			why = append(why, "its team may not use as much as the whole gang needs")
+		}
+		switch {
+		case j.gang.ending:
+			why = append(why, fmt.Sprintf("its gang was ended, and %d tasks are not gone yet", len(j.on)))
+		case len(j.on) > 0:
+			why = append(why, fmt.Sprintf("%d of its gang's tasks have their places; it is completed under the same attempt", len(j.on)))
+		case l.keeps[j.spec.ID] != nil && len(l.keeps[j.spec.ID].machines) > 0:
+			why = append(why, fmt.Sprintf("room for the whole gang is gathered on %d machines", len(l.keeps[j.spec.ID].machines)))
+		}
+	}
 	if !l.Term.Sure() {
 		why = append(why, "the leader is not sure of its leadership")
 	}
@@ -140,6 +158,9 @@
 	machines, _ := l.placeable(now, placement.Resources{})
 	for i := range machines {
 		if machines[i].Free.Fits(j.need) {
+			if j.isGang() {
+				return append(why, "there is room for single tasks, not for the whole gang where it may run")
+			}
 			return append(why, "it starts at a machine's next report, or its zone rules leave no room")
 		}
 	}
--- /dev/null
+++ b/internal/leader/gang.go
@@ -0,0 +1,478 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+	"caperlatch/placement"
+)
+
+// A gang's tasks run at the same time or not at all. They find each other by their
+// attempt number: so all of an attempt have one, and it is changed only when every task
+// of the last one is surely gone.
+//
+// Launch. At one moment places are reserved for all tasks, as if they had started: in the
+// machines' room, the team's use and the zones. Nothing else can take them, and no
+// gang waits for another's room. Each start goes with the next answer to its machine.
+//
+// Until all run, a task that disappears is replaced under the same number. From then on
+// one that disappears ends the attempt, and all are told to stop.
+
+// gang is an attempt of a gang's tasks.
+type gang struct {
+	n       uint64        // its number, 0 if there is none
+	began   micros.Micros // when its places were reserved
+	waits   micros.Micros // since when a report shows a task to wait for the others, 0 if none did
+	started bool          // all have been running at once
+	ending  bool          // all are to stop
+}
+
+func (j *job) isGang() bool { return j.spec.Shape == wire.ShapeGang }
+
+// gangReady is how many tasks may be started: all of a new attempt, or those that are
+// missing in one that has not started.
+func (j *job) gangReady() int {
+	if j.gang.started || j.gang.ending {
+		return 0
+	}
+	return j.waiting()
+}
+
+// saveGrace is enough time for a gang to save.
+func saveGrace(j *job) micros.Micros {
+	// The wire's amount may be a trace more than whole microseconds.
+	return micros.FromSeconds(j.spec.SaveS) + micros.Millisecond
+}
+
+// planStarts has tasks of a job start with a machine's next answer. A gang's have their
+// places from now on; others' plans bind nobody.
+func (l *Leader) planStarts(m *machine, j *job, count int, now micros.Micros) {
+	if !j.isGang() {
+		for range count {
+			m.planned = append(m.planned, j)
+		}
+		return
+	}
+	l.dropKeep(j)
+	if len(j.on) == 0 {
+		j.gang = gang{n: l.attempt(), began: now}
+		slog.Debug("gang", "job", j.spec.ID, "attempt", j.gang.n, "tasks", j.spec.Tasks)
+	}
+	for range count {
+		task, ok := j.take()
+		if !ok {
+			return
+		}
+		a := &attempt{job: j, task: task, n: j.gang.n, machine: m, began: now, reserved: true, kept: true}
+		j.kept++
+		l.hold(a)
+	}
+}
+
+// launch adds the starts of reserved tasks to a machine's orders.
+func (l *Leader) launch(m *machine, orders []wire.Command) []wire.Command {
+	var starts []*attempt
+	for _, a := range m.tasks {
+		if a.reserved {
+			starts = append(starts, a)
+		}
+	}
+	slices.SortFunc(starts, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.job.spec.ID, b.job.spec.ID), cmp.Compare(a.task, b.task))
+	})
+	for _, a := range starts[:min(len(starts), max(0, maxOrders-len(orders)))] {
+		if !l.allowedMore(a.job, m, 0) {
+			// A task that nobody knew of has shown itself since the places were reserved.
+			l.release(a, "it may not start there any more")
+			continue
+		}
+		a.reserved, a.sentAt = false, m.seq
+		orders = append(orders, wire.Command{Verb: wire.VerbStart, Task: taskName(a.job.spec.ID, a.task), Attempt: a.n})
+	}
+	return orders
+}
+
+// release gives a reserved place back: its start was never sent.
+func (l *Leader) release(a *attempt, why string) {
+	a.reserved = false
+	l.ended(a, why)
+}
+
+// gangListed takes over what a report says of a gang's task that is on its machine.
+func (l *Leader) gangListed(a *attempt, now micros.Micros) {
+	j := a.job
+	if !j.isGang() || j.over {
+		return
+	}
+	g := &j.gang
+	if a.n > g.n {
+		// Adopted from an earlier term, whose latest attempt has the highest number.
+		*g = gang{n: a.n, began: now}
+		for _, other := range j.on {
+			if other.n < a.n {
+				l.stop(other, 0, "a later attempt of its gang is there")
+			}
+		}
+	}
+	switch {
+	case a.n < g.n:
+		l.stop(a, 0, "a later attempt of its gang is there")
+	case a.state == wire.TaskWaiting && g.waits == 0:
+		g.waits = now
+	case a.state == wire.TaskRunning:
+		g.started = true
+	case a.state == wire.TaskSaving:
+		g.started = true
+		if !g.ending {
+			// An earlier leader was stopping the gang: all must be told in time.
+			l.stopAll(j, saveGrace(j), "an earlier leader stopped its gang")
+		}
+	}
+	if g.ending && a.stopped == 0 {
+		l.stopAll(j, saveGrace(j), "its gang is being stopped")
+	}
+}
+
+// gangDone notes that all tasks of a gang are done, as one is: they complete together.
+func (l *Leader) gangDone(j *job) {
+	if !j.isGang() {
+		return
+	}
+	for t := range j.spec.Tasks {
+		if !j.done.has(t) {
+			j.done.set(t)
+			j.ndone++
+			l.dirty[progressKey(j.spec.ID, t/chunkTasks)] = true
+		}
+	}
+}
+
+// gangExited has the other tasks stopped when one ended in a way that tells of the whole
+// attempt, whether or not it was known here.
+func (l *Leader) gangExited(j *job, a *attempt, t *wire.ReportTask) {
+	if !j.isGang() || j.over || j.ndone > 0 || j.gang.ending || t.Attempt != j.gang.n || a != nil && a.stopped != 0 {
+		return
+	}
+	switch t.Cause {
+	case wire.CausePeers:
+		l.stopAll(j, 0, "another task of its gang is gone")
+	case wire.CauseIncomplete:
+		l.stopAll(j, 0, "its gang was not complete in time")
+	case wire.CauseStopped:
+		// An earlier leader's stop. Once one has saved, so have all.
+		l.stopAll(j, saveGrace(j), "an earlier leader stopped its gang")
+	}
+}
+
+// gangLost takes note that a task is no longer on its machine.
+func (l *Leader) gangLost(a *attempt) {
+	j := a.job
+	if !j.isGang() {
+		return
+	}
+	if !j.over && j.ndone == 0 && a.n == j.gang.n && j.gang.started && !j.gang.ending {
+		l.stopAll(j, 0, "another task of its gang is gone")
+	}
+	if len(j.on) == 0 {
+		j.gang = gang{}
+	}
+}
+
+// stopGang has all tasks of a gang stop, with time to save. It is done only when all
+// of them can be told in time: a gang of which a part is stopped falls back to its last
+// checkpoint, so one that can't be told whole is left alone, and loses no more.
+func (l *Leader) stopGang(j *job, grace micros.Micros, why string, now micros.Micros) bool {
+	if !j.gang.ending && !l.reachable(j, now) {
+		return false
+	}
+	l.stopAll(j, grace, why)
+	return true
+}
+
+// leaveWith has a gang's task leave a machine that is given up. One that waits for the
+// others is replaced; once they run, all stop, if that saves their work.
+func (l *Leader) leaveWith(a *attempt, grace micros.Micros, why string, now micros.Micros) {
+	switch {
+	case !a.job.gang.started:
+		l.stop(a, 0, why)
+	case a.job.spec.CheckpointS > 0 && a.stopped == 0:
+		l.stopGang(a.job, grace, why, now)
+	}
+}
+
+// reachable tells whether all tasks of a gang should hear a stop in time.
+func (l *Leader) reachable(j *job, now micros.Micros) bool {
+	if !l.Term.Sure() {
+		return false
+	}
+	for _, a := range j.on {
+		m := a.machine
+		if m.leaving || m.deaf > 0 || m.address == "" || l.cutOff[m.kind.Zone] ||
+			l.silentFor(m, now) > l.report+l.report/4+micros.Second {
+			return false
+		}
+	}
+	return true
+}
+
+// stopAll ends a gang's attempt: places whose start was not sent are released, and the
+// others' machines are told at once. The next attempt begins when all are gone.
+func (l *Leader) stopAll(j *job, grace micros.Micros, why string) {
+	j.gang.ending = true
+	byMachine := map[*machine][]wire.Command{}
+	for _, task := range slices.Sorted(maps.Keys(j.on)) {
+		if a := j.on[task]; a != nil && l.mustStop(a, grace, why) {
+			byMachine[a.machine] = append(byMachine[a.machine], stopCommand(a))
+		}
+	}
+	for m, commands := range byMachine {
+		l.tell(m, commands)
+	}
+	if len(j.on) == 0 {
+		j.gang = gang{}
+	}
+}
+
+// Sending stops of gangs.
+const (
+	tellTimeout = micros.Second
+	tellPause   = 200 * micros.Millisecond
+)
+
+// tell sends stops straight to a worker until it answers, as long as that can be in time
+// for its gang. They also stand in the answers to its reports.
+func (l *Leader) tell(m *machine, commands []wire.Command) {
+	if m.address == "" {
+		return
+	}
+	address, body := m.address, wire.DirectCommands{Token: l.Token, Session: m.session, Commands: commands}
+	until := micros.Now() + l.Settings.Params.Workers.GangPeer()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), (until - micros.Now()).Duration())
+		defer cancel()
+		for ctx.Err() == nil && l.Term.Sure() {
+			select {
+			case l.calls <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			callCtx, done := context.WithTimeout(ctx, tellTimeout.Duration())
+			_, _, err := wire.Exchange(callCtx, l.Workers, http.MethodPost, "http://"+address+"/commands", body)
+			done()
+			<-l.calls
+			if err == nil {
+				return
+			}
+			slog.Debug("stop of a gang", "machine", address, "error", err)
+			time.Sleep(tellPause.Duration())
+		}
+	}()
+}
+
+// watchGangs moves reservations whose machines do not come for them, and ends attempts
+// that will not be complete in time.
+func (l *Leader) watchGangs(now micros.Micros) {
+	if !l.ready {
+		return
+	}
+	unresolved := l.unresolved()
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+		j := l.jobs[id]
+		if !j.isGang() || j.ndone > 0 {
+			continue
+		}
+		if k := l.keeps[id]; k != nil && now >= k.until && (len(k.machines) > 0 || now >= k.again) {
+			l.dropKeep(j)
+		}
+		if len(j.on) == 0 {
+			continue
+		}
+		for _, a := range j.on {
+			late := now-a.began > l.report+l.report/4+micros.Second && l.silentFor(a.machine, now) > l.report+l.report/4+micros.Second
+			if a.reserved && (late || !a.machine.open(now)) {
+				l.release(a, "its machine did not come for it")
+			}
+		}
+		switch {
+		case j.gang.ending:
+			// What an adopted or repeated start brought is stopped as well.
+			l.stopAll(j, saveGrace(j), "its gang is being stopped")
+		case j.gang.started && j.waiting() > 0 && (!j.old || unresolved == 0):
+			// Its task was lost in an earlier term, or between two.
+			l.stopAll(j, 0, "another task of its gang is gone")
+		case !j.gang.started && j.gang.waits != 0 && now-j.gang.waits > launchLimit(l.Settings.Params.Workers.GangWait()):
+			l.stopAll(j, 0, "its gang was not complete in time")
+		}
+	}
+}
+
+// launchLimit is how long a gang's tasks are let wait for the last: what is to be
+// undone should be so before the first of them gives up.
+func launchLimit(wait micros.Micros) micros.Micros { return wait * 2 / 3 }
+
+// spared tells whether a task must not be stopped for other work: a gang's, until all
+// run or while not all can be told.
+func (l *Leader) spared(a *attempt, now micros.Micros) bool {
+	return a.job.isGang() && (!a.job.gang.started || a.job.ndone > 0 || !l.reachable(a.job, now))
+}
+
+// keep is room that is gathered for a gang that found none: on its machines only work
+// that goes before the gang may start. It ends after a time, and the gang then waits as
+// long for the next: no room is held for ever.
+type keep struct {
+	view     *placement.Job // the gang, as of the latest queue
+	machines []*machine
+	until    micros.Micros
+	again    micros.Micros // not before
+}
+
+// Bounds of what is kept for gangs.
+const (
+	keepWithin = 16 * micros.Second // in what time its room must come free
+	keepShare  = 8                  // part of the machines
+)
+
+// gatherRoom keeps room for gangs that found none, in the queue's order. Machines are kept
+// for one gang each, so none waits for another's.
+func (l *Leader) gatherRoom(now micros.Micros) {
+	q := &l.queue
+	var machines []placement.Machine
+	var ms []*machine
+	kept := 0
+	for _, m := range l.order {
+		if m.kept != nil {
+			kept++
+		}
+	}
+	for i, w := range q.waiting {
+		k := l.keeps[w.ID]
+		if !w.Whole || w.Waiting == 0 || k != nil && (len(k.machines) > 0 || now < k.again) || kept > 0 && keepShare*kept >= len(l.order) {
+			continue
+		}
+		if machines == nil {
+			machines, ms = l.placeable(now, placement.Resources{})
+			for n, m := range ms {
+				for _, j := range m.planned {
+					machines[n].Free = machines[n].Free.Plus(j.need, -1)
+				}
+				for _, a := range m.tasks {
+					e := placement.Ending{Left: micros.FromSeconds(l.left(a, now)), Need: a.job.need}
+					if a.stopped != 0 {
+						e.Left = a.grace
+					}
+					machines[n].Ending = append(machines[n].Ending, e)
+				}
+			}
+		}
+		for _, n := range placement.Gather(machines, w, q.teams[w.Team], keepWithin) {
+			machines[n].Kept = w
+			l.keepFor(q.jobs[i].spec.ID, ms[n], now)
+			kept++
+		}
+	}
+}
+
+// keepFor keeps a machine for a gang.
+func (l *Leader) keepFor(id string, m *machine, now micros.Micros) {
+	j := l.jobs[id]
+	if j == nil || m.kept != nil {
+		return
+	}
+	k := l.keeps[id]
+	if k == nil || len(k.machines) == 0 {
+		k = &keep{until: now + keepWithin + l.report, again: now + 2*(keepWithin+l.report)}
+		l.keeps[id] = k
+		for _, w := range l.queue.waiting {
+			if w.ID == id {
+				k.view = w
+			}
+		}
+	}
+	m.kept = k
+	k.machines = append(k.machines, m)
+}
+
+// dropKeep opens what is kept for a gang to all.
+func (l *Leader) dropKeep(j *job) {
+	k := l.keeps[j.spec.ID]
+	if k == nil {
+		return
+	}
+	for _, m := range k.machines {
+		if m.kept == k {
+			m.kept = nil
+			l.replan = true
+		}
+	}
+	k.machines = nil
+	if j.over || micros.Now() >= k.again {
+		delete(l.keeps, j.spec.ID)
+	}
+}
+
+// rentForGangs books machines for gangs that not even an empty fleet could take: the types'
+// targets count machines, and a gang may need more of them at once, or more in one zone,
+// than the work alone would.
+func (l *Leader) rentForGangs(now micros.Micros) {
+	teams, unresolved := l.teamUse()
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+		j := l.jobs[id]
+		if !j.isGang() || j.old && unresolved > 0 || now-j.seen < specialWait || len(j.on) > 0 || j.ready(now) == 0 ||
+			teams[j.spec.Team].Room(j.need, j.spec.Tasks) < j.spec.Tasks || !l.Term.Sure() {
+			continue
+		}
+		s := j.spec
+		probe := placement.Job{Types: s.Types, Zone: s.Zone, Spot: s.Spot}
+		most := s.Tasks // in a zone
+		if s.Spread {
+			most = (s.Tasks + 1) / 2
+		}
+		inZone, sum := map[string]int{}, 0
+		for _, m := range l.order {
+			t := l.types[m.kind.Type]
+			if t == nil || m.leaving || m.draining != "" || !placement.Allowed(&probe, m.kind.Type, m.kind.Zone, m.kind.Spot) {
+				continue
+			}
+			n := t.capacity.Times(j.need, most-inZone[m.kind.Zone])
+			inZone[m.kind.Zone] += n
+			sum += n
+		}
+		if s.OneZone {
+			sum = 0
+			for _, n := range inZone {
+				sum = max(sum, n)
+			}
+		}
+		if sum >= s.Tasks {
+			continue
+		}
+		var best offer
+		for _, o := range l.offersFor(j) {
+			if l.pending(o) {
+				best = offer{}
+				break // its answer comes first
+			}
+			if st := l.offers[o]; st != nil && now < st.until || l.cutOff[o.Zone] || inZone[o.Zone] >= most {
+				continue
+			}
+			if best.Type == "" || s.OneZone && inZone[o.Zone] > inZone[best.Zone] {
+				best = o
+			}
+		}
+		if t := l.types[best.Type]; t != nil {
+			missing := min(s.Tasks-sum, most-inZone[best.Zone])
+			if s.OneZone {
+				missing = s.Tasks - inZone[best.Zone]
+			}
+			per := t.capacity.Times(j.need, missing)
+			l.book(best, (missing+per-1)/max(1, per))
+		}
+	}
+}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -34,7 +34,7 @@
 	returned  []int            // tasks to start again
 	cursor    int              // tasks from here on have not been started
 	resumed   map[int]bool     // tasks that ran before, whose next run is shorter
-	broken    bool             // a gang that lost a task: all its tasks start again
+	gang      gang             // its present attempt, if it is one
 	notBefore micros.Micros
 	waitsFor  string
 	// How its tasks failed, see blame.go.
@@ -52,7 +52,7 @@
 	longest               micros.Micros // run of a task
 }
 
-// attempt is a task that may be on a machine.
+// attempt is a task that may be on a machine, or has its place there.
 type attempt struct {
 	job     *job
 	task    int
@@ -66,6 +66,8 @@
 	grace   micros.Micros
 	why     string
 	kept    bool // of the part of a job that is left alone until it has begun
+	// A gang's task that has its place, and whose start its machine's next answer carries.
+	reserved bool
 }
 
 func newJob(r replica.Job, old bool) *job {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -90,7 +90,8 @@
 	ends       int // tasks that were done since endsAt
 	endsAt     micros.Micros
 	endsRate   float64
-	queue      queue // what waits, as of the last plan
+	queue      queue            // what waits, as of the last plan
+	keeps      map[string]*keep // room being gathered for gangs, by job
 	offers     map[offer]*offerState
 	estimates  map[string]*staffing.Estimate // by class
 	lastStops  []StopNote
@@ -132,6 +133,7 @@
 		jobs: map[string]*job{}, ghosts: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
 		strays: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
 		teams: map[string]settings.Team{}, used: map[string]placement.Resources{}, images: map[string]int{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
+		keeps:  map[string]*keep{},
 		offers: map[offer]*offerState{}, estimates: map[string]*staffing.Estimate{},
 		flushNow: make(chan struct{}, 1), flushOps: c.Store.FlushOps(), tooLarge: map[string]int{}, lost: make(chan struct{}),
 		tallies: tallies{}, zoneAnswers: map[string]answers{}, cutOff: map[string]bool{}, calls: make(chan struct{}, max(8, c.Settings.Params.Limits.MaxSockets/callShare)),
@@ -311,6 +313,9 @@
 		if err := j.restore(chunk, p); err != nil {
 			return fmt.Errorf("stored %s: %w", key, err)
 		}
+		if j.ndone > 0 {
+			l.gangDone(j)
+		}
 		l.finishIfDone(j)
 	}
 	if err := l.restoreStaffing(now); err != nil {
@@ -343,6 +348,7 @@
 			watched = now
 			l.watchMachines(now)
 		}
+		l.watchGangs(now)
 		l.planIfNeeded(now)
 		if now-staffed >= micros.Second {
 			staffed = now
@@ -436,6 +442,10 @@
 			l.dirty[key] = true
 		}
 	}
+	if j.isGang() {
+		l.dropKeep(j)
+		l.stopAll(j, 0, "job is "+state)
+	}
 	for _, a := range j.on {
 		l.stop(a, 0, "job is "+state)
 	}
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -44,6 +44,7 @@
 	free      placement.Resources // what no task holds
 	clears    []wire.Command
 	planned   []*job // one entry a start
+	kept      *keep  // its room is gathered for a gang
 	images    imageCache
 	have      placement.ImageSet // these, and what is being fetched
 	surplus   bool               // not wanted by the formula
@@ -276,7 +277,7 @@
 		if a.running != 0 && !a.job.done.has(a.task) {
 			a.job.resumed[a.task] = true
 		}
-		l.breakGang(a)
+		l.gangLost(a)
 	}
 	if a.why != "" {
 		why = a.why
@@ -287,33 +288,32 @@
 	}
 }
 
-// breakGang has the other tasks of a gang stopped when one ends before it is
-// done: they run together or not at all, under one attempt.
-func (l *Leader) breakGang(a *attempt) {
-	j := a.job
-	if j.spec.Shape != wire.ShapeGang {
-		return
-	}
-	if !j.broken && !j.over && !j.done.has(a.task) {
-		j.broken = true
-		for _, other := range j.on {
-			l.stop(other, micros.FromSeconds(j.spec.SaveS), "another task of its gang ended")
-		}
+// stop tells a task to stop.
+func (l *Leader) stop(a *attempt, grace micros.Micros, why string) {
+	if l.mustStop(a, grace, why) {
+		l.direct(a.machine, stopCommand(a))
 	}
-	j.broken = j.broken && len(j.on) > 0
 }
 
-// stop tells a task to stop.
-func (l *Leader) stop(a *attempt, grace micros.Micros, why string) {
+// mustStop notes that a task is to stop, and tells whether its machine must be told.
+func (l *Leader) mustStop(a *attempt, grace micros.Micros, why string) bool {
+	if a.reserved {
+		l.release(a, why)
+		return false
+	}
 	if a.stopped != 0 && grace >= a.grace {
-		return
+		return false
 	}
 	if a.stopped == 0 {
 		a.machine.stopping++
 		a.stopped = micros.Now()
 	}
 	a.grace, a.why = grace, why
-	l.direct(a.machine, wire.Command{Verb: wire.VerbStop, Task: taskName(a.job.spec.ID, a.task), Attempt: a.n, GraceS: seconds(grace)})
+	return true
+}
+
+func stopCommand(a *attempt) wire.Command {
+	return wire.Command{Verb: wire.VerbStop, Task: taskName(a.job.spec.ID, a.task), Attempt: a.n, GraceS: seconds(a.grace)}
 }
 
 func seconds(m micros.Micros) *float64 {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -48,11 +48,10 @@
 	}
 	machines, ms := l.placeable(now, q.least)
 	for _, s := range placement.Plan(machines, q.waiting, q.teams) {
-		for range s.Count {
-			ms[s.Machine].planned = append(ms[s.Machine].planned, q.jobs[s.Job])
-		}
+		l.planStarts(ms[s.Machine], q.jobs[s.Job], s.Count, now)
 	}
 	q.drop()
+	l.gatherRoom(now)
 	room, need := int64(0), int64(0)
 	for i, m := range ms {
 		if !m.surplus {
@@ -80,8 +79,16 @@
 		return
 	}
 	machines, ms = l.withVictims(now)
-	for _, s := range placement.Preempt(machines, q.waiting, q.teams, preemptJobs) {
+	stops, keeps := placement.Preempt(machines, q.waiting, q.teams, preemptJobs)
+	for _, k := range keeps {
+		l.keepFor(k.For, ms[k.Machine], now)
+	}
+	for _, s := range stops {
 		if a := ms[s.Machine].tasks[taskName(s.Victim.Job, s.Victim.Task)]; a != nil {
+			if a.job.isGang() {
+				l.stopGang(a.job, saveGrace(a.job), "stopped to make room for "+s.For, now)
+				continue
+			}
 			grace := micros.FromSeconds(a.job.spec.SaveS)
 			if a.running == 0 || now-a.running < grace {
 				grace = 0 // saving takes longer than doing it again
@@ -144,9 +151,7 @@
 	starts := placement.Fill(&p, q.waiting, q.teams)
 	gone := false
 	for _, s := range starts {
-		for range s.Count {
-			m.planned = append(m.planned, q.jobs[s.Job])
-		}
+		l.planStarts(m, q.jobs[s.Job], s.Count, now)
 		gone = gone || q.waiting[s.Job].Waiting == 0
 	}
 	if gone {
@@ -193,12 +198,15 @@
 		w := &placement.Job{
 			ID: s.ID, Team: s.Team, Image: j.image, Priority: j.priority, Covered: covered[j],
 			Need: j.need, Waiting: n, Total: s.Tasks, Types: s.Types, Zone: s.Zone,
-			OneZone: s.OneZone, Spread: s.Spread, Whole: s.Shape == wire.ShapeGang, Spot: s.Spot, ImageGB: s.ImageGB,
+			OneZone: s.OneZone, Spread: s.Spread, Whole: j.isGang(), Spot: s.Spot, ImageGB: s.ImageGB,
 		}
 		w.Due, w.Later, w.Late = l.dues(j, covered[j], wall)
 		w.Pressing = w.Due-wall < 4*l.report && !j.probing()
 		w.Claims = j.priority > 0 && !j.probing()
 		w.Patient = l.patient(j)
+		if j.isGang() && len(j.on) > 0 {
+			w.Due, w.Late, w.Pressing = wall, false, true // the others of its tasks wait for these
+		}
 		w.Work = float64(n) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
 			w.PerZone = maps.Clone(j.zones)
@@ -216,6 +224,9 @@
 				entries, waiting = append(entries, entry{&rest, j}), append(waiting, &rest)
 			}
 		}
+		if k := l.keeps[s.ID]; k != nil {
+			k.view = w
+		}
 		entries, waiting = append(entries, entry{w, j}), append(waiting, w)
 	}
 	cpus := 0.0
@@ -360,9 +371,15 @@
 		Unworthy: m.unworthy, Images: m.have, GBPerS: t.FetchGBPerS,
 		Dear: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
 	}
+	if late := now - m.reported - l.report - l.report/4; late > 0 {
+		p.Delay = l.report + late // it has missed a report, and may be gone
+	}
 	if m.surplus {
 		p.Dear += 30 * micros.Second
 	}
+	if k := m.kept; k != nil {
+		p.Kept = k.view
+	}
 	return p
 }
 
@@ -391,7 +408,7 @@
 		for _, a := range m.tasks {
 			if a.stopped != 0 {
 				p.Soon = p.Soon.Plus(a.job.need, 1)
-			} else if !a.job.over {
+			} else if !a.job.over && !l.spared(a, now) {
 				v := placement.Victim{
 					Job: a.job.spec.ID, Task: a.task, Team: a.job.spec.Team, Priority: a.job.priority,
 					Need: a.job.need, Covered: covered[a.job], Guest: a.job.priority == 0 && !covered[a.job], Lost: lostWork(a, now),
@@ -399,6 +416,9 @@
 				if v.Guest {
 					v.Lost += l.setBack(a, now)
 				}
+				if a.job.isGang() {
+					v.Gang, v.Lost = true, v.Lost*micros.Micros(len(a.job.on))
+				}
 				if a.kept && (a.running == 0 || now-a.running < counted) {
 					v.Guest, v.Lost = false, v.Lost+counted
 				}
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -119,7 +119,7 @@
 		// A worker has one report in flight, and drops late answers: if the
 		// start that went with an earlier report's answer does not show in a
 		// newer report, it never will.
-		if !listed[name] && a.sentAt < r.Seq {
+		if !listed[name] && a.sentAt < r.Seq && !a.reserved {
 			l.ended(a, "the start was lost")
 		}
 	}
@@ -201,6 +201,9 @@
 	}
 	if t.State != wire.TaskExited {
 		if a == nil {
+			if other := j.on[task]; other != nil && other.reserved {
+				l.release(other, "an earlier start of it is on "+m.id)
+			}
 			if other := j.on[task]; !j.over && (other != nil && other.machine != m || j.done.has(task)) {
 				m.clears = append(m.clears, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
 				return
@@ -211,7 +214,7 @@
 				l.stop(a, 0, "job is over")
 			}
 		}
-		a.n = t.Attempt
+		a.n, a.reserved = t.Attempt, false
 		if t.State == wire.TaskRunning && a.running == 0 {
 			a.running = now
 			if j.on[task] == a {
@@ -227,6 +230,12 @@
 			}
 		}
 		a.state = t.State
+		l.gangListed(a, now)
+		return
+	}
+	if a != nil && a.reserved && t.Cause != wire.CauseDone {
+		// An earlier start of the same attempt, for whose place this one is held.
+		m.clears = append(m.clears, clearCommand(t))
 		return
 	}
 	l.exited(m, j, task, a, t, now)
@@ -281,6 +290,9 @@
 			}
 			l.dirty[progressKey(j.spec.ID, task/chunkTasks)] = true
 			l.ends++
+			l.gangDone(j)
+		} else if a != nil && j.isGang() && !j.over {
+			l.finishedTask(j, m, a, now)
 		}
 		if a != nil {
 			l.ended(a, "")
@@ -297,6 +309,7 @@
 		return
 	}
 	m.clears = append(m.clears, clearCommand(t))
+	l.gangExited(j, a, t)
 	if a == nil {
 		return
 	}
@@ -352,6 +365,7 @@
 		return orders
 	}
 	l.fill(m, now)
+	orders = l.launch(m, orders)
 	for _, j := range m.planned {
 		if len(orders) >= maxOrders || j.over || j.ready(now) == 0 || !m.free.Fits(j.need) || !l.allowed(j, m) {
 			continue
@@ -360,7 +374,7 @@
 		if !ok {
 			continue
 		}
-		n := l.attempt(j)
+		n := l.attempt()
 		a := &attempt{job: j, task: task, n: n, machine: m, sentAt: m.seq, began: now, kept: j.kept < 1+j.spec.Tasks/agedPart}
 		if a.kept {
 			j.kept++
@@ -375,13 +389,16 @@
 // allowed tells whether a task of a job may begin on a machine as things are at this
 // moment. Plans see to all this, but are older: since then a machine may have shown tasks
 // that nobody knew of, or jobs may have lost the tasks that bound them to a zone.
-func (l *Leader) allowed(j *job, m *machine) bool {
+func (l *Leader) allowed(j *job, m *machine) bool { return l.allowedMore(j, m, 1) }
+
+// allowedMore tells it of so many more tasks; none more: of one that has its place there.
+func (l *Leader) allowedMore(j *job, m *machine, more int) bool {
 	s := j.spec
 	if len(s.Types) > 0 && !slices.Contains(s.Types, m.kind.Type) || s.Zone != "" && s.Zone != m.kind.Zone || m.kind.Spot && !s.Spot {
 		return false
 	}
 	if t := l.teams[s.Team]; t.CPUsMax > 0 || t.GPUsMax > 0 {
-		used := l.used[s.Team].Plus(l.hidden, 1).Plus(j.need, 1)
+		used := l.used[s.Team].Plus(l.hidden, 1).Plus(j.need, int64(more))
 		if t.CPUsMax > 0 && used.CPU > floor(t.CPUsMax) || t.GPUsMax > 0 && used.GPU > floor(t.GPUsMax) {
 			return false
 		}
@@ -390,17 +407,12 @@
 		return true
 	}
 	here := j.zones[m.kind.Zone]
-	return (!s.OneZone || here == len(j.on)) && (!s.Spread || 2*(here+1) <= s.Tasks+1)
+	return (!s.OneZone || here == len(j.on)) && (!s.Spread || 2*(here+more) <= s.Tasks+1)
 }
 
-// attempt is the number for a start: rising across terms without a write, as the
-// term's token stands above. Tasks of a gang that start together share one.
-func (l *Leader) attempt(j *job) uint64 {
-	if j.spec.Shape == wire.ShapeGang {
-		for _, a := range j.on {
-			return a.n
-		}
-	}
+// attempt is a new number for a start: rising across terms without a write, as the
+// term's token stands above.
+func (l *Leader) attempt() uint64 {
 	l.attempts++
 	return l.Token<<32 | l.attempts
 }
@@ -428,7 +440,9 @@
 	}
 	for _, a := range m.tasks {
 		s := a.job.spec
-		if s.CheckpointS > 0 && a.stopped == 0 {
+		if a.job.isGang() {
+			l.leaveWith(a, max(saveGrace(a.job), m.recallAt-now), "its spot machine is being taken", now)
+		} else if s.CheckpointS > 0 && a.stopped == 0 {
 			l.stop(a, max(micros.FromSeconds(s.SaveS), m.recallAt-now), "its spot machine is being taken")
 		}
 	}
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -211,6 +211,7 @@
 		}
 	}
 	l.rentSpecial(now)
+	l.rentForGangs(now)
 	l.consolidate(now)
 	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
 		l.dirty[replica.StaffingKey] = true
--- /dev/null
+++ b/placement/gang.go
@@ -0,0 +1,228 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sort"
+
+	"caperlatch/internal/micros"
+)
+
+// Ending is a task that should end by itself.
+type Ending struct {
+	Left micros.Micros
+	Need Resources
+}
+
+// Keep tells to keep a machine's room for a whole job.
+type Keep struct {
+	Machine int
+	For     string
+}
+
+// skew is what each further machine costs a whole job: it starts when its last task
+// does, and one more report may be late or lost.
+const skew = micros.Second / 2
+
+// choices lists the sets of machines that a whole job may be spread over: a zone's if it
+// must be together, else all.
+func choices(machines []Machine, j *Job, admit func(m *Machine) bool) (sets [][]int) {
+	byZone := map[string][]int{}
+	for k := range machines {
+		m := &machines[k]
+		if !admits(m, j) || zoneRoom(j, m.Zone) == 0 || !admit(m) {
+			continue
+		}
+		zone := ""
+		if j.OneZone {
+			zone = m.Zone
+		}
+		byZone[zone] = append(byZone[zone], k)
+	}
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		sets = append(sets, byZone[zone])
+	}
+	return sets
+}
+
+// share is how many of a whole job's tasks a machine takes.
+type share struct{ machine, count int }
+
+// divide shares want tasks of j among machines in their order, by the room that each
+// has; nil if they have too little.
+func divide(machines []Machine, set []int, j *Job, want int, room func(k int) Resources) (out []share) {
+	inZone := map[string]int{}
+	for _, k := range set {
+		zone := machines[k].Zone
+		n := room(k).Times(j.Need, min(want, zoneRoom(j, zone)-inZone[zone]))
+		if n <= 0 {
+			continue
+		}
+		out = append(out, share{k, n})
+		inZone[zone] += n
+		if want -= n; want == 0 {
+			return out
+		}
+	}
+	return nil
+}
+
+// placeWhole places all waiting tasks of a job or none, so that the last of them starts
+// as soon as can be: on one machine with room for all, or else on the fewest of those
+// that report soonest. A fetch counts as a late report does, so that machines with the
+// image and without it meet only when no others have room.
+func placeWhole(machines []Machine, open []int, index int, j *Job, team *Team) (starts []Start) {
+	if team.Room(j.Need, j.Waiting) < j.Waiting {
+		return nil
+	}
+	free := func(k int) Resources { return machines[k].Free }
+	var best []share
+	var bestCost micros.Micros
+	consider := func(set []int) {
+		worst, costs := micros.Micros(0), map[int]micros.Micros{}
+		for _, k := range set {
+			costs[k] = cost(&machines[k], j)
+		}
+		shares := divide(machines, set, j, j.Waiting, free)
+		for _, s := range shares {
+			worst = max(worst, costs[s.machine])
+		}
+		worst += micros.Micros(len(shares)-1) * skew
+		if shares != nil && (best == nil || worst < bestCost) {
+			best, bestCost = shares, worst
+		}
+	}
+	for _, set := range choices(machines, j, func(m *Machine) bool { return m.Free.Fits(j.Need) }) {
+		slices.SortFunc(set, func(a, b int) int {
+			return cmp.Or(cmp.Compare(cost(&machines[a], j), cost(&machines[b], j)), cmp.Compare(machines[a].ID, machines[b].ID))
+		})
+		for _, k := range set {
+			if divide(machines, []int{k}, j, j.Waiting, free) != nil {
+				consider([]int{k})
+				break
+			}
+		}
+		// The shortest beginning of the set that has room, and of it the roomiest.
+		if divide(machines, set, j, j.Waiting, free) != nil {
+			n := sort.Search(len(set), func(n int) bool { return divide(machines, set[:n], j, j.Waiting, free) != nil })
+			soonest := slices.Clone(set[:n])
+			slices.SortStableFunc(soonest, func(a, b int) int {
+				return cmp.Compare(machines[b].Free.Times(j.Need, j.Waiting), machines[a].Free.Times(j.Need, j.Waiting))
+			})
+			consider(soonest)
+		}
+	}
+	for _, s := range best {
+		take(&machines[s.machine], j, team, s.count)
+		starts = append(starts, Start{Job: index, Machine: s.machine, Count: s.count})
+	}
+	return starts
+}
+
+// Gather picks the machines whose room should be kept for a whole job that found none,
+// until enough of what is on them has ended by itself: the fewest of those where that
+// takes least. It picks none if it takes longer than within.
+func Gather(machines []Machine, j *Job, team *Team, within micros.Micros) []int {
+	if team.Room(j.Need, j.Waiting) < j.Waiting {
+		return nil
+	}
+	for by := 2 * micros.Second; by <= within; by *= 2 {
+		room := make([]Resources, len(machines))
+		for k := range machines {
+			m := &machines[k]
+			room[k] = m.Free.Plus(m.Soon, 1)
+			for _, e := range m.Ending {
+				if e.Left <= by {
+					room[k] = room[k].Plus(e.Need, 1)
+				}
+			}
+		}
+		var best []share
+		for _, set := range choices(machines, j, func(*Machine) bool { return true }) {
+			slices.SortStableFunc(set, func(a, b int) int {
+				return cmp.Compare(room[b].Times(j.Need, j.Waiting), room[a].Times(j.Need, j.Waiting))
+			})
+			shares := divide(machines, set, j, j.Waiting, func(k int) Resources { return room[k] })
+			if shares != nil && (best == nil || len(shares) < len(best)) {
+				best = shares
+			}
+		}
+		if best != nil {
+			keep := make([]int, len(best))
+			for i, s := range best {
+				keep[i] = s.machine
+			}
+			return keep
+		}
+	}
+	return nil
+}
+
+// preemptWhole stops what loses least for all tasks of a job, or nothing.
+func preemptWhole(machines []Machine, j *Job, team *Team) (stops []Stop, keeps []Keep) {
+	if team.Room(j.Need, j.Waiting) < j.Waiting {
+		return nil, nil
+	}
+	var best []Stop
+	var bestSet, bestRoom []int
+	var bestLost micros.Micros
+	for _, set := range choices(machines, j, func(*Machine) bool { return true }) {
+		part := make([]Machine, len(set))
+		for i, k := range set {
+			part[i] = machines[k]
+			part[i].Victims = slices.Clone(machines[k].Victims)
+		}
+		trial := *j
+		trial.PerZone = maps.Clone(j.PerZone)
+		if trial.PerZone == nil {
+			trial.PerZone = map[string]int{}
+		}
+		s, room, left := preempt(part, &trial, team)
+		if left > 0 {
+			continue
+		}
+		lost, counted := micros.Micros(0), map[string]bool{}
+		for _, x := range s {
+			if !x.Victim.Gang || !counted[x.Victim.Job] {
+				lost += x.Victim.Lost
+				counted[x.Victim.Job] = true
+			}
+		}
+		if bestRoom == nil || lost < bestLost {
+			best, bestSet, bestRoom, bestLost = s, set, room, lost
+		}
+	}
+	gangs := map[string]bool{}
+	for _, s := range best {
+		s.Machine = bestSet[s.Machine]
+		stops = append(stops, s)
+		m := &machines[s.Machine]
+		m.Soon = m.Soon.Plus(s.Victim.Need, 1)
+		m.Victims = slices.DeleteFunc(m.Victims, func(v Victim) bool { return v.Job == s.Victim.Job && v.Task == s.Victim.Task })
+		gangs[s.Victim.Job] = s.Victim.Gang
+	}
+	stops = append(stops, stopWith(machines, gangs, j.ID)...)
+	slices.Sort(bestRoom)
+	for _, i := range slices.Compact(bestRoom) {
+		keeps = append(keeps, Keep{Machine: bestSet[i], For: j.ID})
+		machines[bestSet[i]].Kept = j
+	}
+	return stops, keeps
+}
+
+// stopWith stops the other tasks of gangs of which one is stopped, wherever they are.
+func stopWith(machines []Machine, gangs map[string]bool, by string) (stops []Stop) {
+	for k := range machines {
+		m := &machines[k]
+		m.Victims = slices.DeleteFunc(m.Victims, func(v Victim) bool {
+			if !v.Gang || !gangs[v.Job] {
+				return false
+			}
+			stops = append(stops, Stop{Machine: k, Victim: v, For: by})
+			m.Soon = m.Soon.Plus(v.Need, 1)
+			return true
+		})
+	}
+	return stops
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -64,6 +64,8 @@
 	Dear           micros.Micros // wait that is put up with to leave it idle
 	Unworthy       bool          // of patient work: dear, and wanted by no other
 	Victims        []Victim      // running tasks that could be stopped
+	Ending         []Ending      // when what is on it should end by itself
+	Kept           *Job          // its room is gathered for this one; nil: for nobody
 }
 
 // Victim is a running task.
@@ -76,6 +78,7 @@
 	Covered  bool          // within its team's guarantee
 	Guest    bool          // of the lowest priority, and guaranteed to nobody
 	Lost     micros.Micros // work that a stop would lose
+	Gang     bool          // all tasks of its job stop with it, and Lost is of all
 }
 
 // Job is a job with waiting tasks.
@@ -228,6 +231,9 @@
 
 // admits tells the same of a machine, and whether the job is worth it.
 func admits(m *Machine, j *Job) bool {
+	if m.Kept != nil && m.Kept.ID != j.ID && claim(j, m.Kept) >= 0 {
+		return false
+	}
 	return Allowed(j, m.Type, m.Zone, m.Spot) && !(j.Patient && m.Unworthy)
 }
 
@@ -287,11 +293,11 @@
 		if j.Waiting == 0 || !free.Fits(j.Need) || teams[j.Team].Room(j.Need, 1) == 0 {
 			continue
 		}
-		placed := place(machines, open, i, j, teams[j.Team])
-		if j.Whole && j.Waiting > 0 {
-			undo(machines, j, teams[j.Team], placed)
-			placed = nil
+		choose := place
+		if j.Whole {
+			choose = placeWhole
 		}
+		placed := choose(machines, open, i, j, teams[j.Team])
 		starts = append(starts, placed...)
 		if len(placed) > 0 {
 			open = slices.DeleteFunc(open, func(k int) bool { return !machines[k].Free.Fits(least) })
@@ -302,18 +308,25 @@
 }
 
 // Preempt looks for running work of less claim to stop for pressing jobs that
-// found no room, and for guests to stop for any other job; at most limit jobs.
-func Preempt(machines []Machine, jobs []*Job, teams map[string]*Team, limit int) (stops []Stop) {
+// found no room, and for guests to stop for any other job; at most limit jobs. What it
+// frees for a whole job, and the room that was there, is to be kept for it.
+func Preempt(machines []Machine, jobs []*Job, teams map[string]*Team, limit int) (stops []Stop, keeps []Keep) {
 	for _, j := range jobs {
 		if limit == 0 {
 			break
 		}
 		if j.Waiting > 0 && (j.Pressing || j.Claims) {
-			stops = append(stops, preempt(machines, j, teams[j.Team])...)
 			limit--
+			if j.Whole {
+				s, k := preemptWhole(machines, j, teams[j.Team])
+				stops, keeps = append(stops, s...), append(keeps, k...)
+				continue
+			}
+			s, _, _ := preempt(machines, j, teams[j.Team])
+			stops = append(stops, s...)
 		}
 	}
-	return stops
+	return stops, keeps
 }
 
 // lookahead is how many jobs of one claim Fill compares.
@@ -329,7 +342,7 @@
 		var bestDue micros.Micros
 		seen := 0
 		for i, j := range jobs {
-			if j.Waiting == 0 || j.Whole {
+			if j.Waiting == 0 {
 				continue
 			}
 			if best >= 0 && (seen == lookahead || claim(jobs[best], j) != 0) {
@@ -339,8 +352,8 @@
 				continue
 			}
 			n := m.Free.Times(j.Need, teams[j.Team].Room(j.Need, min(j.Waiting, zoneRoom(j, m.Zone))))
-			if n == 0 {
-				continue
+			if n == 0 || j.Whole && n < j.Waiting {
+				continue // a machine that takes a whole job alone needs no other's report
 			}
 			seen++
 			if due := j.Due + 2*fetch(m, j); best < 0 || due < bestDue {
@@ -443,19 +456,6 @@
 	return starts
 }
 
-// undo takes back the starts of a job.
-func undo(machines []Machine, j *Job, team *Team, placed []Start) {
-	for _, s := range placed {
-		m := &machines[s.Machine]
-		m.Free = m.Free.Plus(j.Need, int64(s.Count))
-		j.PerZone[m.Zone] -= s.Count
-		j.Waiting += s.Count
-		if team != nil {
-			team.Used = team.Used.Plus(j.Need, -int64(s.Count))
-		}
-	}
-}
-
 // yields tells whether v may be stopped for j: for a higher priority, or to
 // give j's team its guarantee from another team's borrowed room.
 func yields(v *Victim, j *Job) bool {
@@ -468,8 +468,10 @@
 	return v.Priority < j.Priority && (j.Covered || !v.Covered)
 }
 
-func preempt(machines []Machine, j *Job, team *Team) (stops []Stop) {
-	want := team.Room(j.Need, j.Waiting)
+// preempt also tells on which machines there is room, or will be, and how many tasks
+// found none.
+func preempt(machines []Machine, j *Job, team *Team) (stops []Stop, room []int, want int) {
+	want = team.Room(j.Need, j.Waiting)
 	for k := range machines {
 		// What is being freed already will serve the first in the queue.
 		m := &machines[k]
@@ -477,6 +479,10 @@
 			n := m.Free.Plus(m.Soon, 1).Times(j.Need, min(want, zoneRoom(j, m.Zone)))
 			m.Soon = m.Soon.Plus(j.Need, -int64(n))
 			want -= n
+			if n > 0 && j.Whole {
+				j.PerZone[m.Zone] += n
+				room = append(room, k)
+			}
 		}
 	}
 	// Each machine is looked at once, and again only after something on it is
@@ -499,32 +505,58 @@
 		// The image must be fetched there as well before the task starts.
 		return candidate{k, take, lost + fetch(m, j)}, take != nil
 	}
-	for k := range machines {
-		if want == 0 {
-			break
-		}
-		if c, ok := look(k); ok {
-			heap = append(heap, c)
+	fill := func() {
+		heap = heap[:0]
+		for k := range machines {
+			if c, ok := look(k); ok {
+				heap = append(heap, c)
+			}
 		}
+		slices.SortFunc(heap, less)
+	}
+	if want > 0 {
+		fill()
 	}
-	slices.SortFunc(heap, less)
 	for want > 0 && len(heap) > 0 {
 		c := heap[0]
 		heap = heap[1:]
 		m := &machines[c.machine]
+		gangs := map[string]bool{}
 		for _, v := range slices.Backward(c.take) {
+			gangs[m.Victims[v].Job] = m.Victims[v].Gang
 			stops = append(stops, Stop{Machine: c.machine, Victim: m.Victims[v], For: j.ID})
 			m.Soon = m.Soon.Plus(m.Victims[v].Need, 1)
 			m.Victims = slices.Delete(m.Victims, v, v+1)
 		}
 		m.Soon = m.Soon.Plus(j.Need, -1)
 		want--
+		if j.Whole {
+			j.PerZone[m.Zone]++
+			room = append(room, c.machine)
+		}
+		if freed := stopWith(machines, gangs, j.ID); len(freed) > 0 {
+			// Their room serves as well, before anything more is stopped.
+			stops = append(stops, freed...)
+			for k := range machines {
+				m := &machines[k]
+				if n := m.Free.Plus(m.Soon, 1).Times(j.Need, min(want, zoneRoom(j, m.Zone))); n > 0 && admits(m, j) {
+					m.Soon = m.Soon.Plus(j.Need, -int64(n))
+					want -= n
+					if j.Whole {
+						j.PerZone[m.Zone] += n
+						room = append(room, k)
+					}
+				}
+			}
+			fill()
+			continue
+		}
 		if c, ok := look(c.machine); ok {
 			at, _ := slices.BinarySearchFunc(heap, c, less)
 			heap = slices.Insert(heap, at, c)
 		}
 	}
-	return stops
+	return stops, room, want
 }
 
 // victims picks, in order of their indexes, the tasks to stop on m for one
@@ -542,12 +574,16 @@
 			cmp.Compare(x.Lost, y.Lost), cmp.Compare(x.Job, y.Job), cmp.Compare(x.Task, y.Task))
 	})
 	free := m.Free.Plus(m.Soon, 1)
+	counted := map[string]bool{} // gangs whose loss is in lost
 	for _, i := range order {
 		if free.Fits(j.Need) {
 			break
 		}
 		free = free.Plus(m.Victims[i].Need, 1)
-		lost += m.Victims[i].Lost
+		if v := &m.Victims[i]; !v.Gang || !counted[v.Job] {
+			lost += v.Lost
+			counted[v.Job] = true
+		}
 		take = append(take, i)
 	}
 	if !free.Fits(j.Need) || take == nil {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -116,7 +116,7 @@
 			slices.SortFunc(c.jobs, Less)
 			teams := map[string]*Team{"t": c.team}
 			starts := Plan(c.machines, c.jobs, teams)
-			stops := Preempt(c.machines, c.jobs, teams, 8)
+			stops, _ := Preempt(c.machines, c.jobs, teams, 8)
 			var got, stopped []string
 			for _, s := range starts {
 				got = append(got, fmt.Sprintf("%s@%s*%d", c.jobs[s.Job].ID, c.machines[s.Machine].ID, s.Count))
