--- /dev/null
+++ b/gangs_test.go
@@ -0,0 +1,326 @@
+package caperlatch
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// gangJob describes a gang; edits are further fields.
+func gangJob(id string, tasks int, cpus float64, edits map[string]any) map[string]any {
+	job := testJob(id, tasks)
+	job["shape"], job["vcpus"], job["save_every_s"], job["store_s"], job["expect_s"] = "gang", cpus, 10.0, 1.0, 20.0
+	maps.Copy(job, edits)
+	return job
+}
+
+// submitJob repeats a submission until it is taken.
+func (c *cluster) submitJob(job map[string]any) {
+	c.t.Helper()
+	for try := range 60 {
+		if code, _ := c.request(http.MethodPost, try%len(c.stops), "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	c.t.Fatalf("%s was not accepted", job["id"])
+}
+
+// until waits for tasks of a job to have states, as many as named.
+func (c *cluster) until(id string, want map[string]int) {
+	c.t.Helper()
+	for range 600 {
+		have := map[string]int{}
+		for task, state := range c.cloud.States() {
+			if strings.HasPrefix(task, id+"/") {
+				have[state]++
+			}
+		}
+		if maps.Equal(have, want) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatalf("%s: tasks %v, want %v", id, c.cloud.States(), want)
+}
+
+// TestGangs takes a gang through what may happen to it. It must be done in the end, with
+// no rule broken; how often all its tasks ran tells whether an attempt was lost, and how
+// long whether its progress was.
+func TestGangs(t *testing.T) {
+	const id = "j-000001"
+	wide := gangJob(id, 3, 3, nil) // a machine has four CPUs: on three of them
+	waiting := func(n int) map[string]int { return map[string]int{wire.TaskWaiting: n} }
+	running := func(n int) map[string]int { return map[string]int{wire.TaskRunning: n} }
+	cases := []struct {
+		name    string
+		job     map[string]any
+		zones   []string
+		fetch   float64 // of an image
+		trouble func(c *cluster)
+		runs    int           // attempts of which all ran
+		within  time.Duration // from its submission to its end
+	}{
+		{"on one machine", gangJob(id, 4, 1, nil), nil, 0, func(c *cluster) {
+			c.until(id, running(4))
+			if n := len(c.cloud.With(id)); n != 1 {
+				c.t.Errorf("it is on %d machines", n)
+			}
+		}, 1, 40 * time.Second},
+		{"one task", gangJob(id, 1, 1, nil), nil, 0, func(*cluster) {}, 1, 40 * time.Second},
+		{"over several machines", wide, nil, 2, func(*cluster) {}, 1, 40 * time.Second},
+		{"together", gangJob(id, 3, 3, map[string]any{"together": true}), []string{"a", "b"}, 0, func(*cluster) {}, 1, 60 * time.Second},
+		{"scattered", gangJob(id, 4, 3, map[string]any{"scatter": true}), []string{"a", "b"}, 0, func(*cluster) {}, 1, 60 * time.Second},
+		{"in one hall", gangJob(id, 3, 3, map[string]any{"hall": "b"}), []string{"a", "b"}, 0, func(*cluster) {}, 1, 60 * time.Second},
+		{"a whole team's limit", gangJob(id, 4, 1, map[string]any{"desk": "small"}), nil, 0, func(*cluster) {}, 1, 40 * time.Second},
+		// A replacement under the same number completes it.
+		{"a machine hangs before it starts", wide, nil, 3, func(c *cluster) {
+			c.until(id, map[string]int{wire.TaskFetching: 3})
+			c.cloud.With(id)[1].Hang(time.Minute)
+		}, 1, 60 * time.Second},
+		{"a machine is taken while the others wait", wide, nil, 3, func(c *cluster) {
+			c.until(id, map[string]int{wire.TaskFetching: 3})
+			hung := c.cloud.With(id)[1]
+			hung.Hang(4 * time.Second)
+			c.until(id, map[string]int{wire.TaskWaiting: 2, wire.TaskFetching: 1})
+			hung.Take(0)
+		}, 1, 60 * time.Second},
+		{"a machine is taken with a notice while the others wait", wide, nil, 3, func(c *cluster) {
+			c.until(id, map[string]int{wire.TaskFetching: 3})
+			c.cloud.With(id)[0].Take(8 * time.Second)
+		}, 1, 60 * time.Second},
+		// The rest notices, and all begin anew.
+		{"a machine hangs while it runs", wide, nil, 0, func(c *cluster) {
+			c.until(id, running(3))
+			time.Sleep(12 * time.Second)
+			c.cloud.With(id)[2].Hang(time.Minute)
+		}, 2, 90 * time.Second},
+		{"a machine is gone while it runs", wide, nil, 0, func(c *cluster) {
+			c.until(id, running(3))
+			time.Sleep(12 * time.Second)
+			c.cloud.With(id)[2].Take(0)
+		}, 2, 80 * time.Second},
+		// All are told to stop, save, and go on elsewhere: nothing is lost.
+		{"a machine is taken with a notice while it runs", wide, nil, 0, func(c *cluster) {
+			c.until(id, running(3))
+			time.Sleep(8 * time.Second)
+			c.cloud.With(id)[2].Take(9 * time.Second)
+			time.Sleep(8 * time.Second)
+			if saved := c.cloud.GangSaved(id); saved < 7*time.Second {
+				c.t.Errorf("%v of its progress is safe", saved)
+			}
+		}, 2, 60 * time.Second},
+		{"its stop reaches only some", wide, nil, 0, func(c *cluster) {
+			c.until(id, running(3))
+			time.Sleep(8 * time.Second)
+			machines := c.cloud.With(id)
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if r.URL.Host == machines[0].ID+":9000" || from == machines[0].ID {
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			machines[2].Take(9 * time.Second)
+			time.Sleep(12 * time.Second)
+		}, 2, 100 * time.Second},
+		{"a zone is cut through it", gangJob(id, 4, 3, map[string]any{"scatter": true}), []string{"a", "b"}, 0, func(c *cluster) {
+			c.until(id, running(4))
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if strings.HasSuffix(from, "1") || strings.HasSuffix(r.URL.Host, "1:9000") {
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			time.Sleep(15 * time.Second)
+		}, -1, 120 * time.Second},
+		{"the leader ends while it waits", wide, nil, 4, func(c *cluster) {
+			c.until(id, map[string]int{wire.TaskFetching: 3})
+			c.cloud.With(id)[0].Hang(6 * time.Second)
+			c.until(id, map[string]int{wire.TaskWaiting: 2, wire.TaskFetching: 1})
+			c.back(c.leader())
+		}, 1, 60 * time.Second},
+		{"the leader ends while it waits for a machine that is lost", wide, nil, 4, func(c *cluster) {
+			c.until(id, map[string]int{wire.TaskFetching: 3})
+			hung := c.cloud.With(id)[0]
+			hung.Hang(20 * time.Second)
+			c.until(id, map[string]int{wire.TaskWaiting: 2, wire.TaskFetching: 1})
+			hung.Take(0)
+			c.back(c.leader())
+		}, 1, 80 * time.Second},
+		{"the leader ends while it runs", wide, nil, 0, func(c *cluster) {
+			c.until(id, running(3))
+			time.Sleep(3 * time.Second)
+			c.back(c.leader())
+		}, 1, 60 * time.Second},
+		{"the leader ends while it runs, and a machine with it", wide, nil, 0, func(c *cluster) {
+			c.until(id, running(3))
+			time.Sleep(3 * time.Second)
+			c.cloud.With(id)[1].Take(0)
+			c.back(c.leader())
+		}, 2, 90 * time.Second},
+		{"the leader ends while it stops", wide, nil, 0, func(c *cluster) {
+			c.until(id, running(3))
+			time.Sleep(8 * time.Second)
+			c.cloud.With(id)[2].Take(12 * time.Second)
+			for len(c.cloud.States()) == 3 && !slices.Contains(slices.Collect(maps.Values(c.cloud.States())), wire.TaskSaving) {
+				time.Sleep(100 * time.Millisecond)
+			}
+			c.back(c.leader())
+		}, 2, 90 * time.Second},
+		{"the leader ends when some of its starts were sent", wide, nil, 0, func(c *cluster) {
+			deaf := ""
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				// The first machine that is told to start hears no answer any more.
+				for _, w := range c.cloud.Workers() {
+					if from == w.ID && w.Token() > 0 && (deaf == "" || deaf == from) {
+						deaf = from
+						return standin.LostAnswer
+					}
+				}
+				return standin.Pass
+			})
+			c.until(id, waiting(2))
+			c.back(c.leader())
+		}, 1, 80 * time.Second},
+		{"one reports done, and the leader ends", wide, nil, 0, func(c *cluster) {
+			c.until(id, running(3))
+			time.Sleep(18 * time.Second)
+			quiet := c.cloud.With(id)[0].ID
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if from != quiet && strings.HasPrefix(from, "i-") {
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			for len(c.cloud.States()) > 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(700 * time.Millisecond)
+			c.back(c.leader())
+		}, 1, 60 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newClusterOf(t, 3)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 20 }
+				c.cloud.Zones, c.cloud.FetchS = tc.zones, tc.fetch
+				if tc.zones != nil {
+					c.rules.Offers[0].Zones = tc.zones
+				}
+				begun := time.Now()
+				c.submitJob(tc.job)
+				tc.trouble(c)
+				c.setFault(nil)
+				c.await(id, wire.JobDone, tc.within+30*time.Second)
+				if took := time.Since(begun); took > tc.within {
+					t.Errorf("done after %v", took)
+				}
+				if runs := c.cloud.GangRuns(id); tc.runs >= 0 && runs != tc.runs {
+					t.Errorf("%d attempts ran, want %d", runs, tc.runs)
+				}
+				time.Sleep(5 * time.Second)
+				if left := c.cloud.OnMachines(); len(left) > 0 {
+					t.Errorf("still on machines: %v", left)
+				}
+				for _, rule := range c.rules.Broken() {
+					t.Error(rule)
+				}
+			})
+		})
+	}
+}
+
+// TestGangsMeet has gangs meet each other and other work.
+func TestGangsMeet(t *testing.T) {
+	cases := []struct {
+		name string
+		play func(c *cluster)
+	}{
+		{"two want more room than there is", func(c *cluster) {
+			for i := range 4 {
+				c.submitJob(gangJob(fmt.Sprintf("j-00000%d", i+1), 4, 1, map[string]any{"desk": "small"}))
+			}
+			for i := range 4 {
+				c.await(fmt.Sprintf("j-00000%d", i+1), wire.JobDone, 3*time.Minute)
+				if n := c.cloud.GangRuns(fmt.Sprintf("j-00000%d", i+1)); n != 1 {
+					c.t.Errorf("%d attempts of gang %d ran", n, i+1)
+				}
+			}
+		}},
+		{"a stream of small tasks", func(c *cluster) {
+			c.cloud.Most = 2
+			c.cloud.RunFor = func(task string) float64 { return 5 + float64(task[len(task)-1]%3) }
+			for i := range 3 {
+				c.submit(fmt.Sprintf("j-0001%02d", i), 9)
+			}
+			time.Sleep(6 * time.Second)
+			c.submitJob(gangJob("j-000001", 2, 4, nil))
+			begun := time.Now()
+			for i := range 40 {
+				c.submit(fmt.Sprintf("j-0002%02d", i), 4)
+				time.Sleep(3 * time.Second)
+				if c.cloud.GangRuns("j-000001") > 0 {
+					break
+				}
+			}
+			if took := time.Since(begun); c.cloud.GangRuns("j-000001") == 0 || took > 100*time.Second {
+				c.t.Errorf("the gang did not start in %v", took)
+			}
+			c.await("j-000001", wire.JobDone, time.Minute)
+		}},
+		{"cancelled while it waits", func(c *cluster) {
+			c.cloud.FetchS = 3
+			c.submitJob(gangJob("j-000001", 3, 3, nil))
+			c.until("j-000001", map[string]int{wire.TaskFetching: 3})
+			c.cloud.With("j-000001")[0].Hang(10 * time.Second)
+			c.until("j-000001", map[string]int{wire.TaskWaiting: 2, wire.TaskFetching: 1})
+			if code, _ := c.request(http.MethodPost, 1, "/v1/jobs/j-000001/abort", nil); code != http.StatusOK {
+				c.t.Errorf("cancelled: %d", code)
+			}
+			time.Sleep(time.Duration(cancelS) * time.Second)
+			if n := c.cloud.GangRuns("j-000001"); n != 0 {
+				c.t.Errorf("%d attempts ran", n)
+			}
+		}},
+		{"what can never run is refused, what can is not", func(c *cluster) {
+			for _, x := range []struct {
+				job  map[string]any
+				code int
+			}{
+				{gangJob("j-000001", 5, 1, map[string]any{"desk": "small"}), http.StatusUnprocessableEntity},
+				{gangJob("j-000002", 1, 5, nil), http.StatusUnprocessableEntity},
+				{gangJob("j-000003", 2, 1, map[string]any{"shape": "band"}), http.StatusBadRequest},
+				{gangJob("j-000004", 4, 1, map[string]any{"desk": "small"}), http.StatusCreated},
+			} {
+				if code, _ := c.request(http.MethodPost, 0, "/v1/jobs", x.job); code != x.code {
+					c.t.Errorf("%v: %d, want %d", x.job["id"], code, x.code)
+				}
+			}
+			c.await("j-000004", wire.JobDone, 2*time.Minute)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newClusterOf(t, 3)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 20 }
+				time.Sleep(5 * time.Second)
+				tc.play(c)
+				for _, rule := range c.rules.Broken() {
+					t.Error(rule)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -23,6 +23,8 @@
 	// Serve has a worker's handler served somewhere and returns its address; nil: Net.
 	Serve func(h http.Handler) (address string)
 
+	gangs *gangs
+
 	mu       sync.Mutex
 	bookings map[string][]string
 	machines map[string]*Worker
@@ -35,7 +37,7 @@
 // NewCloud makes a cloud without machines.
 func NewCloud(n *Net, rules *Rules, nodes []string, reportS, leaseS float64, runFor func(string) float64) *Cloud {
 	return &Cloud{Net: n, Rules: rules, Nodes: nodes, RunFor: runFor, ReportS: reportS, LeaseS: leaseS,
-		bookings: map[string][]string{}, machines: map[string]*Worker{}, sites: map[string]string{}}
+		gangs: newGangs(), bookings: map[string][]string{}, machines: map[string]*Worker{}, sites: map[string]string{}}
 }
 
 // Catalog is what this cloud offers.
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -115,6 +115,9 @@
 	if done {
 		w.done[task] = true
 	}
+	for t := 0; done && w.spec.Shape == wire.ShapeGang && t < w.spec.Tasks; t++ {
+		w.done[fmt.Sprintf("%s/%d", id, t)] = true // they complete together
+	}
 }
 
 // zones checks where a task of a job that binds its tasks to each other's zones starts,
@@ -203,6 +206,8 @@
 		return "unknown team"
 	case limit > 0 && spec.CPUs > limit:
 		return "over the team's limit"
+	case limit > 0 && spec.Shape == wire.ShapeGang && spec.CPUs*float64(spec.Tasks) > limit+1e-6:
+		return "the whole gang is over the team's limit"
 	}
 	for _, t := range r.Offers {
 		if (len(spec.Types) == 0 || slices.Contains(spec.Types, t.Name)) && (spec.Zone == "" || slices.Contains(t.Zones, spec.Zone)) &&
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -36,6 +36,7 @@
 	changed chan struct{}
 	hung    chan struct{} // closed when the machine goes on; nil: it does not hang
 	images  map[string]bool
+	recall  time.Time // when the cloud takes the machine; zero: nobody said
 }
 
 type workerTask struct {
@@ -172,6 +173,10 @@
 		return
 	}
 	for _, t := range w.tasks {
+		if job := w.job(t.Task); job.Shape == wire.ShapeGang && t.State != wire.TaskExited && t.State != wire.TaskFetching {
+			w.stepGang(t, &job)
+			continue
+		}
 		if now.Before(t.ends) {
 			continue
 		}
@@ -200,8 +205,25 @@
 
 func (w *Worker) image(task string) string { return w.job(task).Image }
 
+// stepGang has a gang's task keep up with the others.
+func (w *Worker) stepGang(t *workerTask, job *wire.Job) {
+	if !w.cloud.gangs.step(t, job, w.cloud.RunFor(t.Task)) {
+		return
+	}
+	if t.State == wire.TaskExited {
+		w.cloud.left(t.Task, w.ID, t.Cause == wire.CauseDone)
+	}
+	w.wake()
+}
+
 // begin has a task run that has its image.
 func (w *Worker) begin(t *workerTask) {
+	if job := w.job(t.Task); job.Shape == wire.ShapeGang {
+		w.cloud.started(t.Task, w.ID)
+		w.cloud.gangs.join(t, &job)
+		w.stepGang(t, &job)
+		return
+	}
 	run := seconds(w.cloud.RunFor(t.Task))
 	t.State, t.ends = wire.TaskRunning, time.Now().Add(run)
 	w.cloud.started(t.Task, w.ID)
@@ -215,6 +237,10 @@
 	for _, t := range w.tasks {
 		r.Tasks = append(r.Tasks, t.ReportTask)
 	}
+	if !w.recall.IsZero() {
+		left := max(0, time.Until(w.recall).Seconds())
+		r.NoticeS = &left
+	}
 	return r
 }
 
@@ -329,6 +355,13 @@
 				grace = *c.GraceS
 			}
 			job := w.job(c.Task)
+			if job.Shape == wire.ShapeGang && w.tasks[i].State != wire.TaskFetching {
+				if w.cloud.gangs.stop(w.tasks[i], &job, grace); w.tasks[i].State == wire.TaskExited {
+					w.cloud.left(c.Task, w.ID, false)
+				}
+				w.wake()
+				continue
+			}
 			switch {
 			case w.tasks[i].State == wire.TaskRunning && job.CheckpointS > 0 && job.SaveS > 0 && grace >= job.SaveS:
 				w.tasks[i].State, w.tasks[i].ends = wire.TaskSaving, time.Now().Add(seconds(job.SaveS))
--- a/node_test.go
+++ b/node_test.go
@@ -53,7 +53,7 @@
 	s.Params = settings.Params{
 		Zones:   []string{"a"},
 		Teams:   []settings.Team{{Name: "blue"}, {Name: "small", CPUs: 2, CPUsMax: 4}},
-		Workers: settings.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS},
+		Workers: settings.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS, GangWaitS: standin.GangWaitS, GangPeerS: standin.GangPeerS},
 		State:   settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 6},
 		Cloud:   settings.Cloud{RPS: 20, ListLagS: 1},
 		Limits:  settings.Limits{CPU: 1, MemoryMB: 1000, MaxSockets: 1000},
