--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -32,6 +32,7 @@
 	waits   micros.Micros // since when a report shows a task to wait for the others, 0 if none did
 	started bool          // all have been running at once
 	ending  bool          // all are to stop
+	short   micros.Micros // since when machines lack for those that are missing, 0 if they don't
 }
 
 func (j *job) isGang() bool { return j.spec.Shape == wire.ShapeGang }
@@ -417,40 +418,41 @@
 	}
 }
 
+// shortFor is how long a gang that lost a task before its start waits for another place to
+// come free, until a machine is booked for it.
+const shortFor = 2 * micros.Second
+
 // rentForGangs books machines for gangs that not even an empty fleet could take: the types'
 // targets count machines, and a gang may need more of them at once, or more in one zone,
-// than the work alone would.
+// than the work alone would. One that has begun to start needs room now: its other tasks
+// hold theirs in vain until it comes.
 func (l *Leader) rentForGangs(now micros.Micros) {
 	teams, unresolved := l.teamUse()
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
 		j := l.jobs[id]
-		if !j.isGang() || j.old && unresolved > 0 || now-j.seen < specialWait || len(j.on) > 0 || j.ready(now) == 0 ||
-			teams[j.spec.Team].Room(j.need, j.spec.Tasks) < j.spec.Tasks || !l.Term.Sure() {
+		if !j.isGang() || j.old && unresolved > 0 || !l.Term.Sure() {
 			continue
 		}
-		s := j.spec
-		probe := placement.Job{Types: s.Types, Zone: s.Zone, Spot: s.Spot}
-		most := s.Tasks // in a zone
-		if s.Spread {
-			most = (s.Tasks + 1) / 2
+		want := j.ready(now)
+		if want == 0 || teams[j.spec.Team].Room(j.need, want) < want {
+			j.gang.short = 0
+			continue
 		}
-		inZone, sum := map[string]int{}, 0
-		for _, m := range l.order {
-			t := l.types[m.kind.Type]
-			if t == nil || m.leaving || m.draining != "" || !placement.Allowed(&probe, m.kind.Type, m.kind.Zone, m.kind.Spot) {
-				continue
-			}
-			n := t.capacity.Times(j.need, most-inZone[m.kind.Zone])
-			inZone[m.kind.Zone] += n
-			sum += n
-		}
-		if s.OneZone {
-			sum = 0
-			for _, n := range inZone {
-				sum = max(sum, n)
+		room := func(m *machine, t *machineType) placement.Resources {
+			if len(j.on) > 0 {
+				return m.free
 			}
+			return t.capacity
+		}
+		inZone, sum, most := l.gangRoom(j, want, room)
+		if sum >= want {
+			j.gang.short = 0
+			continue
+		}
+		if j.gang.short == 0 {
+			j.gang.short = now
 		}
-		if sum >= s.Tasks {
+		if len(j.on) > 0 && now-j.gang.short < shortFor {
 			continue
 		}
 		var best offer
@@ -459,20 +461,57 @@
 				best = offer{}
 				break // its answer comes first
 			}
-			if st := l.offers[o]; st != nil && now < st.until || l.cutOff[o.Zone] || inZone[o.Zone] >= most {
+			if st := l.offers[o]; st != nil && now < st.until || l.cutOff[o.Zone] || most(o.Zone) <= inZone[o.Zone] {
 				continue
 			}
-			if best.Type == "" || s.OneZone && inZone[o.Zone] > inZone[best.Zone] {
+			if best.Type == "" || j.spec.OneZone && inZone[o.Zone] > inZone[best.Zone] {
 				best = o
 			}
 		}
 		if t := l.types[best.Type]; t != nil {
-			missing := min(s.Tasks-sum, most-inZone[best.Zone])
-			if s.OneZone {
-				missing = s.Tasks - inZone[best.Zone]
+			missing := min(want-sum, most(best.Zone)-inZone[best.Zone])
+			if j.spec.OneZone {
+				missing = want - inZone[best.Zone]
 			}
 			per := t.capacity.Times(j.need, missing)
 			l.book(best, (missing+per-1)/max(1, per))
 		}
 	}
 }
+
+// gangRoom counts the tasks of a gang, at most want, for which its machines would have
+// room: by zone, and where they may all be; most is how many may be in a zone.
+func (l *Leader) gangRoom(j *job, want int, room func(*machine, *machineType) placement.Resources) (inZone map[string]int, sum int, most func(string) int) {
+	s := j.spec
+	held := map[string]int{}
+	for _, a := range j.on {
+		held[a.machine.kind.Zone]++
+	}
+	most = func(zone string) int {
+		switch {
+		case s.Spread:
+			return max(0, min(want, (s.Tasks+1)/2-held[zone]))
+		case s.OneZone && len(held) > 0 && held[zone] == 0:
+			return 0
+		}
+		return want
+	}
+	probe := placement.Job{Types: s.Types, Zone: s.Zone, Spot: s.Spot}
+	inZone = map[string]int{}
+	for _, m := range l.order {
+		t := l.types[m.kind.Type]
+		if t == nil || m.leaving || m.draining != "" || !placement.Allowed(&probe, m.kind.Type, m.kind.Zone, m.kind.Spot) {
+			continue
+		}
+		n := room(m, t).Times(j.need, most(m.kind.Zone)-inZone[m.kind.Zone])
+		inZone[m.kind.Zone] += n
+		sum += n
+	}
+	if s.OneZone {
+		sum = 0
+		for _, n := range inZone {
+			sum = max(sum, n)
+		}
+	}
+	return inZone, sum, most
+}
--- /dev/null
+++ b/placement/gang_test.go
@@ -0,0 +1,176 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"caperlatch/internal/micros"
+)
+
+// at changes a machine.
+func at(m Machine, edit func(*Machine)) Machine {
+	edit(&m)
+	return m
+}
+
+// whole is a job whose tasks start all or not at all.
+func whole(tasks int, edit func(*Job)) *Job {
+	return job("g", tasks, func(j *Job) {
+		j.Whole = true
+		if edit != nil {
+			edit(j)
+		}
+	})
+}
+
+// TestWhole places whole jobs: on one machine if one has room, else on the fewest of
+// those that report soonest, where their zones allow, or not at all.
+func TestWhole(t *testing.T) {
+	s := micros.Second
+	cold := func(id string, free int64) Machine { return machine(id, "z", free) }
+	warm := func(id string, free int64) Machine {
+		return at(cold(id, free), func(m *Machine) { m.Images = m.Images.With(70) })
+	}
+	late := func(id string, free int64, delay micros.Micros) Machine {
+		return at(cold(id, free), func(m *Machine) { m.Delay = delay })
+	}
+	other := job("k", 2, func(j *Job) { j.Priority = 2 })
+	for _, c := range []struct {
+		name     string
+		machines []Machine
+		jobs     []*Job
+		team     *Team
+		want     []string
+	}{
+		{"one machine before several", []Machine{cold("a", 2), cold("b", 2), cold("c", 4)}, []*Job{whole(4, nil)}, nil, []string{"g@c*4"}},
+		{"the one that reports next", []Machine{late("a", 4, 3*s), late("b", 4, s)}, []*Job{whole(4, nil)}, nil, []string{"g@b*4"}},
+		{"several that report soon before one that reports late", []Machine{late("a", 2, 0), late("b", 2, s), late("c", 4, 8*s)},
+			[]*Job{whole(4, nil)}, nil, []string{"g@a*2", "g@b*2"}},
+		{"the fewest of those that report soon", []Machine{cold("a", 1), cold("b", 1), cold("c", 2), cold("d", 3)},
+			[]*Job{whole(5, nil)}, nil, []string{"g@d*3", "g@c*2"}},
+		{"warm ones together", []Machine{cold("a", 2), warm("b", 2), cold("c", 2), warm("d", 2)},
+			[]*Job{whole(4, func(j *Job) { j.ImageGB = 5 })}, nil, []string{"g@b*2", "g@d*2"}},
+		{"one cold machine, as one warm and one cold begin no sooner", []Machine{warm("a", 2), cold("b", 4)},
+			[]*Job{whole(4, func(j *Job) { j.ImageGB = 5 })}, nil, []string{"g@b*4"}},
+		{"no room for one of its tasks", []Machine{cold("a", 2), cold("b", 1)}, []*Job{whole(4, nil)}, nil, nil},
+		{"what it can't use is for others", []Machine{cold("a", 2), cold("b", 1)}, []*Job{whole(4, nil), other}, nil, []string{"k@b*1", "k@a*1"}},
+		{"together, in the zone that has room", []Machine{machine("a", "y", 3), machine("b", "z", 2), machine("c", "z", 2)},
+			[]*Job{whole(4, func(j *Job) { j.OneZone = true })}, nil, []string{"g@b*2", "g@c*2"}},
+		{"together, and no zone has room", []Machine{machine("a", "y", 3), machine("b", "z", 3)},
+			[]*Job{whole(4, func(j *Job) { j.OneZone = true })}, nil, nil},
+		{"a replacement where the others are", []Machine{machine("a", "y", 3), machine("b", "z", 3)},
+			[]*Job{whole(1, func(j *Job) { j.OneZone, j.Total, j.PerZone = true, 4, map[string]int{"z": 3} })}, nil, []string{"g@b*1"}},
+		{"scattered: at most 2 of 4 in a zone", []Machine{machine("a", "y", 4), machine("b", "z", 2)},
+			[]*Job{whole(4, func(j *Job) { j.Spread = true })}, nil, []string{"g@a*2", "g@b*2"}},
+		{"scattered, with one zone", []Machine{machine("a", "y", 4)}, []*Job{whole(4, func(j *Job) { j.Spread = true })}, nil, nil},
+		{"its team has room for a part", []Machine{cold("a", 9)}, []*Job{whole(4, nil)}, &Team{Used: cpus(2), Limit: cpus(5)}, nil},
+		{"room that is kept for it", []Machine{at(cold("a", 4), func(m *Machine) { m.Kept = whole(4, nil) })}, []*Job{whole(4, nil)}, nil, []string{"g@a*4"}},
+		{"room that is kept for another", []Machine{at(cold("a", 4), func(m *Machine) { m.Kept = job("x", 4, nil) })}, []*Job{whole(4, nil)}, nil, nil},
+		{"room that is kept, for work that goes before", []Machine{at(cold("a", 2), func(m *Machine) { m.Kept = whole(4, nil) })}, []*Job{job("k", 2, func(j *Job) { j.Priority = 2 })}, nil, []string{"k@a*2"}},
+	} {
+		var got []string
+		for _, x := range Plan(c.machines, c.jobs, map[string]*Team{"t": c.team}) {
+			got = append(got, fmt.Sprintf("%s@%s*%d", c.jobs[x.Job].ID, c.machines[x.Machine].ID, x.Count))
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestFillWhole has a machine report that could take a whole job, or a part of it.
+func TestFillWhole(t *testing.T) {
+	for _, c := range []struct {
+		free   int64
+		starts int
+	}{{3, 0}, {4, 4}, {9, 4}} {
+		m := machine("a", "z", c.free)
+		n := 0
+		for _, x := range Fill(&m, []*Job{whole(4, nil)}, nil) {
+			n += x.Count
+		}
+		if n != c.starts {
+			t.Errorf("room for %d: %d start, want %d", c.free, n, c.starts)
+		}
+	}
+}
+
+// TestGather picks machines whose room is to be kept for a whole job until it is enough.
+func TestGather(t *testing.T) {
+	s := micros.Second
+	busy := func(id, zone string, free int64, left ...micros.Micros) Machine {
+		return at(machine(id, zone, free), func(m *Machine) {
+			for _, l := range left {
+				m.Ending = append(m.Ending, Ending{l, cpus(1)})
+			}
+		})
+	}
+	for _, c := range []struct {
+		name     string
+		machines []Machine
+		job      *Job
+		want     []int
+	}{
+		{"where it comes free soonest", []Machine{busy("a", "z", 0, 9*s, 9*s, 9*s, 9*s), busy("b", "z", 2, s, s)}, whole(4, nil), []int{1}},
+		{"on the fewest", []Machine{busy("a", "z", 1, s), busy("b", "z", 1, s), busy("c", "z", 0, s, s, s, s)}, whole(4, nil), []int{2}},
+		{"on several", []Machine{busy("a", "z", 1, s), busy("b", "z", 1, s)}, whole(4, nil), []int{0, 1}},
+		{"in one zone", []Machine{busy("a", "y", 1, s), busy("b", "z", 1, s), busy("c", "z", 0, 5*s, 5*s)}, whole(4, func(j *Job) { j.OneZone = true }), []int{1, 2}},
+		{"nowhere in time", []Machine{busy("a", "z", 3, 100*s)}, whole(4, nil), nil},
+	} {
+		if got := Gather(c.machines, c.job, nil, 16*s); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestPreemptWhole has pressing whole jobs take room from others, and gangs be stopped:
+// all that is needed or nothing, where least is lost, and a gang's loss is that of all.
+func TestPreemptWhole(t *testing.T) {
+	s := micros.Second
+	victim := func(job string, task int, lost micros.Micros) Victim {
+		return Victim{Job: job, Task: task, Need: cpus(1), Lost: lost}
+	}
+	gangOf := func(job string, task int, lost micros.Micros) Victim {
+		v := victim(job, task, lost)
+		v.Gang = true
+		return v
+	}
+	full := func(id, zone string, vs ...Victim) Machine {
+		return at(machine(id, zone, 0), func(m *Machine) { m.Victims = vs })
+	}
+	for _, c := range []struct {
+		name     string
+		machines []Machine
+		job      *Job
+		stops    []string
+		keeps    []int
+	}{
+		{"all of it", []Machine{full("a", "z", victim("x", 0, s), victim("x", 1, s)), full("b", "z", victim("y", 0, s))}, whole(3, nil),
+			[]string{"x/0", "x/1", "y/0"}, []int{0, 1}},
+		{"not enough to stop: nothing is", []Machine{full("a", "z", victim("x", 0, s), victim("x", 1, s))}, whole(3, nil), nil, nil},
+		{"in the zone where less is lost", []Machine{full("a", "y", victim("x", 0, 3*s), victim("x", 1, 3*s)), full("b", "z", victim("y", 0, s), victim("y", 1, s))},
+			whole(2, func(j *Job) { j.OneZone = true }), []string{"y/0", "y/1"}, []int{1}},
+		{"with room that is there", []Machine{machine("a", "z", 1), full("b", "z", victim("y", 0, s), victim("y", 1, 2*s))}, whole(2, nil), []string{"y/0"}, []int{0, 1}},
+		{"a gang is stopped whole", []Machine{full("a", "z", gangOf("x", 0, 4*s)), full("b", "z", gangOf("x", 1, 4*s))}, job("k", 1, nil), []string{"x/0", "x/1"}, nil},
+		{"a single task loses less than a gang", []Machine{full("a", "z", gangOf("x", 0, 4*s), victim("y", 0, 3*s)), full("b", "z", gangOf("x", 1, 4*s))}, job("k", 1, nil), []string{"y/0"}, nil},
+		{"a gang on one machine loses what it loses once", []Machine{full("a", "z", gangOf("x", 0, 4*s), gangOf("x", 1, 4*s)), full("b", "z", victim("y", 0, 3*s)), full("c", "z", victim("y", 1, 3*s))},
+			job("k", 2, nil), []string{"y/0", "y/1"}, nil},
+		{"what a gang frees elsewhere serves as well", []Machine{full("a", "z", gangOf("x", 0, s)), full("b", "z", gangOf("x", 1, s), victim("y", 0, 9*s))}, job("k", 2, nil), []string{"x/0", "x/1"}, nil},
+	} {
+		c.job.Priority = 2
+		var stops []string
+		var kept []int
+		got, keeps := Preempt(c.machines, []*Job{c.job}, nil, 8)
+		for _, x := range got {
+			stops = append(stops, fmt.Sprintf("%s/%d", x.Victim.Job, x.Victim.Task))
+		}
+		for _, k := range keeps {
+			kept = append(kept, k.Machine)
+		}
+		slices.Sort(stops)
+		if !slices.Equal(stops, c.stops) || !slices.Equal(kept, c.keeps) {
+			t.Errorf("%s: stops %v and keeps %v, want %v and %v", c.name, stops, kept, c.stops, c.keeps)
+		}
+	}
+}
