--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -474,6 +474,7 @@
 				missing = want - inZone[best.Zone]
 			}
 			per := t.capacity.Times(j.need, missing)
+			slog.Debug("room for a gang", "job", id, "tasks", want, "room", sum, "type", best.Type, "zone", best.Zone)
 			l.book(best, (missing+per-1)/max(1, per))
 		}
 	}
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -418,9 +418,9 @@
 		boot = math.Min(boot, t.BootS)
 		due, late := l.due(j, false, wall)
 		w := float64(n) * j.spec.CPUs * l.expected(j.spec)
-		if per := t.capacity.Times(j.need, n); j.isGang() && per > 0 {
-			// It takes whole machines at once, with what its tasks leave unused there.
-			w = math.Max(w, float64(n/per)*t.CPUs*l.expected(j.spec))
+		if per := t.capacity.Times(j.need, n+1); j.isGang() && per > 0 && per <= n {
+			// It fills whole machines at once, with what its tasks leave unused there.
+			w += float64(n/per) * (t.CPUs - float64(per)*j.spec.CPUs) * l.expected(j.spec)
 		}
 		in := (due - wall).Seconds()
 		if late { // it is to be done soon all the same
