--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -28,7 +28,6 @@
 // gang is an attempt of a gang's tasks.
 type gang struct {
 	n       uint64        // its number, 0 if there is none
-	began   micros.Micros // when its places were reserved
 	waits   micros.Micros // since when a report shows a task to wait for the others, 0 if none did
 	started bool          // all have been running at once
 	ending  bool          // all are to stop
@@ -63,7 +62,7 @@
 	}
 	l.dropKeep(j)
 	if len(j.on) == 0 {
-		j.gang = gang{n: l.attempt(), began: now}
+		j.gang = gang{n: l.attempt()}
 		slog.Debug("gang", "job", j.spec.ID, "attempt", j.gang.n, "tasks", j.spec.Tasks)
 	}
 	for range count {
@@ -115,7 +114,7 @@
 	g := &j.gang
 	if a.n > g.n {
 		// Adopted from an earlier term, whose latest attempt has the highest number.
-		*g = gang{n: a.n, began: now}
+		*g = gang{n: a.n}
 		for _, other := range j.on {
 			if other.n < a.n {
 				l.stop(other, 0, "a later attempt of its gang is there")
@@ -167,8 +166,11 @@
 	case wire.CauseIncomplete:
 		l.stopAll(j, 0, "its gang was not complete in time")
 	case wire.CauseStopped:
-		// An earlier leader's stop. Once one has saved, so have all.
-		l.stopAll(j, saveGrace(j), "an earlier leader stopped its gang")
+		// An earlier leader's stop. Once one has saved, so have all. One that waited is
+		// replaced.
+		if j.gang.started {
+			l.stopAll(j, saveGrace(j), "an earlier leader stopped its gang")
+		}
 	}
 }
 
@@ -277,6 +279,17 @@
 	}()
 }
 
+// gangs lists the gangs that are not over, by name.
+func (l *Leader) gangs() (out []*job) {
+	for _, j := range l.jobs {
+		if j.isGang() {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.spec.ID, b.spec.ID) })
+	return out
+}
+
 // watchGangs moves reservations whose machines do not come for them, and ends attempts
 // that will not be complete in time.
 func (l *Leader) watchGangs(now micros.Micros) {
@@ -284,12 +297,11 @@
 		return
 	}
 	unresolved := l.unresolved()
-	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
-		j := l.jobs[id]
-		if !j.isGang() || j.ndone > 0 {
+	for _, j := range l.gangs() {
+		if j.ndone > 0 {
 			continue
 		}
-		if k := l.keeps[id]; k != nil && now >= k.until && (len(k.machines) > 0 || now >= k.again) {
+		if k := l.keeps[j.spec.ID]; k != nil && now >= k.until && (len(k.machines) > 0 || now >= k.again) {
 			l.dropKeep(j)
 		}
 		if len(j.on) == 0 {
@@ -318,10 +330,14 @@
 // undone should be so before the first of them gives up.
 func launchLimit(wait micros.Micros) micros.Micros { return wait * 2 / 3 }
 
-// spared tells whether a task must not be stopped for other work: a gang's, until all
-// run or while not all can be told.
-func (l *Leader) spared(a *attempt, now micros.Micros) bool {
-	return a.job.isGang() && (!a.job.gang.started || a.job.ndone > 0 || !l.reachable(a.job, now))
+// spared lists the gangs that must not be stopped for other work: until all tasks run, and
+// while not all can be told.
+func (l *Leader) spared(now micros.Micros) map[*job]bool {
+	out := map[*job]bool{}
+	for _, j := range l.gangs() {
+		out[j] = !j.gang.started || j.ndone > 0 || !l.reachable(j, now)
+	}
+	return out
 }
 
 // keep is room that is gathered for a gang that found none: on its machines only work
@@ -428,9 +444,8 @@
 // hold theirs in vain until it comes.
 func (l *Leader) rentForGangs(now micros.Micros) {
 	teams, unresolved := l.teamUse()
-	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
-		j := l.jobs[id]
-		if !j.isGang() || j.old && unresolved > 0 || !l.Term.Sure() {
+	for _, j := range l.gangs() {
+		if j.old && unresolved > 0 || !l.Term.Sure() {
 			continue
 		}
 		want := j.ready(now)
@@ -474,7 +489,7 @@
 				missing = want - inZone[best.Zone]
 			}
 			per := t.capacity.Times(j.need, missing)
-			slog.Debug("room for a gang", "job", id, "tasks", want, "room", sum, "type", best.Type, "zone", best.Zone)
+			slog.Debug("room for a gang", "job", j.spec.ID, "tasks", want, "room", sum, "type", best.Type, "zone", best.Zone)
 			l.book(best, (missing+per-1)/max(1, per))
 		}
 	}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -205,7 +205,10 @@
 		w.Claims = j.priority > 0 && !j.probing()
 		w.Patient = l.patient(j)
 		if j.isGang() && len(j.on) > 0 {
-			w.Due, w.Late, w.Pressing = wall, false, true // the others of its tasks wait for these
+			w.Due, w.Late, w.Pressing = wall, false, !j.probing() // the others of its tasks wait for these
+		}
+		if j.isGang() && len(j.errors) > 0 {
+			w.Failed = j.errors
 		}
 		w.Work = float64(n) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
@@ -398,7 +401,7 @@
 
 // withVictims lists the machines that may get tasks, with what runs there.
 func (l *Leader) withVictims(now micros.Micros) ([]placement.Machine, []*machine) {
-	covered := l.covered()
+	covered, spared := l.covered(), l.spared(now)
 	out, ms := l.placeable(now, placement.Resources{})
 	for i, m := range ms {
 		p := &out[i]
@@ -408,7 +411,7 @@
 		for _, a := range m.tasks {
 			if a.stopped != 0 {
 				p.Soon = p.Soon.Plus(a.job.need, 1)
-			} else if !a.job.over && !l.spared(a, now) {
+			} else if !a.job.over && !spared[a.job] {
 				v := placement.Victim{
 					Job: a.job.spec.ID, Task: a.task, Team: a.job.spec.Team, Priority: a.job.priority,
 					Need: a.job.need, Covered: covered[a.job], Guest: a.job.priority == 0 && !covered[a.job], Lost: lostWork(a, now),
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -104,7 +104,8 @@
 	Whole           bool // all waiting tasks start or none does
 	Spot            bool
 	ImageGB         float64
-	PerZone         map[string]int // tasks on machines, by zone
+	PerZone         map[string]int           // tasks on machines, by zone
+	Failed          map[string]micros.Micros // machines on which tasks of a whole job failed, and when
 }
 
 // Team is what a team uses and may use; 0 in Limit means no limit.
@@ -352,7 +353,7 @@
 				continue
 			}
 			n := m.Free.Times(j.Need, teams[j.Team].Room(j.Need, min(j.Waiting, zoneRoom(j, m.Zone))))
-			if n == 0 || j.Whole && n < j.Waiting {
+			if _, failed := j.Failed[m.ID]; n == 0 || j.Whole && (n < j.Waiting || failed) {
 				continue // a machine that takes a whole job alone needs no other's report
 			}
 			seen++
@@ -391,6 +392,10 @@
 	return micros.FromSeconds(j.ImageGB / m.GBPerS)
 }
 
+// failedBefore is what wait is put up with rather than start a whole job again where a task
+// of it failed: one that fails keeps all waiting.
+const failedBefore = 10 * micros.Second
+
 // cost is how long a task would wait for its start on m, with a little for
 // leaving dear and empty machines as they are, and large holes.
 func cost(m *Machine, j *Job) micros.Micros {
@@ -398,6 +403,9 @@
 	if m.Idle {
 		c += micros.Second / 2
 	}
+	if _, ok := j.Failed[m.ID]; ok {
+		c += failedBefore
+	}
 	left := m.Free.CPU - j.Need.CPU
 	return c + m.Dear + micros.Micros(left)*micros.Millisecond/1000*10
 }
