--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -51,6 +51,12 @@
 	return micros.FromSeconds(j.spec.SaveS) + micros.Millisecond
 }
 
+// acceptAtOnce is how late places may start a gang that are taken as soon as they are found.
+// Later ones are taken only when it has waited for as long: of many machines some report
+// soon, so it starts at most twice as late as it could, and mostly sooner. Places
+// on machines that had reported just before once cost gangs a whole report time.
+const acceptAtOnce = micros.Second
+
 // planStarts has tasks of a job start with a machine's next answer. A gang's have their
 // places from now on; others' plans bind nobody.
 func (l *Leader) planStarts(m *machine, j *job, count int, now micros.Micros) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -90,6 +90,7 @@
 	ends       int // tasks that were done since endsAt
 	endsAt     micros.Micros
 	endsRate   float64
+	answering  *machine         // whose report is being answered
 	queue      queue            // what waits, as of the last plan
 	keeps      map[string]*keep // room being gathered for gangs, by job
 	offers     map[offer]*offerState
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -207,8 +207,9 @@
 		if j.isGang() && len(j.on) > 0 {
 			w.Due, w.Late, w.Pressing = wall, false, !j.probing() // the others of its tasks wait for these
 		}
-		if j.isGang() && len(j.errors) > 0 {
+		if j.isGang() {
 			w.Failed = j.errors
+			w.Accept = max(acceptAtOnce, wall-j.submitted)
 		}
 		w.Work = float64(n) * s.CPUs * l.expected(s)
 		if s.OneZone || s.Spread {
@@ -377,6 +378,9 @@
 	if late := now - m.reported - l.report - l.report/4; late > 0 {
 		p.Delay = l.report + late // it has missed a report, and may be gone
 	}
+	if m == l.answering {
+		p.Delay = 0
+	}
 	if m.surplus {
 		p.Dear += 30 * micros.Second
 	}
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -93,6 +93,8 @@
 		m.clears = l.stopsOf(r)
 	}
 	l.drainOnNotice(m, now)
+	l.answering = m
+	defer func() { l.answering = nil }()
 	l.planIfNeeded(now)
 	answer.Commands = l.orders(m, now)
 	return answer, nil
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -78,7 +78,7 @@
 	}
 	free := func(k int) Resources { return machines[k].Free }
 	var best []share
-	var bestCost micros.Micros
+	var bestCost, startsIn micros.Micros
 	consider := func(set []int) {
 		worst, costs := micros.Micros(0), map[int]micros.Micros{}
 		for _, k := range set {
@@ -90,7 +90,11 @@
 		}
 		worst += micros.Micros(len(shares)-1) * skew
 		if shares != nil && (best == nil || worst < bestCost) {
-			best, bestCost = shares, worst
+			best, bestCost, startsIn = shares, worst, 0
+			for _, s := range shares {
+				m := &machines[s.machine]
+				startsIn = max(startsIn, m.Delay+fetch(m, j))
+			}
 		}
 	}
 	for _, set := range choices(machines, j, func(m *Machine) bool { return m.Free.Fits(j.Need) }) {
@@ -113,6 +117,9 @@
 			consider(soonest)
 		}
 	}
+	if j.Accept > 0 && startsIn > j.Accept {
+		return nil
+	}
 	for _, s := range best {
 		take(&machines[s.machine], j, team, s.count)
 		starts = append(starts, Start{Job: index, Machine: s.machine, Count: s.count})
--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -53,6 +53,8 @@
 			[]*Job{whole(4, func(j *Job) { j.ImageGB = 5 })}, nil, []string{"g@b*2", "g@d*2"}},
 		{"one cold machine, as one warm and one cold begin no sooner", []Machine{warm("a", 2), cold("b", 4)},
 			[]*Job{whole(4, func(j *Job) { j.ImageGB = 5 })}, nil, []string{"g@b*4"}},
+		{"places that start it late, when it can wait for others", []Machine{late("a", 4, 3*s)}, []*Job{whole(4, func(j *Job) { j.Accept = 2 * s })}, nil, nil},
+		{"and when it has waited", []Machine{late("a", 4, 3*s)}, []*Job{whole(4, func(j *Job) { j.Accept = 3 * s })}, nil, []string{"g@a*4"}},
 		{"no room for one of its tasks", []Machine{cold("a", 2), cold("b", 1)}, []*Job{whole(4, nil)}, nil, nil},
 		{"what it can't use is for others", []Machine{cold("a", 2), cold("b", 1)}, []*Job{whole(4, nil), other}, nil, []string{"k@b*1", "k@a*1"}},
 		{"together, in the zone that has room", []Machine{machine("a", "y", 3), machine("b", "z", 2), machine("c", "z", 2)},
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -101,7 +101,8 @@
 	Types           []string
 	Zone            string
 	OneZone, Spread bool
-	Whole           bool // all waiting tasks start or none does
+	Whole           bool          // all waiting tasks start or none does
+	Accept          micros.Micros // a whole job waits for better places than ones that start it later; 0: any will do
 	Spot            bool
 	ImageGB         float64
 	PerZone         map[string]int           // tasks on machines, by zone
