--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -26,7 +26,8 @@
 	t.Helper()
 	l, _ := newTest(t)
 	l.Workers = &http.Client{Transport: heard{}}
-	l.forget(l.jobs["j-000001"], wire.JobDone)
+	l.Replica.Wrote(replica.JobPrefix+"j-000001", replica.Job{State: wire.JobDone}, 2)
+	l.takeChanges()
 	spec := &wire.Job{ID: "j-000002", Team: "blue", Shape: wire.ShapeGang, Priority: "normal", Tasks: 3, CPUs: 3, MemoryGB: 1,
 		EstimateS: 60, CheckpointS: 20, SaveS: 3, Spot: true}
 	l.jobs[spec.ID] = newJob(replica.Job{Spec: spec, SubmittedAt: micros.Wall() - 5*micros.Second}, old)
