--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -360,6 +360,7 @@
 const (
 	keepWithin = 16 * micros.Second // in what time its room must come free
 	keepShare  = 8                  // part of the machines
+	gatherJobs = 8                  // that a plan looks for room for
 )
 
 // gatherRoom keeps room for gangs that found none, in the queue's order. Machines are kept
@@ -368,7 +369,7 @@
 	q := &l.queue
 	var machines []placement.Machine
 	var ms []*machine
-	kept := 0
+	kept, tries := 0, 0
 	for _, m := range l.order {
 		if m.kept != nil {
 			kept++
@@ -379,6 +380,9 @@
 		if !w.Whole || w.Waiting == 0 || k != nil && (len(k.machines) > 0 || now < k.again) || kept > 0 && keepShare*kept >= len(l.order) {
 			continue
 		}
+		if tries++; tries > gatherJobs {
+			break
+		}
 		if machines == nil {
 			machines, ms = l.placeable(now, placement.Resources{})
 			for n, m := range ms {
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -81,7 +81,9 @@
 	}
 }
 
-func (j *job) waiting() int { return j.spec.Tasks - j.ndone - len(j.on) }
+// waiting counts the tasks that are neither done nor on a machine. A gang's are all done
+// when one is, while the others are still there.
+func (j *job) waiting() int { return max(0, j.spec.Tasks-j.ndone-len(j.on)) }
 
 // take picks a waiting task.
 func (j *job) take() (int, bool) {
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -111,6 +111,9 @@
 		{"", func(r *Rules) { apart(r, wire.Job{Spread: true}, "i-1", "i-3", "i-2") }},
 		{"accepted_wrong", func(r *Rules) { accepted(r, wire.Job{Team: "small", CPUs: 3}) }},
 		{"accepted_wrong", func(r *Rules) { accepted(r, wire.Job{Team: "blue", CPUs: 5}) }},
+		{"accepted_wrong", func(r *Rules) {
+			accepted(r, wire.Job{Team: "small", CPUs: 1, Tasks: 3, Shape: wire.ShapeGang})
+		}},
 		{"accepted_wrong", func(r *Rules) { accepted(r, wire.Job{Team: "blue", CPUs: 1, Zone: "z"}) }},
 		{"accepted_wrong", func(r *Rules) { accepted(r, wire.Job{Team: "nobody's", CPUs: 1}) }},
 		{"accepted_wrong", func(r *Rules) {
