--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -30,7 +30,7 @@
 		}
 	}
 	accepted := func(r *Rules, job wire.Job) {
-		job.ID, job.Tasks = "j-000002", 1
+		job.ID, job.Tasks = "j-000002", max(1, job.Tasks)
 		r.Submits(job)
 		r.Told("POST", "/v1/jobs", job.ID, time.Now(), 201, wire.JobStatus{ID: job.ID, Status: wire.JobPending})
 	}
