--- a/gangs_test.go
+++ b/gangs_test.go
@@ -22,18 +22,6 @@
 	return job
 }
 
-// submitJob repeats a submission until it is taken.
-func (c *cluster) submitJob(job map[string]any) {
-	c.t.Helper()
-	for try := range 60 {
-		if code, _ := c.request(http.MethodPost, try%len(c.stops), "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
-			return
-		}
-		time.Sleep(time.Second)
-	}
-	c.t.Fatalf("%s was not accepted", job["id"])
-}
-
 // until waits for tasks of a job to have states, as many as named.
 func (c *cluster) until(id string, want map[string]int) {
 	c.t.Helper()
--- a/node_test.go
+++ b/node_test.go
@@ -275,6 +275,7 @@
 func (c *cluster) submit(id string, tasks int) { c.submitJob(testJob(id, tasks)) }
 
 func (c *cluster) submitJob(job map[string]any) {
+	c.t.Helper()
 	for try := range 60 {
 		if code, _ := c.request(http.MethodPost, try%len(c.stops), "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
 			return
