--- a/gangs_test.go
+++ b/gangs_test.go
@@ -158,7 +158,7 @@
 			c.until(id, running(3))
 			time.Sleep(8 * time.Second)
 			c.cloud.With(id)[2].Take(12 * time.Second)
-			for len(c.cloud.States()) == 3 && !slices.Contains(slices.Collect(maps.Values(c.cloud.States())), wire.TaskSaving) {
+			for i := 0; i < 600 && len(c.cloud.States()) == 3 && !slices.Contains(slices.Collect(maps.Values(c.cloud.States())), wire.TaskSaving); i++ {
 				time.Sleep(100 * time.Millisecond)
 			}
 			c.back(c.leader())
@@ -188,7 +188,7 @@
 				}
 				return standin.Pass
 			})
-			for len(c.cloud.States()) > 0 {
+			for i := 0; i < 600 && len(c.cloud.States()) > 0; i++ {
 				time.Sleep(100 * time.Millisecond)
 			}
 			time.Sleep(700 * time.Millisecond)
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -86,7 +86,8 @@
 	n.handlers[host] = h
 }
 
-// SetFault decides what happens to requests from now on; nil lets all pass.
+// SetFault decides what happens to requests from now on; nil lets all pass. It is called
+// for several requests at a time.
 func (n *Net) SetFault(f func(from string, r *http.Request) Fault) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -108,10 +109,7 @@
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	t.net.mu.Lock()
 	h := t.net.handlers[r.URL.Host]
-	fault := Pass
-	if t.net.fault != nil {
-		fault = t.net.fault(t.from, r)
-	}
+	decide := t.net.fault
 	if strings.HasSuffix(r.URL.Host, workerPort) {
 		t.net.calls[t.from]++
 		t.net.most = max(t.net.most, t.net.calls[t.from])
@@ -122,6 +120,11 @@
 		}()
 	}
 	t.net.mu.Unlock()
+	fault := Pass
+	if decide != nil {
+		// Not under the lock: it may look at machines, while the cloud adds one to the net.
+		fault = decide(t.from, r)
+	}
 	if h == nil {
 		return nil, errors.New("connection refused")
 	}
