--- a/meetings_test.go
+++ b/meetings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -104,6 +105,7 @@
 		})
 		c.setFault(nil)
 		<-cancelled
+		go c.noneWaits(ids, over)
 		submit("j-000004")
 		for _, id := range ids[:5] {
 			c.await(id, wire.JobDone, 3*time.Minute)
@@ -121,6 +123,38 @@
 	})
 }
 
+// noneWaits sees to it, once the troubles are over, that no job waits for 90 s while a
+// machine has room for a task of it and its team is under its limit.
+func (c *cluster) noneWaits(ids []string, over <-chan struct{}) {
+	waited := map[string]int{}
+	for n := 0; ; n++ {
+		select {
+		case <-over:
+			return
+		case <-time.After(time.Second):
+		}
+		room := slices.ContainsFunc(c.cloud.Workers(), func(w *standin.Worker) bool { return len(w.Tasks()) < 4 })
+		for _, id := range ids {
+			if !room || !c.waits(id, n%len(c.stops)) {
+				waited[id] = 0
+			} else if waited[id]++; waited[id] == 90 {
+				c.t.Errorf("%s waits beside a machine with room", id)
+			}
+		}
+	}
+}
+
+// waits tells whether a job has tasks that neither run nor are done, as a node says, though
+// its team's limit leaves room for one.
+func (c *cluster) waits(id string, node int) bool {
+	on := c.running(id)
+	if id == "j-000005" && on >= 4 {
+		return false
+	}
+	_, s := c.request(http.MethodGet, node, "/v1/jobs/"+id, nil)
+	return s.Done != nil && *s.Done+on < len(meetingTasks[id])
+}
+
 // contains tells whether a request's body names a key.
 func contains(r *http.Request, key string) bool {
 	if r.GetBody == nil {
