--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -576,3 +576,39 @@
 		}
 	}
 }
+
+// TestContradictions has a machine report what cannot be. Nothing of that may upset the
+// counts of what is in use, or keep the tasks from running once it reports sense again.
+func TestContradictions(t *testing.T) {
+	task := func(name string, n uint64, state, cause string) wire.ReportTask {
+		return wire.ReportTask{Task: name, Attempt: n, State: state, Cause: cause}
+	}
+	const own, other = token<<32 | 1, 3<<32 | 9
+	cases := []struct {
+		name  string
+		tasks []wire.ReportTask
+	}{
+		{"a task twice, running", []wire.ReportTask{task("j-000001/0", own, wire.TaskRunning, ""), task("j-000001/0", own, wire.TaskRunning, "")}},
+		{"a task running and failed", []wire.ReportTask{task("j-000001/0", own, wire.TaskRunning, ""), task("j-000001/0", own, wire.TaskExited, wire.CauseError)}},
+		{"a task failed and running", []wire.ReportTask{task("j-000001/0", own, wire.TaskExited, wire.CauseError), task("j-000001/0", own, wire.TaskRunning, "")}},
+		{"two attempts running", []wire.ReportTask{task("j-000001/0", other, wire.TaskRunning, ""), task("j-000001/0", own, wire.TaskRunning, "")}},
+		{"an unknown state", []wire.ReportTask{task("j-000001/0", own, "dreaming", "")}},
+		{"an unknown cause", []wire.ReportTask{task("j-000001/0", own, wire.TaskExited, "bored")}},
+		{"no state", []wire.ReportTask{task("j-000001/0", own, "", "")}},
+		{"tasks that cannot be", []wire.ReportTask{task("j-000001/7", own, wire.TaskRunning, ""), task("j-000001/-1", own, wire.TaskRunning, ""),
+			task("j-000001", own, wire.TaskRunning, ""), task("", 0, "", ""), task("j-999999/0", own, wire.TaskRunning, "")}},
+	}
+	for _, c := range cases {
+		l, _ := newTest(t)
+		for i, r := range []*wire.Report{report(1, token), report(2, token, c.tasks...), report(3, token, c.tasks...), report(4, token)} {
+			l.replan, l.plannedAt = true, 0
+			if _, err := l.Report(r); err != nil {
+				t.Errorf("%s: report %d: %v", c.name, i, err)
+			}
+		}
+		m, j := l.machines["i-1"], l.jobs["j-000001"]
+		if used, held := l.used["blue"].CPU, int64(1000*len(m.tasks)); used != held || m.free.CPU != 4000-held || len(j.on) != len(m.tasks) || j.ndone != 0 {
+			t.Errorf("%s: %d tasks held and %d counted, %d used, %d free, %d done", c.name, len(m.tasks), len(j.on), used, m.free.CPU, j.ndone)
+		}
+	}
+}
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -53,3 +53,26 @@
 		here.Close()
 	}
 }
+
+// TestUndecodable has a peer send what is no message: the stream ends, with an error for the
+// log, and nothing reaches the handler.
+func TestUndecodable(t *testing.T) {
+	for name, bytes := range map[string][]byte{
+		"no value":        {0xff, 0xff, 0xff},
+		"no map":          {0x01},
+		"a field's type":  {0xa1, 0x65, 'p', 'r', 'o', 'b', 'e', 0x61, 'x'},
+		"relay is a text": {0xa1, 0x65, 'r', 'e', 'l', 'a', 'y', 0x61, 'x'},
+	} {
+		h := &fullAnswers{}
+		here, there := net.Pipe()
+		ended := make(chan error, 1)
+		go func() { ended <- serveConn(there, h) }()
+		if _, err := here.Write(bytes); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if err := <-ended; err == nil || h.shown > 0 {
+			t.Errorf("%s: error %v, %d reports shown", name, err, h.shown)
+		}
+		here.Close()
+	}
+}
