Gangs have machines reserved for them, sized by the paper's model on their own stream

Cause: gangs were late because a full fleet has no machine with room for a whole one, and what is gathered comes later than their aims of 2 to 6 s. Ruled out: late placement; a plan follows within 0.1 s of a submission.

--- /dev/null
+++ b/internal/leader/gang_reserve.go
@@ -0,0 +1,257 @@
+package leader
+
+import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+
+	"caperlatch/internal/micros"
+	"caperlatch/placement"
+	"caperlatch/staffing"
+)
+
+// Arrays fill a fleet task by task, so a busy fleet seldom has room for a whole gang on
+// any machine. Gangs therefore have machines of their own: their demand is a stream apart,
+// measured in whole machines, with its mean stepped by the same equation as the fleet's
+// and its margin by the same formula. Only gangs start on these machines.
+
+// gangReserve is the room that is held free for gangs on machines of one type.
+type gangReserve struct {
+	kind     reserveKind
+	window   *staffing.Window // machines' worth of gangs that came in
+	service  staffing.Service
+	lumps    staffing.Lumps
+	mean     float64 // machines that gangs hold, by the equation
+	standing int     // machines that must have room, for one to report in time
+	target   int     // machines
+	heldTill micros.Micros
+}
+
+// reserveKind tells which machines a reserve consists of.
+type reserveKind struct {
+	Type     string
+	Ordinary bool // no spot machines
+}
+
+func (k reserveKind) admits(o offer) bool {
+	return o.Type == k.Type && !(k.Ordinary && o.Spot)
+}
+
+// reserveShare is the part of the fleet that reserves may take at most.
+const reserveShare = 8
+
+// leastReserveMean is the mean below which no machine is reserved: formula (4) would keep
+// one for a gang now and then.
+const leastReserveMean = 0.05
+
+// reserveFor is the reserve that serves a gang: machines of the cheapest type that takes
+// it whole. It is nil for a gang that no single machine may take, and for one that is
+// bound to types or a zone, which most of a reserve could not serve.
+func (l *Leader) reserveFor(j *job) *gangReserve {
+	s := j.spec
+	if !j.isGang() || s.Spread || s.Zone != "" || len(s.Types) > 0 {
+		return nil
+	}
+	for _, o := range l.offersFor(j) {
+		if l.types[o.Type].capacity.Times(j.need, s.Tasks) < s.Tasks {
+			continue
+		}
+		kind := reserveKind{Type: o.Type, Ordinary: !s.Spot}
+		r := l.reserves[kind]
+		if r == nil {
+			r = &gangReserve{kind: kind, window: staffing.NewWindow(l.Tuning.Window)}
+			l.reserves[kind] = r
+		}
+		return r
+	}
+	return nil
+}
+
+// reserveDemand counts a gang that came in. Its size is the part of a machine that it
+// keeps from other gangs of its size: 12 of 16 CPUs are a whole one, 6 are half of one.
+func (l *Leader) reserveDemand(j *job, now micros.Micros) {
+	r := l.reserveFor(j)
+	if r == nil {
+		return
+	}
+	t := l.types[r.kind.Type]
+	perMachine := t.capacity.Times(j.need, 1<<20) / j.spec.Tasks
+	size := 1 / float64(max(1, perMachine))
+	fetch := j.spec.ImageGB / math.Max(t.FetchGBPerS, 0.01)
+	r.service.Estimate(size, l.expected(j.spec)+fetch)
+	r.lumps.Add(size, 1, false)
+	r.standing = max(r.standing, l.standingFor(j, fetch))
+	if j.old {
+		// It may hold its machine already. The rate is what keeps the mean as it is.
+		r.mean += size
+		r.window.Seed(now, r.mean*r.service.Mu(0))
+		return
+	}
+	r.window.Add(now, size)
+}
+
+// standingFor is how many machines must have room for a gang, so that one of them reports
+// in time for what is expected of its class, its image fetched.
+func (l *Leader) standingFor(j *job, fetch float64) int {
+	standing := 1
+	for _, o := range l.Settings.Params.Objectives {
+		if o.Kind != "wait" || o.Class != j.spec.Class || o.WithinS <= 0 {
+			continue
+		}
+		wait := o.WithinS
+		if wait > fetch {
+			wait -= fetch
+		}
+		standing = max(standing, staffing.Standing(wait, l.report.Seconds(), 1-o.Share))
+	}
+	return standing
+}
+
+// stepReserves steps the reserves' means and sets their targets, which hold for an
+// interval unless they rise.
+func (l *Leader) stepReserves(now micros.Micros) {
+	for _, r := range l.reserves {
+		lambda, mu := r.window.Rate(now), r.service.Mu(0)
+		r.mean = staffing.Step(r.mean, lambda, mu, 1)
+		peak := staffing.PeakMean(r.mean, lambda, mu, l.Tuning.ReviewInterval.Seconds())
+		target := 0
+		if peak >= leastReserveMean {
+			formula := staffing.Servers(peak, r.lumps.Peakedness()*peak, l.Tuning.Z)
+			target = max(formula, int(math.Ceil(peak))+r.standing)
+		}
+		target = min(target, len(l.order)/reserveShare)
+		if target > r.target || now >= r.heldTill {
+			r.target = target
+			r.heldTill = now + l.Tuning.ReviewInterval
+		}
+	}
+}
+
+// staffReserves picks the reserves' machines, and books what the fleet lacks.
+func (l *Leader) staffReserves(now micros.Micros) {
+	for _, m := range l.order {
+		if m.reserve != nil && (m.leaving || m.draining != "" || !m.up) {
+			m.reserve = nil
+		}
+	}
+	for _, r := range l.sortedReserves() {
+		l.staffReserve(r, now)
+	}
+}
+
+func (l *Leader) sortedReserves() []*gangReserve {
+	return slices.SortedFunc(maps.Values(l.reserves), func(a, b *gangReserve) int {
+		return cmp.Or(cmp.Compare(a.kind.Type, b.kind.Type), cmp.Compare(strconv.FormatBool(a.kind.Ordinary), strconv.FormatBool(b.kind.Ordinary)))
+	})
+}
+
+func (l *Leader) staffReserve(r *gangReserve, now micros.Micros) {
+	var members, others []*machine
+	coming := 0
+	for _, m := range l.order {
+		switch {
+		case !r.kind.admits(m.kind) || m.leaving || m.draining != "":
+		case m.reserve == r:
+			members = append(members, m)
+		case !m.up:
+			coming++
+		case m.reserve == nil && m.open(now):
+			others = append(others, m)
+		}
+	}
+	if len(members) > r.target {
+		l.leaveReserve(members, len(members)-r.target)
+		return
+	}
+	missing := r.target - len(members)
+	if missing == 0 {
+		return
+	}
+	l.joinReserve(r, others, missing, now)
+	missing -= min(missing, len(others))
+	if n := missing - coming; n > 0 {
+		slog.Debug("reserve is short", "type", r.kind.Type, "target", r.target, "missing", missing, "coming", coming)
+		l.rentMore(l.types[r.kind.Type], !r.kind.Ordinary, n, now)
+	}
+}
+
+// joinReserve takes machines into a reserve, those first whose other work ends soonest.
+func (l *Leader) joinReserve(r *gangReserve, machines []*machine, count int, now micros.Micros) {
+	clearIn := make(map[*machine]float64, len(machines))
+	for _, m := range machines {
+		for _, a := range m.tasks {
+			if !a.job.isGang() {
+				clearIn[m] = math.Max(clearIn[m], l.left(a, now))
+			}
+		}
+	}
+	slices.SortStableFunc(machines, func(a, b *machine) int { return cmp.Compare(clearIn[a], clearIn[b]) })
+	for _, m := range machines[:min(count, len(machines))] {
+		m.reserve = r
+		l.replan = true
+	}
+}
+
+// leaveReserve opens machines of a reserve to all work, the emptiest first.
+func (l *Leader) leaveReserve(members []*machine, count int) {
+	slices.SortStableFunc(members, func(a, b *machine) int { return cmp.Compare(len(a.tasks), len(b.tasks)) })
+	for _, m := range members[:count] {
+		m.reserve = nil
+		l.replan = true
+	}
+}
+
+// reservedBeyondMean is how many machines of a type the reserves hold beyond their mean,
+// which counts in the type's own mean.
+func (l *Leader) reservedBeyondMean(typ string) (beyond float64) {
+	for kind, r := range l.reserves {
+		if kind.Type == typ {
+			beyond += math.Max(0, float64(r.target)-r.mean)
+		}
+	}
+	return beyond
+}
+
+// preemptForGangs stops work of less claim for gangs that would otherwise be late, each on
+// one machine: its worker reports at once when tasks on it end, so the gang starts with
+// that report, sooner than on a machine with room that may report much later. A task that
+// would take too long to save is stopped at once; what it loses is little against a gang.
+func (l *Leader) preemptForGangs(now micros.Micros) {
+	wall := micros.Wall()
+	var late []*placement.Job
+	for _, w := range l.queue.waiting {
+		k := l.keeps[w.ID]
+		if w.Whole && w.Pressing && !w.Late && (k == nil || len(k.machines) == 0) && (w.Soonest == 0 || wall+w.Soonest > w.Due) {
+			late = append(late, w)
+		}
+	}
+	if len(late) == 0 || now-l.preemptedForGangs < gangPreemptEvery {
+		return
+	}
+	l.preemptedForGangs = now
+	machines, ms := l.withVictims(now)
+	for _, w := range late[:min(len(late), gatherJobs)] {
+		stops, at := placement.PreemptOnOne(machines, w, l.queue.teams[w.Team])
+		if len(stops) == 0 {
+			continue
+		}
+		l.keepFor(w.ID, ms[at], now)
+		for _, s := range stops {
+			a := ms[at].tasks[taskName(s.Victim.Job, s.Victim.Task)]
+			if a == nil {
+				continue
+			}
+			grace := micros.FromSeconds(a.job.spec.SaveS)
+			if wall+grace > w.Due || a.running == 0 || now-a.running < grace {
+				grace = 0
+			}
+			l.stop(a, grace, "stopped to make room for "+w.ID)
+		}
+	}
+}
+
+// gangPreemptEvery bounds how often all running tasks are looked at for gangs.
+const gangPreemptEvery = micros.Second / 2
--- /dev/null
+++ b/internal/leader/gang_reserve_test.go
@@ -0,0 +1,149 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/wire"
+)
+
+// newReserveTest makes a leader of 32 machines of four CPUs that are up and idle, and of no
+// jobs. A gang is to start within 2 s with a chance of 0.85.
+func newReserveTest(t *testing.T) *Leader {
+	t.Helper()
+	l, _ := newTest(t)
+	l.Settings.Params.Objectives = []settings.Objective{{Kind: "wait", Class: "pairs", WithinS: 2, Share: 0.85}}
+	l.report = 8 * micros.Second
+	clear(l.jobs)
+	for i := range 31 {
+		l.addMachine(fmt.Sprintf("i-%d", 10+i), l.bookings["r-1"], l.began)
+	}
+	for _, m := range l.order {
+		m.up, m.stored, m.upStored, m.resolved, m.current = true, true, true, true, true
+		m.address, m.session, m.reported, m.answered = m.id+":9000", 1, l.began, l.began
+	}
+	return l
+}
+
+// addJob has a job come in, or be known at a take-over.
+func addJob(l *Leader, id string, shape string, tasks int, old bool, edit func(*wire.Job)) *job {
+	spec := &wire.Job{ID: id, Class: "pairs", Team: "blue", Shape: shape, Priority: "normal", Tasks: tasks, CPUs: 1, MemoryGB: 1, EstimateS: 60, Spot: true}
+	if edit != nil {
+		edit(spec)
+	}
+	j := newJob(replica.Job{Spec: spec, SubmittedAt: micros.Wall()}, old)
+	l.jobs[id] = j
+	l.demand(j)
+	return j
+}
+
+// reserved counts the machines on which only gangs start.
+func reserved(l *Leader) (n int) {
+	for _, m := range l.order {
+		if m.reserve != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// TestGangReserve has gangs come in and counts the machines that are then reserved.
+func TestGangReserve(t *testing.T) {
+	gang := func(edit func(*wire.Job)) func(*Leader) {
+		return func(l *Leader) {
+			for i := range 4 {
+				addJob(l, fmt.Sprintf("j-00010%d", i), wire.ShapeGang, 2, false, edit)
+			}
+		}
+	}
+	// Two CPUs of four: a gang is half of a machine. Four that came in now are 0.8 machines
+	// in the mean by the end of an interval, rounded up. Seven machines that report every 8 s
+	// must have room: 0.75^7 = 0.13. The fleet's share bounds both.
+	for _, c := range []struct {
+		name string
+		play func(*Leader)
+		want int
+	}{
+		{"arrays alone", func(l *Leader) { addJob(l, "j-000100", wire.ShapeArray, 40, false, nil) }, 0},
+		{"gangs", gang(nil), 4},
+		{"gangs in a larger fleet", func(l *Leader) {
+			for i := range 200 {
+				m := l.addMachine(fmt.Sprintf("i-%d", 100+i), l.bookings["r-1"], l.began)
+				m.up, m.stored, m.upStored, m.resolved, m.current, m.reported = true, true, true, true, true, l.began
+			}
+			gang(nil)(l)
+		}, 8},
+		{"known at a take-over", func(l *Leader) {
+			for i := range 4 {
+				addJob(l, fmt.Sprintf("j-00010%d", i), wire.ShapeGang, 2, true, nil)
+			}
+		}, 4},
+		{"larger than a machine", gang(func(j *wire.Job) { j.CPUs = 3 }), 0},
+		{"scattered", gang(func(j *wire.Job) { j.Spread = true }), 0},
+		{"bound to a zone", gang(func(j *wire.Job) { j.Zone = "a" }), 0},
+		{"bound to a type", gang(func(j *wire.Job) { j.Types = []string{"m4"} }), 0},
+	} {
+		l := newReserveTest(t)
+		c.play(l)
+		l.staff(micros.Now())
+		if got := reserved(l); got != c.want {
+			t.Errorf("%s: %d machines are reserved, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestGangReserveUse has work start beside a reserve: gangs start there and arrays don't,
+// it is not returned while it is wanted, and is open to all when it is not.
+func TestGangReserveUse(t *testing.T) {
+	l := newReserveTest(t)
+	addJob(l, "j-000100", wire.ShapeGang, 2, false, nil)
+	l.staff(micros.Now())
+	if reserved(l) == 0 {
+		t.Fatal("nothing is reserved")
+	}
+	addJob(l, "j-000200", wire.ShapeArray, 1000, false, nil)
+	l.plannedAt = 0
+	for _, m := range l.order {
+		if _, err := l.Report(&wire.Report{Machine: m.id, Address: m.address, Type: "m4", Zone: "a", Session: 1, Seq: m.seq + 1, Token: token}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	gangs := 0
+	for _, m := range l.order {
+		for _, a := range m.tasks {
+			switch {
+			case a.job.isGang() && m.reserve != nil:
+				gangs++
+			case !a.job.isGang() && m.reserve != nil:
+				t.Errorf("a task of an array starts on %s, which is reserved", m.id)
+			}
+		}
+	}
+	if gangs != 2 {
+		t.Errorf("%d tasks of the gang start on reserved machines, want 2", gangs)
+	}
+	before := reserved(l)
+	for _, m := range l.order {
+		m.rentedAt, m.busyTill = m.rentedAt-1000*micros.Second, m.busyTill-1000*micros.Second
+	}
+	l.staff(micros.Now())
+	for _, m := range l.order {
+		if m.leaving && m.reserve != nil {
+			t.Errorf("%s is returned, and is reserved", m.id)
+		}
+	}
+	if reserved(l) != before {
+		t.Errorf("%d machines are reserved, were %d", reserved(l), before)
+	}
+	for _, r := range l.reserves {
+		r.mean, r.heldTill = 0, 0
+		r.window.Seed(micros.Now(), 0)
+	}
+	l.staff(micros.Now())
+	if n := reserved(l); n != 0 {
+		t.Errorf("%d machines stay reserved for gangs that do not come", n)
+	}
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -55,48 +55,50 @@
 	// Workers' usual time between reports, and their lease.
 	report, lease micros.Micros
 
-	mu         sync.Mutex
-	ready      bool // the picture has been rebuilt
-	raised     bool // the means have been raised to it
-	superseded bool // a higher token is known
-	jobs       map[string]*job
-	ghosts     map[string]*job // cancelled before this term, with tasks still on machines
-	machines   map[string]*machine
-	order      []*machine                     // by name
-	used       map[string]placement.Resources // by what is on machines, a team
-	hidden     placement.Resources            // what machines with unknown tasks may hold, as of the last plan
-	images     map[string]int                 // the numbers that stand for images
-	bookings   map[string]*booking
-	ups        []*upList
-	strays     map[string]micros.Micros // listed machines that no booking explains, since when
-	gone       map[string]bool          // machines that the cloud took back from us
-	toReturn   []string                 // machines to be returned
-	types      map[string]*machineType
-	typeOrder  []string
-	catalog    int // raised with each new one
-	teams      map[string]settings.Team
-	dirty      map[string]bool // keys to be written; false: see markLazily
-	finals     map[string]replica.Job
-	counts     map[string][2]int // see AllCounts
-	countsAt   micros.Micros
-	attempts   uint64
-	bookingSeq uint64
-	replan     bool
-	planTook   micros.Micros
-	plannedAt  micros.Micros
-	unseen     int // machines whose tasks are not known, as of the last look
-	preempted  micros.Micros
-	lateBoots  boots
-	ends       int // tasks that were done since endsAt
-	endsAt     micros.Micros
-	endsRate   float64
-	answering  *machine         // whose report is being answered
-	queue      queue            // what waits, as of the last plan
-	keeps      map[string]*keep // room being gathered for gangs, by job
-	offers     map[offer]*offerState
-	estimates  map[string]*staffing.Estimate // by class
-	lastStops  []StopNote
-	tallies    tallies
+	mu                sync.Mutex
+	ready             bool // the picture has been rebuilt
+	raised            bool // the means have been raised to it
+	superseded        bool // a higher token is known
+	jobs              map[string]*job
+	ghosts            map[string]*job // cancelled before this term, with tasks still on machines
+	machines          map[string]*machine
+	order             []*machine                     // by name
+	used              map[string]placement.Resources // by what is on machines, a team
+	hidden            placement.Resources            // what machines with unknown tasks may hold, as of the last plan
+	images            map[string]int                 // the numbers that stand for images
+	bookings          map[string]*booking
+	ups               []*upList
+	strays            map[string]micros.Micros // listed machines that no booking explains, since when
+	gone              map[string]bool          // machines that the cloud took back from us
+	toReturn          []string                 // machines to be returned
+	types             map[string]*machineType
+	typeOrder         []string
+	catalog           int // raised with each new one
+	teams             map[string]settings.Team
+	dirty             map[string]bool // keys to be written; false: see markLazily
+	finals            map[string]replica.Job
+	counts            map[string][2]int // see AllCounts
+	countsAt          micros.Micros
+	attempts          uint64
+	bookingSeq        uint64
+	replan            bool
+	planTook          micros.Micros
+	plannedAt         micros.Micros
+	unseen            int // machines whose tasks are not known, as of the last look
+	preempted         micros.Micros
+	preemptedForGangs micros.Micros
+	lateBoots         boots
+	ends              int // tasks that were done since endsAt
+	endsAt            micros.Micros
+	endsRate          float64
+	answering         *machine         // whose report is being answered
+	queue             queue            // what waits, as of the last plan
+	keeps             map[string]*keep // room being gathered for gangs, by job
+	reserves          map[reserveKind]*gangReserve
+	offers            map[offer]*offerState
+	estimates         map[string]*staffing.Estimate // by class
+	lastStops         []StopNote
+	tallies           tallies
 	// How the machines of a zone took to being asked for their tasks.
 	zoneAnswers map[string]answers
 	calls       chan struct{}   // calls to workers in progress
@@ -134,7 +136,7 @@
 		jobs: map[string]*job{}, ghosts: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
 		strays: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
 		teams: map[string]settings.Team{}, used: map[string]placement.Resources{}, images: map[string]int{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
-		keeps:  map[string]*keep{},
+		keeps: map[string]*keep{}, reserves: map[reserveKind]*gangReserve{},
 		offers: map[offer]*offerState{}, estimates: map[string]*staffing.Estimate{},
 		flushNow: make(chan struct{}, 1), flushOps: c.Store.FlushOps(), tooLarge: map[string]int{}, lost: make(chan struct{}),
 		tallies: tallies{}, zoneAnswers: map[string]answers{}, cutOff: map[string]bool{}, calls: make(chan struct{}, max(8, c.Settings.Params.Limits.MaxSockets/callShare)),
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -43,8 +43,9 @@
 	stopping  int                 // tasks that were told to stop
 	free      placement.Resources // what no task holds
 	clears    []wire.Command
-	planned   []*job // one entry a start
-	kept      *keep  // its room is gathered for a gang
+	planned   []*job       // one entry a start
+	kept      *keep        // its room is gathered for a gang
+	reserve   *gangReserve // only gangs start on it
 	images    imageCache
 	have      placement.ImageSet // these, and what is being fetched
 	surplus   bool               // not wanted by the formula
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -51,6 +51,12 @@
 		l.planStarts(ms[s.Machine], q.jobs[s.Job], s.Count, now)
 	}
 	q.drop()
+	for _, w := range q.waiting {
+		if w.Whole {
+			w.Soonest = placement.SoonestWhole(machines, w, l.report)
+		}
+	}
+	l.preemptForGangs(now)
 	l.gatherRoom(now)
 	room, need := int64(0), int64(0)
 	for i, m := range ms {
@@ -387,6 +393,7 @@
 	if k := m.kept; k != nil {
 		p.Kept = k.view
 	}
+	p.WholeOnly = m.reserve != nil
 	return p
 }
 
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -121,6 +121,7 @@
 	if t == nil {
 		return
 	}
+	l.reserveDemand(j, now)
 	work := float64(j.waiting()) * fraction(t, j.need)
 	j.demandOf, j.demandWork = t, work
 	due, _ := l.due(j, false, j.submitted)
@@ -155,7 +156,7 @@
 			continue
 		}
 		have[m.kind.Type]++
-		if len(m.tasks) > 0 || len(m.planned) > 0 {
+		if len(m.tasks) > 0 || len(m.planned) > 0 || m.reserve != nil {
 			busy[m.kind.Type]++
 		}
 	}
@@ -168,6 +169,8 @@
 	types := l.byPrice()
 	l.raiseMeans()
 	l.stepModel(types, now)
+	l.stepReserves(now)
+	l.staffReserves(now)
 	// What a type cannot give as spot machines passes on to the next dearer one, in
 	// CPUs; urgent is the part that may be ordinary machines.
 	excess, urgent := 0.0, 0.0
@@ -180,7 +183,8 @@
 		if dearNeed[t.Name] > 0.01 {
 			dearFloor = float64(have[t.Name]) + ceiling(dearNeed[t.Name])
 		}
-		want, dearWant := t.want+excess/size, t.dear+urgent/size
+		beyond := l.reservedBeyondMean(t.Name)
+		want, dearWant := t.want+beyond+excess/size, t.dear+beyond+urgent/size
 		target := int(math.Max(ceiling(want), floor))
 		short := target - have[t.Name]
 		t.target = target
@@ -228,7 +232,7 @@
 	for _, m := range l.order {
 		if m.kind.Type == t.Name {
 			m.surplus = false
-			if m.up && !m.leaving && m.draining == "" {
+			if m.up && !m.leaving && m.draining == "" && m.reserve == nil {
 				ms = append(ms, m)
 			}
 		}
@@ -261,7 +265,7 @@
 			wanted--
 			continue
 		}
-		only := true
+		only := m.reserve == nil
 		for _, a := range m.tasks {
 			only = only && l.patient(a.job)
 		}
@@ -573,7 +577,7 @@
 	}
 	var idle []*machine
 	for _, m := range l.order {
-		if m.kind.Type == t.Name && len(m.tasks) == 0 && len(m.planned) == 0 && m.resolved && !m.leaving && m.draining == "" &&
+		if m.kind.Type == t.Name && len(m.tasks) == 0 && len(m.planned) == 0 && m.reserve == nil && m.resolved && !m.leaving && m.draining == "" &&
 			now-m.rentedAt > minPaid-3*micros.Second && now-m.busyTill > l.idleLimit(t, m.kind.Spot) {
 			idle = append(idle, m)
 		}
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -117,7 +117,7 @@
 			consider(soonest)
 		}
 	}
-	if j.Accept > 0 && startsIn > j.Accept {
+	if j.Accept > 0 && (startsIn > j.Accept || waitsForReport(machines, best)) {
 		return nil
 	}
 	for _, s := range best {
@@ -127,6 +127,42 @@
 	return starts
 }
 
+// waitsForReport tells whether the best place is one machine of several that are held
+// free for whole jobs. The first that reports takes the job (Fill); to choose one
+// beforehand would be to wait for its report alone.
+func waitsForReport(machines []Machine, best []share) bool {
+	return len(best) == 1 && machines[best[0].machine].WholeOnly && machines[best[0].machine].Delay > 0
+}
+
+// takesWhole tells whether a machine that has reported, with room for count tasks of a
+// whole job, should take it: alone, as then no other's report is waited for, where no task
+// of it failed, and if fetching its image takes no longer than another machine's report.
+func takesWhole(m *Machine, j *Job, count int) bool {
+	_, failed := j.Failed[m.ID]
+	return count >= j.Waiting && !failed && (j.Soonest == 0 || fetch(m, j) <= j.Soonest)
+}
+
+// SoonestWhole is when a whole job should start that is taken by the first to report of
+// the machines with room for all of it; 0 if there are none. Machines report once in each
+// interval. To wait for those that fetch its image fast takes longer, as they are fewer.
+func SoonestWhole(machines []Machine, j *Job, interval micros.Micros) (soonest micros.Micros) {
+	var fetches []micros.Micros
+	for k := range machines {
+		m := &machines[k]
+		if admits(m, j) && m.Free.Times(j.Need, min(j.Waiting, zoneRoom(j, m.Zone))) == j.Waiting {
+			fetches = append(fetches, fetch(m, j))
+		}
+	}
+	slices.Sort(fetches)
+	for i, f := range fetches {
+		start := f + interval/micros.Micros(i+2)
+		if soonest == 0 || start < soonest {
+			soonest = start
+		}
+	}
+	return soonest
+}
+
 // Gather picks the machines whose room should be kept for a whole job that found none,
 // until enough of what is on them has ended by itself: the fewest of those where that
 // takes least. It picks none if it takes longer than within.
@@ -166,6 +202,45 @@
 	return nil
 }
 
+// PreemptOnOne picks the machine on which the least is lost when all waiting tasks of a
+// whole job get room there at once, and what to stop on it. Nothing is stopped where a
+// gang runs, as all its tasks would have to stop.
+func PreemptOnOne(machines []Machine, j *Job, team *Team) (stops []Stop, machine int) {
+	if team.Room(j.Need, j.Waiting) < j.Waiting {
+		return nil, -1
+	}
+	all := *j
+	all.Need = Resources{}.Plus(j.Need, int64(j.Waiting))
+	var best []int
+	var bestLost micros.Micros
+	machine = -1
+	for k := range machines {
+		m := &machines[k]
+		if !admits(m, j) || zoneRoom(j, m.Zone) < j.Waiting || slices.ContainsFunc(m.Victims, func(v Victim) bool { return v.Gang }) {
+			continue
+		}
+		if _, failed := j.Failed[m.ID]; failed {
+			continue
+		}
+		take, lost := victims(m, &all)
+		lost += fetch(m, j)
+		if take != nil && (best == nil || lost < bestLost) {
+			best, bestLost, machine = take, lost, k
+		}
+	}
+	if best == nil {
+		return nil, -1
+	}
+	m := &machines[machine]
+	for _, v := range slices.Backward(best) {
+		stops = append(stops, Stop{Machine: machine, Victim: m.Victims[v], For: j.ID})
+		m.Soon = m.Soon.Plus(m.Victims[v].Need, 1)
+		m.Victims = slices.Delete(m.Victims, v, v+1)
+	}
+	m.Kept = j
+	return stops, machine
+}
+
 // preemptWhole stops what loses least for all tasks of a job, or nothing.
 func preemptWhole(machines []Machine, j *Job, team *Team) (stops []Stop, keeps []Keep) {
 	if team.Room(j.Need, j.Waiting) < j.Waiting {
--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -69,6 +69,11 @@
 		{"its team has room for a part", []Machine{cold("a", 9)}, []*Job{whole(4, nil)}, &Team{Used: cpus(2), Limit: cpus(5)}, nil},
 		{"room that is kept for it", []Machine{at(cold("a", 4), func(m *Machine) { m.Kept = whole(4, nil) })}, []*Job{whole(4, nil)}, nil, []string{"g@a*4"}},
 		{"room that is kept for another", []Machine{at(cold("a", 4), func(m *Machine) { m.Kept = job("x", 4, nil) })}, []*Job{whole(4, nil)}, nil, nil},
+		{"a machine for whole jobs only", []Machine{at(cold("a", 4), func(m *Machine) { m.WholeOnly = true })}, []*Job{whole(3, nil), other}, nil, []string{"g@a*3"}},
+		{"several for whole jobs: the first that reports will do", []Machine{at(late("a", 4, s/2), func(m *Machine) { m.WholeOnly = true })},
+			[]*Job{whole(4, func(j *Job) { j.Accept = 2 * s })}, nil, nil},
+		{"one of them has reported", []Machine{at(cold("a", 4), func(m *Machine) { m.WholeOnly = true })},
+			[]*Job{whole(4, func(j *Job) { j.Accept = 2 * s })}, nil, []string{"g@a*4"}},
 		{"room that is kept, for work that goes before", []Machine{at(cold("a", 2), func(m *Machine) { m.Kept = whole(4, nil) })}, []*Job{job("k", 2, func(j *Job) { j.Priority = 2 })}, nil, []string{"k@a*2"}},
 	} {
 		var got []string
@@ -81,21 +86,107 @@
 	}
 }
 
-// TestFillWhole has a machine report that could take a whole job, or a part of it.
+// TestFillWhole has a machine report that could take a whole job, or a part of it, at once
+// or with a fetch of 5 s.
 func TestFillWhole(t *testing.T) {
+	const s = micros.Second
 	for _, c := range []struct {
+		name   string
 		free   int64
+		edit   func(m *Machine, j *Job)
 		starts int
-	}{{3, 0}, {4, 4}, {9, 4}} {
-		m := machine("a", "z", c.free)
+	}{
+		{"room for a part", 3, nil, 0},
+		{"room for all", 4, nil, 4},
+		{"room for more", 9, nil, 4},
+		{"another starts it sooner", 4, func(_ *Machine, j *Job) { j.ImageGB, j.Soonest = 5, 4*s }, 0},
+		{"none does", 4, func(_ *Machine, j *Job) { j.ImageGB, j.Soonest = 5, 6*s }, 4},
+		{"it has the image", 4, func(m *Machine, j *Job) { j.ImageGB, j.Soonest, m.Images = 5, s, m.Images.With(70) }, 4},
+		{"a task of it failed there", 4, func(m *Machine, j *Job) { j.Failed = map[string]micros.Micros{m.ID: s} }, 0},
+	} {
+		m, j := machine("a", "z", c.free), whole(4, nil)
+		if c.edit != nil {
+			c.edit(&m, j)
+		}
 		n := 0
-		for _, x := range Fill(&m, []*Job{whole(4, nil)}, nil) {
+		for _, x := range Fill(&m, []*Job{j}, nil) {
 			n += x.Count
 		}
 		if n != c.starts {
-			t.Errorf("room for %d: %d start, want %d", c.free, n, c.starts)
+			t.Errorf("%s: %d start, want %d", c.name, n, c.starts)
+		}
+	}
+}
+
+// TestSoonestWhole tells when a whole job should start that the first machine takes that
+// reports, of those that report once in 8 s.
+func TestSoonestWhole(t *testing.T) {
+	const s = micros.Second
+	cold := func(id string) Machine { return machine(id, "z", 4) }
+	warm := func(id string) Machine {
+		return at(cold(id), func(m *Machine) { m.Images = m.Images.With(70) })
+	}
+	for _, c := range []struct {
+		name     string
+		machines []Machine
+		want     micros.Micros
+	}{
+		{"none has room", []Machine{machine("a", "z", 3)}, 0},
+		{"one", []Machine{warm("a")}, 4 * s},
+		{"three", []Machine{warm("a"), warm("b"), warm("c")}, 2 * s},
+		{"a warm one before a cold one", []Machine{warm("a"), cold("b")}, 4 * s},
+		{"cold ones, of which one reports so much sooner", []Machine{warm("a"), cold("b"), cold("c"), cold("d"), cold("e"), cold("f"), cold("g")}, 3 * s},
+	} {
+		if got := SoonestWhole(c.machines, whole(4, func(j *Job) { j.ImageGB = 2 }), 8*s); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestPreemptOnOne picks what to stop for a whole job on one machine.
+func TestPreemptOnOne(t *testing.T) {
+	const s = micros.Second
+	full := func(id string, lost ...micros.Micros) Machine {
+		return at(machine(id, "z", 1), func(m *Machine) {
+			for i, l := range lost {
+				m.Victims = append(m.Victims, Victim{Job: id, Task: i, Need: cpus(1), Lost: l})
+			}
+		})
+	}
+	for _, c := range []struct {
+		name     string
+		machines []Machine
+		edit     func(j *Job)
+		stops    []string
+		kept     int
+	}{
+		{"where least is lost", []Machine{full("x", 3*s, 3*s), full("y", s, 2*s, s)}, nil, []string{"y/0", "y/2"}, 1},
+		{"not on two", []Machine{full("x", s), full("y", s)}, nil, nil, -1},
+		{"a fetch counts as lost work", []Machine{full("x", s, s), at(full("y", 3*s, 3*s), func(m *Machine) { m.Images = m.Images.With(70) })},
+			func(j *Job) { j.ImageGB = 9 }, []string{"y/0", "y/1"}, 1},
+		{"not beside a gang", []Machine{at(full("x", s, s), func(m *Machine) { m.Victims = append(m.Victims, Victim{Job: "v", Gang: true}) })}, nil, nil, -1},
+		{"not where a task of it failed", []Machine{full("x", s, s)}, func(j *Job) { j.Failed = map[string]micros.Micros{"x": s} }, nil, -1},
+		{"nothing of its own priority", []Machine{full("x", s, s)}, func(j *Job) { j.Priority = 0 }, nil, -1},
+		{"not where its other tasks keep it out", []Machine{full("x", s, s)},
+			func(j *Job) { j.OneZone, j.PerZone = true, map[string]int{"y": 1} }, nil, -1},
+	} {
+		j := whole(3, func(j *Job) { j.Priority = 2 })
+		if c.edit != nil {
+			c.edit(j)
+		}
+		var stops []string
+		got, kept := PreemptOnOne(c.machines, j, nil)
+		for _, x := range got {
+			stops = append(stops, fmt.Sprintf("%s/%d", x.Victim.Job, x.Victim.Task))
+		}
+		slices.Sort(stops)
+		if !slices.Equal(stops, c.stops) || kept != c.kept {
+			t.Errorf("%s: stops %v on %d, want %v on %d", c.name, stops, kept, c.stops, c.kept)
 		}
 	}
+	if _, kept := PreemptOnOne([]Machine{full("x", s, s)}, whole(3, func(j *Job) { j.Priority = 2 }), &Team{Limit: cpus(2)}); kept != -1 {
+		t.Error("it is over its team's limit")
+	}
 }
 
 // TestGather picks machines whose room is to be kept for a whole job until it is enough.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -66,6 +66,7 @@
 	Victims        []Victim      // running tasks that could be stopped
 	Ending         []Ending      // when what is on it should end by itself
 	Kept           *Job          // its room is gathered for this one; nil: for nobody
+	WholeOnly      bool          // only whole jobs may start on it
 }
 
 // Victim is a running task.
@@ -103,6 +104,7 @@
 	OneZone, Spread bool
 	Whole           bool          // all waiting tasks start or none does
 	Accept          micros.Micros // a whole job waits for better places than ones that start it later; 0: any will do
+	Soonest         micros.Micros // when a whole job should start that takes the best machine that reports next; 0: unknown
 	Spot            bool
 	ImageGB         float64
 	PerZone         map[string]int           // tasks on machines, by zone
@@ -236,6 +238,9 @@
 	if m.Kept != nil && m.Kept.ID != j.ID && claim(j, m.Kept) >= 0 {
 		return false
 	}
+	if m.WholeOnly && !j.Whole {
+		return false
+	}
 	return Allowed(j, m.Type, m.Zone, m.Spot) && !(j.Patient && m.Unworthy)
 }
 
@@ -354,8 +359,8 @@
 				continue
 			}
 			n := m.Free.Times(j.Need, teams[j.Team].Room(j.Need, min(j.Waiting, zoneRoom(j, m.Zone))))
-			if _, failed := j.Failed[m.ID]; n == 0 || j.Whole && (n < j.Waiting || failed) {
-				continue // a machine that takes a whole job alone needs no other's report
+			if n == 0 || j.Whole && !takesWhole(m, j, n) {
+				continue
 			}
 			seen++
 			if due := j.Due + 2*fetch(m, j); best < 0 || due < bestDue {
--- a/staffing/staffing_test.go
+++ b/staffing/staffing_test.go
@@ -177,3 +177,23 @@
 		}
 	}
 }
+
+func TestStanding(t *testing.T) {
+	cases := []struct {
+		name                  string
+		wait, interval, alpha float64
+		want                  int
+	}{
+		{"each is reached in time", 5, 2, 0.1, 1},
+		{"a quarter of them is", 2, 8, 0.12, 8}, // 0.75^8 = 0.10
+		{"an eighth of them is", 1, 8, 0.07, 20},
+		{"half of them is, and half must be", 1, 2, 0.5, 1},
+		{"nothing is asked", 2, 8, 1, 1},
+		{"none can be", 0, 8, 0.1, math.MaxInt32},
+	}
+	for _, c := range cases {
+		if got := Standing(c.wait, c.interval, c.alpha); got != c.want {
+			t.Errorf("%s: %d servers, want %d", c.name, got, c.want)
+		}
+	}
+}
