--- a/internal/leader/gang_reserve.go
+++ b/internal/leader/gang_reserve.go
@@ -114,9 +114,11 @@
 // interval unless they rise.
 func (l *Leader) stepReserves(now micros.Micros) {
 	for _, r := range l.reserves {
-		lambda, mu := r.window.Rate(now), r.service.Mu(0)
+		lambda, mu := r.window.EarlyRate(now), r.service.Mu(0)
 		r.mean = staffing.Step(r.mean, lambda, mu, 1)
-		peak := staffing.PeakMean(r.mean, lambda, mu, l.Tuning.ReviewInterval.Seconds())
+		// What is rented now is up after a boot and should then do for an interval.
+		horizon := l.types[r.kind.Type].BootS + l.Tuning.ReviewInterval.Seconds()
+		peak := staffing.PeakMean(r.mean, lambda, mu, horizon)
 		target := 0
 		if peak >= leastReserveMean {
 			formula := staffing.Servers(peak, r.lumps.Peakedness()*peak, l.Tuning.Z)
@@ -195,6 +197,33 @@
 	}
 }
 
+// rejoinReserve takes a machine back into a reserve, when after a take-over its first picture
+// shows nothing but gangs on it. Which machines were reserved is not stored; in a fleet that
+// arrays fill, those with room for gangs are the ones. Without it the room that an earlier
+// leader held was filled up with arrays within a report's time.
+func (l *Leader) rejoinReserve(m *machine) {
+	for _, a := range m.tasks {
+		if !a.job.isGang() {
+			return
+		}
+	}
+	for _, r := range l.sortedReserves() {
+		if m.reserve == nil && r.kind.admits(m.kind) && l.members(r) < r.target {
+			m.reserve = r
+		}
+	}
+}
+
+// members counts the machines of a reserve.
+func (l *Leader) members(r *gangReserve) (n int) {
+	for _, m := range l.order {
+		if m.reserve == r {
+			n++
+		}
+	}
+	return n
+}
+
 // leaveReserve opens machines of a reserve to all work, the emptiest first.
 func (l *Leader) leaveReserve(members []*machine, count int) {
 	slices.SortStableFunc(members, func(a, b *machine) int { return cmp.Compare(len(a.tasks), len(b.tasks)) })
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -324,6 +324,7 @@
 	if err := l.restoreStaffing(now); err != nil {
 		return err
 	}
+	l.stepReserves(now)
 	l.ready = true
 	l.replan = true
 	slog.Info("take-over", "token", l.Token, "jobs", len(l.jobs), "machines", len(l.machines), "unresolved", l.unresolved())
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -104,6 +104,7 @@
 // carries this term's token, so the worker made it after it had accepted an
 // answer of this term: starts of earlier terms can no longer be executed.
 func (l *Leader) picture(m *machine, r *wire.Report, now micros.Micros) {
+	resolved := m.resolved
 	if !m.resolved {
 		m.resolved = true
 		l.replan = true
@@ -125,6 +126,9 @@
 			l.ended(a, "the start was lost")
 		}
 	}
+	if !resolved {
+		l.rejoinReserve(m)
+	}
 }
 
 // judgeHearing compares a report with what the answer before it told. A machine
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -302,8 +302,19 @@
 			}
 		}
 	}
+	// A job's demand is counted for one type, and its tasks run on any: what is held beyond
+	// the means counts only as far as it is more than all of these. Raised type by type, the
+	// means doubled at a take-over, and the fleet with them.
+	missing, beyond := 0.0, 0.0 // CPUs
 	for name, t := range l.types {
-		t.m = math.Max(t.m, held[name])
+		missing += (held[name] - t.m) * t.CPUs
+		beyond += math.Max(0, held[name]-t.m) * t.CPUs
+	}
+	if missing <= 0 {
+		return
+	}
+	for name, t := range l.types {
+		t.m += math.Max(0, held[name]-t.m) * missing / beyond
 	}
 }
 
@@ -328,7 +339,7 @@
 			z := staffing.PricedZ(l.Tuning.Z, l.priceRatio(t, spot))
 			return float64(staffing.Servers(mean, t.lumps.Peakedness()*mean, z))
 		}
-		if want := servers(true); now >= t.heldTill || want > t.want {
+		if want := servers(true); l.raised && now >= t.heldTill || want > t.want {
 			t.want, t.dear = want, servers(false)
 			t.heldTill = now + l.Tuning.ReviewInterval
 		}
@@ -659,7 +670,9 @@
 		}
 		t.m = x.M
 		t.window.Seed(now, x.Lambda)
-		t.want, t.dear, t.heldTill = x.Want, x.Want, now+l.Tuning.ReviewInterval
+		// The target is taken anew as soon as the means are known: how long it was to hold is
+		// not stored, and held anew by each of several leaders it outlasted its peak by minutes.
+		t.want, t.dear = x.Want, x.Want
 		if x.Mu > 0 {
 			// As if what is held had just ended: what ends first now are short tasks.
 			t.service.Finished(math.Max(1, x.M), 1/x.Mu, 1)
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -109,6 +109,16 @@
 	return math.Max(0, sum) / span.Seconds()
 }
 
+// EarlyRate is Rate for a stream that begins in the midst of a day: nothing waited for it, so
+// what came in tells its rate as soon as a part of the window has passed.
+func (w *Window) EarlyRate(now micros.Micros) float64 {
+	rate := w.Rate(now)
+	if span := max(now-w.began, w.length/leastPart); span < w.length {
+		rate *= w.length.Seconds() / span.Seconds()
+	}
+	return rate
+}
+
 // MinTasks is how many tasks must have finished before their run times are
 // used instead of the owners' estimates.
 const MinTasks = 20
