--- a/internal/leader/gang_reserve.go
+++ b/internal/leader/gang_reserve.go
@@ -172,16 +172,20 @@
 	if missing == 0 {
 		return
 	}
-	l.joinReserve(r, others, missing, now)
-	missing -= min(missing, len(others))
+	t := l.types[r.kind.Type]
+	joined := l.joinReserve(r, others, missing, t.BootS, now)
+	missing -= joined
 	if n := missing - coming; n > 0 {
 		slog.Debug("reserve is short", "type", r.kind.Type, "target", r.target, "missing", missing, "coming", coming)
-		l.rentMore(l.types[r.kind.Type], !r.kind.Ordinary, n, now)
+		if l.rentMore(t, !r.kind.Ordinary, n, now) == 0 {
+			l.joinReserve(r, others[joined:], n, math.Inf(1), now)
+		}
 	}
 }
 
-// joinReserve takes machines into a reserve, those first whose other work ends soonest.
-func (l *Leader) joinReserve(r *gangReserve, machines []*machine, count int, now micros.Micros) {
+// joinReserve takes up to count machines into a reserve, those first whose other work ends
+// soonest, if it does within some seconds. It tells how many.
+func (l *Leader) joinReserve(r *gangReserve, machines []*machine, count int, within float64, now micros.Micros) (joined int) {
 	clearIn := make(map[*machine]float64, len(machines))
 	for _, m := range machines {
 		for _, a := range m.tasks {
@@ -192,9 +196,14 @@
 	}
 	slices.SortStableFunc(machines, func(a, b *machine) int { return cmp.Compare(clearIn[a], clearIn[b]) })
 	for _, m := range machines[:min(count, len(machines))] {
+		if clearIn[m] > within {
+			break
+		}
 		m.reserve = r
 		l.replan = true
+		joined++
 	}
+	return joined
 }
 
 // rejoinReserve takes a machine back into a reserve, when after a take-over its first picture
