--- /dev/null
+++ b/cancel_test.go
@@ -0,0 +1,122 @@
+package caperlatch
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// TestAbort cancels a job whose tasks run and whose starts are on their way:
+// they are gone within cancel_s, and the job stays cancelled everywhere.
+func TestAbort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.cloud.RunFor = func(string) float64 { return 300 }
+		c.submit("j-000001", 12)
+		for i := 0; i < 60 && c.cloud.Starts() == 0; i++ {
+			time.Sleep(500 * time.Millisecond)
+		}
+		if c.cloud.Starts() == 0 {
+			t.Fatal("nothing was started")
+		}
+		if code, s := c.request(http.MethodPost, 1, "/v1/jobs/j-000001/abort", nil); code != http.StatusOK || s.Status != wire.JobCancelled {
+			t.Fatalf("abort answered %d %q", code, s.Status)
+		}
+		for i := range 3 {
+			if _, s := c.request(http.MethodGet, i, "/v1/jobs/j-000001", nil); s.Status != wire.JobCancelled {
+				t.Errorf("node %d says %q right after the abort", i, s.Status)
+			}
+		}
+		time.Sleep(time.Duration(cancelS) * time.Second)
+		if on := c.cloud.OnMachines(); len(on) > 0 {
+			t.Errorf("still on machines: %v", on)
+		}
+		c.await("j-000001", wire.JobCancelled, 5*time.Second)
+	})
+}
+
+// TestUnseenAbort cancels a job while the leader's hold lives but its watch hangs
+// and no peer can tell it: it must stop renewing leases in time.
+func TestUnseenAbort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		for i := range 3 { // a new life has no streams yet
+			c.kill(i)
+		}
+		c.pipes.Cut(func(string, string) bool { return true })
+		for i := range 3 {
+			c.start(i)
+		}
+		c.cloud.RunFor = func(string) float64 { return 300 }
+		c.submit("j-000001", 2)
+		for i := 0; i < 60 && c.cloud.Starts() < 2; i++ {
+			time.Sleep(500 * time.Millisecond)
+		}
+		leading := c.leader()
+		prefix := fmt.Sprintf("host-%d/", leading)
+		c.setFault(func(from string, r *http.Request) standin.Fault {
+			if strings.HasPrefix(from, prefix) && r.URL.Path == "/watch" {
+				return standin.LostRequest
+			}
+			return standin.Pass
+		})
+		time.Sleep(12 * time.Second) // until no watch that was open before is left
+		if code, _ := c.request(http.MethodPost, (leading+1)%3, "/v1/jobs/j-000001/abort", nil); code != http.StatusOK {
+			t.Fatalf("abort answered %d", code)
+		}
+		if on := c.cloud.OnMachines(); len(on) != 2 {
+			t.Fatalf("on machines before the test begins: %v", on)
+		}
+		time.Sleep(time.Duration(cancelS) * time.Second)
+		if on := c.cloud.OnMachines(); len(on) > 0 {
+			t.Errorf("still on machines: %v", on)
+		}
+	})
+}
+
+// TestCancelAtEnd has users cancel, ask and repeat submissions at the very moment at which
+// a job's last task ends, at different nodes: whichever is decided, all say the same.
+func TestCancelAtEnd(t *testing.T) {
+	for _, nodes := range []int{3, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newClusterOf(t, nodes)
+			defer c.close()
+			c.cloud.RunFor = func(string) float64 { return 3 }
+			c.submit("j-000009", 1)
+			c.await("j-000009", wire.JobDone, time.Minute)
+			results := map[string]int{}
+			var seen tally
+			for n := range 30 {
+				job := testJob(fmt.Sprintf("j-%06d", 100+n), 1)
+				c.runJob(job)
+				id := job["id"].(string)
+				for c.running(id) > 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				// Its end is reported half a second later at most, and stored after that.
+				time.Sleep(time.Duration(n) * 40 * time.Millisecond)
+				var wg sync.WaitGroup
+				wg.Go(func() { c.lookClosely(job, false, 600*time.Millisecond, &seen) })
+				for node := range nodes {
+					wg.Go(func() { c.cancelJob(id, node) })
+				}
+				wg.Wait()
+				_, s := c.request(http.MethodGet, n%nodes, "/v1/jobs/"+id, nil)
+				results[s.Status]++
+			}
+			if results[wire.JobDone] < 3 || results[wire.JobCancelled] < 3 {
+				t.Errorf("%d nodes: ended as %v, want some of both", nodes, results)
+			}
+			c.broken()
+		})
+	}
+}
--- /dev/null
+++ b/cluster_test.go
@@ -0,0 +1,482 @@
+package caperlatch
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+const (
+	reportS = 1.0
+	leaseS  = 8.0
+	cancelS = 25.0
+)
+
+// cluster is some nodes with stand-ins for all around them.
+type cluster struct {
+	t     *testing.T
+	net   *standin.Net
+	pipes *standin.Pipes
+	state *standin.State
+	cloud *standin.Cloud
+	rules *standin.Rules
+	user  *http.Client
+
+	mu    sync.Mutex
+	dead  map[string]bool // senders that are no more
+	tune  func(*settings.Settings)
+	fault func(from string, r *http.Request) standin.Fault
+	// faults counts the messages that met one, so that a test can show that it happened.
+	faults int
+	stops  []func()
+	lives  []int
+}
+
+// nodeSettings are the settings of node i of a cluster.
+func nodeSettings(i, nodes int) *settings.Settings {
+	s := &settings.Settings{Member: fmt.Sprintf("host-%d", i), ClientListen: "unused"}
+	s.External.State, s.External.Cloud = "state", "cloud"
+	s.Params = settings.Params{
+		Zones:   []string{"a"},
+		Teams:   []settings.Team{{Name: "blue"}, {Name: "small", CPUs: 2, CPUsMax: 4}},
+		Workers: settings.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS, GangWaitS: standin.GangWaitS, GangPeerS: standin.GangPeerS},
+		State:   settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 6},
+		Cloud:   settings.Cloud{RPS: 20, ListLagS: 1},
+		Limits:  settings.Limits{CPU: 1, MemoryMB: 1000, MaxSockets: 1000},
+	}
+	for p := range nodes {
+		if p != i {
+			s.Peers = append(s.Peers, settings.Peer{Member: fmt.Sprintf("host-%d", p), Addr: fmt.Sprintf("host-%d", p)})
+		}
+	}
+	return s
+}
+
+// newCluster starts a cluster of three nodes.
+func newCluster(t *testing.T) *cluster { return newClusterOf(t, 3) }
+
+// newClusterOf starts a cluster of size nodes.
+func newClusterOf(t *testing.T, size int) *cluster {
+	return newTunedCluster(t, size, func(*settings.Settings) {})
+}
+
+// newTunedCluster starts a cluster whose nodes have their settings changed by tune.
+func newTunedCluster(t *testing.T, size int, tune func(*settings.Settings)) *cluster {
+	c := &cluster{t: t, tune: tune, net: standin.NewNet(), pipes: standin.NewPipes(), state: standin.NewState(), dead: map[string]bool{},
+		stops: make([]func(), size), lives: make([]int, size)}
+	c.net.SetFault(func(from string, r *http.Request) standin.Fault {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.dead[from] {
+			return standin.LostRequest
+		}
+		if c.fault != nil {
+			f := c.fault(from, r)
+			if f != standin.Pass {
+				c.faults++
+			}
+			return f
+		}
+		return standin.Pass
+	})
+	nodes := make([]string, size)
+	for i := range nodes {
+		nodes[i] = fmt.Sprintf("host-%d:8080", i)
+	}
+	s := nodeSettings(0, size)
+	tune(s)
+	limits := map[string]float64{}
+	for _, t := range s.Params.Teams {
+		limits[t.Name] = t.CPUsMax
+	}
+	c.rules = standin.NewRules(time.Duration(s.Params.Workers.CancelS*float64(time.Second)), limits)
+	c.cloud = standin.NewCloud(c.net, c.rules, nodes, s.Params.Workers.ReportS, s.Params.Workers.LeaseS, func(string) float64 { return 5 })
+	c.state.Check = c.conditioned
+	c.net.Handle("state", c.state)
+	c.net.Handle("cloud", c.cloud)
+	c.user = &http.Client{Transport: c.net.From("user")}
+	for i := range size {
+		c.start(i)
+	}
+	return c
+}
+
+// start begins a new life of a node.
+func (c *cluster) start(i int) {
+	c.lives[i]++
+	member := fmt.Sprintf("host-%d", i)
+	name := fmt.Sprintf("%s/%d", member, c.lives[i])
+	s := nodeSettings(i, len(c.stops))
+	c.tune(s)
+	n := newNode(s, settings.DefaultTuning(), outside{
+		services: c.net.From(name), workers: c.net.From(name),
+		dial:   func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, member, addr) },
+		listen: func() (net.Listener, error) { return c.pipes.Listen(member), nil },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.work(ctx)
+	}()
+	host := fmt.Sprintf("host-%d:8080", i)
+	c.net.Handle(host, n.handler())
+	c.stops[i] = func() {
+		c.net.Handle(host, nil)
+		c.mu.Lock()
+		c.dead[name] = true
+		c.mu.Unlock()
+		cancel()
+		<-done
+	}
+}
+
+// kill ends a node as a crash would: nothing that it sends arrives any more.
+func (c *cluster) kill(i int) { c.stops[i]() }
+
+// setFault decides what messages meet from now on; nil lets all pass.
+func (c *cluster) setFault(f func(from string, r *http.Request) standin.Fault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault = f
+}
+
+// troubled counts what went wrong so far: messages that met a fault, and lives of nodes
+// beyond the first.
+func (c *cluster) troubled() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n = c.faults
+	for _, lives := range c.lives {
+		n += lives - 1
+	}
+	return n
+}
+
+// close ends all nodes and stand-ins and waits until nothing of them runs.
+func (c *cluster) close() {
+	c.setFault(nil)
+	for i := range c.stops {
+		c.kill(i)
+	}
+	c.cloud.Close()
+	c.state.Close()
+	c.net.WaitLate()
+	time.Sleep(time.Minute) // all that still waits for an answer gives up
+}
+
+// leader is the index of the node that the state service names.
+func (c *cluster) leader() int {
+	for range 100 {
+		var l struct {
+			Member string `json:"member"`
+		}
+		if e, ok := c.state.Get("c/leader"); ok && wire.Unmarshal(e.Value, &l) == nil {
+			var i int
+			if _, err := fmt.Sscanf(l.Member, "host-%d", &i); err == nil {
+				return i
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.t.Fatal("nobody leads")
+	return -1
+}
+
+// token is the highest token given out, as stored.
+func (c *cluster) token() uint64 {
+	c.t.Helper()
+	var n replica.Token
+	if e, ok := c.state.Get(replica.TokenKey); !ok || wire.Unmarshal(e.Value, &n) != nil {
+		c.t.Fatal("no token is stored")
+	}
+	return n.Token
+}
+
+// conditioned checks that no write can be carried out late to harm: each is conditioned
+// on its key's version, and the leader's on its leader key.
+func (c *cluster) conditioned(conditions []wire.Condition, keys []string) {
+	has := func(key string, none bool) bool {
+		return slices.ContainsFunc(conditions, func(x wire.Condition) bool { return x.Key == key && (none || x.Stamp != 0) })
+	}
+	for _, key := range keys {
+		if !has(key, true) {
+			c.t.Errorf("%s is written whatever its version", key)
+		}
+		of := func(prefix string) bool { return strings.HasPrefix(key, prefix) }
+		if (of(replica.ProgressPrefix) || of(replica.BookingPrefix) || of(replica.UpPrefix) || key == replica.StaffingKey || key == replica.CatalogKey) &&
+			!has(replica.LeaderKey, false) {
+			c.t.Errorf("%s is written whoever leads", key)
+		}
+	}
+}
+
+// request sends a user's request to a node and shows the answer to the checker of the
+// rules. The code is 0 if there was no answer.
+func (c *cluster) request(method string, node int, path string, body any) (int, wire.JobStatus) {
+	var r io.Reader
+	submitted := ""
+	if body != nil {
+		b, err := wire.Marshal(body)
+		if err != nil {
+			panic(err)
+		}
+		r = bytes.NewReader(b)
+		if spec, err := wire.ParseJob(b); err == nil {
+			c.rules.Submits(spec)
+		} else if id := wire.SubmittedID(b); id != "" {
+			c.rules.SubmitsMalformed(id)
+		}
+		submitted = wire.SubmittedID(b)
+	}
+	id := cmp.Or(submitted, c.rules.Asks(path))
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://host-%d:8080%s", node, path), r)
+	if err != nil {
+		panic(err)
+	}
+	resp, err := c.user.Do(req)
+	if err != nil {
+		return 0, wire.JobStatus{}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, wire.JobStatus{}
+	}
+	var s wire.JobStatus
+	if len(b) > 0 {
+		_ = wire.Unmarshal(b, &s) // an error body has no status, which the callers see
+	}
+	if strings.HasPrefix(path, "/v1/jobs") {
+		c.rules.Told(method, path, id, sent, resp.StatusCode, s)
+	}
+	return resp.StatusCode, s
+}
+
+// testJob is a submission of a job of small tasks, as the wire has it.
+func testJob(id string, tasks int) map[string]any {
+	return map[string]any{
+		"id": id, "lane": "l", "desk": "blue", "shape": "sweep", "rank": "normal", "pieces": tasks, "vcpus": 1.0, "cards": 0.0,
+		"memory_gb": 1.0, "bundle": "img", "pull_gb": 1.0, "builds": nil, "hall": nil, "together": false, "scatter": false,
+		"standby": true, "expect_s": 5.0, "save_every_s": 0.0, "store_s": 0.0,
+	}
+}
+
+// submit repeats a submission, each time at the next node, until it is taken.
+func (c *cluster) submit(id string, tasks int) { c.submitJob(testJob(id, tasks)) }
+
+// submitJob is submit for any job.
+func (c *cluster) submitJob(job map[string]any) {
+	c.t.Helper()
+	for try := range 60 {
+		if code, _ := c.request(http.MethodPost, try%len(c.stops), "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	c.t.Fatalf("%s was not accepted", job["id"])
+}
+
+// await polls, each time at the next node, until a job has a status.
+func (c *cluster) await(id, status string, within time.Duration) {
+	c.t.Helper()
+	var last wire.JobStatus
+	code := 0
+	for begun, try := time.Now(), 0; time.Since(begun) < within; try++ {
+		code, last = c.request(http.MethodGet, try%len(c.stops), "/v1/jobs/"+id, nil)
+		if code == http.StatusNotFound {
+			c.t.Fatalf("%s was forgotten", id)
+		}
+		if last.Status == status {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	c.t.Fatalf("%s is %q (%d) after %v, want %s", id, last.Status, code, within, status)
+}
+
+// isState tells whether a request goes to the state service.
+func isState(r *http.Request) bool { return r.URL.Host == "state" }
+
+// nth lets every nth request of a kind meet a fault.
+func nth(n int, fault standin.Fault, match func(*http.Request) bool) func(string, *http.Request) standin.Fault {
+	count := 0
+	return func(from string, r *http.Request) standin.Fault {
+		if strings.HasPrefix(from, "host") && match(r) {
+			if count++; count%n == 0 {
+				return fault
+			}
+		}
+		return standin.Pass
+	}
+}
+
+// answersAll asks every node that calls itself ready about every job. A job about
+// which no question is answered for 75 s counts as forgotten.
+func (c *cluster) answersAll(ids []string) {
+	c.t.Helper()
+	for i := range c.stops {
+		if code, _ := c.request(http.MethodGet, i, "/ready", nil); code != http.StatusOK {
+			continue
+		}
+		for _, id := range ids {
+			for begun, code := time.Now(), 0; code != http.StatusOK; time.Sleep(time.Second) {
+				if code, _ = c.request(http.MethodGet, i, "/v1/jobs/"+id, nil); time.Since(begun) > 30*time.Second {
+					c.t.Errorf("node %d does not answer about %s (%d)", i, id, code)
+					break
+				}
+			}
+		}
+	}
+}
+
+// back restarts nodes within a fraction of a second.
+func (c *cluster) back(nodes ...int) {
+	for _, i := range nodes {
+		c.kill(i)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, i := range nodes {
+		c.start(i)
+	}
+}
+
+// fromNode tells whether a sender is a node, in any of its lives.
+func fromNode(from string, node int) bool {
+	return strings.HasPrefix(from, fmt.Sprintf("host-%d/", node))
+}
+
+// tally counts what happened by name, so that a test can show that its troubles met.
+type tally struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func (c *tally) add(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.n == nil {
+		c.n = map[string]int{}
+	}
+	c.n[name]++
+	return c.n[name]
+}
+
+func (c *tally) of(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n[name]
+}
+
+// broken reports the rules that were broken.
+func (c *cluster) broken() {
+	c.t.Helper()
+	for _, rule := range c.rules.Broken() {
+		c.t.Error(rule)
+	}
+}
+
+// machineOf is the machine's name in a sender or a host, empty if it is none.
+func machineOf(name string) string {
+	id, _, _ := strings.Cut(name, ":")
+	if strings.HasPrefix(id, "i-") {
+		return id
+	}
+	return ""
+}
+
+// ledAfter waits until another leader leads than the one with this token.
+func (c *cluster) ledAfter(token uint64) {
+	c.t.Helper()
+	for range 200 {
+		if _, ok := c.state.Get(replica.LeaderKey); ok && c.token() > token {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatal("nobody leads")
+}
+
+// runJob submits a job of long tasks to the cluster until all of them run.
+func (c *cluster) runJob(job map[string]any) {
+	c.t.Helper()
+	for try := range 60 {
+		if code, _ := c.request(http.MethodPost, try%len(c.stops), "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	for range 120 {
+		if c.running(job["id"].(string)) == job["pieces"] {
+			return
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	c.t.Fatalf("%s does not run: %v", job["id"], c.cloud.OnMachines())
+}
+
+// running counts the tasks of a job that are on machines.
+func (c *cluster) running(id string) (n int) {
+	for _, task := range c.cloud.OnMachines() {
+		if strings.HasPrefix(task, id+"/") {
+			n++
+		}
+	}
+	return n
+}
+
+// holders are the machines that have tasks of a job.
+func (c *cluster) holders(id string) (ws []*standin.Worker) {
+	for _, w := range c.cloud.Workers() {
+		if slices.ContainsFunc(w.Tasks(), func(task string) bool { return strings.HasPrefix(task, id+"/") }) {
+			ws = append(ws, w)
+		}
+	}
+	slices.SortFunc(ws, func(a, b *standin.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return ws
+}
+
+// cancelJob repeats a cancellation until it is confirmed.
+func (c *cluster) cancelJob(id string, first int) {
+	c.t.Helper()
+	for try := range 200 {
+		code, _ := c.request(http.MethodPost, (first+try)%len(c.stops), "/v1/jobs/"+id+"/abort", nil)
+		if code == http.StatusOK {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatalf("%s could not be cancelled", id)
+}
+
+// cutMachines has nothing pass between these machines and the nodes; the cloud takes
+// nothing back, or its answer would prove the machines gone.
+func cutMachines(ids map[string]bool, cut *tally) func(string, *http.Request) standin.Fault {
+	return func(from string, r *http.Request) standin.Fault {
+		if ids[machineOf(from)] || ids[machineOf(r.URL.Host)] {
+			cut.add("cut")
+			return standin.LostRequest
+		}
+		if r.URL.Path == "/hosts/return" {
+			return standin.Refused
+		}
+		return standin.Pass
+	}
+}
--- /dev/null
+++ b/lost_writes_test.go
@@ -0,0 +1,200 @@
+package caperlatch
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// TestLostAnswers has each kind of write carried out at once and only its answer lost,
+// while all nodes read what it wrote: a repeat that fails for its condition may mean that
+// the first one was carried out.
+func TestLostAnswers(t *testing.T) {
+	kinds := []struct {
+		name  string
+		match func(r *http.Request) bool
+	}{
+		{"intake", func(r *http.Request) bool { return contains(r, "c/j/") && contains(r, "pieces") }},
+		{"cancellations", func(r *http.Request) bool { return contains(r, "cancelled by its user") }},
+		{"ends", func(r *http.Request) bool { return contains(r, "all tasks done") }},
+		{"progress", func(r *http.Request) bool { return contains(r, "c/p/") }},
+		{"bookings", func(r *http.Request) bool { return contains(r, "c/b/") }},
+		{"lists of machines", func(r *http.Request) bool { return contains(r, "c/u/") }},
+		{"the leader key and the token", func(r *http.Request) bool { return contains(r, "c/token") }},
+		{"holds", func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/holds") }},
+	}
+	for _, k := range kinds {
+		t.Run(k.name, func(t *testing.T) {
+			meet(t, 3, func(c *cluster, cancel func()) {
+				var lost, seen tally
+				fault := func(from string, r *http.Request) standin.Fault {
+					if isState(r) && k.match(r) && lost.add("lost")%3 != 0 {
+						return standin.LostAnswer
+					}
+					return standin.Pass
+				}
+				c.setFault(fault)
+				look := func() {
+					var wg sync.WaitGroup
+					for id := range meetingTasks {
+						if id != "j-000004" {
+							job := testJob(id, len(meetingTasks[id]))
+							job["expect_s"] = 200.0
+							wg.Go(func() { c.lookClosely(job, false, 100*time.Millisecond, &seen) })
+						}
+					}
+					wg.Wait()
+				}
+				c.submit("j-000010", 2) // after the fault was set
+				time.Sleep(6 * time.Second)
+				look()
+				c.back(c.leader()) // so that a leader key and holds are among the writes
+				time.Sleep(time.Second)
+				cancel()
+				for range 8 {
+					look()
+					time.Sleep(100 * time.Millisecond)
+				}
+				c.back(c.leader())
+				for range 10 {
+					time.Sleep(900 * time.Millisecond)
+					look()
+				}
+				if n := lost.of("lost"); n < 2 {
+					c.t.Errorf("only %d such writes were seen", n)
+				}
+			})
+		})
+	}
+}
+
+// TestLateOverNewer has a write get no answer and be carried out 9 s later, after newer
+// ones of the same leader, with something decided in between that it would undo.
+func TestLateOverNewer(t *testing.T) {
+	late := func(c *cluster, count int, match func(*http.Request) bool) *tally {
+		var held tally
+		c.setFault(func(_ string, r *http.Request) standin.Fault {
+			if r.URL.Path == "/txn" && match(r) && held.add("late") <= count {
+				return standin.Late
+			}
+			return standin.Pass
+		})
+		return &held
+	}
+	key := func(k string) func(*http.Request) bool {
+		return func(r *http.Request) bool { return contains(r, k) }
+	}
+	// nextMustKnow ends the leader while the machines that run a job cannot be reached.
+	nextMustKnow := func(c *cluster, id string) {
+		ids := map[string]bool{}
+		for _, w := range c.holders(id) {
+			ids[w.ID] = true
+		}
+		var cut tally
+		c.setFault(cutMachines(ids, &cut))
+		before := c.token()
+		c.back(c.leader())
+		c.ledAfter(before)
+		time.Sleep(4 * time.Second)
+		if cut.of("cut") == 0 || c.running(id) == 0 {
+			c.t.Errorf("%d messages were cut, %d tasks still ran", cut.of("cut"), c.running(id))
+		}
+		c.setFault(nil)
+		c.await(id, wire.JobDone, 4*time.Minute)
+	}
+	long := func(id string) map[string]any {
+		job := testJob(id, 4)
+		job["expect_s"] = 200.0
+		return job
+	}
+	cases := []struct {
+		name string
+		run  func(c *cluster) *tally
+	}{
+		{"a list of machines, after one that names more", func(c *cluster) *tally {
+			held := late(c, 1, key("c/u/"))
+			c.runJob(long("j-000001"))
+			c.runJob(long("j-000002"))
+			time.Sleep(10 * time.Second)
+			nextMustKnow(c, "j-000002")
+			return held
+		}},
+		{"a booking, after one that names its machines", func(c *cluster) *tally {
+			held := late(c, 1, key("c/b/"))
+			c.runJob(long("j-000001"))
+			time.Sleep(10 * time.Second)
+			nextMustKnow(c, "j-000001")
+			return held
+		}},
+		{"progress, after newer progress", func(c *cluster) *tally {
+			held := late(c, 1, key("c/p/"))
+			c.runJob(long("j-000001")) // its tasks end 4 s apart
+			time.Sleep(18 * time.Second)
+			c.back(c.leader())
+			c.await("j-000001", wire.JobDone, 2*time.Minute)
+			if n := c.cloud.Starts(); n != 4 {
+				c.t.Errorf("%d starts for 4 tasks", n)
+			}
+			return held
+		}},
+		{"a job's end, after its cancellation", func(c *cluster) *tally {
+			held := late(c, 1000, key("all tasks done"))
+			c.submit("j-000003", 1)
+			for i := 0; held.of("late") == 0 && i < 600; i++ {
+				time.Sleep(100 * time.Millisecond)
+			}
+			c.cancelJob("j-000003", 1)
+			time.Sleep(15 * time.Second)
+			c.answersAll([]string{"j-000003"})
+			c.await("j-000003", wire.JobCancelled, time.Second)
+			return held
+		}},
+		{"a cancellation, after the job's end", func(c *cluster) *tally {
+			held := late(c, 1000, key("cancelled by its user"))
+			c.runJob(testJob("j-000003", 1))
+			if code, _ := c.request(http.MethodPost, 1, "/v1/jobs/j-000003/abort", nil); code == http.StatusOK {
+				c.t.Error("the cancellation was confirmed")
+			}
+			c.await("j-000003", wire.JobDone, 8*time.Second)
+			time.Sleep(15 * time.Second)
+			c.answersAll([]string{"j-000003"})
+			return held
+		}},
+		{"an intake, after its repeat and the job's end", func(c *cluster) *tally {
+			held := late(c, 1, key("pieces"))
+			c.submit("j-000003", 1)
+			c.await("j-000003", wire.JobDone, 20*time.Second)
+			time.Sleep(10 * time.Second)
+			c.answersAll([]string{"j-000003"})
+			return held
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				c.cloud.RunFor = func(task string) float64 {
+					switch {
+					case task == "j-000003/0" || strings.HasPrefix(task, "j-000009"):
+						return 2.5
+					case tc.name == "progress, after newer progress":
+						return 2 + 4*float64(task[len(task)-1]-'0') + 12*float64((task[len(task)-1]-'0')/3)
+					}
+					return 50
+				}
+				time.Sleep(3 * time.Second)
+				if held := tc.run(c); held.of("late") == 0 {
+					t.Error("no such write was late")
+				}
+				c.broken()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/placing_test.go
@@ -0,0 +1,259 @@
+package caperlatch
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/settings"
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// TestOrdinaryOnly has a job that may not use spot machines come to a fleet of
+// idle spot machines: it must get an ordinary one, not starve beside them.
+func TestOrdinaryOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.submit("j-000001", 4)
+		c.await("j-000001", wire.JobDone, time.Minute)
+		job := testJob("j-000002", 2)
+		job["standby"] = false
+		if code, _ := c.request(http.MethodPost, 0, "/v1/jobs", job); code != http.StatusCreated {
+			t.Fatalf("submission answered %d", code)
+		}
+		c.await("j-000002", wire.JobDone, 2*time.Minute)
+	})
+}
+
+// TestTeamLimit has a team with room for four CPUs and a job of more.
+func TestTeamLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.submit("j-000009", 1)
+		time.Sleep(time.Second) // until every node knows the catalog
+		job := testJob("j-000001", 12)
+		job["desk"] = "small"
+		if code, _ := c.request(http.MethodPost, 0, "/v1/jobs", job); code != http.StatusCreated {
+			t.Fatalf("submission answered %d", code)
+		}
+		most := 0
+		for range 240 { // a minute
+			time.Sleep(250 * time.Millisecond)
+			own := slices.DeleteFunc(c.cloud.OnMachines(), func(task string) bool { return !strings.HasPrefix(task, "j-000001/") })
+			most = max(most, len(own))
+		}
+		c.await("j-000001", wire.JobDone, time.Minute)
+		if most > 4 {
+			t.Errorf("%d tasks of a team with a limit of 4 at once", most)
+		}
+	})
+}
+
+// TestFullTeams has a team at its limit whose job is cancelled while its machines cannot
+// be reached, or hang, and the leader changes, once and again. The team's next job waits
+// until what may still run there is surely gone.
+func TestFullTeams(t *testing.T) {
+	cases := []struct {
+		name    string
+		hang    bool // else cut off
+		changes []time.Duration
+		before  bool // cancelled before the first change
+	}{
+		{"cut off, one change", false, []time.Duration{0}, true},
+		{"cut off, two changes", false, []time.Duration{0, 2 * time.Second}, true},
+		{"cut off, cancelled after the change", false, []time.Duration{0, 3 * time.Second}, false},
+		{"hang, one change", true, []time.Duration{0}, true},
+		{"hang, two changes", true, []time.Duration{0, 300 * time.Millisecond}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newClusterOf(t, 5)
+				defer c.close()
+				c.cloud.RunFor = func(task string) float64 {
+					if strings.HasPrefix(task, "j-000009/") {
+						return 30
+					}
+					return 300
+				}
+				idle := testJob("j-000009", 8) // machines that stay in reach
+				idle["expect_s"] = 200.0
+				c.runJob(idle)
+				full := testJob("j-000001", 4)
+				full["desk"], full["expect_s"] = "small", 200.0
+				c.runJob(full)
+				time.Sleep(2 * time.Second)
+				ids := map[string]bool{}
+				for _, w := range c.holders("j-000001") {
+					ids[w.ID] = true
+				}
+				var cut tally
+				stillOn := 0
+				if tc.hang {
+					c.setFault(cutMachines(nil, &cut))
+					for _, w := range c.holders("j-000001") {
+						w.Hang(7 * time.Second)
+					}
+				} else {
+					c.setFault(cutMachines(ids, &cut))
+				}
+				if tc.before {
+					c.cancelJob("j-000001", 0)
+				}
+				for i, pause := range tc.changes {
+					time.Sleep(pause)
+					before := c.token()
+					c.back(c.leader())
+					if i == 0 && !tc.before {
+						c.cancelJob("j-000001", 1)
+					}
+					next := testJob(fmt.Sprintf("j-00000%d", 2+i), 4)
+					next["desk"] = "small"
+					for try := range 40 {
+						if code, _ := c.request(http.MethodPost, try%5, "/v1/jobs", next); code == http.StatusCreated || code == http.StatusOK {
+							break
+						}
+						time.Sleep(100 * time.Millisecond)
+					}
+					c.ledAfter(before)
+					stillOn += c.running("j-000001")
+				}
+				time.Sleep(4 * time.Second)
+				c.setFault(nil)
+				if stillOn < 4*len(tc.changes) {
+					t.Errorf("only %d tasks still ran under the new leaders", stillOn)
+				}
+				if !tc.hang && cut.of("cut") == 0 {
+					t.Error("nothing was cut")
+				}
+				for range 120 {
+					if c.running("j-000002") == 4 {
+						break
+					}
+					time.Sleep(time.Second)
+				}
+				if c.running("j-000002") != 4 {
+					t.Errorf("the team's next job does not run: %v", c.cloud.OnMachines())
+				}
+				c.broken()
+			})
+		})
+	}
+}
+
+// TestZoneBound has jobs whose tasks bind each other to zones, or keep each other out, run
+// where the other zone has room: machines must be rented in the zone where the next task may
+// start. Once they came up in the other one, one after the other, for up to 150 s.
+func TestZoneBound(t *testing.T) {
+	for _, bind := range []string{"together", "scatter"} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newTunedCluster(t, 3, func(s *settings.Settings) { s.Params.Zones = []string{"a", "b"} })
+			defer c.close()
+			c.cloud.Zones = []string{"a", "b"}
+			c.rules.Offers[0].Zones = c.cloud.Zones
+			c.cloud.RunFor = func(string) float64 { return 400 }
+			first, second := testJob("j-000001", 6), testJob("j-000002", 6)
+			first["together"], second[bind] = true, true
+			first["expect_s"], second["expect_s"] = 200.0, 200.0 // for a fleet with room
+			c.submitJob(first)
+			time.Sleep(5 * time.Second)
+			c.submitJob(second)
+			begun := time.Now()
+			for len(c.on("j-000002/")) < 6 && time.Since(begun) < 2*time.Minute {
+				time.Sleep(200 * time.Millisecond)
+			}
+			if took := time.Since(begun); took > 30*time.Second {
+				t.Errorf("%s: %d of 6 tasks run after %v", bind, len(c.on("j-000002/")), took)
+			}
+			if broken := c.cloud.Broken(); broken != nil {
+				t.Error(broken)
+			}
+		})
+	}
+}
+
+// TestZones has jobs that are bound to one zone, or spread over zones, lose machines as a
+// zone with a node is cut off for longer than lease_s, and the leader is in it or not.
+func TestZones(t *testing.T) {
+	cases := []struct {
+		name    string
+		leads   bool // the leader is in the zone that is cut off
+		returns bool // the cloud takes machines back meanwhile
+	}{
+		{"the leader is cut off with its zone", true, true},
+		{"a follower is cut off with its zone", false, true},
+		{"a follower is cut off with its zone, and no return is answered", false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTunedCluster(t, 5, func(s *settings.Settings) { s.Params.Zones = []string{"a", "b"} })
+				defer c.close()
+				c.cloud.Zones = []string{"a", "b"}
+				c.rules.Offers[0].Zones = c.cloud.Zones
+				c.cloud.FetchS = 1
+				c.cloud.RunFor = func(string) float64 { return 40 }
+				time.Sleep(3 * time.Second)
+				for n, bind := range []map[string]any{{"together": true}, {"scatter": true}, {"hall": "a"}, {"hall": "b"}, {}} {
+					job := testJob(fmt.Sprintf("j-00000%d", n+1), 6)
+					job["expect_s"] = 200.0
+					for k, v := range bind {
+						job[k] = v
+					}
+					c.submitJob(job)
+				}
+				time.Sleep(15 * time.Second)
+				inside := c.leader()
+				if !tc.leads {
+					inside = (inside + 1) % 5
+				}
+				zones := map[string]string{}
+				for _, w := range c.cloud.Workers() {
+					zones[w.ID] = w.Zone()
+				}
+				host := fmt.Sprintf("host-%d", inside)
+				// Where a name is; the services and users are in no zone.
+				cutOff := func(name string) bool {
+					return zones[machineOf(name)] == "a" || strings.HasPrefix(name, host+"/") || strings.HasPrefix(name, host+":")
+				}
+				var cut tally
+				c.pipes.Cut(func(from, to string) bool { return (from == host) != (to == host) })
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					if cutOff(from) != cutOff(r.URL.Host) {
+						cut.add("cut")
+						return standin.LostRequest
+					}
+					if r.URL.Path == "/hosts/return" && !tc.returns {
+						return standin.Refused
+					}
+					return standin.Pass
+				})
+				held := 0
+				for i := 0; i < int(leaseS)+10; i++ {
+					time.Sleep(time.Second)
+					for _, w := range c.cloud.Workers() {
+						if zones[w.ID] == "a" {
+							held += len(w.Tasks())
+						}
+					}
+				}
+				c.setFault(nil)
+				c.pipes.Cut(func(string, string) bool { return false })
+				if cut.of("cut") == 0 || held == 0 {
+					t.Errorf("%d messages were cut, %d tasks seen in the zone", cut.of("cut"), held)
+				}
+				for n := range 5 {
+					c.await(fmt.Sprintf("j-00000%d", n+1), wire.JobDone, 5*time.Minute)
+				}
+				c.broken()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/takeover_test.go
@@ -0,0 +1,375 @@
+package caperlatch
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// TestHandOvers has jobs cancelled in the seconds in which one leader's work changes
+// hands, at every stage of that; nothing of them starts once its user was told, but for
+// starts that were on their way.
+func TestHandOvers(t *testing.T) {
+	cases := []struct {
+		name string
+		over func(c *cluster) // ends the leader
+	}{
+		{"the leader crashes", func(c *cluster) { c.kill(c.leader()) }},
+		{"the leader restarts", func(c *cluster) { c.back(c.leader()) }},
+		{"the leader loses the state service", func(c *cluster) {
+			i := c.leader()
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if fromNode(from, i) && isState(r) {
+					return standin.Refused
+				}
+				return standin.Pass
+			})
+		}},
+		{"the leader loses the state service and its peers", func(c *cluster) {
+			i := c.leader()
+			host := fmt.Sprintf("host-%d", i)
+			c.pipes.Cut(func(from, to string) bool { return from == host || to == host })
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if fromNode(from, i) && isState(r) {
+					return standin.Refused
+				}
+				return standin.Pass
+			})
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newClusterOf(t, 5)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 300 }
+				const jobs = 12
+				var ids []string
+				for n := range jobs {
+					ids = append(ids, fmt.Sprintf("j-%06d", n+1))
+				}
+				for i, id := range ids {
+					job := testJob(id, 2)
+					job["expect_s"] = 200.0
+					if i%2 == 0 {
+						c.runJob(job)
+					} else { // it is being started as the leader ends
+						time.AfterFunc(time.Duration(i)*200*time.Millisecond, func() { c.submit(id, 2) })
+					}
+				}
+				led, token := c.leader(), c.token()
+				time.AfterFunc(400*time.Millisecond, func() { tc.over(c) })
+				before, after := 0, 0 // the next leader led
+				for i, id := range ids {
+					time.Sleep(150 * time.Millisecond)
+					if i%2 == 1 {
+						time.Sleep(400 * time.Millisecond)
+					}
+					if code, _ := c.request(http.MethodGet, (led+1)%5, "/v1/jobs/"+id, nil); code != http.StatusOK {
+						continue // not accepted yet
+					}
+					c.cancelJob(id, (led+1+i)%5)
+					if c.token() == token {
+						before++
+					} else {
+						after++
+					}
+				}
+				time.Sleep(time.Duration(cancelS) * time.Second)
+				c.setFault(nil)
+				c.pipes.Cut(func(string, string) bool { return false })
+				for _, id := range ids {
+					c.submit(id, 2)
+					c.cancelJob(id, 0)
+				}
+				time.Sleep(time.Duration(cancelS) * time.Second)
+				if on := c.cloud.OnMachines(); len(on) > 0 {
+					t.Errorf("still on machines: %v", on)
+				}
+				if before < 2 || after < 2 {
+					t.Errorf("%d were cancelled before the next leader led, %d after", before, after)
+				}
+				// What was on its way as its user was told may start; here nothing was.
+				if n := c.rules.StartsAfterCancel(); n > 0 {
+					t.Errorf("%d starts after a cancellation", n)
+				}
+				c.broken()
+			})
+		})
+	}
+}
+
+// TestUpAtOnce has machines that are up at once get work while the writes that name them
+// lag, and the leader end. The machines that have work then are out of the next leader's
+// reach: it must know of them all the same, or it starts their tasks elsewhere.
+func TestUpAtOnce(t *testing.T) {
+	cases := []struct {
+		name string
+		key  string
+		lag  standin.Fault
+	}{
+		{"lists of machines are carried out late", "c/u/", standin.Late},
+		{"bookings are carried out late", "c/b/", standin.Late},
+		{"lists of machines are refused", "c/u/", standin.Refused},
+		{"bookings are lost", "c/b/", standin.LostRequest},
+		{"answers to lists of machines are lost", "c/u/", standin.LostAnswer},
+	}
+	for _, tc := range cases {
+		for _, after := range []time.Duration{300 * time.Millisecond, 2 * time.Second, 5 * time.Second, 10 * time.Second} {
+			t.Run(fmt.Sprintf("%s, the leader ends %v later", tc.name, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newCluster(t)
+					defer c.close()
+					c.cloud.RunFor = func(string) float64 { return 60 }
+					c.submit("j-000009", 1) // the catalog is known
+					time.Sleep(3 * time.Second)
+					var lag tally
+					held := func(r *http.Request) bool {
+						// The first write of each booking passes, or nothing is rented.
+						return r.URL.Path == "/txn" && contains(r, tc.key) && (tc.key != "c/b/" || contains(r, "i-0"))
+					}
+					c.setFault(func(_ string, r *http.Request) standin.Fault {
+						if held(r) {
+							lag.add("lag")
+							return tc.lag
+						}
+						return standin.Pass
+					})
+					job := testJob("j-000001", 12)
+					job["expect_s"] = 200.0
+					for try := range 40 {
+						if code, _ := c.request(http.MethodPost, try%3, "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+							break
+						}
+						time.Sleep(100 * time.Millisecond)
+					}
+					for i := 0; lag.of("lag") == 0; i++ {
+						if i == 200 {
+							t.Fatal("no such write lagged")
+						}
+						time.Sleep(50 * time.Millisecond)
+					}
+					time.Sleep(after)
+					ids := map[string]bool{}
+					for _, w := range c.holders("j-000001") {
+						ids[w.ID] = true
+					}
+					var cut tally
+					cutThem := cutMachines(ids, &cut)
+					c.setFault(func(from string, r *http.Request) standin.Fault {
+						if held(r) {
+							return tc.lag
+						}
+						return cutThem(from, r)
+					})
+					before, ran := c.token(), c.running("j-000001")
+					c.back(c.leader())
+					c.ledAfter(before)
+					time.Sleep(2 * time.Second)
+					c.setFault(cutThem)
+					time.Sleep(1500 * time.Millisecond)
+					if on := c.running("j-000001"); on < ran {
+						t.Errorf("%d of %d tasks still ran", on, ran)
+					}
+					c.setFault(nil)
+					c.await("j-000001", wire.JobDone, 4*time.Minute)
+					c.broken()
+				})
+			})
+		}
+	}
+}
+
+// TestOldReports has old reports reach every node just as a new leader begins, and while
+// it leads: of machines that are out of reach for the moment, made before they got the
+// tasks that they now run; of earlier sessions; and in any order.
+func TestOldReports(t *testing.T) {
+	cases := []struct {
+		name string
+		want func(*wire.Report) bool // reports that are delivered again
+		mute bool                    // the machines' own reports are lost, and calls to them
+	}{
+		{"made before the tasks began, of machines out of reach", func(r *wire.Report) bool { return len(r.Tasks) == 0 }, true},
+		{"made before the tasks began, beside newer ones", func(r *wire.Report) bool { return len(r.Tasks) == 0 }, false},
+		{"of an earlier session", func(r *wire.Report) bool { return r.Session == 1 }, false},
+		{"of an earlier session, of machines out of reach", func(r *wire.Report) bool { return r.Session == 1 }, true},
+		{"all, of machines out of reach", func(*wire.Report) bool { return true }, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 60 }
+				var held heldReports
+				keep := func(from string, r *http.Request) standin.Fault {
+					if machineOf(from) != "" && r.URL.Path == "/hello" {
+						held.keep(r)
+					}
+					if r.URL.Path == "/hosts/return" {
+						return standin.Refused
+					}
+					return standin.Pass
+				}
+				c.setFault(keep)
+				job := testJob("j-000001", 8)
+				job["expect_s"] = 200.0
+				c.runJob(job)
+				time.Sleep(2 * time.Second)
+				// All leases end once, so that there is an earlier session, and the
+				// tasks start anew on the same machines.
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					if machineOf(from) != "" {
+						return standin.LostRequest
+					}
+					return keep(from, r)
+				})
+				time.Sleep(time.Duration(leaseS+3) * time.Second)
+				c.setFault(keep)
+				c.runJob(job)
+				time.Sleep(2 * time.Second)
+				old := held.all(tc.want)
+				ids := map[string]bool{}
+				for _, w := range c.holders("j-000001") {
+					ids[w.ID] = tc.mute
+				}
+				var cut tally
+				c.setFault(cutMachines(ids, &cut))
+				ran, answered := c.running("j-000001"), 0
+				i := c.leader()
+				c.kill(i)
+				for range 60 { // 6 s
+					answered += c.deliver(old)
+					time.Sleep(100 * time.Millisecond)
+				}
+				c.setFault(nil)
+				// Beside newer ones the old ones get no answer once those have come.
+				if len(old) == 0 || tc.mute && answered == 0 || ran != 8 || tc.mute && cut.of("cut") == 0 || c.leader() == i {
+					t.Errorf("%d old reports, %d answers to them, %d tasks ran, %d messages cut", len(old), answered, ran, cut.of("cut"))
+				}
+				c.start(i)
+				c.await("j-000001", wire.JobDone, 4*time.Minute)
+				c.broken()
+			})
+		})
+	}
+}
+
+// TestStartsInFlight has a leader end while its starts are on their way to machines that
+// are in their second session, which the next leader does not know: it is told so by an
+// answer that shows their tasks but does not carry its token. Taken for a picture, it
+// would have the tasks started elsewhere before the starts arrive.
+func TestStartsInFlight(t *testing.T) {
+	for _, sessions := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t)
+			defer c.close()
+			c.cloud.RunFor = func(string) float64 { return 120 }
+			noReturns := func(_ string, r *http.Request) standin.Fault {
+				if r.URL.Path == "/hosts/return" {
+					return standin.Refused
+				}
+				return standin.Pass
+			}
+			c.setFault(noReturns)
+			base := testJob("j-000009", 4) // a CPU of each machine is left
+			base["vcpus"], base["expect_s"] = 3.0, 200.0
+			c.runJob(base)
+			time.Sleep(2 * time.Second)
+			if sessions == 2 {
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					if machineOf(from) != "" {
+						return standin.LostRequest
+					}
+					return noReturns(from, r)
+				})
+				time.Sleep(time.Duration(leaseS+2) * time.Second)
+				c.setFault(noReturns)
+				c.runJob(base)
+				time.Sleep(2 * time.Second)
+			}
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if r.URL.Path == "/hello" {
+					return standin.HeldStarts
+				}
+				return noReturns(from, r)
+			})
+			job := testJob("j-000001", 3)
+			job["expect_s"] = 200.0
+			if code, _ := c.request(http.MethodPost, c.leader(), "/v1/jobs", job); code != http.StatusCreated {
+				t.Fatalf("submission answered %d", code)
+			}
+			for i := 0; c.net.StartsHeld() == 0 && i < 500; i++ {
+				time.Sleep(20 * time.Millisecond)
+			}
+			before := c.token()
+			c.back(c.leader())
+			c.setFault(noReturns)
+			c.ledAfter(before)
+			if held, on := c.net.StartsHeld(), c.running("j-000001"); held == 0 || on > 0 {
+				t.Errorf("%d answers with starts were held up, %d of the tasks ran when the next leader led", held, on)
+			}
+			time.Sleep(5 * time.Second)
+			c.setFault(nil)
+			c.await("j-000001", wire.JobDone, 4*time.Minute)
+			c.broken()
+		})
+	}
+}
+
+// held keeps bodies of reports that were sent, to be sent again later.
+type heldReports struct {
+	mu     sync.Mutex
+	bodies [][]byte
+}
+
+func (h *heldReports) keep(r *http.Request) {
+	body, err := r.GetBody()
+	if err != nil {
+		return
+	}
+	b, err := io.ReadAll(body)
+	if err != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bodies = append(h.bodies, b)
+}
+
+// all decodes the reports that a test wants.
+func (h *heldReports) all(want func(*wire.Report) bool) (bodies [][]byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.bodies {
+		var r wire.Report
+		if wire.Unmarshal(b, &r) == nil && want(&r) {
+			bodies = append(bodies, b)
+		}
+	}
+	return bodies
+}
+
+// deliver sends reports to every node.
+func (c *cluster) deliver(bodies [][]byte) (answered int) {
+	for _, b := range bodies {
+		for node := range c.stops {
+			resp, err := c.user.Post(fmt.Sprintf("http://host-%d:8080/hello", node), wire.ContentType, bytes.NewReader(b))
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					answered++
+				}
+			}
+		}
+	}
+	return answered
+}
