--- a/cmd/caperlatch/explain.go
+++ b/cmd/caperlatch/explain.go
@@ -15,6 +15,7 @@
 	"caperlatch/internal/wire"
 )
 
+// explainCommand asks a node about a job.
 func explainCommand() *cobra.Command {
 	var node string
 	cmd := &cobra.Command{
@@ -32,6 +33,7 @@
 	return cmd
 }
 
+// askNode asks a node about a job; what it answers but an explanation is an error.
 func askNode(ctx context.Context, node, job string) (e leader.Explanation, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
@@ -58,6 +60,7 @@
 	return e, fmt.Errorf("%s: %s answers: %s", job, node, why.Error)
 }
 
+// printExplanation writes an explanation for people.
 func printExplanation(w io.Writer, e leader.Explanation) {
 	at := func(t micros.Micros) string { return time.UnixMicro(int64(t)).UTC().Format(time.RFC3339) }
 	fmt.Fprintf(w, "%s: %s, submitted %s", e.Job, e.State, at(e.Submitted))
--- a/cmd/caperlatch/main.go
+++ b/cmd/caperlatch/main.go
@@ -1,4 +1,7 @@
 // Command caperlatch runs and inspects a controller node.
+//
+// It owns the command line and what it prints. It does no work of a node itself: it runs
+// one of package caperlatch or asks a running one over HTTP.
 package main
 
 import (
@@ -23,6 +26,7 @@
 	}
 }
 
+// rootCommand is the program with all its commands; without one it runs a node.
 func rootCommand() *cobra.Command {
 	var config string
 	run := func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), config) }
@@ -37,6 +41,7 @@
 	return root
 }
 
+// runNode runs a node with the settings in a file until ctx ends.
 func runNode(ctx context.Context, config string) error {
 	if config == "" {
 		return fmt.Errorf("--config is missing")
@@ -56,6 +61,7 @@
 	return caperlatch.NewNode(s, t).Run(ctx)
 }
 
+// setLogLevel logs to standard error as much as LOG_LEVEL says.
 func setLogLevel() {
 	level := slog.LevelInfo
 	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
@@ -67,6 +73,7 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
 }
 
+// checkCommand checks settings without running anything.
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "check FILE", Short: "Check a settings file and the tuning file, if one is named", Args: cobra.ExactArgs(1),
@@ -84,6 +91,7 @@
 	}
 }
 
+// versionCommand prints the version of this program, unlike versionsCommand.
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
--- a/cmd/caperlatch/versions.go
+++ b/cmd/caperlatch/versions.go
@@ -13,6 +13,7 @@
 	"caperlatch/internal/wire"
 )
 
+// versionsCommand asks a node which versions serve.
 func versionsCommand() *cobra.Command {
 	var node string
 	cmd := &cobra.Command{
@@ -47,6 +48,7 @@
 	return status == http.StatusOK, v, err
 }
 
+// printVersions writes a line for each node.
 func printVersions(w io.Writer, node string, ready bool, v peer.Versions) {
 	state := "ready"
 	if !ready {
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -1,4 +1,9 @@
 // Package api answers users, workers and health checks.
+//
+// It owns the HTTP routes, the status codes, the limits on requests in progress and on
+// connections, and the choice which node answers a worker. It keeps no state of jobs: it
+// reads them from the replica, writes them through the state service's client, and has
+// the leader make the answers to workers.
 package api
 
 import (
@@ -117,6 +122,7 @@
 	}
 }
 
+// reply answers with a value.
 func reply(c echo.Context, code int, v any) error {
 	b, err := wire.Marshal(v)
 	if err != nil {
@@ -131,6 +137,7 @@
 	return reply(c, code, wire.ErrorBody{Error: "come back later"})
 }
 
+// bad answers with what is wrong.
 func bad(c echo.Context, code int, err error) error {
 	return reply(c, code, wire.ErrorBody{Error: err.Error()})
 }
@@ -153,6 +160,7 @@
 	return j, stamp, ok, nil
 }
 
+// status is what users are shown of a job.
 func (h *Handler) status(id string, j replica.Job) wire.JobStatus {
 	s := wire.JobStatus{ID: id, Status: j.State}
 	if !j.Final() {
@@ -165,6 +173,8 @@
 	return s
 }
 
+// submit stores a new job. A job that is known is answered with its status, whatever
+// else its repeat says.
 func (h *Handler) submit(c echo.Context) error {
 	ctx := c.Request().Context()
 	body, err := wire.ReadBody(c.Request().Body)
@@ -232,6 +242,7 @@
 	return unavailable(c, http.StatusServiceUnavailable)
 }
 
+// answerKnown answers a submission of a job that was accepted before.
 func (h *Handler) answerKnown(c echo.Context, id string) error {
 	j, _, ok, err := h.known(c.Request().Context(), id)
 	if err != nil || !ok {
@@ -268,6 +279,7 @@
 	}
 }
 
+// poll tells a job's status.
 func (h *Handler) poll(c echo.Context) error {
 	id := c.Param("id")
 	if !wire.ValidJobID(id) {
@@ -284,6 +296,7 @@
 	return reply(c, http.StatusOK, h.status(id, j))
 }
 
+// abort cancels a job unless it is over, and tells how it ended.
 func (h *Handler) abort(c echo.Context) error {
 	id := c.Param("id")
 	ctx := c.Request().Context()
@@ -323,6 +336,7 @@
 	return unavailable(c, http.StatusServiceUnavailable)
 }
 
+// ready tells whether this node can take requests, and which versions serve.
 func (h *Handler) ready(c echo.Context) error {
 	code := http.StatusOK
 	if !h.Node.Ready() {
--- a/internal/api/times.go
+++ b/internal/api/times.go
@@ -23,6 +23,7 @@
 // slowest is the longest time told apart.
 const slowest = 60 * micros.Second
 
+// record notes how long a request to a route took.
 func (t *Times) record(route string, took micros.Micros) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -48,6 +49,7 @@
 // Run logs the times of each minute until ctx ends.
 func (t *Times) Run(ctx context.Context) { micros.Every(ctx, 60*micros.Second, t.log) }
 
+// log writes the times since the last call and forgets them.
 func (t *Times) log() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -1,4 +1,7 @@
 // Package cloud is the client of the cloud's interface.
+//
+// It owns the requests, their timeouts and this node's share of the cloud's rate limit.
+// It does not decide what is rented or returned, and repeats nothing by itself.
 package cloud
 
 import (
@@ -45,6 +48,7 @@
 	}
 }
 
+// call sends one request and decodes a 200 into out.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	if err := c.calls.Wait(ctx); err != nil {
 		return fmt.Errorf("cloud: %w", err)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -1,5 +1,9 @@
 // Package election decides which node leads, by a key on a hold of the state
 // service.
+//
+// It owns the campaigns, the terms, their fencing tokens, and the proof that a term may still act.
+// It does not know what a leader does, and does not talk to the peers: it is told what
+// they know.
 package election
 
 import (
@@ -84,12 +88,14 @@
 	return !over && micros.Now() < t.peers.Promised(t.Token)
 }
 
+// confirm notes that the hold lived when a request was sent.
 func (t *Term) confirm(sent micros.Micros) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.confirmed = max(t.confirmed, sent)
 }
 
+// end notes that the term is over.
 func (t *Term) end() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -144,6 +150,7 @@
 	return true
 }
 
+// tried notes that a campaign's outcome is no longer open.
 func (e *Election) tried() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/micros/micros.go
+++ b/internal/micros/micros.go
@@ -1,4 +1,7 @@
 // Package micros holds the time type of the code: whole microseconds.
+//
+// It owns the two clocks, how far two machines' clocks may run apart, and the waits that
+// end with a context. It knows no deadline or interval of the scheduler.
 package micros
 
 import (
--- a/internal/peer/cohort.go
+++ b/internal/peer/cohort.go
@@ -32,6 +32,7 @@
 	last map[string]said
 }
 
+// said is what a peer last told.
 type said struct {
 	sent  micros.Micros // when it was asked
 	state State
@@ -61,6 +62,7 @@
 	wg.Wait()
 }
 
+// ask probes one peer and keeps its answer.
 func (c *Cohort) ask(ctx context.Context, member string, client *Client, told *micros.Micros) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,5 +1,9 @@
 // Package peer carries requests between controller nodes: CBOR values on
 // streams over net, one stream a direction.
+//
+// It owns the messages between nodes, their transport and batching, what the peers last
+// told, and the versions that they speak. It does not decide what a node answers or what
+// follows from its peers' answers.
 package peer
 
 import (
@@ -109,6 +113,7 @@
 	left int
 }
 
+// Read reads at most what is left of the limit.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.left <= 0 {
 		return 0, errors.New("message too large")
@@ -232,6 +237,7 @@
 	}
 }
 
+// send writes a request; only one is written at a time.
 func (c *Client) send(ctx context.Context, conn net.Conn, q Request) error {
 	select {
 	case c.sending <- struct{}{}:
@@ -247,6 +253,7 @@
 	return wire.NewEncoder(conn).Encode(q)
 }
 
+// connect returns the open connection, or opens one.
 func (c *Client) connect(ctx context.Context) (net.Conn, error) {
 	c.mu.Lock()
 	conn := c.conn
@@ -269,6 +276,7 @@
 	return conn, nil
 }
 
+// receive hands out the answers that come on a connection until it fails.
 func (c *Client) receive(conn net.Conn) {
 	defer c.drop(conn)
 	in := &limitedReader{r: conn}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -75,6 +75,7 @@
 	}
 }
 
+// relayBatch sends one batch and hands out the answers.
 func (c *Client) relayBatch(batch []*relay) {
 	ctx, cancel := context.WithTimeout(context.Background(), relayLimit.Duration())
 	defer cancel()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,5 +1,9 @@
 // Package replica keeps a node's copy of what the state service holds for
 // caperlatch, fed by one watch.
+//
+// It owns the names of the keys, the form of stored jobs, the order in which changes are
+// taken over, and the read barrier. It writes nothing to the state service; who does tells
+// it by Wrote and Removed.
 package replica
 
 import (
@@ -58,6 +62,7 @@
 	Token uint64 `json:"token"`
 }
 
+// item is the value of a key other than a job's.
 type item struct {
 	value wire.Raw
 	stamp uint64
@@ -70,6 +75,7 @@
 	Job   Job    `json:"job"`
 }
 
+// storedJob is a job with its key's version.
 type storedJob struct {
 	job   Job
 	stamp uint64
@@ -96,6 +102,7 @@
 	next      *round
 }
 
+// round is one request on behalf of all who wait for a barrier.
 type round struct {
 	done chan struct{}
 	err  error
@@ -226,6 +233,7 @@
 	}
 }
 
+// notify wakes those who wait for a change; mu must be held.
 func (r *Replica) notify() {
 	close(r.wake)
 	r.wake = make(chan struct{})
@@ -472,6 +480,7 @@
 	}
 }
 
+// barrier reads the changes up to the present.
 func (r *Replica) barrier() error {
 	if !r.Loaded() {
 		return errors.New("barrier: nothing loaded yet")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,9 @@
 // Package settings reads and checks the platform's TOML file and the
 // operators' optional XML file.
+//
+// It owns the fields of both files, their defaults and checks, and what follows from a
+// setting alone, as the limits that always hold. It does not watch the files: a node keeps
+// the settings that it started with.
 package settings
 
 import (
@@ -183,6 +187,7 @@
 	return &s, nil
 }
 
+// check tells the first field found wrong.
 func (s *Settings) check() error {
 	c := &checker{}
 	c.text("member", s.Member)
@@ -239,6 +244,7 @@
 // checker keeps the first thing found wrong.
 type checker struct{ err error }
 
+// that notes what is wrong with a field unless ok.
 func (c *checker) that(ok bool, field, wrong string) {
 	if c.err == nil && !ok {
 		c.err = fmt.Errorf("%s %s", field, wrong)
@@ -249,6 +255,7 @@
 // 8192 tasks.
 const leastValueKB = 2
 
+// state checks the limits of the state service.
 func (c *checker) state(at string, s State) {
 	const little = 1e-3
 	c.amount(at+"rps", s.RPS, little)
@@ -257,14 +264,17 @@
 	c.that(s.TxnOps >= 3, at+"txn_ops", "must be at least 3")
 }
 
+// text checks that a field is there.
 func (c *checker) text(field, v string) { c.that(v != "", field, "is missing") }
 
+// addr checks that a field is a host with a port.
 func (c *checker) addr(field, v string) {
 	c.text(field, v)
 	_, _, err := net.SplitHostPort(v)
 	c.that(err == nil, field, "is no address with a port")
 }
 
+// amount checks that a field is a finite number of at least the given one.
 func (c *checker) amount(field string, v, least float64) {
 	c.that(!math.IsNaN(v) && !math.IsInf(v, 0) && v >= least, field,
 		fmt.Sprintf("must be a number of at least %v", least))
--- a/internal/statestore/batch.go
+++ b/internal/statestore/batch.go
@@ -24,6 +24,7 @@
 	most    int // writes in a transaction
 }
 
+// put is a write that waits for its result.
 type put struct {
 	key   string
 	stamp uint64
@@ -148,6 +149,7 @@
 	}
 }
 
+// finish tells who waits for the write how it ended.
 func (p *put) finish(rev uint64, err error) {
 	p.rev, p.err = rev, err
 	close(p.done)
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -1,4 +1,8 @@
 // Package statestore is the client of the state service.
+//
+// It owns the requests, what their answers mean as errors, this node's share of the rate
+// limits, and which values and transactions the service takes. It does not know what the
+// keys hold, and except for Batcher's split transactions it repeats nothing by itself.
 package statestore
 
 import (
@@ -34,6 +38,7 @@
 // Conflict carries the keys whose conditions failed.
 type Conflict struct{ Keys []string }
 
+// Error names the keys.
 func (c *Conflict) Error() string { return "conditions failed: " + strings.Join(c.Keys, " ") }
 
 // Unwrap makes errors.Is(err, ErrConflict) true.
@@ -221,6 +226,7 @@
 	return holdResult(code, err)
 }
 
+// holdResult is the outcome of a request about a hold.
 func holdResult(code int, err error) error {
 	switch {
 	case err != nil:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,9 @@
 // Package wire holds the messages of the protocol and its limits. The odd
 // names of the wire stand in the tags here and nowhere else.
+//
+// It owns the encoding, the size limits of bodies, and which job descriptions are well
+// formed. It does not know whether a job can run: that depends on the catalog and the
+// teams (internal/api).
 package wire
 
 import (
@@ -28,6 +32,7 @@
 	encoder = must(cbor.EncOptions{}.EncMode())
 )
 
+// must is the mode, which can only fail by a mistake in its options.
 func must[M any](mode M, err error) M {
 	if err != nil {
 		panic(err)
@@ -45,7 +50,7 @@
 // no map is an error when v is a struct.
 func Unmarshal(b []byte, v any) error { return decoder.Unmarshal(b, v) }
 
-// NewEncoder and NewDecoder serve streams between nodes.
+// NewEncoder writes a stream of values to w.
 func NewEncoder(w io.Writer) *cbor.Encoder { return encoder.NewEncoder(w) }
 
 // NewDecoder reads a stream of values from r.
@@ -313,7 +318,8 @@
 	Events   []Event `json:"events"`
 }
 
-// HoldRequest asks for a hold, HoldAnswer grants one.
+// HoldRequest asks for a hold: a session, in the words of the state service, whose keys are
+// removed when it ends.
 type HoldRequest struct {
 	LifeMS int64 `json:"life_ms"`
 }
--- a/node.go
+++ b/node.go
@@ -1,4 +1,8 @@
 // Package caperlatch runs a controller node of the cluster scheduler.
+//
+// It owns how the parts of a node are put together: who is told what by whom, and what one
+// node answers another. It decides nothing about jobs or machines, which is the leader's
+// part (internal/leader), and does not handle users' requests (internal/api).
 package caperlatch
 
 import (
@@ -67,6 +71,7 @@
 	})
 }
 
+// newNode makes a node that reaches everything around it through o.
 func newNode(s *settings.Settings, t settings.Tuning, o outside) *Node {
 	n := &Node{settings: s, tuning: t, outside: o, times: api.NewTimes()}
 	n.store = statestore.New(s.External.State, s.Params.State, o.services)
@@ -108,6 +113,7 @@
 	return nil
 }
 
+// handler answers users, workers and health checks.
 func (n *Node) handler() http.Handler {
 	return api.New(&api.Handler{
 		Node: n, Settings: n.settings, Store: n.store, Batch: statestore.NewBatcher(n.store), Replica: n.replica, Times: n.times,
@@ -286,6 +292,7 @@
 	l.Run(ctx)
 }
 
+// setLeading notes that this node leads, or with nil that it no longer does.
 func (n *Node) setLeading(l *leader.Leader) {
 	n.replica.SetEager(l != nil)
 	n.mu.Lock()
