--- /dev/null
+++ b/internal/api/explain.go
@@ -0,0 +1,72 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"caperlatch/internal/leader"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/wire"
+)
+
+// explainBarrier is how long to wait for the state service; it leaves time to ask the
+// leader as well.
+const explainBarrier = 700 * micros.Millisecond
+
+// explain tells what is known of a job. It answers in a take-over, in an outage of the
+// state service and beside a silent leader as well, when the duty team needs it most: then
+// with what this node holds, and how old that is.
+func (h *Handler) explain(c echo.Context) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), userTimeout.Duration())
+	defer cancel()
+	id := c.Param("id")
+	if !wire.ValidJobID(id) {
+		return bad(c, http.StatusNotFound, errNoSuchJob)
+	}
+	if !h.Replica.Loaded() {
+		return bad(c, http.StatusServiceUnavailable, errors.New("this node has not read the state service yet"))
+	}
+	asking, stop := context.WithTimeout(ctx, explainBarrier.Duration())
+	barrier := h.Replica.Barrier(asking)
+	stop()
+	job, _, ok := h.Replica.Job(id)
+	ageS := (micros.Now() - h.Replica.Seen()).Seconds()
+	switch {
+	case !ok && barrier != nil:
+		return bad(c, http.StatusServiceUnavailable, fmt.Errorf("not known here, and the state service has not answered for %.0f s", ageS))
+	case !ok:
+		return bad(c, http.StatusNotFound, errNoSuchJob)
+	}
+	explanation := h.explanation(ctx, id, job, ageS)
+	if barrier != nil {
+		explanation.Notes = append(explanation.Notes, fmt.Sprintf(
+			"the state service has not answered %s for %.0f s: what was submitted, cancelled or stored since is not known here", h.Settings.Member, ageS))
+	}
+	return reply(c, http.StatusOK, explanation)
+}
+
+// explanation is what the leader tells of a job or, if it does not answer, what is known
+// here and is ageS old, completed by the job's description and end.
+func (h *Handler) explanation(ctx context.Context, id string, job replica.Job, ageS float64) leader.Explanation {
+	e, err := h.Node.Explain(ctx, id)
+	if err != nil {
+		e = leader.Explanation{By: h.Settings.Member, AgeS: ageS}
+		e.Notes = append(e.Notes, "the leader does not say more: "+err.Error())
+	}
+	e.Job, e.State, e.Submitted, e.Ended = id, job.State, job.SubmittedAt, job.EndedAt
+	if spec := job.Spec; spec != nil {
+		e.Team, e.Class, e.Priority, e.Tasks = spec.Team, spec.Class, spec.Priority, spec.Tasks
+		if err != nil {
+			e.Done, e.Running = h.Node.Counts(id)
+		}
+	}
+	if job.Final() {
+		e.Why = append(e.Why, "it is "+job.State+": "+job.Reason)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/api/report.go
@@ -0,0 +1,111 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"caperlatch/internal/leader"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+)
+
+// Times of relaying: a worker that comes back so soon after it was redirected
+// cannot stay where it was sent; its answer must come well before it gives up.
+const (
+	comesBackWithin = 15 * micros.Second
+	relayTimeout    = 2500 * micros.Millisecond
+	// resentWithin is how soon a worker may send again what it sent before it was
+	// redirected; that does not show that it cannot reach the other node.
+	resentWithin = micros.Second
+)
+
+var errNoLeader = errors.New("no leader known")
+
+// report answers a worker. The leader has the other nodes take the reports, which
+// they pass on to it: one node that took all of a large fleet's reports would
+// spend its processor on connections. The leader alone makes the answers, so
+// whoever hands them over, they are bound by the leader's token and contact.
+func (h *Handler) report(c echo.Context) error {
+	body, err := wire.ReadBody(c.Request().Body)
+	if err != nil {
+		return bad(c, http.StatusBadRequest, err)
+	}
+	if l := h.Node.Leading(); l != nil {
+		return h.answerReport(c, l, body)
+	}
+	return h.relayReport(c, body)
+}
+
+// answerReport answers a report at the node that leads.
+func (h *Handler) answerReport(c echo.Context, l *leader.Leader, body []byte) error {
+	var report wire.Report
+	if err := wire.Unmarshal(body, &report); err != nil {
+		return bad(c, http.StatusBadRequest, err)
+	}
+	if front := h.Node.Front(report.Machine); front != "" && !h.cameBack(report.Machine) {
+		return redirect(c, front)
+	}
+	answer, err := l.Report(&report)
+	if err != nil {
+		return bad(c, http.StatusServiceUnavailable, err)
+	}
+	return reply(c, http.StatusOK, answer)
+}
+
+// relayReport passes a report on to the leader, or sends the worker there.
+func (h *Handler) relayReport(c echo.Context, body []byte) error {
+	member := h.Node.LeaderMember()
+	if member == "" || member == h.Settings.Member {
+		return bad(c, http.StatusServiceUnavailable, errNoLeader)
+	}
+	if !h.Node.Relays() {
+		// A worker that comes back cannot reach the leader either.
+		var report wire.Report
+		if err := wire.Unmarshal(body, &report); err != nil {
+			return bad(c, http.StatusBadRequest, err)
+		}
+		if !h.cameBack(report.Machine) {
+			return redirect(c, member)
+		}
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), relayTimeout.Duration())
+	defer cancel()
+	answer, err := h.Node.Relay(ctx, body)
+	if err != nil {
+		return bad(c, http.StatusServiceUnavailable, err)
+	}
+	return c.Blob(http.StatusOK, wire.ContentType, answer)
+}
+
+// redirect sends a worker to another node.
+func redirect(c echo.Context, member string) error {
+	return reply(c, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: member})
+}
+
+// cameBack tells whether a worker was sent to another node a short while ago.
+// One that is answered here then stays; now and then it is sent again.
+func (h *Handler) cameBack(machine string) bool {
+	now := micros.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.redirected == nil || now-h.swept > comesBackWithin {
+		for id, at := range h.redirected {
+			if now-at > comesBackWithin {
+				delete(h.redirected, id)
+			}
+		}
+		h.swept = now
+	}
+	if h.redirected == nil {
+		h.redirected = map[string]micros.Micros{}
+	}
+	since, ok := h.redirected[machine]
+	if !ok || now-since > comesBackWithin {
+		h.redirected[machine] = now
+		return false
+	}
+	return now-since > resentWithin
+}
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -75,76 +75,120 @@
 	return s.ID
 }
 
+// A CBOR value's major type stands in the top three bits of its first byte.
+const (
+	cborMap        = 5
+	majorTypeShift = 5
+)
+
 // ParseJob decodes and checks a submission. Its errors are the user's (400).
 func ParseJob(body []byte) (Job, error) {
 	var s submission
 	if err := Unmarshal(body, &s); err != nil {
 		return Job{}, fmt.Errorf("not a job description: %w", err)
 	}
-	if len(body) == 0 || body[0]>>5 != 5 { // major type 5 is a map
+	if len(body) == 0 || body[0]>>majorTypeShift != cborMap {
 		return Job{}, errors.New("not a map")
 	}
-	var err error
-	text := func(name string, p *string) string {
-		if err == nil && (p == nil || *p == "") {
-			err = fmt.Errorf("%s is missing", name)
-		}
-		if err != nil {
-			return ""
-		}
-		return *p
-	}
-	amount := func(name string, p *float64, positive bool) float64 {
-		switch {
-		case err != nil:
-		case p == nil:
-			err = fmt.Errorf("%s is missing", name)
-		case math.IsNaN(*p) || math.IsInf(*p, 0) || *p < 0 || positive && *p == 0 || *p > 1e12:
-			err = fmt.Errorf("%s is out of range", name)
-		default:
-			return *p
-		}
-		return 0
+	job, err := s.job()
+	if err != nil {
+		return Job{}, err
 	}
-	flag := func(name string, p *bool) bool {
-		if err == nil && p == nil {
-			err = fmt.Errorf("%s is missing", name)
-		}
-		return p != nil && *p
+	if err := s.check(&job); err != nil {
+		return Job{}, err
 	}
-	j := Job{
-		ID: text("id", s.ID), Class: text("lane", s.Class), Team: text("desk", s.Team),
-		Shape: text("shape", s.Shape), Priority: text("rank", s.Priority),
-		CPUs: amount("vcpus", s.CPUs, false), GPUs: amount("cards", s.GPUs, false),
-		MemoryGB: amount("memory_gb", s.MemoryGB, false),
-		Image:    text("bundle", s.Image), ImageGB: amount("pull_gb", s.ImageGB, false),
-		Types: s.Types, OneZone: flag("together", s.OneZone), Spread: flag("scatter", s.Spread),
-		Spot: flag("standby", s.Spot), EstimateS: amount("expect_s", s.EstimateS, false),
-		CheckpointS: amount("save_every_s", s.CheckpointS, false), SaveS: amount("store_s", s.SaveS, false),
+	job.Tasks = *s.Tasks
+	return job, nil
+}
+
+// job copies the fields, all but the number of tasks, or tells which one is missing or no
+// usable value.
+func (s *submission) job() (Job, error) {
+	var r fieldReader
+	job := Job{
+		ID:          r.text("id", s.ID),
+		Class:       r.text("lane", s.Class),
+		Team:        r.text("desk", s.Team),
+		Shape:       r.text("shape", s.Shape),
+		Priority:    r.text("rank", s.Priority),
+		CPUs:        r.amount("vcpus", s.CPUs),
+		GPUs:        r.amount("cards", s.GPUs),
+		MemoryGB:    r.amount("memory_gb", s.MemoryGB),
+		Image:       r.text("bundle", s.Image),
+		ImageGB:     r.amount("pull_gb", s.ImageGB),
+		Types:       s.Types,
+		OneZone:     r.flag("together", s.OneZone),
+		Spread:      r.flag("scatter", s.Spread),
+		Spot:        r.flag("standby", s.Spot),
+		EstimateS:   r.amount("expect_s", s.EstimateS),
+		CheckpointS: r.amount("save_every_s", s.CheckpointS),
+		SaveS:       r.amount("store_s", s.SaveS),
 	}
 	if s.Zone != nil {
-		j.Zone = text("hall", s.Zone)
+		job.Zone = r.text("hall", s.Zone)
 	}
 	if s.DeadlineS != nil {
-		due := amount("due_s", s.DeadlineS, false)
-		j.DeadlineS = &due
+		deadline := r.amount("due_s", s.DeadlineS)
+		job.DeadlineS = &deadline
 	}
+	return job, r.err
+}
+
+// check tells what the protocol does not allow in a job that has all its fields.
+func (s *submission) check(job *Job) error {
 	switch {
-	case err != nil:
-	case !ValidJobID(j.ID):
-		err = errors.New("id is not in the form j-000000")
-	case j.Shape != ShapeArray && j.Shape != ShapeGang && j.Shape != ShapeService:
-		err = errors.New("shape is unknown")
-	case PriorityRank(j.Priority) < 0:
-		err = errors.New("rank is unknown")
+	case !ValidJobID(job.ID):
+		return errors.New("id is not in the form j-000000")
+	case job.Shape != ShapeArray && job.Shape != ShapeGang && job.Shape != ShapeService:
+		return errors.New("shape is unknown")
+	case PriorityRank(job.Priority) < 0:
+		return errors.New("rank is unknown")
 	case s.Tasks == nil:
-		err = errors.New("pieces is missing")
+		return errors.New("pieces is missing")
 	case *s.Tasks < 1 || *s.Tasks > MaxTasks:
-		err = errors.New("pieces is out of range")
+		return errors.New("pieces is out of range")
 	case s.Types != nil && len(s.Types) == 0:
-		err = errors.New("builds is empty")
+		return errors.New("builds is empty")
+	}
+	return nil
+}
+
+// maxAmount is far beyond any real amount, and small enough that sums and products of
+// amounts stay in range.
+const maxAmount = 1e12
+
+// fieldReader reads fields that must be there and keeps the first error.
+type fieldReader struct{ err error }
+
+// text reads a text that is not empty.
+func (r *fieldReader) text(name string, p *string) string {
+	if r.err == nil && (p == nil || *p == "") {
+		r.err = fmt.Errorf("%s is missing", name)
+	}
+	if r.err != nil {
+		return ""
+	}
+	return *p
+}
+
+// amount reads a number that is finite and not negative.
+func (r *fieldReader) amount(name string, p *float64) float64 {
+	switch {
+	case r.err != nil:
+	case p == nil:
+		r.err = fmt.Errorf("%s is missing", name)
+	case math.IsNaN(*p) || math.IsInf(*p, 0) || *p < 0 || *p > maxAmount:
+		r.err = fmt.Errorf("%s is out of range", name)
 	default:
-		j.Tasks = *s.Tasks
+		return *p
+	}
+	return 0
+}
+
+// flag reads a truth value.
+func (r *fieldReader) flag(name string, p *bool) bool {
+	if r.err == nil && p == nil {
+		r.err = fmt.Errorf("%s is missing", name)
 	}
-	return j, err
+	return p != nil && *p
 }
