--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -1,5 +1,5 @@
-// Package election decides which node leads, by a key on a hold of the state
-// service.
+// Package election decides which node leads, by a key that lives as long as a
+// session of the state service.
 //
 // It owns the campaigns, the terms, their fencing tokens, and the proof that a term may still act.
 // It does not know what a leader does, and does not talk to the peers: it is told what
@@ -20,88 +20,26 @@
 	"caperlatch/internal/wire"
 )
 
-// The hold's life bounds how long nobody leads after a leader's crash. It is
-// extended often enough to survive two lost requests.
+// The session's life bounds how long nobody leads after a leader's crash. It is
+// renewed often enough to survive two lost requests.
 const (
-	Life        = 3 * micros.Second
-	extendEvery = 700 * micros.Millisecond
+	SessionLife = 3 * micros.Second
+	renewEvery  = 700 * micros.Millisecond
 	retryEvery  = 200 * micros.Millisecond
 	// refusedPause is between campaigns that the service refuses as they are.
 	refusedPause = 5 * micros.Second
 )
 
-// Peers is what the election asks of the other nodes' words.
+// Peers is what the election asks of the other nodes' last answers.
 type Peers interface {
-	// Confirmed is when all peers last were without a higher token, and
-	// Promised until when all of them promise not to try to lead.
+	// Confirmed is when all peers last were without a higher token.
 	Confirmed(token uint64) micros.Micros
-	Promised(token uint64) micros.Micros
+	// AbstainUntil is until when all peers abstain from trying to lead, 0 if they do not.
+	AbstainUntil(token uint64) micros.Micros
 	// KnownSince is since when all peers have known a token, 0 if they do not.
 	KnownSince(token uint64) micros.Micros
 }
 
-// Term is one leadership.
-type Term struct {
-	peers   Peers
-	replica *replica.Replica
-
-	Token uint64
-	Stamp uint64 // of the leader key; every write of the term is conditioned on it
-	hold  uint64
-
-	mu        sync.Mutex
-	confirmed micros.Micros // send time of the last good extend
-	over      bool
-}
-
-// Confirmed is when it was last proved that this term may act and knows of all
-// cancellations: by the state service, where the hold lives and the changes are
-// read by separate requests and the older one counts, or by all peers' words.
-func (t *Term) Confirmed() micros.Micros {
-	peers, seen := t.peers.Confirmed(t.Token), t.replica.Seen()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return max(min(t.confirmed, seen), peers)
-}
-
-// Alone is since when no other node can answer workers with a lower token; 0
-// while that is not known.
-func (t *Term) Alone() micros.Micros { return t.peers.KnownSince(t.Token) }
-
-// Held tells whether the hold has not ended, even if the service's clock runs
-// fast.
-func (t *Term) Held() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.over && micros.Now() < t.confirmed+Life-micros.Drift(Life)
-}
-
-// Sure tells whether nobody else can be leader now: the hold has not ended, or
-// all others, who cannot reach the state service either, promise not to try.
-func (t *Term) Sure() bool {
-	if t.Held() {
-		return true
-	}
-	t.mu.Lock()
-	over := t.over
-	t.mu.Unlock()
-	return !over && micros.Now() < t.peers.Promised(t.Token)
-}
-
-// confirm notes that the hold lived when a request was sent.
-func (t *Term) confirm(sent micros.Micros) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.confirmed = max(t.confirmed, sent)
-}
-
-// end notes that the term is over.
-func (t *Term) end() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.over = true
-}
-
 // Election runs for leadership on behalf of one member.
 type Election struct {
 	member  string
@@ -110,48 +48,68 @@
 	peers   Peers
 	lead    func(ctx context.Context, t *Term)
 	began   micros.Micros
-	// forgotten is how long a promise of an earlier life may bind.
-	forgotten micros.Micros
-	pause     micros.Micros // after a campaign in vain
+	// abstention is how long one of an earlier life may bind this one.
+	abstention micros.Micros
+	pause      micros.Micros // after a campaign in vain
 
-	mu       sync.Mutex
-	promised micros.Micros // until then this node must not try to lead
-	trying   bool          // a campaign's outcome is open
-	highest  replica.Leader
+	mu           sync.Mutex
+	abstainUntil micros.Micros // until then this node must not try to lead
+	trying       bool          // a campaign's outcome is open
+	highest      replica.Leader
 }
 
-// New makes an election; lead is called for each term and must return soon
-// after its context ends.
-func New(member string, store *statestore.Client, r *replica.Replica, peers Peers, forgotten micros.Micros, lead func(context.Context, *Term)) *Election {
-	return &Election{member: member, store: store, replica: r, peers: peers, lead: lead, began: micros.Now(), forgotten: forgotten, pause: retryEvery}
+// Config is what an election works with.
+type Config struct {
+	Member  string
+	Store   *statestore.Client
+	Replica *replica.Replica
+	Peers   Peers
+	// Abstention is the longest that a node may have been told to abstain for.
+	Abstention micros.Micros
+	// Lead is called for each term and must return soon after its context ends.
+	Lead func(context.Context, *Term)
 }
 
-// Promise has this node not try to lead for a while, if it is in a position to
+// New makes an election.
+func New(c Config) *Election {
+	return &Election{
+		member:     c.Member,
+		store:      c.Store,
+		replica:    c.Replica,
+		peers:      c.Peers,
+		lead:       c.Lead,
+		began:      micros.Now(),
+		abstention: c.Abstention,
+		pause:      retryEvery,
+	}
+}
+
+// Abstain has this node not try to lead for a while, if it is in a position to
 // say so: it does not lead, and no campaign of it may still succeed.
-func (e *Election) Promise(life micros.Micros) bool {
+func (e *Election) Abstain(life micros.Micros) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.trying {
 		return false
 	}
-	e.promised = max(e.promised, micros.Now()+life)
+	e.abstainUntil = max(e.abstainUntil, micros.Now()+life)
 	return true
 }
 
-// mayTry begins a campaign unless a promise of this node binds it. A restarted
-// node does not know what it had promised and waits it out.
-func (e *Election) mayTry() bool {
+// beginCampaign tells whether this node may try to lead, and notes that it does. A
+// restarted node does not know whether it was abstaining and waits that out.
+func (e *Election) beginCampaign() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if now := micros.Now(); now < e.promised || now < e.began+e.forgotten {
+	if now := micros.Now(); now < e.abstainUntil || now < e.began+e.abstention {
 		return false
 	}
 	e.trying = true
 	return true
 }
 
-// tried notes that a campaign's outcome is no longer open.
-func (e *Election) tried() {
+// endCampaign notes that a campaign's outcome is no longer open.
+func (e *Election) endCampaign() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.trying = false
@@ -194,35 +152,16 @@
 	return l, stamp
 }
 
+// idleWait is how long to wait for a change of the leader key before looking again.
+const idleWait = micros.Second
+
 // Run takes part until ctx ends.
 func (e *Election) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := e.replica.Changed()
-		l, stamp := e.Leader()
-		wait := micros.Second
-		switch {
-		case !e.replica.Loaded():
-		case stamp == 0 && !e.mayTry():
-			wait = retryEvery
-		case stamp == 0:
-			t := e.campaign(ctx)
-			if t != nil {
-				e.serve(ctx, t)
-			}
-			e.tried()
-			if t != nil {
-				continue
-			}
-			wait = e.pause + micros.Micros(rand.Int64N(int64(retryEvery)))
-		case l.Member == e.member:
-			// An earlier life of this member, or an unanswered campaign of
-			// this one, holds the key. Nothing acts for it any more: every
-			// term gets its own token, also for the same member.
-			slog.Info("ending the hold of an earlier term", "token", l.Token)
-			if err := e.store.Release(ctx, l.Hold); err != nil {
-				slog.Debug("release", "error", err)
-			}
-			wait = retryEvery
+		wait := e.step(ctx)
+		if wait == 0 {
+			continue
 		}
 		select {
 		case <-ctx.Done():
@@ -232,6 +171,49 @@
 	}
 }
 
+// step does what the leader key asks of this node now, and tells for how long to wait for
+// a change after that.
+func (e *Election) step(ctx context.Context) (wait micros.Micros) {
+	l, stamp := e.Leader()
+	switch {
+	case !e.replica.Loaded():
+		return idleWait
+	case stamp == 0:
+		return e.tryToLead(ctx)
+	case l.Member == e.member:
+		// An earlier life of this member, or an unanswered campaign of
+		// this one, holds the key. Nothing acts for it any more: every
+		// term gets its own token, also for the same member.
+		slog.Info("ending the session of an earlier term", "token", l.Token)
+		e.endSession(ctx, l.Session)
+		return retryEvery
+	}
+	return idleWait
+}
+
+// tryToLead runs a campaign, and the term if it is won.
+func (e *Election) tryToLead(ctx context.Context) (wait micros.Micros) {
+	if !e.beginCampaign() {
+		return retryEvery
+	}
+	t := e.campaign(ctx)
+	if t != nil {
+		e.serve(ctx, t)
+	}
+	e.endCampaign()
+	if t != nil {
+		return 0
+	}
+	return e.pause + micros.Micros(rand.Int64N(int64(retryEvery)))
+}
+
+// endSession ends a session at the state service, if it can be reached.
+func (e *Election) endSession(ctx context.Context, session uint64) {
+	if err := e.store.EndSession(ctx, session); err != nil {
+		slog.Debug("end session", "error", err)
+	}
+}
+
 // campaign tries to become leader; the token is raised in the transaction
 // that takes the key.
 func (e *Election) campaign(ctx context.Context) *Term {
@@ -242,17 +224,20 @@
 		return nil
 	}
 	sent := micros.Now()
-	hold, err := e.store.Hold(ctx, Life)
+	session, err := e.store.NewSession(ctx, SessionLife)
 	if err != nil {
 		slog.Debug("campaign", "error", err)
 		return nil
 	}
 	next := replica.Token{Token: token.Token + 1}
-	leader := replica.Leader{Member: e.member, Token: next.Token, Hold: hold}
-	rev, err := e.store.Commit(ctx, wire.Txn{
-		If: []wire.Condition{{Key: replica.LeaderKey}, {Key: replica.TokenKey, Stamp: tokenStamp}},
+	leader := replica.Leader{Member: e.member, Token: next.Token, Session: session}
+	revision, err := e.store.Commit(ctx, wire.Txn{
+		If: []wire.Condition{
+			{Key: replica.LeaderKey},
+			{Key: replica.TokenKey, Stamp: tokenStamp},
+		},
 		Then: []wire.Op{
-			{Write: replica.LeaderKey, Value: leader, Hold: hold},
+			{Write: replica.LeaderKey, Value: leader, Hold: session},
 			{Write: replica.TokenKey, Value: next},
 		},
 	})
@@ -265,17 +250,22 @@
 			e.pause = refusedPause
 		}
 		slog.Debug("campaign", "error", err)
-		if err := e.store.Release(ctx, hold); err != nil {
-			slog.Debug("release", "error", err)
-		}
+		e.endSession(ctx, session)
 		return nil
 	}
-	e.replica.Wrote(replica.LeaderKey, leader, rev)
-	e.replica.Wrote(replica.TokenKey, next, rev)
-	return &Term{peers: e.peers, replica: e.replica, Token: next.Token, Stamp: rev, hold: hold, confirmed: sent}
+	e.replica.Wrote(replica.LeaderKey, leader, revision)
+	e.replica.Wrote(replica.TokenKey, next, revision)
+	return &Term{
+		peers:     e.peers,
+		replica:   e.replica,
+		Token:     next.Token,
+		Stamp:     revision,
+		session:   session,
+		confirmed: sent,
+	}
 }
 
-// serve keeps the hold and leads until the term is over.
+// serve keeps the session and leads until the term is over.
 func (e *Election) serve(ctx context.Context, t *Term) {
 	slog.Info("leading", "token", t.Token)
 	ctx, cancel := context.WithCancel(ctx)
@@ -289,11 +279,9 @@
 	cancel()
 	<-done
 	slog.Info("no longer leading", "token", t.Token)
-	release, stop := context.WithTimeout(context.Background(), statestore.Timeout.Duration())
+	ending, stop := context.WithTimeout(context.Background(), statestore.Timeout.Duration())
 	defer stop()
-	if err := e.store.Release(release, t.hold); err != nil {
-		slog.Debug("release", "error", err)
-	}
+	e.endSession(ending, t.session)
 }
 
 // superseded tells whether the leader key is another's, or a peer knows of a
@@ -306,39 +294,45 @@
 	return token > t.Token
 }
 
-// keep extends the hold until the term is lost or given up.
+// keep renews the session until the term is lost or given up.
 func (e *Election) keep(ctx context.Context, t *Term, done <-chan struct{}) {
 	for {
 		changed := e.replica.Changed()
 		if e.superseded(t) {
 			return
 		}
-		wait := extendEvery
+		wait := renewEvery
 		sent := micros.Now()
-		switch err := e.store.Extend(ctx, t.hold); {
+		switch err := e.store.RenewSession(ctx, t.session); {
 		case err == nil:
 			t.confirm(sent)
-		case errors.Is(err, statestore.ErrNoHold):
+		case errors.Is(err, statestore.ErrNoSession):
 			return
 		default:
-			slog.Debug("extend", "error", err)
+			slog.Debug("renew session", "error", err)
 			wait = retryEvery
 		}
-		deadline := time.After(wait.Duration())
-	waiting:
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-done:
-				return
-			case <-deadline:
-				break waiting
-			case <-changed:
-				changed = e.replica.Changed()
-				if e.superseded(t) {
-					return
-				}
+		if !e.waitInTerm(ctx, t, done, changed, wait) {
+			return
+		}
+	}
+}
+
+// waitInTerm waits and tells whether the term goes on.
+func (e *Election) waitInTerm(ctx context.Context, t *Term, done, changed <-chan struct{}, wait micros.Micros) bool {
+	deadline := time.After(wait.Duration())
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-done:
+			return false
+		case <-deadline:
+			return true
+		case <-changed:
+			changed = e.replica.Changed()
+			if e.superseded(t) {
+				return false
 			}
 		}
 	}
--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,86 @@
+// Package peer carries requests between controller nodes: CBOR values on
+// streams over net, one stream a direction.
+//
+// It owns the messages between nodes, their transport and batching, what the peers last
+// told, and the versions that they speak. It does not decide what a node answers or what
+// follows from its peers' answers.
+package peer
+
+import (
+	"errors"
+	"io"
+
+	"caperlatch/internal/leader"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/wire"
+)
+
+// Request asks a peer one of these things.
+type Request struct {
+	ID      uint64     `json:"id"`
+	Probe   *Probe     `json:"probe,omitempty"`
+	Relay   []wire.Raw `json:"relay,omitempty"` // workers' reports
+	Explain string     `json:"explain,omitempty"`
+}
+
+// Probe tells a peer of its sender and asks for its state.
+type Probe struct {
+	Member string            `json:"member"`
+	Token  uint64            `json:"token"`            // highest known
+	Leader string            `json:"leader"`           // whose token that is
+	Doubt  bool              `json:"doubt"`            // it leads, and does not know whether its session has ended
+	Counts map[string][2]int `json:"counts,omitempty"` // done and running tasks, from the leader
+	Since  uint64            `json:"since"`            // revision up to which it knows all cancellations
+}
+
+// State is what a node tells of itself.
+type State struct {
+	Loaded     bool          `json:"loaded"`
+	Token      uint64        `json:"token"`       // highest known
+	Leader     string        `json:"leader"`      // whose token that is
+	SinceHeard micros.Micros `json:"since_heard"` // since the state service last answered it
+	Promise    micros.Micros `json:"promise"`     // for this long it abstains from trying to lead; 0: it may try
+	Fronts     bool          `json:"fronts"`      // it takes reports and passes them on to the one that asks
+	// Cancelled are the cancellations that it knows of since the revision asked for: all
+	// there are up to Through, and with Whole all that it ever told a user.
+	Cancelled []replica.Cancellation `json:"cancelled"`
+	Through   uint64                 `json:"through"`
+	Whole     bool                   `json:"whole"`
+	Version   int                    `json:"version,omitempty"` // that it speaks
+}
+
+// Response answers the request of the same id.
+type Response struct {
+	ID      uint64              `json:"id"`
+	State   *State              `json:"state,omitempty"`
+	Relay   []Relayed           `json:"relay,omitempty"`
+	Explain *leader.Explanation `json:"explain,omitempty"`
+	Error   string              `json:"error,omitempty"`
+}
+
+// Relayed is the leader's answer to one report that was passed on, or why there
+// is none.
+type Relayed struct {
+	Answer wire.Raw `json:"answer,omitempty"`
+	Error  string   `json:"error,omitempty"`
+}
+
+// maxMessage bounds what a peer may send in one value.
+const maxMessage = 1 << 20
+
+// limitedReader ends a stream whose single value is too large.
+type limitedReader struct {
+	r    io.Reader
+	left int
+}
+
+// Read reads at most what is left of the limit.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errors.New("message too large")
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"caperlatch/internal/leader"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+)
+
+// Times of serving.
+const (
+	acceptPause  = 100 * micros.Millisecond // after a connection could not be accepted
+	writeTimeout = 2 * micros.Second        // a peer that reads no answer for so long is cut off
+)
+
+// Handler answers requests at once.
+type Handler interface {
+	Probed(p *Probe) *State
+	Relayed(report wire.Raw) (wire.Raw, error)
+	Explained(job string) (leader.Explanation, error)
+}
+
+// Serve answers requests on connections of l until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h Handler) {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			slog.Debug("peer accept", "error", err)
+			time.Sleep(acceptPause.Duration())
+			continue
+		}
+		wg.Go(func() {
+			stop := context.AfterFunc(ctx, func() { conn.Close() })
+			defer stop()
+			defer conn.Close()
+			slog.Debug("peer connection ended", "error", serveConn(conn, h))
+		})
+	}
+}
+
+// maxAnswers is how many bytes of answers to reports go into one message; what comes on top
+// of them, and the last answer, must still fit into maxMessage.
+const maxAnswers = maxMessage / 2
+
+// relayed answers reports that were passed on, as many as one message holds. The rest
+// must not be shown to the leader at all: were the message too large, the starts in all
+// its answers would be lost, again and again while a whole fleet waits to be filled.
+func relayed(reports []wire.Raw, h Handler) []Relayed {
+	out, size := make([]Relayed, len(reports)), 0
+	for i, r := range reports {
+		if size > maxAnswers {
+			out[i].Error = "too many answers at once"
+			continue
+		}
+		answer, err := h.Relayed(r)
+		if out[i].Answer = answer; err != nil {
+			out[i].Error = err.Error()
+		}
+		size += len(answer)
+	}
+	return out
+}
+
+// serveConn answers requests until the connection fails.
+func serveConn(conn net.Conn, h Handler) error {
+	in := &limitedReader{r: conn}
+	dec, enc := wire.NewDecoder(in), wire.NewEncoder(conn)
+	for {
+		in.left = maxMessage
+		var q Request
+		if err := dec.Decode(&q); err != nil {
+			return err
+		}
+		answer := respond(&q, h)
+		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
+			return err
+		}
+		if err := enc.Encode(answer); err != nil {
+			return err
+		}
+	}
+}
+
+// respond makes the answer to a request.
+func respond(q *Request, h Handler) Response {
+	answer := Response{ID: q.ID}
+	switch {
+	case q.Probe != nil:
+		answer.State = h.Probed(q.Probe)
+	case q.Relay != nil:
+		answer.Relay = relayed(q.Relay, h)
+	case q.Explain != "":
+		explanation, err := h.Explained(q.Explain)
+		answer.Explain = &explanation
+		if err != nil {
+			answer.Error = err.Error()
+		}
+	}
+	return answer
+}
--- a/internal/peer/version.go
+++ b/internal/peer/version.go
@@ -3,13 +3,11 @@
 import (
 	"maps"
 	"slices"
-
-	"caperlatch/internal/micros"
 )
 
 // Version is what this node speaks: what it stores and what it says to its peers. It is
 // raised when a version before it would misread either. Nodes of before there were
-// versions say nothing of theirs, which is read as 0.
+// versions tell nothing of theirs, which is read as 0.
 const Version = 1
 
 // Versions tells who serves with which version, as one node knows it.
@@ -30,18 +28,17 @@
 
 // Versions is what the nodes speak as far as it is known to member, which is this one. A
 // peer with a later version than this node's speaks this one as well.
-func (c *Cohort) Versions(member string) Versions {
-	v := Versions{Member: member, Version: Version, Common: Version}
-	now := micros.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, m := range slices.Sorted(maps.Keys(c.clients)) {
-		p := PeerVersion{Member: m}
-		if s := c.last[m]; s.sent != 0 && s.sent > now-HeardWithin {
-			p.Heard, p.Version = true, max(0, s.state.Version)
+func (p *Peers) Versions(member string) Versions {
+	all := Versions{Member: member, Version: Version, Common: Version}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range slices.Sorted(maps.Keys(p.clients)) {
+		one := PeerVersion{Member: m}
+		if last := p.last[m]; last.freshWithin(HeardWithin) {
+			one.Heard, one.Version = true, max(0, last.state.Version)
 		}
-		v.Common = min(v.Common, p.Version)
-		v.Peers = append(v.Peers, p)
+		all.Common = min(all.Common, one.Version)
+		all.Peers = append(all.Peers, one)
 	}
-	return v
+	return all
 }
--- a/internal/peer/version_test.go
+++ b/internal/peer/version_test.go
@@ -12,33 +12,33 @@
 
 // TestVersions goes through what peers may say of their version.
 func TestVersions(t *testing.T) {
-	heard := func(v int) *said { return &said{state: State{Version: v}} }
-	long := &said{state: State{Version: Version}, sent: -2 * HeardWithin}
+	heard := func(v int) *lastAnswer { return &lastAnswer{state: State{Version: v}} }
+	long := &lastAnswer{state: State{Version: Version}, sent: -2 * HeardWithin}
 	cases := []struct {
 		name   string
-		said   map[string]*said
+		last   map[string]*lastAnswer
 		peers  []PeerVersion
 		common int
 	}{
-		{"all ours", map[string]*said{"b": heard(Version), "c": heard(Version)}, []PeerVersion{{"b", true, Version}, {"c", true, Version}}, Version},
-		{"one of before there were versions", map[string]*said{"b": heard(0), "c": heard(Version)}, []PeerVersion{{"b", true, 0}, {"c", true, Version}}, 0},
-		{"one never heard", map[string]*said{"b": heard(Version)}, []PeerVersion{{"b", true, Version}, {"c", false, 0}}, 0},
+		{"all ours", map[string]*lastAnswer{"b": heard(Version), "c": heard(Version)}, []PeerVersion{{"b", true, Version}, {"c", true, Version}}, Version},
+		{"one of before there were versions", map[string]*lastAnswer{"b": heard(0), "c": heard(Version)}, []PeerVersion{{"b", true, 0}, {"c", true, Version}}, 0},
+		{"one never heard", map[string]*lastAnswer{"b": heard(Version)}, []PeerVersion{{"b", true, Version}, {"c", false, 0}}, 0},
 		// It may have come back with the old version meanwhile.
-		{"one not heard for long", map[string]*said{"b": heard(Version), "c": long}, []PeerVersion{{"b", true, Version}, {"c", false, 0}}, 0},
-		{"one of a later version", map[string]*said{"b": heard(Version + 7), "c": heard(Version)}, []PeerVersion{{"b", true, Version + 7}, {"c", true, Version}}, Version},
-		{"nonsense", map[string]*said{"b": heard(-3), "c": heard(Version)}, []PeerVersion{{"b", true, 0}, {"c", true, Version}}, 0},
+		{"one not heard for long", map[string]*lastAnswer{"b": heard(Version), "c": long}, []PeerVersion{{"b", true, Version}, {"c", false, 0}}, 0},
+		{"one of a later version", map[string]*lastAnswer{"b": heard(Version + 7), "c": heard(Version)}, []PeerVersion{{"b", true, Version + 7}, {"c", true, Version}}, Version},
+		{"nonsense", map[string]*lastAnswer{"b": heard(-3), "c": heard(Version)}, []PeerVersion{{"b", true, 0}, {"c", true, Version}}, 0},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				time.Sleep(time.Minute)
-				c := NewCohort(map[string]*Client{"b": nil, "c": nil}, nil, nil)
-				for m, s := range tc.said {
+				peers := NewPeers(map[string]*Client{"b": nil, "c": nil}, nil, nil)
+				for m, s := range tc.last {
 					s.sent += micros.Now()
-					c.last[m] = *s
+					peers.last[m] = *s
 				}
 				want := Versions{Member: "a", Version: Version, Common: tc.common, Peers: tc.peers}
-				if got := c.Versions("a"); !reflect.DeepEqual(got, want) {
+				if got := peers.Versions("a"); !reflect.DeepEqual(got, want) {
 					t.Errorf("%+v, want %+v", got, want)
 				}
 			})
@@ -47,7 +47,7 @@
 }
 
 // TestVersionIsOptional has nodes of before and after there were versions read each
-// other's words.
+// other's answers.
 func TestVersionIsOptional(t *testing.T) {
 	type before struct {
 		Loaded bool   `json:"loaded"`
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -49,12 +49,12 @@
 // Final tells whether the job is over.
 func (j *Job) Final() bool { return j.State != wire.JobPending }
 
-// Leader is the content of LeaderKey. Hold lets a restarted member end what
-// its earlier life held.
+// Leader is the content of LeaderKey. Session lets a restarted member end the session of
+// its earlier life.
 type Leader struct {
-	Member string `json:"member"`
-	Token  uint64 `json:"token"`
-	Hold   uint64 `json:"hold"`
+	Member  string `json:"member"`
+	Token   uint64 `json:"token"`
+	Session uint64 `json:"hold"`
 }
 
 // Token is the content of TokenKey: the highest fencing token given out.
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -26,7 +26,7 @@
 // whether the request was or will be executed.
 var (
 	ErrConflict    = errors.New("a condition failed")
-	ErrNoHold      = errors.New("no such hold")
+	ErrNoSession   = errors.New("no such session")
 	ErrNotExecuted = errors.New("not executed") // refused, or never sent
 	ErrUnavailable = fmt.Errorf("%w: unavailable", ErrNotExecuted)
 	ErrTooMany     = fmt.Errorf("%w: too many requests", ErrNotExecuted)
@@ -141,7 +141,7 @@
 	case http.StatusBadRequest:
 		var e wire.ErrorBody
 		if wire.Unmarshal(b, &e) == nil && e.Error == "no such lease" {
-			return status, ErrNoHold
+			return status, ErrNoSession
 		}
 		return status, fmt.Errorf("state service: %w: %s", ErrRefused, e.Error)
 	}
@@ -204,37 +204,38 @@
 	return e, nil
 }
 
-// Hold asks for a hold of the given life.
-func (c *Client) Hold(ctx context.Context, life micros.Micros) (uint64, error) {
+// NewSession begins a session, which the service calls a hold: it ends unless it is renewed
+// within life, and the keys written with it are removed then.
+func (c *Client) NewSession(ctx context.Context, life micros.Micros) (uint64, error) {
 	var a wire.HoldAnswer
 	code, err := c.call(ctx, http.MethodPost, "/holds", wire.HoldRequest{LifeMS: int64(life / micros.Millisecond)}, &a, Timeout)
 	if err == nil && code != http.StatusOK {
-		err = fmt.Errorf("state service: hold answered %d", code)
+		err = fmt.Errorf("state service: session answered %d", code)
 	}
 	return a.Hold, err
 }
 
-// Extend renews a hold.
-func (c *Client) Extend(ctx context.Context, hold uint64) error {
-	code, err := c.call(ctx, http.MethodPost, fmt.Sprintf("/holds/%d/extend", hold), map[string]any{}, nil, Timeout)
-	return holdResult(code, err)
+// RenewSession has a session live for its whole life again.
+func (c *Client) RenewSession(ctx context.Context, session uint64) error {
+	code, err := c.call(ctx, http.MethodPost, fmt.Sprintf("/holds/%d/extend", session), struct{}{}, nil, Timeout)
+	return sessionResult(code, err)
 }
 
-// Release ends a hold at once.
-func (c *Client) Release(ctx context.Context, hold uint64) error {
-	code, err := c.call(ctx, http.MethodDelete, fmt.Sprintf("/holds/%d", hold), nil, nil, Timeout)
-	return holdResult(code, err)
+// EndSession ends a session at once.
+func (c *Client) EndSession(ctx context.Context, session uint64) error {
+	code, err := c.call(ctx, http.MethodDelete, fmt.Sprintf("/holds/%d", session), nil, nil, Timeout)
+	return sessionResult(code, err)
 }
 
-// holdResult is the outcome of a request about a hold.
-func holdResult(code int, err error) error {
+// sessionResult is the outcome of a request about a session.
+func sessionResult(code int, err error) error {
 	switch {
 	case err != nil:
 		return err
 	case code == http.StatusNotFound:
-		return ErrNoHold
+		return ErrNoSession
 	case code != http.StatusOK && code != http.StatusNoContent:
-		return fmt.Errorf("state service: hold answered %d", code)
+		return fmt.Errorf("state service: session answered %d", code)
 	}
 	return nil
 }
--- a/node.go
+++ b/node.go
@@ -37,7 +37,7 @@
 	cloud    *cloud.Client
 	replica  *replica.Replica
 	election *election.Election
-	cohort   *peer.Cohort
+	peers    *peer.Peers
 	outside  outside
 	times    *api.Times
 
@@ -60,6 +60,13 @@
 	_ peer.Handler = (*Node)(nil)
 )
 
+// Errors that the user, or another node, is told.
+var (
+	errNotLeading    = errors.New("not leading")
+	errNoLeader      = errors.New("no leader known")
+	errNoExplanation = errors.New("no explanation in the answer")
+)
+
 // NewNode makes a node from checked settings.
 func NewNode(s *settings.Settings, t settings.Tuning) *Node {
 	var dialer net.Dialer
@@ -81,25 +88,48 @@
 	for _, p := range s.Peers {
 		clients[p.Member] = peer.NewClient(p.Addr, o.dial)
 	}
-	n.cohort = peer.NewCohort(clients, n.probe, n.heard)
-	n.election = election.New(s.Member, n.store, n.replica, n.cohort, peer.PromiseLife, n.lead)
+	n.peers = peer.NewPeers(clients, n.probe, n.heard)
+	n.election = election.New(election.Config{
+		Member:     s.Member,
+		Store:      n.store,
+		Replica:    n.replica,
+		Peers:      n.peers,
+		Abstention: peer.PromiseLife,
+		Lead:       n.lead,
+	})
 	return n
 }
 
+// How the runtime uses the process's limits: most of the memory limit may be used before
+// the collector works hard; below it, few collections spare the small share of the processor.
+const (
+	memoryShare = 0.6
+	gcPercent   = 300
+)
+
+// Times of the HTTP server's connections. Workers report far more often than a connection
+// may be idle.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	limits := n.settings.Params.Limits
-	// Most of the memory limit may be used before the collector works hard;
-	// below it, few collections spare the small share of the processor.
-	debug.SetMemoryLimit(int64(limits.MemoryMB * 0.6 * (1 << 20)))
-	debug.SetGCPercent(300)
+	debug.SetMemoryLimit(int64(limits.MemoryMB * memoryShare * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
 	ln, err := net.Listen("tcp", n.settings.ClientListen)
 	if err != nil {
 		return fmt.Errorf("client_listen: %w", err)
 	}
-	server := &http.Server{Handler: n.handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
-		ConnState: api.NewConns(limits.MaxSockets).State,
-		ErrorLog:  slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
+	server := &http.Server{
+		Handler:           n.handler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ConnState:         api.NewConns(limits.MaxSockets).State,
+		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() { n.work(ctx) })
 	stop := context.AfterFunc(ctx, func() { server.Close() })
@@ -116,7 +146,12 @@
 // handler answers users, workers and health checks.
 func (n *Node) handler() http.Handler {
 	return api.New(&api.Handler{
-		Node: n, Settings: n.settings, Store: n.store, Batch: statestore.NewBatcher(n.store), Replica: n.replica, Times: n.times,
+		Node:     n,
+		Settings: n.settings,
+		Store:    n.store,
+		Batch:    statestore.NewBatcher(n.store),
+		Replica:  n.replica,
+		Times:    n.times,
 	})
 }
 
@@ -125,7 +160,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { n.replica.Run(ctx) })
 	wg.Go(func() { n.election.Run(ctx) })
-	wg.Go(func() { n.cohort.Run(ctx) })
+	wg.Go(func() { n.peers.Run(ctx) })
 	wg.Go(func() { n.listenToPeers(ctx) })
 	wg.Go(func() { n.stayInContact(ctx) })
 	wg.Go(func() { n.times.Run(ctx) })
@@ -143,28 +178,19 @@
 	peer.Serve(ctx, l, n)
 }
 
+// Times of staying in contact.
+const (
+	contactEvery = micros.Second
+	quietWatch   = 1500 * micros.Millisecond // after so long without a change the watch may hang
+)
+
 // stayInContact reads the changes now and then when the watch is quiet, so that
 // the node knows whether it is answered and has missed nothing: a watch may hang.
 func (n *Node) stayInContact(ctx context.Context) {
-	heard, reached, versions := true, map[string]bool{}, map[string]int{}
-	micros.Every(ctx, micros.Second, func() {
-		if now := n.store.SinceHeard() < peer.HeardWithin; now != heard {
-			heard = now
-			slog.Info("state service", "answers", heard, "refuses", n.store.Unreachable())
-		}
-		for _, p := range n.settings.Peers {
-			if now := n.cohort.Reachable(p.Member); now != reached[p.Member] {
-				reached[p.Member] = now
-				slog.Info("peer", "member", p.Member, "answers", now)
-			}
-		}
-		for _, p := range n.Versions().Peers {
-			if was, known := versions[p.Member]; p.Heard && (!known || was != p.Version) {
-				versions[p.Member] = p.Version
-				slog.Info("peer", "member", p.Member, "version", p.Version, "own", peer.Version)
-			}
-		}
-		if n.replica.Loaded() && micros.Now()-n.replica.Seen() > 1500*micros.Millisecond {
+	logged := contactLog{storeAnswers: true, reachable: map[string]bool{}, versions: map[string]int{}}
+	micros.Every(ctx, contactEvery, func() {
+		n.logContact(&logged)
+		if n.replica.Loaded() && micros.Now()-n.replica.Seen() > quietWatch {
 			if err := n.replica.Barrier(ctx); err != nil {
 				slog.Debug("contact", "error", err)
 			}
@@ -172,6 +198,34 @@
 	})
 }
 
+// contactLog is what was last logged about contact with others; peers by member.
+type contactLog struct {
+	storeAnswers bool
+	reachable    map[string]bool
+	versions     map[string]int
+}
+
+// logContact logs what has changed since it was last logged.
+func (n *Node) logContact(logged *contactLog) {
+	if now := n.store.SinceHeard() < peer.HeardWithin; now != logged.storeAnswers {
+		logged.storeAnswers = now
+		slog.Info("state service", "answers", now, "refuses", n.store.Unreachable())
+	}
+	for _, p := range n.settings.Peers {
+		if now := n.peers.Reachable(p.Member); now != logged.reachable[p.Member] {
+			logged.reachable[p.Member] = now
+			slog.Info("peer", "member", p.Member, "answers", now)
+		}
+	}
+	for _, p := range n.Versions().Peers {
+		was, known := logged.versions[p.Member]
+		if p.Heard && (!known || was != p.Version) {
+			logged.versions[p.Member] = p.Version
+			slog.Info("peer", "member", p.Member, "version", p.Version, "own", peer.Version)
+		}
+	}
+}
+
 // probe is what this node tells a peer when it asks it. Counts are sent once,
 // as encoding them for every probe took the leader a tenth of its processor.
 func (n *Node) probe(told *micros.Micros) *peer.Probe {
@@ -196,8 +250,8 @@
 }
 
 // Probed answers a peer. Once it has told a token, this node answers no worker
-// with a lower one. A node that hears from the state service promises nothing:
-// it would see the leader's hold end.
+// with a lower one. A node that hears from the state service does not abstain:
+// it would see the leader's session end.
 func (n *Node) Probed(p *peer.Probe) *peer.State {
 	n.election.Told(p.Token, p.Leader)
 	if p.Counts != nil {
@@ -205,12 +259,17 @@
 		n.counts, n.countsAt = p.Counts, micros.Now()
 		n.mu.Unlock()
 	}
-	s := &peer.State{Version: peer.Version, Loaded: n.replica.Loaded(), SinceHeard: n.store.SinceHeard(), Fronts: n.cohort.Reachable(p.Member)}
+	s := &peer.State{
+		Version:    peer.Version,
+		Loaded:     n.replica.Loaded(),
+		SinceHeard: n.store.SinceHeard(),
+		Fronts:     n.peers.Reachable(p.Member),
+	}
 	s.Token, s.Leader = n.election.Highest()
 	if l := n.Leading(); l != nil {
 		l.Supersede(s.Token)
 	}
-	if p.Doubt && n.store.Unreachable() && n.election.Promise(peer.PromiseLife) {
+	if p.Doubt && n.store.Unreachable() && n.election.Abstain(peer.PromiseLife) {
 		s.Promise = peer.PromiseLife
 	}
 	s.Cancelled, s.Through, s.Whole = n.replica.CancelledSince(p.Since)
@@ -238,7 +297,7 @@
 func (n *Node) Explained(job string) (leader.Explanation, error) {
 	l := n.Leading()
 	if l == nil {
-		return leader.Explanation{}, errors.New("not leading")
+		return leader.Explanation{}, errNotLeading
 	}
 	e, _ := l.Explain(job)
 	return e, nil
@@ -246,24 +305,24 @@
 
 // askLeader sends a request to the leader known here.
 func (n *Node) askLeader(ctx context.Context, q peer.Request) (peer.Response, error) {
-	c := n.cohort.Client(n.LeaderMember())
+	c := n.peers.Client(n.LeaderMember())
 	if c == nil {
-		return peer.Response{}, errors.New("no leader known")
+		return peer.Response{}, errNoLeader
 	}
 	return c.Ask(ctx, q)
 }
 
 // Relay asks the leader for its answer to a report.
 func (n *Node) Relay(ctx context.Context, report wire.Raw) (wire.Raw, error) {
-	c := n.cohort.Client(n.LeaderMember())
+	c := n.peers.Client(n.LeaderMember())
 	if c == nil {
-		return nil, errors.New("no leader known")
+		return nil, errNoLeader
 	}
 	return c.Relay(ctx, report)
 }
 
 // Relays tells whether the leader answers this node.
-func (n *Node) Relays() bool { return n.cohort.Reachable(n.LeaderMember()) }
+func (n *Node) Relays() bool { return n.peers.Reachable(n.LeaderMember()) }
 
 // Front names the node that is to take a machine's reports for this one, which
 // leads; none if this node must do it itself. All nodes share the work of the
@@ -271,7 +330,7 @@
 func (n *Node) Front(machine string) string {
 	token, _ := n.election.Highest()
 	best, most := "", uint32(0)
-	for _, member := range n.cohort.Fronts(token) {
+	for _, member := range n.peers.Fronts(token) {
 		h := fnv.New32a()
 		h.Write([]byte(machine + " " + member))
 		if sum := h.Sum32(); best == "" || sum > most {
@@ -284,8 +343,15 @@
 // lead is called by the election for each term.
 func (n *Node) lead(ctx context.Context, t *election.Term) {
 	l := leader.New(leader.Config{
-		Settings: n.settings, Tuning: n.tuning, Store: n.store, Cloud: n.cloud, Replica: n.replica,
-		Term: t, Token: t.Token, Stamp: t.Stamp, Workers: &http.Client{Transport: n.outside.workers},
+		Settings: n.settings,
+		Tuning:   n.tuning,
+		Store:    n.store,
+		Cloud:    n.cloud,
+		Replica:  n.replica,
+		Term:     t,
+		Token:    t.Token,
+		Stamp:    t.Stamp,
+		Workers:  &http.Client{Transport: n.outside.workers},
 	})
 	n.setLeading(l)
 	defer n.setLeading(nil)
@@ -319,11 +385,14 @@
 // hears of nobody, neither the state service nor a peer, is cut off: the others serve
 // its users better, who would only be told to come back later.
 func (n *Node) Ready() bool {
-	return n.replica.Loaded() && (n.store.SinceHeard() < peer.HeardWithin || n.cohort.Heard() && !n.cohort.InContact())
+	return n.replica.Loaded() && (n.store.SinceHeard() < peer.HeardWithin || n.peers.Heard() && !n.peers.InContact())
 }
 
 // Versions tells which versions serve.
-func (n *Node) Versions() peer.Versions { return n.cohort.Versions(n.settings.Member) }
+func (n *Node) Versions() peer.Versions { return n.peers.Versions(n.settings.Member) }
+
+// countsLife is how long the counts that the leader told last are shown.
+const countsLife = 5 * micros.Second
 
 // Counts shows how far a job is.
 func (n *Node) Counts(id string) (done, running int) {
@@ -333,7 +402,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if micros.Now()-n.countsAt > 5*micros.Second {
+	if micros.Now()-n.countsAt > countsLife {
 		return 0, 0
 	}
 	c := n.counts[id]
@@ -348,7 +417,7 @@
 	}
 	a, err := n.askLeader(ctx, peer.Request{Explain: id})
 	if err == nil && a.Explain == nil {
-		err = errors.New("no explanation in the answer")
+		err = errNoExplanation
 	}
 	if err != nil {
 		return leader.Explanation{}, err
