--- a/internal/api/report.go
+++ b/internal/api/report.go
@@ -17,9 +17,9 @@
 const (
 	comesBackWithin = 15 * micros.Second
 	relayTimeout    = 2500 * micros.Millisecond
-	// resentWithin is how soon a worker may send again what it sent before it was
-	// redirected; that does not show that it cannot reach the other node.
-	resentWithin = micros.Second
+	// stillHereWithin is how soon after its redirection a report does not show yet that
+	// the worker came back.
+	stillHereWithin = micros.Second
 )
 
 var errNoLeader = errors.New("no leader known")
@@ -107,5 +107,5 @@
 		h.redirected[machine] = now
 		return false
 	}
-	return now-since > resentWithin
+	return now-since > stillHereWithin
 }
--- /dev/null
+++ b/internal/replica/cancellations.go
@@ -0,0 +1,70 @@
+package replica
+
+import "caperlatch/internal/wire"
+
+// Cancellation is a job's stored cancellation, as nodes tell it each other.
+type Cancellation struct {
+	ID    string `json:"id"`
+	Stamp uint64 `json:"stamp"`
+	Job   Job    `json:"job"`
+}
+
+// Cancellations is a list of cancellations, oldest first.
+type Cancellations struct {
+	List []Cancellation
+	// Through is the revision up to which these are all there are.
+	Through uint64
+	// Whole says that these are all that are known here, which includes all that this node
+	// ever told a user.
+	Whole bool
+}
+
+// maxListed bounds the cancellations in one message between nodes.
+const maxListed = 1000
+
+// CancelledThrough is a revision up to which every cancellation is known here: what the
+// changes have shown, or what another node told that had read further.
+func (r *Replica) CancelledThrough() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.revision, r.adopted)
+}
+
+// CancelledSince lists the cancellations known here with a stamp above since. It tells them
+// by stamp and not by time, as a transaction may be carried out minutes after it was sent.
+func (r *Replica) CancelledSince(since uint64) Cancellations {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	from := len(r.cancelled)
+	for from > 0 && r.jobs[r.cancelled[from-1]].stamp > since {
+		from--
+	}
+	var list []Cancellation
+	for _, id := range r.cancelled[from:] {
+		if len(list) == maxListed {
+			// A transaction's changes share one stamp, so the last may be told in part.
+			complete := list[maxListed-1].Stamp - 1
+			return Cancellations{List: list, Through: min(r.revision, complete)}
+		}
+		stored := r.jobs[id]
+		list = append(list, Cancellation{id, stored.stamp, stored.job})
+	}
+	return Cancellations{List: list, Through: r.revision, Whole: true}
+}
+
+// Adopt takes over what another node told by CancelledSince(since), where since was
+// CancelledThrough here or less. A cancellation is final, so it holds here as if it had
+// been read from the state service.
+func (r *Replica) Adopt(list []Cancellation, through uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range list {
+		if c.Job.State == wire.JobCancelled {
+			r.putJob(c.ID, c.Job, c.Stamp)
+		}
+	}
+	r.adopted = max(r.adopted, through)
+	if len(list) > 0 {
+		r.notify()
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,6 +7,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,7 +16,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"caperlatch/internal/micros"
 	"caperlatch/internal/statestore"
@@ -68,13 +68,6 @@
 	stamp uint64
 }
 
-// Cancellation is a job's stored cancellation, as nodes tell it each other.
-type Cancellation struct {
-	ID    string `json:"id"`
-	Stamp uint64 `json:"stamp"`
-	Job   Job    `json:"job"`
-}
-
 // storedJob is a job with its key's version.
 type storedJob struct {
 	job   Job
@@ -94,7 +87,7 @@
 	jobs      map[string]storedJob
 	changed   map[string]bool // jobs changed since the last TakeChanged
 	cancelled []string        // jobs, in the order of their stamps
-	told      uint64          // see CancelledThrough
+	adopted   uint64          // revision up to which a peer told all cancellations
 	wake      chan struct{}   // closed at the next change
 
 	barrierMu sync.Mutex
@@ -102,26 +95,24 @@
 	next      *round
 }
 
-// round is one request on behalf of all who wait for a barrier.
-type round struct {
-	done chan struct{}
-	err  error
-}
-
 // New makes an empty replica.
 func New(store *statestore.Client) *Replica {
-	return &Replica{store: store, items: map[string]item{}, jobs: map[string]storedJob{},
-		changed: map[string]bool{}, wake: make(chan struct{})}
+	return &Replica{
+		store:   store,
+		items:   map[string]item{},
+		jobs:    map[string]storedJob{},
+		changed: map[string]bool{},
+		wake:    make(chan struct{}),
+	}
 }
 
 // Times between two requests, so that a busy day does not use up the state
 // service's shared limit.
 const (
-	watchWait    = 10 * micros.Second
-	eagerPause   = 100 * micros.Millisecond // the leader, who starts what comes in
-	watchPause   = 400 * micros.Millisecond
-	barrierPause = 150 * micros.Millisecond
-	retryPause   = 250 * micros.Millisecond
+	watchWait  = 10 * micros.Second
+	eagerPause = 100 * micros.Millisecond // the leader, who starts what comes in
+	calmPause  = 400 * micros.Millisecond // all others
+	retryPause = 250 * micros.Millisecond
 )
 
 // SetEager has the replica follow the changes as closely as it may. Only the leader
@@ -135,68 +126,84 @@
 	for ctx.Err() == nil {
 		err := r.load(ctx)
 		for err == nil {
-			var e wire.Events
-			sent := micros.Now()
-			e, err = r.store.Watch(ctx, Prefix, r.Revision(), watchWait)
-			switch {
-			case err == nil:
-				r.Apply(e, sent)
-				pause := watchPause
-				if r.eager.Load() {
-					pause = eagerPause
-				}
-				micros.Pause(ctx, pause)
-			case errors.Is(err, statestore.ErrCompacted):
-			case ctx.Err() == nil:
-				slog.Debug("watch failed", "error", err)
-				micros.Pause(ctx, retryPause)
-				err = nil
-			}
+			err = r.follow(ctx)
 		}
 		slog.Debug("replica must load", "error", err)
 		micros.Pause(ctx, retryPause)
 	}
 }
 
-// load reads every key. The pages are not of one revision: the watch goes on
-// from the first page's, and what a page already showed is recognised by its
+// follow waits for changes once and takes them over. Its error says that the replica must
+// be loaded anew, or that ctx has ended.
+func (r *Replica) follow(ctx context.Context) error {
+	sent := micros.Now()
+	e, err := r.store.Watch(ctx, Prefix, r.Revision(), watchWait)
+	switch {
+	case err == nil:
+		r.Apply(e, sent)
+		micros.Pause(ctx, r.watchPause())
+		return nil
+	case errors.Is(err, statestore.ErrCompacted), ctx.Err() != nil:
+		return err
+	}
+	slog.Debug("watch failed", "error", err)
+	micros.Pause(ctx, retryPause)
+	return nil
+}
+
+// watchPause is the time between two watches.
+func (r *Replica) watchPause() micros.Micros {
+	if r.eager.Load() {
+		return eagerPause
+	}
+	return calmPause
+}
+
+// load reads every key and takes the values over. The pages are not of one revision: the
+// watch goes on from the first page's, and what a page already showed is recognised by its
 // stamp.
 func (r *Replica) load(ctx context.Context) error {
-	var first uint64
-	after := ""
-	var all []wire.Entry
-	for {
-		page, err := r.store.List(ctx, Prefix, after)
-		if err != nil {
-			return fmt.Errorf("load: %w", err)
-		}
-		if after == "" {
-			first = page.Revision
-		}
-		all = append(all, page.Entries...)
-		if !page.More || len(page.Entries) == 0 {
-			break
-		}
-		after = page.Entries[len(page.Entries)-1].Key
+	entries, revision, err := r.list(ctx)
+	if err != nil {
+		return fmt.Errorf("load: %w", err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	have := make(map[string]bool, len(all))
-	for _, e := range all {
+	have := make(map[string]bool, len(entries))
+	for _, e := range entries {
 		have[e.Key] = true
 		r.put(e.Key, e.Value, e.Stamp)
 	}
 	for key, it := range r.items {
-		if !have[key] && it.stamp <= first {
+		if !have[key] && it.stamp <= revision {
 			delete(r.items, key)
 		}
 	}
-	r.revision = max(r.revision, first)
+	r.revision = max(r.revision, revision)
 	r.loaded = true
 	r.notify()
 	return nil
 }
 
+// list reads all pages of keys, and the first page's revision.
+func (r *Replica) list(ctx context.Context) (entries []wire.Entry, revision uint64, err error) {
+	after := ""
+	for {
+		page, err := r.store.List(ctx, Prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			revision = page.Revision
+		}
+		entries = append(entries, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			return entries, revision, nil
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+}
+
 // put takes a value over unless what is known is as new.
 func (r *Replica) put(key string, value wire.Raw, stamp uint64) {
 	id, isJob := strings.CutPrefix(key, JobPrefix)
@@ -242,15 +249,7 @@
 // Apply takes over the answer of a watch that began at or before the present
 // revision. Answers may overlap and come in any order.
 func (r *Replica) Apply(e wire.Events, sent micros.Micros) {
-	slices.SortStableFunc(e.Events, func(a, b wire.Event) int {
-		if a.Stamp < b.Stamp {
-			return -1
-		}
-		if a.Stamp > b.Stamp {
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(e.Events, func(a, b wire.Event) int { return cmp.Compare(a.Stamp, b.Stamp) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seen = max(r.seen, sent)
@@ -350,57 +349,6 @@
 	return ids
 }
 
-// maxTold bounds the cancellations in one message between nodes.
-const maxTold = 1000
-
-// CancelledThrough is a revision up to which every cancellation is known here: what the
-// changes have shown, or what another node told that had read further.
-func (r *Replica) CancelledThrough() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return max(r.revision, r.told)
-}
-
-// CancelledSince lists the cancellations known here with a stamp above since, oldest
-// first, and tells up to which revision these are all there are. With whole it is all that
-// is known here, which includes all that this node ever told a user: it is told by stamp
-// and not by time, as a transaction may be carried out minutes after it was sent.
-func (r *Replica) CancelledSince(since uint64) (list []Cancellation, through uint64, whole bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	from := len(r.cancelled)
-	for from > 0 && r.jobs[r.cancelled[from-1]].stamp > since {
-		from--
-	}
-	through, whole = r.revision, true
-	for _, id := range r.cancelled[from:] {
-		if len(list) == maxTold {
-			// A transaction's changes share one stamp, so the last may be told in part.
-			return list, min(through, list[maxTold-1].Stamp-1), false
-		}
-		s := r.jobs[id]
-		list = append(list, Cancellation{id, s.stamp, s.job})
-	}
-	return list, through, whole
-}
-
-// Adopt takes over what another node told by CancelledSince(since), where since was
-// CancelledThrough here or less. A cancellation is final, so it holds here as if it had
-// been read from the state service.
-func (r *Replica) Adopt(list []Cancellation, through uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range list {
-		if c.Job.State == wire.JobCancelled {
-			r.putJob(c.ID, c.Job, c.Stamp)
-		}
-	}
-	r.told = max(r.told, through)
-	if len(list) > 0 {
-		r.notify()
-	}
-}
-
 // Get decodes another key's value into v and returns its stamp, 0 if there is
 // no such key.
 func (r *Replica) Get(key string, v any) (uint64, error) {
@@ -439,66 +387,3 @@
 	slices.Sort(keys)
 	return keys
 }
-
-// Barrier returns once the replica has seen all that was committed before the
-// call. Calls share requests: one that comes while a request is under way
-// waits for the next, since that one's answer may be older than the call.
-func (r *Replica) Barrier(ctx context.Context) error {
-	r.barrierMu.Lock()
-	if r.next == nil {
-		r.next = &round{done: make(chan struct{})}
-	}
-	mine := r.next
-	if !r.running {
-		r.running = true
-		go r.barriers()
-	}
-	r.barrierMu.Unlock()
-	select {
-	case <-mine.done:
-		return mine.err
-	case <-ctx.Done():
-		return fmt.Errorf("barrier: %w", ctx.Err())
-	}
-}
-
-// barriers runs rounds until nobody waits for one.
-func (r *Replica) barriers() {
-	for {
-		r.barrierMu.Lock()
-		this := r.next
-		r.next = nil
-		if this == nil {
-			r.running = false
-			r.barrierMu.Unlock()
-			return
-		}
-		r.barrierMu.Unlock()
-		this.err = r.barrier()
-		close(this.done)
-		time.Sleep(barrierPause.Duration())
-	}
-}
-
-// barrier reads the changes up to the present.
-func (r *Replica) barrier() error {
-	if !r.Loaded() {
-		return errors.New("barrier: nothing loaded yet")
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), statestore.Timeout.Duration())
-	defer cancel()
-	sent := micros.Now()
-	e, err := r.store.Watch(ctx, Prefix, r.Revision(), 0)
-	if errors.Is(err, statestore.ErrTooMany) {
-		// All who wait share this request: a refusal for the rate limit, which
-		// passes soon, would send them all away.
-		micros.Pause(ctx, barrierPause)
-		sent = micros.Now()
-		e, err = r.store.Watch(ctx, Prefix, r.Revision(), 0)
-	}
-	if err != nil {
-		return fmt.Errorf("barrier: %w", err)
-	}
-	r.Apply(e, sent)
-	return nil
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,8 +10,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"math"
-	"net"
 	"os"
 
 	"github.com/pelletier/go-toml/v2"
@@ -100,11 +98,14 @@
 // Cancel is how soon a cancelled job's tasks must be gone.
 func (w Workers) Cancel() micros.Micros { return micros.FromSeconds(w.CancelS) }
 
+// renewMargin is to spare beside what the clocks may run apart.
+const renewMargin = 2 * micros.Second
+
 // RenewFor is how long after the last contact with the state service a node
 // may still renew worker leases: a lease renewed at the end of it runs out
 // before a cancellation that the node could not see is due.
 func (w Workers) RenewFor() micros.Micros {
-	return max(0, w.Cancel()-w.Lease()-micros.Drift(w.Cancel())-2*micros.Second)
+	return max(0, w.Cancel()-w.Lease()-micros.Drift(w.Cancel())-renewMargin)
 }
 
 // State holds the state service's limits: the present ones and, in Next, those that
@@ -127,16 +128,20 @@
 
 // Later is the limits after the change; without one they are the present ones.
 func (s State) Later() State {
-	later := State{RPS: s.RPS, WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps}
-	for _, f := range []struct{ to, from *float64 }{{&later.RPS, s.Next.RPS}, {&later.WriteRPS, s.Next.WriteRPS}, {&later.ValueKB, s.Next.ValueKB}} {
-		if f.from != nil {
-			*f.to = *f.from
-		}
+	return State{
+		RPS:      orPresent(s.Next.RPS, s.RPS),
+		WriteRPS: orPresent(s.Next.WriteRPS, s.WriteRPS),
+		ValueKB:  orPresent(s.Next.ValueKB, s.ValueKB),
+		TxnOps:   orPresent(s.Next.TxnOps, s.TxnOps),
 	}
-	if s.Next.TxnOps != nil {
-		later.TxnOps = *s.Next.TxnOps
+}
+
+// orPresent is a limit's later value, or the present one if it does not change.
+func orPresent[T any](later *T, present T) T {
+	if later == nil {
+		return present
 	}
-	return later
+	return *later
 }
 
 // Always is the limits that hold at any time, before the change and after it: the
@@ -144,8 +149,12 @@
 // present ones would learn of it by refusals, in the middle of whatever it does.
 func (s State) Always() State {
 	later := s.Later()
-	return State{RPS: min(s.RPS, later.RPS), WriteRPS: min(s.WriteRPS, later.WriteRPS),
-		ValueKB: min(s.ValueKB, later.ValueKB), TxnOps: min(s.TxnOps, later.TxnOps)}
+	return State{
+		RPS:      min(s.RPS, later.RPS),
+		WriteRPS: min(s.WriteRPS, later.WriteRPS),
+		ValueKB:  min(s.ValueKB, later.ValueKB),
+		TxnOps:   min(s.TxnOps, later.TxnOps),
+	}
 }
 
 // Cloud holds the cloud's limits.
@@ -186,96 +195,3 @@
 	}
 	return &s, nil
 }
-
-// check tells the first field found wrong.
-func (s *Settings) check() error {
-	c := &checker{}
-	c.text("member", s.Member)
-	c.addr("client_listen", s.ClientListen)
-	c.addr("peer_bind", s.PeerListen)
-	c.addr("external.cloud", s.External.Cloud)
-	c.addr("external.state", s.External.State)
-	seen, addrs := map[string]bool{s.Member: true}, map[string]bool{s.PeerListen: true}
-	for i, p := range s.Peers {
-		name := fmt.Sprintf("seeds[%d].member", i)
-		c.text(name, p.Member)
-		c.that(!seen[p.Member], name, "stands there twice")
-		seen[p.Member] = true
-		// One peer under two names would pass for two that agree.
-		at := fmt.Sprintf("seeds[%d].addr", i)
-		c.addr(at, p.Addr)
-		c.that(!addrs[p.Addr], at, "stands there twice")
-		addrs[p.Addr] = true
-	}
-	p := &s.Params
-	c.that(len(p.Zones) > 0, "params.zones", "is missing")
-	c.amount("params.clock_error_ms", p.ClockErrorMS, 0)
-	c.that(len(p.Teams) > 0, "params.teams", "is missing")
-	teams := map[string]bool{}
-	for i, t := range p.Teams {
-		at := fmt.Sprintf("params.teams[%d].", i)
-		c.text(at+"name", t.Name)
-		c.that(!teams[t.Name], at+"name", "stands there twice")
-		teams[t.Name] = true
-		c.amount(at+"cpus", t.CPUs, 0)
-		c.amount(at+"cpus_max", t.CPUsMax, 0)
-		c.amount(at+"gpus", t.GPUs, 0)
-		c.amount(at+"gpus_max", t.GPUsMax, 0)
-		c.that(t.CPUsMax == 0 || t.CPUs <= t.CPUsMax, at+"cpus", "is over cpus_max")
-		c.that(t.GPUsMax == 0 || t.GPUs <= t.GPUsMax, at+"gpus", "is over gpus_max")
-	}
-	const little = 1e-3
-	c.amount("params.workers.report_s", p.Workers.ReportS, little)
-	c.amount("params.workers.lease_s", p.Workers.LeaseS, little)
-	c.amount("params.workers.cancel_s", p.Workers.CancelS, little)
-	c.that(p.Workers.CancelS > p.Workers.LeaseS, "params.workers.cancel_s", "must be over lease_s")
-	c.amount("params.workers.gang_wait_s", p.Workers.GangWaitS, 0)
-	c.amount("params.workers.gang_peer_s", p.Workers.GangPeerS, 0)
-	c.state("params.state.", p.State)
-	c.state("params.state.next.", p.State.Later())
-	c.amount("params.cloud.rps", p.Cloud.RPS, little)
-	c.amount("params.cloud.list_lag_s", p.Cloud.ListLagS, 0)
-	c.amount("params.limits.cpu", p.Limits.CPU, little)
-	c.amount("params.limits.mem_mb", p.Limits.MemoryMB, 16)
-	c.that(p.Limits.MaxSockets >= 16, "params.limits.max_sockets", "must be at least 16")
-	return c.err
-}
-
-// checker keeps the first thing found wrong.
-type checker struct{ err error }
-
-// that notes what is wrong with a field unless ok.
-func (c *checker) that(ok bool, field, wrong string) {
-	if c.err == nil && !ok {
-		c.err = fmt.Errorf("%s %s", field, wrong)
-	}
-}
-
-// leastValueKB is what the largest value needs that cannot be split: the progress of
-// 8192 tasks.
-const leastValueKB = 2
-
-// state checks the limits of the state service.
-func (c *checker) state(at string, s State) {
-	const little = 1e-3
-	c.amount(at+"rps", s.RPS, little)
-	c.amount(at+"write_rps", s.WriteRPS, little)
-	c.amount(at+"value_kb", s.ValueKB, leastValueKB)
-	c.that(s.TxnOps >= 3, at+"txn_ops", "must be at least 3")
-}
-
-// text checks that a field is there.
-func (c *checker) text(field, v string) { c.that(v != "", field, "is missing") }
-
-// addr checks that a field is a host with a port.
-func (c *checker) addr(field, v string) {
-	c.text(field, v)
-	_, _, err := net.SplitHostPort(v)
-	c.that(err == nil, field, "is no address with a port")
-}
-
-// amount checks that a field is a finite number of at least the given one.
-func (c *checker) amount(field string, v, least float64) {
-	c.that(!math.IsNaN(v) && !math.IsInf(v, 0) && v >= least, field,
-		fmt.Sprintf("must be a number of at least %v", least))
-}
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -24,7 +24,12 @@
 
 // DefaultTuning is what DESIGN starts with.
 func DefaultTuning() Tuning {
-	return Tuning{Z: 1.282, ReviewInterval: 30 * micros.Second, Window: 60 * micros.Second, RecordInterval: 5 * micros.Second}
+	return Tuning{
+		Z:              1.282,
+		ReviewInterval: 30 * micros.Second,
+		Window:         60 * micros.Second,
+		RecordInterval: 5 * micros.Second,
+	}
 }
 
 // ReadTuning reads the file named by the environment, if there is one.
@@ -41,6 +46,18 @@
 	return ParseTuning(f)
 }
 
+// Elements that hold the tuned values.
+const (
+	rootElement    = "caperlatch"
+	sectionElement = "staffing"
+)
+
+// The most that may be tuned.
+const (
+	maxZ       = 10
+	maxSeconds = 3600
+)
+
 // ParseTuning reads
 //
 //	<caperlatch><staffing><z>1.282</z><review_s>30</review_s>
@@ -48,59 +65,88 @@
 //
 // where every element may be left out and no other may stand.
 func ParseTuning(r io.Reader) (Tuning, error) {
-	t := DefaultTuning()
-	c := &checker{}
-	seconds := func(to *micros.Micros) func(string, float64) {
-		return func(name string, v float64) {
-			c.amount(name, v, 1)
-			c.that(v <= 3600, name, "must be at most 3600")
-			*to = micros.FromSeconds(v)
-		}
+	tuning := DefaultTuning()
+	p := &tuningParser{decoder: xml.NewDecoder(r), read: map[string]bool{}}
+	p.fields = map[string]func(string, float64){
+		"z":        p.number(&tuning.Z),
+		"review_s": p.seconds(&tuning.ReviewInterval),
+		"window_s": p.seconds(&tuning.Window),
+		"record_s": p.seconds(&tuning.RecordInterval),
+	}
+	err := p.parse()
+	if err == nil {
+		err = p.checker.err
+	}
+	if err != nil {
+		return Tuning{}, fmt.Errorf("tuning: %w", err)
+	}
+	return tuning, nil
+}
+
+// tuningParser reads the elements of a tuning file.
+type tuningParser struct {
+	decoder *xml.Decoder
+	checker checker
+	fields  map[string]func(name string, v float64) // by element
+	read    map[string]bool                         // fields that have been read
+	open    int                                     // how many elements are open
+}
+
+// number checks a value without a unit and keeps it.
+func (p *tuningParser) number(to *float64) func(string, float64) {
+	return func(name string, v float64) {
+		p.checker.amount(name, v, 0)
+		p.checker.that(v <= maxZ, name, fmt.Sprintf("must be at most %d", maxZ))
+		*to = v
 	}
-	fields := map[string]func(string, float64){
-		"z": func(name string, v float64) {
-			c.amount(name, v, 0)
-			c.that(v <= 10, name, "must be at most 10")
-			t.Z = v
-		},
-		"review_s": seconds(&t.ReviewInterval),
-		"window_s": seconds(&t.Window),
-		"record_s": seconds(&t.RecordInterval),
+}
+
+// seconds checks a time and keeps it.
+func (p *tuningParser) seconds(to *micros.Micros) func(string, float64) {
+	return func(name string, v float64) {
+		p.checker.amount(name, v, 1)
+		p.checker.that(v <= maxSeconds, name, fmt.Sprintf("must be at most %d", maxSeconds))
+		*to = micros.FromSeconds(v)
 	}
-	d := xml.NewDecoder(r)
-	var open []string
-	seen := map[string]bool{}
+}
+
+// parse reads the whole file.
+func (p *tuningParser) parse() error {
 	for {
-		token, err := d.Token()
+		token, err := p.decoder.Token()
 		if errors.Is(err, io.EOF) {
-			break
+			return nil
 		}
 		if err != nil {
-			return Tuning{}, fmt.Errorf("tuning: %w", err)
+			return err
 		}
-		switch e := token.(type) {
+		switch element := token.(type) {
 		case xml.StartElement:
-			name := e.Name.Local
-			read := fields[name]
-			switch {
-			case len(open) == 0 && name == "caperlatch", len(open) == 1 && name == "staffing":
-				open = append(open, name)
-			case len(open) == 2 && read != nil && !seen[name]:
-				seen[name] = true
-				var v float64
-				if err := d.DecodeElement(&v, &e); err != nil {
-					return Tuning{}, fmt.Errorf("tuning: %s: %w", name, err)
-				}
-				read(name, v)
-			default:
-				return Tuning{}, fmt.Errorf("tuning: element %s is unknown here", name)
+			if err := p.begin(&element); err != nil {
+				return err
 			}
 		case xml.EndElement:
-			open = open[:len(open)-1]
+			p.open--
 		}
 	}
-	if c.err != nil {
-		return Tuning{}, fmt.Errorf("tuning: %w", c.err)
+}
+
+// begin reads an element that holds a value, or enters one that holds others.
+func (p *tuningParser) begin(element *xml.StartElement) error {
+	name := element.Name.Local
+	field := p.fields[name]
+	switch {
+	case p.open == 0 && name == rootElement, p.open == 1 && name == sectionElement:
+		p.open++
+		return nil
+	case p.open == 2 && field != nil && !p.read[name]:
+		p.read[name] = true
+		var v float64
+		if err := p.decoder.DecodeElement(&v, element); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		field(name, v)
+		return nil
 	}
-	return t, nil
+	return fmt.Errorf("element %s is unknown here", name)
 }
--- a/internal/statestore/batch.go
+++ b/internal/statestore/batch.go
@@ -31,8 +31,10 @@
 	value any
 	size  int
 	done  chan struct{}
-	rev   uint64
-	err   error
+
+	// The result, once done is closed.
+	revision uint64
+	err      error
 }
 
 // NewBatcher makes a batcher over client.
@@ -41,7 +43,14 @@
 // Put writes value under key if the key has the given version (0: if there is
 // no such key). It returns the write's revision.
 func (b *Batcher) Put(ctx context.Context, key string, stamp uint64, value any) (uint64, error) {
-	p := &put{key: key, stamp: stamp, value: value, size: wire.JSONSize(value) + 2*len(key) + 96, done: make(chan struct{})}
+	p := &put{
+		key:   key,
+		stamp: stamp,
+		value: value,
+		// The key stands in the condition and in the change.
+		size: wire.JSONSize(value) + 2*len(key) + putOverhead,
+		done: make(chan struct{}),
+	}
 	b.mu.Lock()
 	b.waiting = append(b.waiting, p)
 	if !b.running {
@@ -51,7 +60,7 @@
 	b.mu.Unlock()
 	select {
 	case <-p.done:
-		return p.rev, p.err
+		return p.revision, p.err
 	case <-ctx.Done():
 		return 0, fmt.Errorf("put %s: %w", key, ctx.Err())
 	}
@@ -60,6 +69,16 @@
 // refusedPause lets the service's limit recover after a refusal.
 const refusedPause = 100 * micros.Millisecond
 
+// Sizes of a transaction as JSON, in bytes: at most what a write takes beside its key and
+// value, and what is kept free for the rest.
+const (
+	putOverhead = 96
+	txnOverhead = 4096
+)
+
+// sendTimeout bounds all transactions that a batch is sent in.
+const sendTimeout = 2 * Timeout
+
 // run sends transactions until nothing waits.
 func (b *Batcher) run() {
 	for {
@@ -69,19 +88,7 @@
 			b.mu.Unlock()
 			return
 		}
-		n, size := 0, 4096
-		keys := map[string]bool{}
-		for n < len(b.waiting) && n < b.most {
-			p := b.waiting[n]
-			size += p.size
-			if n > 0 && size > wire.MaxBody || keys[p.key] {
-				break
-			}
-			keys[p.key] = true
-			n++
-		}
-		batch := slices.Clone(b.waiting[:n])
-		b.waiting = slices.Delete(b.waiting, 0, n)
+		batch := b.takeBatch()
 		b.mu.Unlock()
 		if errors.Is(b.send(batch), ErrTooMany) {
 			// Refused requests count as well: without a pause a burst kept the
@@ -91,53 +98,84 @@
 	}
 }
 
+// takeBatch takes the first writes that fit one transaction, each of another key; mu must
+// be held.
+func (b *Batcher) takeBatch() []*put {
+	n, size := 0, txnOverhead
+	keys := map[string]bool{}
+	for n < len(b.waiting) && n < b.most {
+		p := b.waiting[n]
+		size += p.size
+		if n > 0 && size > wire.MaxBody || keys[p.key] {
+			break
+		}
+		keys[p.key] = true
+		n++
+	}
+	batch := slices.Clone(b.waiting[:n])
+	b.waiting = slices.Delete(b.waiting, 0, n)
+	return batch
+}
+
 // send commits a batch; writes whose condition fails leave it, and the others
 // go on without them. A batch that is refused as it is goes in halves, so that one
 // value that is too large takes no other with it, and is itself not tried again.
 func (b *Batcher) send(batch []*put) error {
-	ctx, cancel := context.WithTimeout(context.Background(), (2 * Timeout).Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout.Duration())
 	defer cancel()
 	for len(batch) > 0 {
-		var t wire.Txn
-		for _, p := range batch {
-			t.If = append(t.If, wire.Condition{Key: p.key, Stamp: p.stamp})
-			t.Then = append(t.Then, wire.Op{Write: p.key, Value: p.value})
-		}
-		rev, err := b.client.Commit(ctx, t)
-		var conflict *Conflict
+		revision, err := b.client.Commit(ctx, transaction(batch))
 		if errors.Is(err, ErrRefused) && len(batch) > 1 {
-			half := len(batch) / 2
-			one, two := b.send(batch[:half]), b.send(batch[half:])
-			if one == nil && two == nil {
-				b.shrink(half) // no value was at fault, but their number
-			}
-			return errors.Join(one, two)
+			return b.sendHalves(batch)
 		}
+		var conflict *Conflict
 		if !errors.As(err, &conflict) {
-			for _, p := range batch {
-				p.finish(rev, err)
-			}
+			finishAll(batch, revision, err)
 			return err
 		}
-		rest := batch[:0:0]
-		for _, p := range batch {
-			if slices.Contains(conflict.Keys, p.key) {
-				p.finish(0, err)
-			} else {
-				rest = append(rest, p)
-			}
-		}
-		if len(rest) == len(batch) { // it named none of ours
-			for _, p := range batch {
-				p.finish(0, err)
-			}
+		failed, rest := conflict.split(batch)
+		if len(failed) == 0 { // it named none of ours
+			finishAll(batch, 0, err)
 			return err
 		}
+		finishAll(failed, 0, err)
 		batch = rest
 	}
 	return nil
 }
 
+// sendHalves sends a batch that was refused as it is in two.
+func (b *Batcher) sendHalves(batch []*put) error {
+	half := len(batch) / 2
+	first, second := b.send(batch[:half]), b.send(batch[half:])
+	if first == nil && second == nil {
+		b.shrink(half) // no value was at fault, but their number
+	}
+	return errors.Join(first, second)
+}
+
+// transaction is the one that carries out all writes of a batch.
+func transaction(batch []*put) wire.Txn {
+	var t wire.Txn
+	for _, p := range batch {
+		t.If = append(t.If, wire.Condition{Key: p.key, Stamp: p.stamp})
+		t.Then = append(t.Then, wire.Op{Write: p.key, Value: p.value})
+	}
+	return t
+}
+
+// split tells which writes of a batch have a condition that failed.
+func (c *Conflict) split(batch []*put) (failed, rest []*put) {
+	for _, p := range batch {
+		if slices.Contains(c.Keys, p.key) {
+			failed = append(failed, p)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	return failed, rest
+}
+
 // shrink lowers how many writes share a transaction, when the service takes fewer than
 // the settings say.
 func (b *Batcher) shrink(most int) {
@@ -150,11 +188,18 @@
 }
 
 // finish tells who waits for the write how it ended.
-func (p *put) finish(rev uint64, err error) {
-	p.rev, p.err = rev, err
+func (p *put) finish(revision uint64, err error) {
+	p.revision, p.err = revision, err
 	close(p.done)
 }
 
+// finishAll tells the same to all who wait for writes.
+func finishAll(batch []*put, revision uint64, err error) {
+	for _, p := range batch {
+		p.finish(revision, err)
+	}
+}
+
 // RetryAfter is when a user whose request found the service unable may come
 // again.
 const RetryAfter = micros.Second
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -62,6 +62,14 @@
 	failed  atomic.Int64 // when it last did not
 }
 
+// Shares of the service's limits; see New.
+const (
+	requestShare     = 0.5 // of all requests, for each node
+	leaderWriteShare = 0.6 // of the changes a second, for the leader's own
+	writeBurstPart   = 3   // the leader's burst is this part of a second's changes
+	minWriteBurst    = 3   // changes; as many as txn_ops allows at least
+)
+
 // New makes a client for the service at addr. All nodes share the service's
 // limits; each keeps to half of the requests, as they are rarely all busy, and
 // takes a 429 as a sign to wait. Of the changes the leader's writes keep to a bit more than half,
@@ -74,18 +82,22 @@
 func New(addr string, limits settings.State, transport http.RoundTripper) *Client {
 	present := limits.ValueKB
 	limits = limits.Always()
+	requests := limits.RPS * requestShare
+	burst := max(minWriteBurst, int(limits.WriteRPS/writeBurstPart))
 	return &Client{
 		base:    "http://" + addr,
 		http:    &http.Client{Transport: transport},
-		reads:   rate.NewLimiter(rate.Limit(limits.RPS/2), max(1, int(limits.RPS/2))),
-		writes:  rate.NewLimiter(rate.Limit(limits.WriteRPS*0.6), max(3, int(limits.WriteRPS/3))),
+		reads:   rate.NewLimiter(rate.Limit(requests), max(1, int(requests))),
+		writes:  rate.NewLimiter(rate.Limit(limits.WriteRPS*leaderWriteShare), burst),
 		maxOps:  limits.TxnOps,
-		flush:   min(limits.TxnOps, max(3, int(limits.WriteRPS/3))),
+		flush:   min(limits.TxnOps, burst),
 		valueKB: limits.ValueKB,
 		present: present,
 	}
 }
 
+const bytesPerKB = 1024
+
 // MaxOps is the most changes in a transaction.
 func (c *Client) MaxOps() int { return c.maxOps }
 
@@ -93,12 +105,12 @@
 func (c *Client) FlushOps() int { return c.flush }
 
 // FitsValue tells whether v may be stored under one key at any time.
-func (c *Client) FitsValue(v any) bool { return float64(wire.JSONSize(v)) <= c.valueKB*1024 }
+func (c *Client) FitsValue(v any) bool { return float64(wire.JSONSize(v)) <= c.valueKB*bytesPerKB }
 
 // AcceptsValue tells whether v may be stored under one key as long as the present
 // limits hold. A job that could be accepted before the change is not refused for a
 // limit that may not hold yet: the write is tried, and ErrRefused tells.
-func (c *Client) AcceptsValue(v any) bool { return float64(wire.JSONSize(v)) <= c.present*1024 }
+func (c *Client) AcceptsValue(v any) bool { return float64(wire.JSONSize(v)) <= c.present*bytesPerKB }
 
 // SinceHeard is how long ago the service last answered anything but that it
 // is unavailable.
@@ -127,30 +139,43 @@
 	} else {
 		c.failed.Store(int64(micros.Now()))
 	}
-	switch status {
-	case http.StatusOK, http.StatusConflict:
-		if out != nil {
-			if err := wire.Unmarshal(b, out); err != nil {
-				return 0, fmt.Errorf("state service: %w", err)
-			}
+	if err := statusError(status, b); err != nil {
+		return status, err
+	}
+	if out != nil && (status == http.StatusOK || status == http.StatusConflict) {
+		if err := wire.Unmarshal(b, out); err != nil {
+			return 0, fmt.Errorf("state service: %w", err)
 		}
+	}
+	return status, nil
+}
+
+// noSuchLease is what the service says when a write names a session that has ended.
+const noSuchLease = "no such lease"
+
+// statusError is the error that a status stands for at every request.
+func statusError(status int, answer []byte) error {
+	switch status {
 	case http.StatusServiceUnavailable:
-		return status, fmt.Errorf("state service: %w", ErrUnavailable)
+		return fmt.Errorf("state service: %w", ErrUnavailable)
 	case http.StatusTooManyRequests:
-		return status, fmt.Errorf("state service: %w", ErrTooMany)
+		return fmt.Errorf("state service: %w", ErrTooMany)
 	case http.StatusBadRequest:
 		var e wire.ErrorBody
-		if wire.Unmarshal(b, &e) == nil && e.Error == "no such lease" {
-			return status, ErrNoSession
+		if wire.Unmarshal(answer, &e) == nil && e.Error == noSuchLease {
+			return ErrNoSession
 		}
-		return status, fmt.Errorf("state service: %w: %s", ErrRefused, e.Error)
+		return fmt.Errorf("state service: %w: %s", ErrRefused, e.Error)
 	}
-	return status, nil
+	return nil
 }
 
+// maxPage is the most keys that the service lists in a page.
+const maxPage = "500"
+
 // List reads a page of keys.
 func (c *Client) List(ctx context.Context, prefix, after string) (wire.EntryPage, error) {
-	q := url.Values{"starts": {prefix}, "most": {"500"}}
+	q := url.Values{"starts": {prefix}, "most": {maxPage}}
 	if after != "" {
 		q.Set("after", after)
 	}
@@ -189,8 +214,11 @@
 // Watch returns the changes of keys with the prefix after a revision, waiting
 // at most wait for one. With no wait it is a read barrier.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait micros.Micros) (wire.Events, error) {
-	q := url.Values{"starts": {prefix}, "after": {strconv.FormatUint(after, 10)},
-		"wait_ms": {strconv.FormatInt(int64(wait/micros.Millisecond), 10)}}
+	q := url.Values{
+		"starts":  {prefix},
+		"after":   {strconv.FormatUint(after, 10)},
+		"wait_ms": {strconv.FormatInt(int64(wait/micros.Millisecond), 10)},
+	}
 	var e wire.Events
 	code, err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, &e, wait+Timeout)
 	switch {
--- a/node.go
+++ b/node.go
@@ -272,7 +272,8 @@
 	if p.Doubt && n.store.Unreachable() && n.election.Abstain(peer.PromiseLife) {
 		s.Promise = peer.PromiseLife
 	}
-	s.Cancelled, s.Through, s.Whole = n.replica.CancelledSince(p.Since)
+	cancelled := n.replica.CancelledSince(p.Since)
+	s.Cancelled, s.Through, s.Whole = cancelled.List, cancelled.Through, cancelled.Whole
 	return s
 }
 
