--- a/cluster_test.go
+++ b/cluster_test.go
@@ -279,6 +279,12 @@
 	}
 }
 
+// accepts submits a job to a node and tells whether it is accepted now or was before.
+func (c *cluster) accepts(node int, job map[string]any) bool {
+	code, _ := c.request(http.MethodPost, node, "/v1/jobs", job)
+	return code == http.StatusCreated || code == http.StatusOK
+}
+
 // submit repeats a submission, each time at the next node, until it is taken.
 func (c *cluster) submit(id string, tasks int) { c.submitJob(testJob(id, tasks)) }
 
@@ -286,7 +292,7 @@
 func (c *cluster) submitJob(job map[string]any) {
 	c.t.Helper()
 	for try := range 60 {
-		if code, _ := c.request(http.MethodPost, try%len(c.stops), "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+		if c.accepts(try%len(c.stops), job) {
 			return
 		}
 		time.Sleep(time.Second)
@@ -418,7 +424,7 @@
 func (c *cluster) runJob(job map[string]any) {
 	c.t.Helper()
 	for try := range 60 {
-		if code, _ := c.request(http.MethodPost, try%len(c.stops), "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+		if c.accepts(try%len(c.stops), job) {
 			break
 		}
 		time.Sleep(500 * time.Millisecond)
@@ -432,6 +438,22 @@
 	c.t.Fatalf("%s does not run: %v", job["id"], c.cloud.OnMachines())
 }
 
+// runInNextSession loses the machines' messages for some time, in which their leases end,
+// and then has a job run anew on the machines' next sessions. Other messages meet fault.
+func (c *cluster) runInNextSession(job map[string]any, lost time.Duration, fault func(string, *http.Request) standin.Fault) {
+	c.t.Helper()
+	c.setFault(func(from string, r *http.Request) standin.Fault {
+		if machineOf(from) != "" {
+			return standin.LostRequest
+		}
+		return fault(from, r)
+	})
+	time.Sleep(lost)
+	c.setFault(fault)
+	c.runJob(job)
+	time.Sleep(2 * time.Second)
+}
+
 // running counts the tasks of a job that are on machines.
 func (c *cluster) running(id string) (n int) {
 	for _, task := range c.cloud.OnMachines() {
--- a/cmd/caperlatch/explain.go
+++ b/cmd/caperlatch/explain.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -19,9 +18,11 @@
 func explainCommand() *cobra.Command {
 	var node string
 	cmd := &cobra.Command{
-		Use: "explain JOB", Short: "Say why a job waits, was stopped or ended", Args: cobra.ExactArgs(1),
+		Use:   "explain JOB",
+		Short: "Say why a job waits, was stopped or ended",
+		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			e, err := askNode(cmd.Context(), node, args[0])
+			e, err := askExplanation(cmd.Context(), node, args[0])
 			if err != nil {
 				return err
 			}
@@ -29,33 +30,22 @@
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&node, "node", "127.0.0.1:8080", "address of any node (its client_listen)")
+	addNodeFlag(cmd, &node)
 	return cmd
 }
 
-// askNode asks a node about a job; what it answers but an explanation is an error.
-func askNode(ctx context.Context, node, job string) (e leader.Explanation, err error) {
-	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/v1/jobs/"+job+"/why", nil)
+// askExplanation asks a node about a job; any answer but an explanation is an error.
+func askExplanation(ctx context.Context, node, job string) (e leader.Explanation, err error) {
+	status, body, err := get(ctx, node, "/v1/jobs/"+job+"/why")
 	if err != nil {
 		return e, err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return e, err
-	}
-	defer resp.Body.Close()
-	var b bytes.Buffer
-	if _, err := io.Copy(&b, io.LimitReader(resp.Body, 1<<20)); err != nil {
-		return e, err
-	}
-	if resp.StatusCode == http.StatusOK {
-		return e, wire.Unmarshal(b.Bytes(), &e)
+	if status == http.StatusOK {
+		return e, wire.Unmarshal(body, &e)
 	}
 	var why wire.ErrorBody
-	if err := wire.Unmarshal(b.Bytes(), &why); err != nil || why.Error == "" {
-		why.Error = resp.Status
+	if err := wire.Unmarshal(body, &why); err != nil || why.Error == "" {
+		why.Error = fmt.Sprintf("%d %s", status, http.StatusText(status))
 	}
 	return e, fmt.Errorf("%s: %s answers: %s", job, node, why.Error)
 }
--- /dev/null
+++ b/cmd/caperlatch/get.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+const (
+	// getTimeout is within what a node answers, also when it cannot reach the leader.
+	getTimeout = 5 * time.Second
+	// maxAnswer is how many bytes of an answer are read.
+	maxAnswer = 1 << 20
+)
+
+// addNodeFlag lets the user say which node a command asks.
+func addNodeFlag(cmd *cobra.Command, node *string) {
+	cmd.Flags().StringVar(node, "node", "127.0.0.1:8080", "address of any node (its client_listen)")
+}
+
+// get asks a running node.
+func get(ctx context.Context, node, path string) (status int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, getTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+path, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	_, err = io.Copy(&b, io.LimitReader(resp.Body, maxAnswer))
+	return resp.StatusCode, b.Bytes(), err
+}
--- a/cmd/caperlatch/main.go
+++ b/cmd/caperlatch/main.go
@@ -31,12 +31,22 @@
 	var config string
 	run := func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), config) }
 	root := &cobra.Command{
-		Use: "caperlatch", Short: "A cluster scheduler that rents its machines",
-		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs, RunE: run,
+		Use:           "caperlatch",
+		Short:         "A cluster scheduler that rents its machines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          run,
+	}
+	runCmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run a node until it is killed",
+		Args:  cobra.NoArgs,
+		RunE:  run,
+	}
+	for _, cmd := range []*cobra.Command{root, runCmd} {
+		cmd.Flags().StringVar(&config, "config", "", "settings file (TOML)")
 	}
-	root.Flags().StringVar(&config, "config", "", "settings file (TOML)")
-	runCmd := &cobra.Command{Use: "run", Short: "Run a node until it is killed", Args: cobra.NoArgs, RunE: run}
-	runCmd.Flags().StringVar(&config, "config", "", "settings file (TOML)")
 	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionsCommand(), versionCommand())
 	return root
 }
@@ -76,7 +86,9 @@
 // checkCommand checks settings without running anything.
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "check FILE", Short: "Check a settings file and the tuning file, if one is named", Args: cobra.ExactArgs(1),
+		Use:   "check FILE",
+		Short: "Check a settings file and the tuning file, if one is named",
+		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := settings.Read(args[0])
 			if err != nil {
@@ -94,7 +106,9 @@
 // versionCommand prints the version of this program, unlike versionsCommand.
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) {
 			version, goVersion := "(devel)", ""
 			if info, ok := debug.ReadBuildInfo(); ok {
--- a/cmd/caperlatch/versions.go
+++ b/cmd/caperlatch/versions.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -17,7 +16,9 @@
 func versionsCommand() *cobra.Command {
 	var node string
 	cmd := &cobra.Command{
-		Use: "versions", Short: "Say which nodes serve with which version", Args: cobra.NoArgs,
+		Use:   "versions",
+		Short: "Say which nodes serve with which version",
+		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ready, v, err := askVersions(cmd.Context(), node)
 			if err != nil {
@@ -27,23 +28,21 @@
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&node, "node", "127.0.0.1:8080", "address of any node (its client_listen)")
+	addNodeFlag(cmd, &node)
 	return cmd
 }
 
-// askVersions asks a node; one of version 0 answers without a word of it.
+// askVersions asks a node; one of version 0 does not tell any.
 func askVersions(ctx context.Context, node string) (ready bool, v peer.Versions, err error) {
-	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-	defer cancel()
-	status, b, err := wire.Exchange(ctx, http.DefaultClient, http.MethodGet, "http://"+node+"/ready", nil)
+	status, body, err := get(ctx, node, "/ready")
 	if err != nil {
 		return false, v, err
 	}
 	if status != http.StatusOK && status != http.StatusServiceUnavailable {
 		return false, v, fmt.Errorf("%s answers %d", node, status)
 	}
-	if len(b) > 0 {
-		err = wire.Unmarshal(b, &v)
+	if len(body) > 0 {
+		err = wire.Unmarshal(body, &v)
 	}
 	return status == http.StatusOK, v, err
 }
--- a/placing_test.go
+++ b/placing_test.go
@@ -117,7 +117,7 @@
 					next := testJob(fmt.Sprintf("j-00000%d", 2+i), 4)
 					next["desk"] = "small"
 					for try := range 40 {
-						if code, _ := c.request(http.MethodPost, try%5, "/v1/jobs", next); code == http.StatusCreated || code == http.StatusOK {
+						if c.accepts(try%5, next) {
 							break
 						}
 						time.Sleep(100 * time.Millisecond)
--- a/requests_test.go
+++ b/requests_test.go
@@ -218,7 +218,7 @@
 					ends, doomed := testJob(fmt.Sprintf("j-00000%d", n+1), 1), testJob(fmt.Sprintf("j-10000%d", n+1), 1)
 					for i, job := range []map[string]any{ends, doomed} {
 						for range 20 {
-							if code, _ := c.request(http.MethodPost, n%2, "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+							if c.accepts(n%2, job) {
 								break
 							}
 						}
@@ -331,7 +331,7 @@
 				id := fmt.Sprintf("j-%06d", 1000+n)
 				begun := time.Now()
 				for try := range 60 {
-					if code, _ := c.request(http.MethodPost, (n+try)%5, "/v1/jobs", testJob(id, 1)); code == http.StatusCreated || code == http.StatusOK {
+					if c.accepts((n+try)%5, testJob(id, 1)) {
 						break
 					}
 					time.Sleep(time.Second)
--- a/takeover_test.go
+++ b/takeover_test.go
@@ -146,7 +146,7 @@
 					job := testJob("j-000001", 12)
 					job["expect_s"] = 200.0
 					for try := range 40 {
-						if code, _ := c.request(http.MethodPost, try%3, "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+						if c.accepts(try%3, job) {
 							break
 						}
 						time.Sleep(100 * time.Millisecond)
@@ -226,16 +226,7 @@
 				time.Sleep(2 * time.Second)
 				// All leases end once, so that there is an earlier session, and the
 				// tasks start anew on the same machines.
-				c.setFault(func(from string, r *http.Request) standin.Fault {
-					if machineOf(from) != "" {
-						return standin.LostRequest
-					}
-					return keep(from, r)
-				})
-				time.Sleep(time.Duration(leaseS+3) * time.Second)
-				c.setFault(keep)
-				c.runJob(job)
-				time.Sleep(2 * time.Second)
+				c.runInNextSession(job, time.Duration(leaseS+3)*time.Second, keep)
 				old := held.all(tc.want)
 				ids := map[string]bool{}
 				for _, w := range c.holders("j-000001") {
@@ -285,16 +276,7 @@
 			c.runJob(base)
 			time.Sleep(2 * time.Second)
 			if sessions == 2 {
-				c.setFault(func(from string, r *http.Request) standin.Fault {
-					if machineOf(from) != "" {
-						return standin.LostRequest
-					}
-					return noReturns(from, r)
-				})
-				time.Sleep(time.Duration(leaseS+2) * time.Second)
-				c.setFault(noReturns)
-				c.runJob(base)
-				time.Sleep(2 * time.Second)
+				c.runInNextSession(base, time.Duration(leaseS+2)*time.Second, noReturns)
 			}
 			c.setFault(func(from string, r *http.Request) standin.Fault {
 				if r.URL.Path == "/hello" {
