--- a/cancel_test.go
+++ b/cancel_test.go
@@ -43,7 +43,7 @@
 	})
 }
 
-// TestUnseenAbort cancels a job while the leader's hold lives but its watch hangs
+// TestUnseenAbort cancels a job while the leader's session lives but its watch hangs
 // and no peer can tell it: it must stop renewing leases in time.
 func TestUnseenAbort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/api/conns.go
+++ b/internal/api/conns.go
@@ -9,7 +9,7 @@
 
 // Conns bounds the connections that users and workers hold open. Over the limit of
 // sockets new ones fail, also those to the state service, and a leader that cannot
-// extend its hold leads no more: one node that was left with the connections of two
+// renew its session leads no more: one node that was left with the connections of two
 // thousand machines and their users came within a hundred of it. So a part is kept
 // free for what the node opens itself, and the connection that has been idle for
 // longest makes room; workers and users open another when they need it.
--- a/internal/api/times.go
+++ b/internal/api/times.go
@@ -20,8 +20,14 @@
 // NewTimes makes an empty record.
 func NewTimes() *Times { return &Times{routes: map[string]*hdrhistogram.Histogram{}} }
 
-// slowest is the longest time told apart.
-const slowest = 60 * micros.Second
+const (
+	// slowest is the longest time told apart.
+	slowest = 60 * micros.Second
+	// significantDigits is how exactly times are kept.
+	significantDigits = 2
+	// logEvery is the time between two lines of the log for a route.
+	logEvery = 60 * micros.Second
+)
 
 // record notes how long a request to a route took.
 func (t *Times) record(route string, took micros.Micros) {
@@ -29,7 +35,7 @@
 	defer t.mu.Unlock()
 	h := t.routes[route]
 	if h == nil {
-		h = hdrhistogram.New(1, int64(slowest), 2)
+		h = hdrhistogram.New(1, int64(slowest), significantDigits)
 		t.routes[route] = h
 	}
 	// A value in range cannot fail.
@@ -47,7 +53,7 @@
 }
 
 // Run logs the times of each minute until ctx ends.
-func (t *Times) Run(ctx context.Context) { micros.Every(ctx, 60*micros.Second, t.log) }
+func (t *Times) Run(ctx context.Context) { micros.Every(ctx, logEvery, t.log) }
 
 // log writes the times since the last call and forgets them.
 func (t *Times) log() {
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 
 	"golang.org/x/time/rate"
 
@@ -20,7 +21,7 @@
 
 // ErrNoCapacity says that the cloud has no machine of the asked type, zone and
 // kind.
-var ErrNoCapacity = errors.New("no capacity")
+var ErrNoCapacity = errors.New(noCapacity)
 
 // Limits of the interface.
 const (
@@ -30,6 +31,12 @@
 	timeout   = 5 * micros.Second
 )
 
+// requestShare is which part of the rate limit a node may use: only the leader calls often.
+const requestShare = 0.75
+
+// noCapacity is what the cloud says when it has no such machine.
+const noCapacity = "no capacity"
+
 // Client talks to the cloud. Any error but ErrNoCapacity leaves open whether
 // the request was or will be carried out.
 type Client struct {
@@ -44,7 +51,7 @@
 	return &Client{
 		base:  "http://" + addr,
 		http:  &http.Client{Transport: transport},
-		calls: rate.NewLimiter(rate.Limit(limits.RPS*0.75), max(1, int(limits.RPS))),
+		calls: rate.NewLimiter(rate.Limit(limits.RPS*requestShare), max(1, int(limits.RPS))),
 	}
 }
 
@@ -55,13 +62,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	status, b, err := wire.Exchange(ctx, c.http, method, c.base+path, in)
+	status, body, err := wire.Exchange(ctx, c.http, method, c.base+path, in)
 	if err != nil {
 		return fmt.Errorf("cloud: %w", err)
 	}
 	if status != http.StatusOK {
 		var e wire.ErrorBody
-		if wire.Unmarshal(b, &e) == nil && status == http.StatusServiceUnavailable && e.Error == "no capacity" {
+		if wire.Unmarshal(body, &e) == nil && status == http.StatusServiceUnavailable && e.Error == noCapacity {
 			return ErrNoCapacity
 		}
 		return fmt.Errorf("cloud: %s answered %d %s", path, status, e.Error)
@@ -69,7 +76,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := wire.Unmarshal(b, out); err != nil {
+	if err := wire.Unmarshal(body, out); err != nil {
 		return fmt.Errorf("cloud: %w", err)
 	}
 	return nil
@@ -100,7 +107,7 @@
 	var all []wire.ListedMachine
 	after := ""
 	for {
-		q := url.Values{"most": {fmt.Sprint(maxList)}}
+		q := url.Values{"most": {strconv.Itoa(maxList)}}
 		if after != "" {
 			q.Set("after", after)
 		}
--- a/internal/micros/micros.go
+++ b/internal/micros/micros.go
@@ -33,22 +33,32 @@
 // Wall reads the time of day, counted from 1970.
 func Wall() Micros { return Micros(time.Now().UnixMicro()) }
 
-// FromSeconds converts a wire amount; what is beyond the type's range is cut
-// to about 31 years, so that sums stay in range.
+const (
+	perSecond = float64(Second)
+	// longest is about 31 years, so that sums of durations stay in range.
+	longest = 1e15
+)
+
+// FromSeconds converts a wire amount; what is longer than about 31 years is cut to that.
 func FromSeconds(s float64) Micros {
-	const most = 1e15
-	return Micros(math.Max(-most, math.Min(most, math.Round(s*1e6))))
+	return Micros(math.Max(-longest, math.Min(longest, math.Round(s*perSecond))))
 }
 
 // Seconds is the duration as the wire and the equations want it.
-func (m Micros) Seconds() float64 { return float64(m) / 1e6 }
+func (m Micros) Seconds() float64 { return float64(m) / perSecond }
 
 // Duration converts for the standard library's timers and contexts.
 func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
 
-// Drift is how far two machines' steady clocks may run apart over m: the
-// protocol's 0.05%, doubled because each side may be off, plus a timer step.
-func Drift(m Micros) Micros { return m/1000 + 20*Millisecond }
+// How far clocks may be off: the protocol's 0.05%, doubled because each of two clocks may
+// be off, and a step of the timers.
+const (
+	driftPart = 1000 // one part in so many
+	timerStep = 20 * Millisecond
+)
+
+// Drift is how far two machines' steady clocks may run apart over m.
+func Drift(m Micros) Micros { return m/driftPart + timerStep }
 
 // Every calls f again and again, d apart, until ctx ends.
 func Every(ctx context.Context, d Micros, f func()) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,12 +23,23 @@
 // ContentType labels every body.
 const ContentType = "application/cbor"
 
+// Limits of decoding, well above what any message of the protocol or between nodes needs.
+const (
+	maxNestedLevels  = 16
+	maxArrayElements = 1 << 18
+	maxMapPairs      = 1 << 16
+)
+
 var (
-	// Maps in an untyped value must have a type that JSON knows: with the library's own,
-	// every larger body that held a list of maps, as a machine's report of 200 tasks
-	// does, measured as infinite.
-	decoder = must(cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
-		DefaultMapType: reflect.TypeFor[map[string]any]()}.DecMode())
+	decoder = must(cbor.DecOptions{
+		MaxNestedLevels:  maxNestedLevels,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		// Maps in an untyped value must have a type that JSON knows: with the library's own,
+		// every larger body that held a list of maps, as a machine's report of 200 tasks
+		// does, measured as infinite.
+		DefaultMapType: reflect.TypeFor[map[string]any](),
+	}.DecMode())
 	encoder = must(cbor.EncOptions{}.EncMode())
 )
 
@@ -68,6 +79,10 @@
 // ErrTooLarge says that a body is over MaxBody.
 var ErrTooLarge = errors.New("body over the limit")
 
+// maxJSONPerByte is how many JSON characters a CBOR byte can stand for. Only bodies that may
+// be too large by it need to be measured.
+const maxJSONPerByte = 6
+
 // ReadBody reads at most MaxBody bytes and checks what they measure as JSON.
 func ReadBody(r io.Reader) ([]byte, error) {
 	var buf bytes.Buffer
@@ -77,9 +92,7 @@
 	if buf.Len() > MaxBody {
 		return nil, ErrTooLarge
 	}
-	// One CBOR byte can stand for up to six JSON characters, so only larger
-	// bodies need to be measured.
-	if buf.Len() > MaxBody/6 {
+	if buf.Len() > MaxBody/maxJSONPerByte {
 		var v map[string]any
 		if err := Unmarshal(buf.Bytes(), &v); err == nil && JSONSize(v) > MaxBody {
 			return nil, ErrTooLarge
--- a/lost_writes_test.go
+++ b/lost_writes_test.go
@@ -54,7 +54,7 @@
 				c.submit("j-000010", 2) // after the fault was set
 				time.Sleep(6 * time.Second)
 				look()
-				c.back(c.leader()) // so that a leader key and holds are among the writes
+				c.back(c.leader()) // so that a leader key and sessions are among the writes
 				time.Sleep(time.Second)
 				cancel()
 				for range 8 {
--- a/node_test.go
+++ b/node_test.go
@@ -28,7 +28,7 @@
 			time.Sleep(10 * time.Second)
 			c.start(i)
 		}},
-		// A restart within the hold's life must not wait for its end, and the
+		// A restart within the session's life must not wait for its end, and the
 		// old life's token must not be used again.
 		{"the leader restarts at once", func(c *cluster) {
 			i := c.leader()
@@ -66,7 +66,7 @@
 			time.Sleep(8 * time.Second)
 			c.state.SetDown(false)
 		}},
-		// Not an outage: the holds run out meanwhile.
+		// Not an outage: the sessions run out meanwhile.
 		{"the state service refuses every node", func(c *cluster) {
 			time.Sleep(4 * time.Second)
 			c.setFault(nth(1, standin.Refused, isState))
@@ -84,7 +84,7 @@
 			})
 			time.Sleep(15 * time.Second)
 		}},
-		// Longer than RenewFor: the peers' word keeps leases and placing alive.
+		// Longer than RenewFor: the peers' answers keep leases and placing alive.
 		{"the state service is down for long", func(c *cluster) {
 			time.Sleep(4 * time.Second)
 			c.state.SetDown(true)
@@ -175,7 +175,7 @@
 				c.start((i + k) % 5)
 			}
 		}},
-		// What a restarted node promised or held in its earlier life still binds.
+		// A restarted node must still abstain as in its earlier life, whose session goes on.
 		{"nodes are back at once, also in the midst of elections", func(c *cluster) {
 			time.Sleep(2 * time.Second)
 			for range 6 {
@@ -347,7 +347,7 @@
 	}
 }
 
-// TestOutagePlacing has the state service away for everyone: on the peers' word
+// TestOutagePlacing has the state service away for everyone: on the peers' answers
 // the leader goes on placing tasks of known jobs.
 func TestOutagePlacing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -358,7 +358,7 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 		c.state.SetDown(true)
-		time.Sleep(10 * time.Second) // the leader can no longer count on its hold
+		time.Sleep(10 * time.Second) // the leader can no longer count on its session
 		before := c.cloud.Starts()
 		time.Sleep(15 * time.Second)
 		if after := c.cloud.Starts(); after <= before {
