--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -229,42 +229,57 @@
 		slog.Debug("campaign", "error", err)
 		return nil
 	}
-	next := replica.Token{Token: token.Token + 1}
-	leader := replica.Leader{Member: e.member, Token: next.Token, Session: session}
-	revision, err := e.store.Commit(ctx, wire.Txn{
-		If: []wire.Condition{
-			{Key: replica.LeaderKey},
-			{Key: replica.TokenKey, Stamp: tokenStamp},
-		},
-		Then: []wire.Op{
-			{Write: replica.LeaderKey, Value: leader, Hold: session},
-			{Write: replica.TokenKey, Value: next},
-		},
-	})
-	e.pause = retryEvery
+	leader := replica.Leader{Member: e.member, Token: token.Token + 1, Session: session}
+	revision, err := e.takeLeaderKey(ctx, leader, tokenStamp)
+	e.pause = pauseAfter(err)
 	if err != nil {
-		if errors.Is(err, statestore.ErrRefused) {
-			// Two short values: nothing could be made smaller. Whatever it is, being
-			// asked five times a second does not mend it.
-			slog.Error("the state service refuses to store who leads", "error", err)
-			e.pause = refusedPause
-		}
 		slog.Debug("campaign", "error", err)
 		e.endSession(ctx, session)
 		return nil
 	}
-	e.replica.Wrote(replica.LeaderKey, leader, revision)
-	e.replica.Wrote(replica.TokenKey, next, revision)
 	return &Term{
 		peers:     e.peers,
 		replica:   e.replica,
-		Token:     next.Token,
+		Token:     leader.Token,
 		Stamp:     revision,
 		session:   session,
 		confirmed: sent,
 	}
 }
 
+// takeLeaderKey stores the leader and its token, if nobody leads and the token has not been
+// raised since.
+func (e *Election) takeLeaderKey(ctx context.Context, leader replica.Leader, tokenStamp uint64) (revision uint64, err error) {
+	token := replica.Token{Token: leader.Token}
+	revision, err = e.store.Commit(ctx, wire.Txn{
+		If: []wire.Condition{
+			{Key: replica.LeaderKey},
+			{Key: replica.TokenKey, Stamp: tokenStamp},
+		},
+		Then: []wire.Op{
+			{Write: replica.LeaderKey, Value: leader, Hold: leader.Session},
+			{Write: replica.TokenKey, Value: token},
+		},
+	})
+	if err != nil {
+		return 0, err
+	}
+	e.replica.Wrote(replica.LeaderKey, leader, revision)
+	e.replica.Wrote(replica.TokenKey, token, revision)
+	return revision, nil
+}
+
+// pauseAfter is how long to wait after a campaign that ended with err.
+func pauseAfter(err error) micros.Micros {
+	if !errors.Is(err, statestore.ErrRefused) {
+		return retryEvery
+	}
+	// Two short values: nothing could be made smaller. Whatever it is, being
+	// asked five times a second does not mend it.
+	slog.Error("the state service refuses to store who leads", "error", err)
+	return refusedPause
+}
+
 // serve keeps the session and leads until the term is over.
 func (e *Election) serve(ctx context.Context, t *Term) {
 	slog.Info("leading", "token", t.Token)
