--- a/cluster_test.go
+++ b/cluster_test.go
@@ -20,12 +20,16 @@
 	"caperlatch/internal/wire"
 )
 
+// Times of the clusters' workers, in seconds.
 const (
 	reportS = 1.0
 	leaseS  = 8.0
 	cancelS = 25.0
 )
 
+// userPatience is how long users wait for an answer.
+const userPatience = 5 * time.Second
+
 // cluster is some nodes with stand-ins for all around them.
 type cluster struct {
 	t     *testing.T
@@ -51,12 +55,18 @@
 	s := &settings.Settings{Member: fmt.Sprintf("host-%d", i), ClientListen: "unused"}
 	s.External.State, s.External.Cloud = "state", "cloud"
 	s.Params = settings.Params{
-		Zones:   []string{"a"},
-		Teams:   []settings.Team{{Name: "blue"}, {Name: "small", CPUs: 2, CPUsMax: 4}},
-		Workers: settings.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS, GangWaitS: standin.GangWaitS, GangPeerS: standin.GangPeerS},
-		State:   settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 6},
-		Cloud:   settings.Cloud{RPS: 20, ListLagS: 1},
-		Limits:  settings.Limits{CPU: 1, MemoryMB: 1000, MaxSockets: 1000},
+		Zones: []string{"a"},
+		Teams: []settings.Team{{Name: "blue"}, {Name: "small", CPUs: 2, CPUsMax: 4}},
+		Workers: settings.Workers{
+			ReportS:   reportS,
+			LeaseS:    leaseS,
+			CancelS:   cancelS,
+			GangWaitS: standin.GangWaitS,
+			GangPeerS: standin.GangPeerS,
+		},
+		State:  settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 6},
+		Cloud:  settings.Cloud{RPS: 20, ListLagS: 1},
+		Limits: settings.Limits{CPU: 1, MemoryMB: 1000, MaxSockets: 1000},
 	}
 	for p := range nodes {
 		if p != i {
@@ -76,23 +86,17 @@
 
 // newTunedCluster starts a cluster whose nodes have their settings changed by tune.
 func newTunedCluster(t *testing.T, size int, tune func(*settings.Settings)) *cluster {
-	c := &cluster{t: t, tune: tune, net: standin.NewNet(), pipes: standin.NewPipes(), state: standin.NewState(), dead: map[string]bool{},
-		stops: make([]func(), size), lives: make([]int, size)}
-	c.net.SetFault(func(from string, r *http.Request) standin.Fault {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.dead[from] {
-			return standin.LostRequest
-		}
-		if c.fault != nil {
-			f := c.fault(from, r)
-			if f != standin.Pass {
-				c.faults++
-			}
-			return f
-		}
-		return standin.Pass
-	})
+	c := &cluster{
+		t:     t,
+		tune:  tune,
+		net:   standin.NewNet(),
+		pipes: standin.NewPipes(),
+		state: standin.NewState(),
+		dead:  map[string]bool{},
+		stops: make([]func(), size),
+		lives: make([]int, size),
+	}
+	c.net.SetFault(c.faultOf)
 	nodes := make([]string, size)
 	for i := range nodes {
 		nodes[i] = fmt.Sprintf("host-%d:8080", i)
@@ -103,8 +107,10 @@
 	for _, t := range s.Params.Teams {
 		limits[t.Name] = t.CPUsMax
 	}
-	c.rules = standin.NewRules(time.Duration(s.Params.Workers.CancelS*float64(time.Second)), limits)
-	c.cloud = standin.NewCloud(c.net, c.rules, nodes, s.Params.Workers.ReportS, s.Params.Workers.LeaseS, func(string) float64 { return 5 })
+	workers := s.Params.Workers
+	runFor := func(string) float64 { return 5 }
+	c.rules = standin.NewRules(workers.Cancel().Duration(), limits)
+	c.cloud = standin.NewCloud(c.net, c.rules, nodes, workers.ReportS, workers.LeaseS, runFor)
 	c.state.Check = c.conditioned
 	c.net.Handle("state", c.state)
 	c.net.Handle("cloud", c.cloud)
@@ -115,6 +121,23 @@
 	return c
 }
 
+// faultOf is the fault that a message meets.
+func (c *cluster) faultOf(from string, r *http.Request) standin.Fault {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead[from] {
+		return standin.LostRequest
+	}
+	if c.fault == nil {
+		return standin.Pass
+	}
+	fault := c.fault(from, r)
+	if fault != standin.Pass {
+		c.faults++
+	}
+	return fault
+}
+
 // start begins a new life of a node.
 func (c *cluster) start(i int) {
 	c.lives[i]++
@@ -123,9 +146,10 @@
 	s := nodeSettings(i, len(c.stops))
 	c.tune(s)
 	n := newNode(s, settings.DefaultTuning(), outside{
-		services: c.net.From(name), workers: c.net.From(name),
-		dial:   func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, member, addr) },
-		listen: func() (net.Listener, error) { return c.pipes.Listen(member), nil },
+		services: c.net.From(name),
+		workers:  c.net.From(name),
+		dial:     func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, member, addr) },
+		listen:   func() (net.Listener, error) { return c.pipes.Listen(member), nil },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -182,10 +206,8 @@
 // leader is the index of the node that the state service names.
 func (c *cluster) leader() int {
 	for range 100 {
-		var l struct {
-			Member string `json:"member"`
-		}
-		if e, ok := c.state.Get("c/leader"); ok && wire.Unmarshal(e.Value, &l) == nil {
+		var l replica.Leader
+		if e, ok := c.state.Get(replica.LeaderKey); ok && wire.Unmarshal(e.Value, &l) == nil {
 			var i int
 			if _, err := fmt.Sscanf(l.Member, "host-%d", &i); err == nil {
 				return i
@@ -210,21 +232,28 @@
 // conditioned checks that no write can be carried out late to harm: each is conditioned
 // on its key's version, and the leader's on its leader key.
 func (c *cluster) conditioned(conditions []wire.Condition, keys []string) {
-	has := func(key string, none bool) bool {
-		return slices.ContainsFunc(conditions, func(x wire.Condition) bool { return x.Key == key && (none || x.Stamp != 0) })
-	}
+	someoneLeads := slices.ContainsFunc(conditions, func(x wire.Condition) bool {
+		return x.Key == replica.LeaderKey && x.Stamp != 0
+	})
 	for _, key := range keys {
-		if !has(key, true) {
+		if !slices.ContainsFunc(conditions, func(x wire.Condition) bool { return x.Key == key }) {
 			c.t.Errorf("%s is written whatever its version", key)
 		}
-		of := func(prefix string) bool { return strings.HasPrefix(key, prefix) }
-		if (of(replica.ProgressPrefix) || of(replica.BookingPrefix) || of(replica.UpPrefix) || key == replica.StaffingKey || key == replica.CatalogKey) &&
-			!has(replica.LeaderKey, false) {
+		if ofLeader(key) && !someoneLeads {
 			c.t.Errorf("%s is written whoever leads", key)
 		}
 	}
 }
 
+// ofLeader tells whether only the leader may write a key.
+func ofLeader(key string) bool {
+	if key == replica.StaffingKey || key == replica.CatalogKey {
+		return true
+	}
+	prefixes := []string{replica.ProgressPrefix, replica.BookingPrefix, replica.UpPrefix}
+	return slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+}
+
 // request sends a user's request to a node and shows the answer to the checker of the
 // rules. The code is 0 if there was no answer.
 func (c *cluster) request(method string, node int, path string, body any) (int, wire.JobStatus) {
@@ -236,16 +265,11 @@
 			panic(err)
 		}
 		r = bytes.NewReader(b)
-		if spec, err := wire.ParseJob(b); err == nil {
-			c.rules.Submits(spec)
-		} else if id := wire.SubmittedID(b); id != "" {
-			c.rules.SubmitsMalformed(id)
-		}
-		submitted = wire.SubmittedID(b)
+		submitted = c.submits(b)
 	}
 	id := cmp.Or(submitted, c.rules.Asks(path))
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), userPatience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://host-%d:8080%s", node, path), r)
 	if err != nil {
@@ -270,12 +294,39 @@
 	return resp.StatusCode, s
 }
 
+// submits shows a submission to the checker of the rules and returns its id, if it has one.
+func (c *cluster) submits(body []byte) string {
+	id := wire.SubmittedID(body)
+	if spec, err := wire.ParseJob(body); err == nil {
+		c.rules.Submits(spec)
+	} else if id != "" {
+		c.rules.SubmitsMalformed(id)
+	}
+	return id
+}
+
 // testJob is a submission of a job of small tasks, as the wire has it.
 func testJob(id string, tasks int) map[string]any {
 	return map[string]any{
-		"id": id, "lane": "l", "desk": "blue", "shape": "sweep", "rank": "normal", "pieces": tasks, "vcpus": 1.0, "cards": 0.0,
-		"memory_gb": 1.0, "bundle": "img", "pull_gb": 1.0, "builds": nil, "hall": nil, "together": false, "scatter": false,
-		"standby": true, "expect_s": 5.0, "save_every_s": 0.0, "store_s": 0.0,
+		"id":           id,
+		"lane":         "l",
+		"desk":         "blue",
+		"shape":        wire.ShapeArray,
+		"rank":         "normal",
+		"pieces":       tasks,
+		"vcpus":        1.0,
+		"cards":        0.0,
+		"memory_gb":    1.0,
+		"bundle":       "img",
+		"pull_gb":      1.0,
+		"builds":       nil,
+		"hall":         nil,
+		"together":     false,
+		"scatter":      false,
+		"standby":      true,
+		"expect_s":     5.0,
+		"save_every_s": 0.0,
+		"store_s":      0.0,
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,8 +21,11 @@
 
 // Handler answers requests at once.
 type Handler interface {
+	// Probed takes over what a peer tells and tells of this node.
 	Probed(p *Probe) *State
+	// Relayed answers a worker's report that a peer passes on.
 	Relayed(report wire.Raw) (wire.Raw, error)
+	// Explained tells what the leader here knows of a job.
 	Explained(job string) (leader.Explanation, error)
 }
 
--- a/requests_test.go
+++ b/requests_test.go
@@ -373,7 +373,11 @@
 			took  []time.Duration
 			count int
 			most  time.Duration // of 95 in 100; the rest may take as long again
-		}{{"intake", intake, 480, 2 * time.Second}, {"cancellations", cancels, 120, 2 * time.Second}, {"ends", ends, 360, 3 * time.Second}} {
+		}{
+			{"intake", intake, 480, 2 * time.Second},
+			{"cancellations", cancels, 120, 2 * time.Second},
+			{"ends", ends, 360, 3 * time.Second},
+		} {
 			slices.Sort(list.took)
 			if len(list.took) != list.count {
 				t.Fatalf("%s: %d of %d", list.name, len(list.took), list.count)
@@ -390,10 +394,10 @@
 
 // lookClosely asks all nodes about a job again and again within milliseconds, and
 // repeats its submission and, if it is to be cancelled, its cancellation.
-func (c *cluster) lookClosely(job map[string]any, cancel bool, for_ time.Duration, seen *tally) {
+func (c *cluster) lookClosely(job map[string]any, cancel bool, within time.Duration, seen *tally) {
 	id := job["id"].(string)
 	var wg sync.WaitGroup
-	for begun, n := time.Now(), 0; time.Since(begun) < for_; n++ {
+	for begun, n := time.Now(), 0; time.Since(begun) < within; n++ {
 		for node := range c.stops {
 			wg.Go(func() {
 				code := 0
