--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// Highest is the highest token known here and who has it.
-func (e *Election) Highest() (uint64, string) {
+// Highest is who has the highest token known here. The session is not always known.
+func (e *Election) Highest() replica.Leader {
 	var token replica.Token
 	if _, err := e.replica.Get(replica.TokenKey, &token); err != nil {
 		slog.Error("token key", "error", err)
@@ -134,17 +134,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.highest.Token > token.Token || e.highest.Token == token.Token && l.Token != token.Token {
-		return e.highest.Token, e.highest.Member
+		return e.highest
 	}
 	if l.Token == token.Token {
 		e.highest = l
 	}
-	return token.Token, l.Member
+	return replica.Leader{Member: l.Member, Token: token.Token}
 }
 
-// Leader is the leader as known here.
-func (e *Election) Leader() (replica.Leader, uint64) {
-	var l replica.Leader
+// Leader is the leader as known here, and the version of its key: 0 if nobody leads.
+func (e *Election) Leader() (l replica.Leader, stamp uint64) {
 	stamp, err := e.replica.Get(replica.LeaderKey, &l)
 	if err != nil {
 		slog.Error("leader key", "error", err)
@@ -305,8 +304,7 @@
 	if _, stamp := e.Leader(); stamp != t.Stamp {
 		return true
 	}
-	token, _ := e.Highest()
-	return token > t.Token
+	return e.Highest().Token > t.Token
 }
 
 // keep renews the session until the term is lost or given up.
--- a/node.go
+++ b/node.go
@@ -190,15 +190,14 @@
 
 // Front names the node that is to take a machine's reports for this one, which
 // leads; none if this node must do it itself. All nodes share the work of the
-// connections, and the leader's part is its own work.
+// connections by rendezvous hashing, and the leader's part is its own work.
 func (n *Node) Front(machine string) string {
-	token, _ := n.election.Highest()
-	best, most := "", uint32(0)
-	for _, member := range n.peers.Fronts(token) {
-		h := fnv.New32a()
-		h.Write([]byte(machine + " " + member))
-		if sum := h.Sum32(); best == "" || sum > most {
-			best, most = member, sum
+	best, bestWeight := "", uint32(0)
+	for _, member := range n.peers.Fronts(n.election.Highest().Token) {
+		hash := fnv.New32a()
+		hash.Write([]byte(machine + " " + member))
+		if weight := hash.Sum32(); best == "" || weight > bestWeight {
+			best, bestWeight = member, weight
 		}
 	}
 	return best
@@ -240,8 +239,7 @@
 // LeaderMember names the leader as known here: by the state service or, when
 // that cannot be reached, by a peer that knows of a higher token.
 func (n *Node) LeaderMember() string {
-	_, member := n.election.Highest()
-	return member
+	return n.election.Highest().Member
 }
 
 // Ready tells whether the node can take requests. Without the state service it
--- a/peers.go
+++ b/peers.go
@@ -26,7 +26,8 @@
 // as encoding them for every probe took the leader a tenth of its processor.
 func (n *Node) probe(told *micros.Micros) *peer.Probe {
 	p := &peer.Probe{Member: n.settings.Member, Since: n.replica.CancelledThrough()}
-	p.Token, p.Leader = n.election.Highest()
+	highest := n.election.Highest()
+	p.Token, p.Leader = highest.Token, highest.Member
 	if l := n.Leading(); l != nil {
 		p.Doubt = !l.Term.Held()
 		if counts, at := l.AllCounts(); at != *told {
@@ -61,7 +62,8 @@
 		SinceHeard: n.store.SinceHeard(),
 		Fronts:     n.peers.Reachable(p.Member),
 	}
-	s.Token, s.Leader = n.election.Highest()
+	highest := n.election.Highest()
+	s.Token, s.Leader = highest.Token, highest.Member
 	if l := n.Leading(); l != nil {
 		l.Supersede(s.Token)
 	}
