--- a/cmd/caperlatch/main.go
+++ b/cmd/caperlatch/main.go
@@ -1,4 +1,7 @@
 // Command caperlatch runs and inspects a controller node.
+//
+// It owns the command line and what it prints. It does no work of a node itself: it runs
+// one of package caperlatch or asks a running one over HTTP.
 package main
 
 import (
@@ -23,20 +26,32 @@
 	}
 }
 
+// rootCommand is the program with all its commands; without one it runs a node.
 func rootCommand() *cobra.Command {
 	var config string
 	run := func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), config) }
 	root := &cobra.Command{
-		Use: "caperlatch", Short: "A cluster scheduler that rents its machines",
-		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs, RunE: run,
+		Use:           "caperlatch",
+		Short:         "A cluster scheduler that rents its machines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          run,
+	}
+	runCmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run a node until it is killed",
+		Args:  cobra.NoArgs,
+		RunE:  run,
+	}
+	for _, cmd := range []*cobra.Command{root, runCmd} {
+		cmd.Flags().StringVar(&config, "config", "", "settings file (TOML)")
 	}
-	root.Flags().StringVar(&config, "config", "", "settings file (TOML)")
-	runCmd := &cobra.Command{Use: "run", Short: "Run a node until it is killed", Args: cobra.NoArgs, RunE: run}
-	runCmd.Flags().StringVar(&config, "config", "", "settings file (TOML)")
 	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionsCommand(), versionCommand())
 	return root
 }
 
+// runNode runs a node with the settings in a file until ctx ends.
 func runNode(ctx context.Context, config string) error {
 	if config == "" {
 		return fmt.Errorf("--config is missing")
@@ -56,6 +71,7 @@
 	return caperlatch.NewNode(s, t).Run(ctx)
 }
 
+// setLogLevel logs to standard error as much as LOG_LEVEL says.
 func setLogLevel() {
 	level := slog.LevelInfo
 	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
@@ -67,9 +83,12 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
 }
 
+// checkCommand checks settings without running anything.
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "check FILE", Short: "Check a settings file and the tuning file, if one is named", Args: cobra.ExactArgs(1),
+		Use:   "check FILE",
+		Short: "Check a settings file and the tuning file, if one is named",
+		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := settings.Read(args[0])
 			if err != nil {
@@ -84,9 +103,12 @@
 	}
 }
 
+// versionCommand prints the version of this program, unlike versionsCommand.
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) {
 			version, goVersion := "(devel)", ""
 			if info, ok := debug.ReadBuildInfo(); ok {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,9 @@
 // Package wire holds the messages of the protocol and its limits. The odd
 // names of the wire stand in the tags here and nowhere else.
+//
+// It owns the encoding, the size limits of bodies, and which job descriptions are well
+// formed. It does not know whether a job can run: that depends on the catalog and the
+// teams (internal/api).
 package wire
 
 import (
@@ -19,15 +23,27 @@
 // ContentType labels every body.
 const ContentType = "application/cbor"
 
+// Limits of decoding, well above what any message of the protocol or between nodes needs.
+const (
+	maxNestedLevels  = 16
+	maxArrayElements = 1 << 18
+	maxMapPairs      = 1 << 16
+)
+
 var (
-	// Maps in an untyped value must have a type that JSON knows: with the library's own,
-	// every larger body that held a list of maps, as a machine's report of 200 tasks
-	// does, measured as infinite.
-	decoder = must(cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 18, MaxMapPairs: 1 << 16,
-		DefaultMapType: reflect.TypeFor[map[string]any]()}.DecMode())
+	decoder = must(cbor.DecOptions{
+		MaxNestedLevels:  maxNestedLevels,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		// Maps in an untyped value must have a type that JSON knows: with the library's own,
+		// every larger body that held a list of maps, as a machine's report of 200 tasks
+		// does, measured as infinite.
+		DefaultMapType: reflect.TypeFor[map[string]any](),
+	}.DecMode())
 	encoder = must(cbor.EncOptions{}.EncMode())
 )
 
+// must is the mode, which can only fail by a mistake in its options.
 func must[M any](mode M, err error) M {
 	if err != nil {
 		panic(err)
@@ -45,7 +61,7 @@
 // no map is an error when v is a struct.
 func Unmarshal(b []byte, v any) error { return decoder.Unmarshal(b, v) }
 
-// NewEncoder and NewDecoder serve streams between nodes.
+// NewEncoder writes a stream of values to w.
 func NewEncoder(w io.Writer) *cbor.Encoder { return encoder.NewEncoder(w) }
 
 // NewDecoder reads a stream of values from r.
@@ -63,6 +79,10 @@
 // ErrTooLarge says that a body is over MaxBody.
 var ErrTooLarge = errors.New("body over the limit")
 
+// maxJSONPerByte is how many JSON characters a CBOR byte can stand for. Only bodies that may
+// be too large by it need to be measured.
+const maxJSONPerByte = 6
+
 // ReadBody reads at most MaxBody bytes and checks what they measure as JSON.
 func ReadBody(r io.Reader) ([]byte, error) {
 	var buf bytes.Buffer
@@ -72,9 +92,7 @@
 	if buf.Len() > MaxBody {
 		return nil, ErrTooLarge
 	}
-	// One CBOR byte can stand for up to six JSON characters, so only larger
-	// bodies need to be measured.
-	if buf.Len() > MaxBody/6 {
+	if buf.Len() > MaxBody/maxJSONPerByte {
 		var v map[string]any
 		if err := Unmarshal(buf.Bytes(), &v); err == nil && JSONSize(v) > MaxBody {
 			return nil, ErrTooLarge
@@ -313,7 +331,8 @@
 	Events   []Event `json:"events"`
 }
 
-// HoldRequest asks for a hold, HoldAnswer grants one.
+// HoldRequest asks for a hold: a session, in the words of the state service, whose keys are
+// removed when it ends.
 type HoldRequest struct {
 	LifeMS int64 `json:"life_ms"`
 }
