A gang that was cancelled or ended since the last plan gets no starts from its queue

A machine that reports is filled from the queue of the last plan, and planStarts held places for a gang without asking what has become of it: single tasks are looked at once more when they are sent, a gang's were not. So a gang that one machine takes whole was started after its cancellation, and nothing stopped it, as its job was gone; and an attempt that was ending got another task. TestGangOldQueue fails without the check in the cases of a cancellation, of an attempt that ends, and of one whose tasks are all gone.

--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -296,3 +296,65 @@
 		t.Error("it is kept again at once")
 	}
 }
+
+// TestGangOldQueue has a gang change between two plans. A machine that reports is filled
+// from the queue of the last plan, which must not start what has been ended meanwhile.
+func TestGangOldQueue(t *testing.T) {
+	cancel := func(l *Leader) {
+		spec := l.jobs["j-000002"].spec
+		l.Replica.Wrote(replica.JobPrefix+spec.ID, replica.Job{State: wire.JobCancelled, Spec: spec}, 3)
+	}
+	cases := []struct {
+		name    string
+		cpus    float64 // of each task; a machine has four
+		before  func(t *testing.T, l *Leader)
+		between func(l *Leader)
+		machine string
+		tasks   []string // that it reports
+		want    []string
+	}{
+		{"it still waits", 1, nil, func(*Leader) {}, "i-1", nil, []string{"start", "start", "start"}},
+		{"it is cancelled", 1, nil, cancel, "i-1", nil, nil},
+		{"one of its tasks is done", 1, nil, func(*Leader) {}, "i-1", []string{"0@5 ended done"}, nil},
+		{"its attempt ends while another task of it waits for a place", 3, func(t *testing.T, l *Leader) {
+			for _, id := range []string{"i-1", "i-2", "i-3"} {
+				tellTasks(t, l, id)
+			}
+			tellTasks(t, l, "i-1", ". waiting")
+			tellTasks(t, l, "i-3", ". waiting")
+			tellTasks(t, l, "i-2", ". ended error")
+		}, func(*Leader) {}, "i-1", []string{". ended incomplete"}, []string{"clear"}},
+		{"all of its attempt are gone, of which one waited for a place", 1, func(t *testing.T, l *Leader) {
+			tellTasks(t, l, "i-1")
+			for _, id := range []string{"i-2", "i-3"} {
+				l.machines[id].notUntil = micros.Now() + micros.Second
+			}
+			tellTasks(t, l, "i-1", "0 waiting", "1 waiting", "2 ended no_room")
+		}, func(l *Leader) { l.lose(l.machines["i-1"], "test") }, "i-2", nil, nil},
+	}
+	for _, c := range cases {
+		l := newGangTest(t, false)
+		j := l.jobs["j-000002"]
+		j.spec.CPUs, j.need.CPU = c.cpus, int64(1000*c.cpus)
+		if c.before != nil {
+			c.before(t, l)
+		}
+		later := micros.Now() + micros.Second
+		for _, m := range l.order {
+			m.notUntil = later
+		}
+		l.plan(micros.Now())
+		for _, m := range l.order {
+			m.notUntil = 0
+		}
+		c.between(l)
+		l.planTook = micros.Now() // no other plan for long
+		got := tellTasks(t, l, c.machine, c.tasks...)
+		for i := range got {
+			got[i], _, _ = strings.Cut(got[i], " ")
+		}
+		if !slices.Equal(got, c.want) && len(got)+len(c.want) > 0 {
+			t.Errorf("%s: told %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -151,8 +151,11 @@
 	starts := placement.Fill(&p, q.waiting, q.teams)
 	gone := false
 	for _, s := range starts {
-		l.planStarts(m, q.jobs[s.Job], s.Count, now)
 		gone = gone || q.waiting[s.Job].Waiting == 0
+		if j := q.jobs[s.Job]; !j.isGang() || !j.over && s.Count == j.ready(now) {
+			l.planStarts(m, j, s.Count, now)
+		}
+		// Else the gang was cancelled, or its attempt has ended, since the queue was made.
 	}
 	if gone {
 		q.drop()
