Gangs: what is left of an ended attempt is stopped, and what may run unseen can save

Four faults, each with a case in TestGangRaces, TestGangLeaves or TestGangPlaces that fails without its mend: - A waiting task that was stopped and replaced, and whose exit was listed again as the answer that cleared it was lost, had the gang stopped that ran by then ("a task that was replaced is listed again as stopped"). That exit was taken for an earlier leader's stop. - A task of a gang that waits was stopped without time to save when its machine was given up, as was one whose gang was not complete in time. Either may run before the stop arrives, and all that the gang did since its last checkpoint was lost ("it runs, which is not known"). One that waits exits at once, whatever the time. - When others of the attempt run, the place of one whose start was never sent can't complete it: it was started all the same ("the others run, so the one that has its place is too late"). - After a take-over, what was left of an attempt was taken on, and completed, if the exits that show it to be over were heard first ("one gave its gang up, then one shows to run").

--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -144,6 +144,20 @@
 	if g.ending && a.stopped == 0 {
 		l.stopAll(j, saveGrace(j), "its gang is being stopped")
 	}
+	if !g.ending && (g.n <= j.attemptOver || g.started && j.hasReserved()) {
+		// It can't be complete: its exits say so, or a start was never sent.
+		l.stopAll(j, 0, "another task of its gang is gone")
+	}
+}
+
+// hasReserved tells whether a task has its place and no start yet.
+func (j *job) hasReserved() bool {
+	for _, a := range j.on {
+		if a.reserved {
+			return true
+		}
+	}
+	return false
 }
 
 // gangDone notes that all tasks of a gang are done, as one is: they complete together.
@@ -162,8 +176,14 @@
 
 // gangExited has the other tasks stopped when one ended in a way that tells of the whole
 // attempt, whether or not it was known here.
-func (l *Leader) gangExited(j *job, a *attempt, t *wire.ReportTask) {
-	if !j.isGang() || j.over || j.ndone > 0 || j.gang.ending || t.Attempt != j.gang.n || a != nil && a.stopped != 0 {
+func (l *Leader) gangExited(j *job, task int, a *attempt, t *wire.ReportTask) {
+	if !j.isGang() || j.over || j.ndone > 0 {
+		return
+	}
+	if t.Cause == wire.CausePeers || t.Cause == wire.CauseIncomplete {
+		j.attemptOver = max(j.attemptOver, t.Attempt)
+	}
+	if j.gang.ending || t.Attempt != j.gang.n || a != nil && a.stopped != 0 {
 		return
 	}
 	switch t.Cause {
@@ -173,8 +193,8 @@
 		l.stopAll(j, 0, "its gang was not complete in time")
 	case wire.CauseStopped:
 		// An earlier leader's stop. Once one has saved, so have all. One that waited is
-		// replaced.
-		if j.gang.started {
+		// replaced, and its exit may be listed again beside its replacement.
+		if j.gang.started && (a != nil || j.on[task] == nil) {
 			l.stopAll(j, saveGrace(j), "an earlier leader stopped its gang")
 		}
 	}
@@ -206,11 +226,12 @@
 }
 
 // leaveWith has a gang's task leave a machine that is given up. One that waits for the
-// others is replaced; once they run, all stop, if that saves their work.
+// others is replaced; once they run, all stop, if that saves their work. It may run unseen
+// already: then it saves, and shows that. One that waits exits at once all the same.
 func (l *Leader) leaveWith(a *attempt, grace micros.Micros, why string, now micros.Micros) {
 	switch {
-	case !a.job.gang.started:
-		l.stop(a, 0, why)
+	case !a.job.gang.started && a.stopped == 0:
+		l.stop(a, grace, why)
 	case a.job.spec.CheckpointS > 0 && a.stopped == 0:
 		l.stopGang(a.job, grace, why, now)
 	}
@@ -327,7 +348,7 @@
 			// Its task was lost in an earlier term, or between two.
 			l.stopAll(j, 0, "another task of its gang is gone")
 		case !j.gang.started && j.gang.waits != 0 && now-j.gang.waits > launchLimit(l.Settings.Params.Workers.GangWait()):
-			l.stopAll(j, 0, "its gang was not complete in time")
+			l.stopAll(j, saveGrace(j), "its gang was not complete in time") // it may run unseen already
 		}
 	}
 }
--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -10,7 +10,9 @@
 
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
 	"caperlatch/internal/wire"
+	"caperlatch/placement"
 )
 
 // heard has every call to a worker answered.
@@ -145,6 +147,14 @@
 		{"one that an earlier leader had stopped in part is stopped whole", true, []step{
 			{"i-1", []string{"0@5 running"}, nil}, {"i-2", []string{"1@5 ended stopped"}, []string{"clear"}},
 			{"i-1", []string{"0@5 running"}, []string{"stop"}}}, 5, false},
+		{"a result was lost with its machine: all start again, and one shows it at once", true, []step{
+			{"i-1", nil, nil}, {"i-2", nil, nil}, {"i-3", nil, []string{"start"}},
+			{"i-1", nil, []string{"start"}}, {"i-2", nil, []string{"start"}},
+			{"i-1", []string{". pulling"}, nil}, {"i-2", []string{". ended done"}, nil}}, 1, true},
+		{"a result was lost with its machine, and is not known yet", true, []step{
+			{"i-1", nil, nil}, {"i-2", nil, nil}, {"i-3", nil, []string{"start"}},
+			{"i-1", nil, []string{"start"}}, {"i-2", nil, []string{"start"}},
+			{"i-1", []string{". pulling"}, nil}, {"i-2", []string{". waiting"}, nil}}, 1, false},
 		{"a result that an earlier leader did not store is that of all", true, []step{{"i-2", []string{"1@5 ended done"}, nil}}, 0, true},
 	} {
 		l := newGangTest(t, c.old)
@@ -165,7 +175,7 @@
 		if n > token<<32 {
 			n -= token << 32
 		}
-		if n != c.n || (j.ndone == 3) != c.done {
+		if _, final := l.finals[j.spec.ID]; n != c.n || (j.ndone == 3) != c.done || final != c.done {
 			t.Errorf("%s: attempt %d, %d done", c.name, n, j.ndone)
 		}
 		for name, m := range l.machines {
@@ -242,7 +252,7 @@
 	l.watchGangs(micros.Now())
 	n := 0
 	for _, a := range j.on {
-		if a.stopped != 0 && !a.reserved {
+		if a.stopped != 0 && !a.reserved && a.grace >= saveGrace(j) { // it may run unseen
 			n++
 		}
 	}
@@ -315,6 +325,11 @@
 	}{
 		{"it still waits", 1, nil, func(*Leader) {}, "i-1", nil, []string{"start", "start", "start"}},
 		{"it is cancelled", 1, nil, cancel, "i-1", nil, nil},
+		{"it has a place there", 3, func(t *testing.T, l *Leader) { tellTasks(t, l, "i-1") }, func(*Leader) {}, "i-2", nil, []string{"start"}},
+		{"it has a place there, and its team is at its limit by now", 3, func(t *testing.T, l *Leader) { tellTasks(t, l, "i-1") }, func(l *Leader) {
+			l.teams["blue"] = settings.Team{Name: "blue", CPUsMax: 9.5}
+			l.used["blue"] = l.used["blue"].Plus(placement.Resources{CPU: 1000}, 1)
+		}, "i-2", nil, nil},
 		{"one of its tasks is done", 1, nil, func(*Leader) {}, "i-1", []string{"0@5 ended done"}, nil},
 		{"its attempt ends while another task of it waits for a place", 3, func(t *testing.T, l *Leader) {
 			for _, id := range []string{"i-1", "i-2", "i-3"} {
@@ -358,3 +373,190 @@
 		}
 	}
 }
+
+// addUp adds a machine that is up and may get tasks.
+func addUp(l *Leader, id, zone string) {
+	m := l.addMachine(id, l.bookings["r-1"], micros.Now())
+	m.kind.Zone = zone
+	m.up, m.stored, m.upStored, m.current = true, true, true, true
+	m.address, m.session, m.reported, m.answered = id+":9000", 1, micros.Now(), micros.Now()
+}
+
+// taskOn is the gang's task that the leader has on a machine.
+func taskOn(l *Leader, machine string) *attempt {
+	for _, a := range l.machines[machine].tasks {
+		if a.job.spec.ID == "j-000002" {
+			return a
+		}
+	}
+	return nil
+}
+
+// leave has the gang's task leave a machine, which gets no others.
+func leave(l *Leader, machine string) {
+	a := taskOn(l, machine)
+	a.machine.draining = "test"
+	l.leaveWith(a, saveGrace(a.job), "test", micros.Now())
+}
+
+// launchGang has the gang's tasks started on three machines, and reported with a state
+// unless it is empty.
+func launchGang(t *testing.T, l *Leader, state string) {
+	t.Helper()
+	machines := []string{"i-1", "i-2", "i-3"}
+	for _, id := range machines {
+		tellTasks(t, l, id)
+	}
+	for _, id := range machines {
+		if state != "" {
+			tellTasks(t, l, id, ". "+state)
+		}
+	}
+	if len(l.jobs["j-000002"].on) != len(machines) {
+		t.Fatalf("%d tasks of the gang are on machines", len(l.jobs["j-000002"].on))
+	}
+}
+
+// verbsOf are the verbs of commands.
+func verbsOf(commands []string) []string {
+	out := []string{}
+	for _, c := range commands {
+		verb, _, _ := strings.Cut(c, " ")
+		out = append(out, verb)
+	}
+	return out
+}
+
+// TestGangRaces has reports of a gang's tasks cross each other, and what the leader does.
+func TestGangRaces(t *testing.T) {
+	type step struct {
+		before  func(l *Leader) // the report
+		machine string
+		tasks   []string
+		want    []string
+	}
+	// The task on the second machine leaves it, and a fourth machine is there.
+	moved := []step{
+		{func(l *Leader) { leave(l, "i-2"); addUp(l, "i-4", "a") }, "i-2", []string{". waiting"}, []string{"stop"}},
+		{nil, "i-2", []string{". ended stopped"}, []string{"clear"}},
+	}
+	replaced := append(slices.Clone(moved), step{nil, "i-4", nil, []string{"start"}})
+	cases := []struct {
+		name   string
+		launch string // state that its tasks have at first; empty: a new leader has not heard of it
+		steps  []step
+	}{
+		{"a task that was replaced is listed again as stopped", wire.TaskWaiting, append(slices.Clone(replaced),
+			step{nil, "i-4", []string{". running"}, nil},
+			step{nil, "i-1", []string{". running"}, nil},
+			step{nil, "i-2", []string{"1 ended stopped"}, []string{"clear"}},
+			step{nil, "i-1", []string{". running"}, nil})},
+		{"the others run, so the one that has its place is too late", wire.TaskWaiting, append(slices.Clone(moved),
+			step{nil, "i-1", []string{". running"}, []string{"stop"}},
+			step{nil, "i-4", nil, nil})},
+		{"others run, and the last start is not heard of yet", "", []step{
+			{func(l *Leader) { addUp(l, "i-4", "a") }, "i-1", nil, []string{"start"}},
+			{nil, "i-2", nil, []string{"start"}},
+			{nil, "i-3", nil, []string{"start"}},
+			{nil, "i-1", []string{". running"}, nil},
+			{nil, "i-3", []string{". running"}, nil}}},
+		{"a start is carried out when the others have left as incomplete", wire.TaskWaiting, append(slices.Clone(replaced),
+			step{nil, "i-1", []string{". ended incomplete"}, []string{"clear"}},
+			step{nil, "i-3", []string{". ended incomplete"}, []string{"clear"}},
+			step{nil, "i-4", []string{". waiting"}, []string{"stop"}},
+			step{nil, "i-1", nil, nil},
+			step{nil, "i-3", nil, nil},
+			step{nil, "i-4", []string{". ended stopped"}, []string{"clear", "start"}})},
+		{"one gives its gang up before any was seen running", wire.TaskWaiting, []step{
+			{nil, "i-3", []string{". ended peers"}, []string{"clear"}},
+			{nil, "i-1", []string{". waiting"}, []string{"stop"}}}},
+		{"a task that runs without the others exits", wire.TaskRunning, []step{
+			{func(l *Leader) { l.returned(l.machines["i-2"]) }, "i-1", []string{". running"}, []string{"stop"}},
+			{nil, "i-3", []string{". ended peers"}, []string{"clear"}},
+			{nil, "i-1", []string{". running"}, []string{"stop"}},
+			{nil, "i-3", nil, nil}}},
+		// A new leader hears first of what has ended, then of what is left.
+		{"one gave its gang up, then one shows to run", "old", []step{
+			{nil, "i-2", []string{"1@5 ended peers"}, []string{"clear"}},
+			{nil, "i-1", []string{"0@5 running"}, []string{"stop"}}}},
+		{"one gave up waiting, then one shows to wait", "old", []step{
+			{nil, "i-2", []string{"1@5 ended incomplete"}, []string{"clear"}},
+			{nil, "i-1", []string{"0@5 waiting"}, []string{"stop"}}}},
+		{"one of it is nowhere, which is known when all machines are", "old", []step{
+			{nil, "i-1", []string{"0@5 running"}, nil},
+			{nil, "i-2", []string{"1@5 running"}, nil},
+			{func(l *Leader) { l.watchGangs(micros.Now()) }, "i-1", []string{"0@5 running"}, nil},
+			{nil, "i-3", nil, nil},
+			{func(l *Leader) { l.watchGangs(micros.Now()) }, "i-1", []string{"0@5 running"}, []string{"stop"}}}},
+		{"one gave an earlier attempt up", "old", []step{
+			{nil, "i-2", []string{"1@5 ended peers"}, []string{"clear"}},
+			{nil, "i-1", []string{"0@6 running"}, nil},
+			{nil, "i-3", []string{"2@5 running"}, []string{"stop"}},
+			{nil, "i-1", []string{"0@6 running"}, nil}}},
+	}
+	for _, c := range cases {
+		l := newGangTest(t, c.launch == "old")
+		if c.launch != "" && c.launch != "old" {
+			launchGang(t, l, c.launch)
+		}
+		for i, s := range c.steps {
+			if s.before != nil {
+				s.before(l)
+			}
+			if got := verbsOf(tellTasks(t, l, s.machine, s.tasks...)); !slices.Equal(got, append([]string{}, s.want...)) {
+				t.Errorf("%s: step %d: told %v, want %v", c.name, i, got, s.want)
+				break
+			}
+		}
+	}
+}
+
+// TestGangLeaves has a machine with a task of a gang be taken after a notice. A gang that
+// runs stops whole, with time to save; one that waits gives up that task alone. As it may
+// run unseen by then, that task has time to save too: to stop it at once would cost what
+// the gang did since its last checkpoint.
+func TestGangLeaves(t *testing.T) {
+	cases := []struct {
+		name      string
+		states    []string // of the three, empty: its start was not heard of; none: not sent
+		saveEvery float64
+		stops     int
+	}{
+		{"its start is not sent", nil, 20, 0},
+		{"its start is sent", []string{"", "", ""}, 20, 1},
+		{"it fetches", []string{wire.TaskFetching, wire.TaskFetching, wire.TaskFetching}, 20, 1},
+		{"it waits", []string{wire.TaskWaiting, wire.TaskWaiting, wire.TaskFetching}, 20, 1},
+		{"it runs, which is not known", []string{wire.TaskWaiting, wire.TaskWaiting, wire.TaskWaiting}, 20, 1},
+		{"it runs", []string{wire.TaskRunning, wire.TaskRunning, wire.TaskRunning}, 20, 3},
+		{"it runs, which only another has shown", []string{wire.TaskRunning, wire.TaskWaiting, wire.TaskWaiting}, 20, 3},
+		{"it runs and can't save", []string{wire.TaskRunning, wire.TaskRunning, wire.TaskRunning}, 0, 0},
+	}
+	for _, c := range cases {
+		l := newGangTest(t, false)
+		j := l.jobs["j-000002"]
+		j.spec.CheckpointS = c.saveEvery
+		tellTasks(t, l, "i-1")
+		for i := 1; i < len(c.states); i++ {
+			tellTasks(t, l, fmt.Sprintf("i-%d", i+1))
+		}
+		for i, state := range c.states {
+			if state != "" {
+				tellTasks(t, l, fmt.Sprintf("i-%d", i+1), ". "+state)
+			}
+		}
+		l.machines["i-2"].recallAt = micros.Now() + micros.Second
+		l.drainOnNotice(l.machines["i-2"], micros.Now())
+		stops := 0
+		for _, a := range j.on {
+			if a.stopped != 0 {
+				stops++
+			}
+			if a.stopped != 0 && a.grace < 3*micros.Second {
+				t.Errorf("%s: task %d has %v to save", c.name, a.task, a.grace.Duration())
+			}
+		}
+		if stops != c.stops {
+			t.Errorf("%s: %d tasks are stopped, want %d", c.name, stops, c.stops)
+		}
+	}
+}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -35,8 +35,11 @@
 	cursor    int              // tasks from here on have not been started
 	resumed   map[int]bool     // tasks that ran before, whose next run is shorter
 	gang      gang             // its present attempt, if it is one
-	notBefore micros.Micros
-	waitsFor  string
+	// The highest number of a gang's attempt that its tasks' exits show to be over. A new
+	// leader may hear of these before it hears of what is left of the attempt.
+	attemptOver uint64
+	notBefore   micros.Micros
+	waitsFor    string
 	// How its tasks failed, see blame.go.
 	errors     map[string]micros.Micros // machines where one did, when last, while none has been done
 	failures   int                      // in this term
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -311,7 +311,7 @@
 		return
 	}
 	m.clears = append(m.clears, clearCommand(t))
-	l.gangExited(j, a, t)
+	l.gangExited(j, task, a, t)
 	if a == nil {
 		return
 	}
