The log tells once of a word in a report that the protocol does not have

A task in an unknown state counts as being there, one that ended for an unknown cause as ended, as before; nobody was told. TestUnknownWords fails in the cases of a state and of a cause without the lines, and in those of a state when each report tells it anew.

--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -560,3 +560,38 @@
 		}
 	}
 }
+
+// TestUnknownWords has reports use words that the protocol does not have. Each is told to
+// the log once, and the task counts as being there, or as ended.
+func TestUnknownWords(t *testing.T) {
+	cases := []struct {
+		name  string
+		tasks []string
+		lines int
+		there bool
+	}{
+		{"none", []string{". waiting"}, 0, true},
+		{"a state", []string{". pondering"}, 1, true},
+		{"a cause", []string{". ended boredom"}, 1, false},
+		{"a cause of gangs", []string{". ended peers"}, 0, false},
+		{"a state with a cause", []string{". pondering boredom"}, 1, true},
+	}
+	for _, c := range cases {
+		l := newGangTest(t, false)
+		launchGang(t, l, wire.TaskFetching)
+		a := taskOn(l, "i-2")
+		l.machines["i-2"].notUntil = micros.Now() + 100*micros.Second
+		for range 3 {
+			tellTasks(t, l, "i-2", c.tasks...)
+		}
+		lines := 0
+		for what, x := range l.tallies {
+			if strings.Contains(what, "unknown") {
+				lines += x.count
+			}
+		}
+		if there := l.machines["i-2"].tasks[taskName("j-000002", a.task)] == a; lines != c.lines || there != c.there {
+			t.Errorf("%s: %d lines, its task counts as being there: %t", c.name, lines, there)
+		}
+	}
+}
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -231,6 +232,9 @@
 				l.countImages(m)
 			}
 		}
+		if t.State != a.state && !wire.KnownState(t.State) {
+			l.tallies.add(fmt.Sprintf("a task's state is unknown, it is taken to be there: %.40q", t.State), m.id)
+		}
 		a.state = t.State
 		l.gangListed(a, now)
 		return
@@ -310,6 +314,9 @@
 		l.wakeFlush()
 		return
 	}
+	if !wire.KnownCause(t.Cause) {
+		l.tallies.add(fmt.Sprintf("a task ended for an unknown cause: %.40q", t.Cause), m.id)
+	}
 	m.clears = append(m.clears, clearCommand(t))
 	l.gangExited(j, task, a, t)
 	if a == nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -145,6 +146,16 @@
 	CauseIncomplete = "incomplete"
 )
 
+// KnownState tells whether a task's state is one of the protocol's.
+func KnownState(state string) bool {
+	return slices.Contains([]string{TaskFetching, TaskWaiting, TaskRunning, TaskSaving, TaskExited}, state)
+}
+
+// KnownCause tells whether the cause of an exit is one of the protocol's.
+func KnownCause(cause string) bool {
+	return slices.Contains([]string{CauseDone, CauseStopped, CauseError, CauseNoRoom, CauseBusy, CauseNoSuch, CausePeers, CauseIncomplete}, cause)
+}
+
 // Report is what a worker tells of itself.
 type Report struct {
 	Machine string       `json:"host"`
