Tests: gangs' tasks that may still be there, zones, saves, cancellations, a team's limit

That a start counts as lost only when a newer report lacks it is not proven alone: late copies of reports are refused before.

--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -392,6 +392,18 @@
 	return nil
 }
 
+// tellPlain has a machine report tasks as they are given, and returns what it is told.
+func tellPlain(t *testing.T, l *Leader, machine string, tasks ...wire.ReportTask) []string {
+	t.Helper()
+	m := l.machines[machine]
+	l.replan, l.plannedAt = true, 0
+	answer, err := l.Report(&wire.Report{Machine: m.id, Address: m.address, Type: "m4", Zone: "a", Session: m.session, Seq: m.seq + 1, Token: token, Tasks: tasks})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return verbs(answer)
+}
+
 // leave has the gang's task leave a machine, which gets no others.
 func leave(l *Leader, machine string) {
 	a := taskOn(l, machine)
@@ -511,6 +523,130 @@
 	}
 }
 
+// TestGangSurelyGone has the machine of a task that is about to run fall silent and more.
+// The task may be started elsewhere, under the same number, only when it is surely gone.
+func TestGangSurelyGone(t *testing.T) {
+	say := func(edit func(r *wire.Report)) func(t *testing.T, l *Leader, m *machine) {
+		return func(_ *testing.T, l *Leader, m *machine) {
+			r := &wire.Report{Machine: m.id, Address: m.address, Type: "m4", Zone: "a", Session: 1, Seq: m.seq + 1, Token: token}
+			edit(r)
+			if _, err := l.Report(r); err != nil && r.Seq > m.seq {
+				t.Error(err)
+			}
+		}
+	}
+	shows := func(tasks ...string) func(t *testing.T, l *Leader, m *machine) {
+		return func(t *testing.T, l *Leader, m *machine) { tellTasks(t, l, m.id, tasks...) }
+	}
+	silent := func(seconds micros.Micros) func(t *testing.T, l *Leader, m *machine) {
+		return func(_ *testing.T, l *Leader, m *machine) {
+			m.answered = micros.Now() - seconds*micros.Second
+			m.reported = m.answered
+			l.watchMachines(micros.Now())
+		}
+	}
+	cases := []struct {
+		name  string
+		event func(t *testing.T, l *Leader, m *machine)
+		gone  bool
+	}{
+		{"it is silent for a while", silent(10), false},
+		{"it is silent for its lease", silent(16), false},
+		{"its lease is surely over", silent(18), true},
+		{"it is to be returned", func(_ *testing.T, l *Leader, m *machine) { l.giveUp(m, "test") }, false},
+		{"the cloud has answered that it is returned", func(_ *testing.T, l *Leader, m *machine) { l.returned(m) }, true},
+		{"the cloud's list calls it failed", func(_ *testing.T, l *Leader, m *machine) {
+			l.listedMachines([]wire.ListedMachine{{ID: m.id, State: wire.MachineFailed}}, micros.Second)
+		}, false},
+		{"the cloud's lists lack it", func(_ *testing.T, l *Leader, _ *machine) {
+			for range 3 {
+				l.listedMachines(nil, micros.Second)
+			}
+		}, false},
+		{"it reports in a new session", say(func(r *wire.Report) { r.Session = 2 }), true},
+		{"a late copy of a report from before the start comes", say(func(r *wire.Report) { r.Seq = 1 }), false},
+		{"a report of an earlier term comes", say(func(r *wire.Report) { r.Token = token - 1 }), false},
+		{"it reports in a new session, and knows an earlier term", say(func(r *wire.Report) { r.Session, r.Token = 2, token-1 }), true},
+		{"it reports without the task", shows(), true},
+		{"it reports another attempt, which is to be cleared", shows("1@3 ended stopped", ". waiting"), false},
+		{"it still fetches", shows(". pulling"), false},
+		{"it shows a state that nobody knows", shows(". pondering"), false},
+		{"the task has ended", shows(". ended stopped"), true},
+		{"the task has ended for a cause that nobody knows", shows(". ended boredom"), true},
+		{"the start was refused", shows(". ended no_room"), true},
+	}
+	for _, c := range cases {
+		l := newGangTest(t, false)
+		launchGang(t, l, wire.TaskWaiting)
+		j, m := l.jobs["j-000002"], l.machines["i-2"]
+		n, a := j.gang.n, taskOn(l, "i-2")
+		c.event(t, l, m)
+		if held := m.tasks[taskName(j.spec.ID, a.task)] == a; held == c.gone {
+			t.Errorf("%s: its task counts as being there: %t", c.name, held)
+		}
+		m.notUntil, l.replan, l.plannedAt = micros.Now()+100*micros.Second, true, 0
+		if b := j.on[a.task]; b != a && b != nil && b.machine == m {
+			continue // it is started on the same machine again
+		}
+		addUp(l, "i-4", "a")
+		if got := verbsOf(tellTasks(t, l, "i-4")); slices.Contains(got, "start") != c.gone || j.gang.n != n {
+			t.Errorf("%s: another machine is told %v, attempt %d after %d", c.name, got, j.gang.n, n)
+		}
+	}
+}
+
+// TestGangTogether has a gang that must be in one zone lose a task. As long as one of the
+// old attempt is left anywhere, nothing is started in another zone, and no new attempt.
+func TestGangTogether(t *testing.T) {
+	ends := func(l *Leader) { l.returned(l.machines["i-2"]) }
+	cases := []struct {
+		name   string
+		state  string
+		event  func(t *testing.T, l *Leader) // after a task of it was lost
+		starts int                           // told to other machines, three in the other zone and one in its own
+		same   bool                          // attempt
+	}{
+		{"it waits: a replacement must be in its zone", wire.TaskWaiting, func(*testing.T, *Leader) {}, 1, true},
+		{"it runs, and the others have not left", wire.TaskRunning, func(*testing.T, *Leader) {}, 0, true},
+		{"one is left", wire.TaskRunning, func(t *testing.T, l *Leader) { tellTasks(t, l, "i-1", ". ended stopped") }, 0, true},
+		{"one is left on a machine that is to be returned", wire.TaskRunning, func(t *testing.T, l *Leader) {
+			tellTasks(t, l, "i-1", ". ended peers")
+			l.giveUp(l.machines["i-3"], "test")
+		}, 0, true},
+		{"all are gone", wire.TaskRunning, func(t *testing.T, l *Leader) {
+			tellTasks(t, l, "i-1", ". ended peers")
+			l.returned(l.machines["i-3"])
+		}, 3, false},
+	}
+	for _, c := range cases {
+		l := newGangTest(t, false)
+		j := l.jobs["j-000002"]
+		j.spec.OneZone = true
+		launchGang(t, l, c.state)
+		n := j.gang.n
+		ends(l)
+		for i, zone := range []string{"b", "b", "b", "a"} {
+			addUp(l, fmt.Sprintf("i-%d", i+4), zone)
+		}
+		c.event(t, l)
+		for _, id := range []string{"i-1", "i-3"} {
+			if m := l.machines[id]; m != nil {
+				m.notUntil = micros.Now() + 100*micros.Second // the others alone may take tasks
+			}
+		}
+		starts, zones := 0, map[string]bool{}
+		for _, id := range []string{"i-4", "i-5", "i-6", "i-7"} {
+			if slices.Contains(verbsOf(tellTasks(t, l, id)), "start") {
+				starts++
+				zones[l.machines[id].kind.Zone] = true
+			}
+		}
+		if starts != c.starts || len(zones) > 1 || (j.gang.n == n) != c.same || zones["b"] && c.same {
+			t.Errorf("%s: %d starts in zones %v, attempt %d after %d", c.name, starts, zones, j.gang.n, n)
+		}
+	}
+}
+
 // TestGangLeaves has a machine with a task of a gang be taken after a notice. A gang that
 // runs stops whole, with time to save; one that waits gives up that task alone. As it may
 // run unseen by then, that task has time to save too: to stop it at once would cost what
@@ -561,6 +697,187 @@
 	}
 }
 
+// TestGangSaves has more happen to a gang that is saving. None of it may cut its time.
+func TestGangSaves(t *testing.T) {
+	cases := []struct {
+		name  string
+		event func(t *testing.T, l *Leader)
+		least micros.Micros // time that each task which is left has to save
+	}{
+		{"nothing", func(*testing.T, *Leader) {}, 3 * micros.Second},
+		{"it is stopped again for other work", func(_ *testing.T, l *Leader) {
+			l.stopGang(l.jobs["j-000002"], saveGrace(l.jobs["j-000002"]), "test", micros.Now())
+		}, 3 * micros.Second},
+		{"one of its machines is taken after a short notice", func(_ *testing.T, l *Leader) {
+			l.machines["i-2"].recallAt = micros.Now() + micros.Second
+			l.drainOnNotice(l.machines["i-2"], micros.Now())
+		}, 3 * micros.Second},
+		{"one of its machines is found faulty", func(_ *testing.T, l *Leader) {
+			l.machines["i-2"].strikes = faultyStrikes
+			l.judgeMachine(l.machines["i-2"], micros.Now())
+		}, 3 * micros.Second},
+		{"one has saved", func(t *testing.T, l *Leader) { tellTasks(t, l, "i-2", ". ended stopped") }, 3 * micros.Second},
+		{"one has saved, and another's machine is gone", func(t *testing.T, l *Leader) {
+			tellTasks(t, l, "i-2", ". ended stopped")
+			l.returned(l.machines["i-1"])
+		}, 3 * micros.Second},
+		{"one was not told in time", func(t *testing.T, l *Leader) { tellTasks(t, l, "i-2", ". ended peers") }, 3 * micros.Second},
+		{"one was not told in time, and is listed again", func(t *testing.T, l *Leader) {
+			tellTasks(t, l, "i-2", ". ended peers")
+			tellTasks(t, l, "i-2", "1 ended peers")
+		}, 3 * micros.Second},
+		{"a machine is gone", func(_ *testing.T, l *Leader) { l.returned(l.machines["i-2"]) }, 3 * micros.Second},
+		{"one still shows to run", func(t *testing.T, l *Leader) { tellTasks(t, l, "i-2", ". running") }, 3 * micros.Second},
+		{"it is cancelled", func(_ *testing.T, l *Leader) { l.forget(l.jobs["j-000002"], wire.JobCancelled) }, 0},
+	}
+	for _, c := range cases {
+		l := newGangTest(t, false)
+		launchGang(t, l, wire.TaskRunning)
+		j := l.jobs["j-000002"]
+		if !l.stopGang(j, saveGrace(j), "test", micros.Now()) {
+			t.Fatalf("%s: it can't be stopped", c.name)
+		}
+		c.event(t, l)
+		l.watchGangs(micros.Now())
+		for _, a := range j.on {
+			if a.stopped == 0 || a.grace < c.least || c.least == 0 && a.grace != 0 {
+				t.Errorf("%s: task %d has %v to save, want %v", c.name, a.task, a.grace.Duration(), c.least.Duration())
+			}
+		}
+		if c.least > 0 && (j.gang.n == 0 || !j.gang.ending) {
+			t.Errorf("%s: attempt %d is not ending", c.name, j.gang.n)
+		}
+	}
+}
+
+// TestGangCancelled has a gang cancelled in each of its states: no start follows, what was
+// not sent is dropped, and all the others are told to stop at once until they are gone.
+func TestGangCancelled(t *testing.T) {
+	launched := func(state string) func(t *testing.T, l *Leader) {
+		return func(t *testing.T, l *Leader) { launchGang(t, l, state) }
+	}
+	cases := []struct {
+		name   string
+		before func(t *testing.T, l *Leader)
+		stops  int
+	}{
+		{"nothing of it is placed", func(*testing.T, *Leader) {}, 0},
+		{"one start is sent", func(t *testing.T, l *Leader) { tellTasks(t, l, "i-1") }, 1},
+		{"all starts are sent", launched(""), 3},
+		{"it fetches", launched(wire.TaskFetching), 3},
+		{"it waits", launched(wire.TaskWaiting), 3},
+		{"it runs", launched(wire.TaskRunning), 3},
+		{"it waits for a replacement", func(t *testing.T, l *Leader) {
+			launchGang(t, l, wire.TaskWaiting)
+			leave(l, "i-2")
+			tellTasks(t, l, "i-2", ". ended stopped")
+		}, 2},
+		{"it has a place for a replacement", func(t *testing.T, l *Leader) {
+			launchGang(t, l, wire.TaskWaiting)
+			leave(l, "i-2")
+			addUp(l, "i-4", "a")
+			tellTasks(t, l, "i-2", ". ended stopped")
+		}, 2},
+		{"it saves", func(t *testing.T, l *Leader) {
+			launchGang(t, l, wire.TaskRunning)
+			l.stopAll(l.jobs["j-000002"], saveGrace(l.jobs["j-000002"]), "test")
+			tellTasks(t, l, "i-1", ". flushing")
+		}, 3},
+		{"one of it is gone, and it ends", func(t *testing.T, l *Leader) {
+			launchGang(t, l, wire.TaskRunning)
+			l.returned(l.machines["i-2"])
+		}, 2},
+		{"one of it hangs, and its machine is to be returned", func(t *testing.T, l *Leader) {
+			launchGang(t, l, wire.TaskRunning)
+			l.giveUp(l.machines["i-2"], "test")
+		}, 3},
+		{"it is done, which is not stored", func(t *testing.T, l *Leader) {
+			launchGang(t, l, wire.TaskRunning)
+			tellTasks(t, l, "i-2", ". ended done")
+		}, 2},
+		{"a new leader has heard of one task", func(t *testing.T, l *Leader) {
+			*l = *newGangTest(t, true)
+			tellTasks(t, l, "i-1", "0@5 waiting")
+		}, 1},
+	}
+	for _, c := range cases {
+		l := newGangTest(t, false)
+		c.before(t, l)
+		j := l.jobs["j-000002"]
+		l.Replica.Wrote(replica.JobPrefix+j.spec.ID, replica.Job{State: wire.JobCancelled, Spec: j.spec}, 9)
+		l.takeChanges()
+		told := 0
+		for _, m := range slices.Clone(l.order) {
+			a := taskOn(l, m.id)
+			if a == nil {
+				if got := tellPlain(t, l, m.id); len(got) > 0 {
+					t.Errorf("%s: %s is told %v", c.name, m.id, got)
+				}
+				continue
+			}
+			told++
+			if a.stopped == 0 || a.grace != 0 || a.reserved {
+				t.Errorf("%s: task %d is told nothing, or has %v", c.name, a.task, a.grace.Duration())
+			}
+			task := wire.ReportTask{Task: taskName(j.spec.ID, a.task), Attempt: a.n}
+			for _, task.State = range []string{wire.TaskFetching, wire.TaskWaiting, wire.TaskRunning, wire.TaskSaving} {
+				if got := tellPlain(t, l, m.id, task); !slices.Equal(got, []string{"stop " + task.Task}) {
+					t.Errorf("%s: %s is told %v while its task is %s", c.name, m.id, got, task.State)
+				}
+			}
+			task.State, task.Cause = wire.TaskExited, wire.CauseStopped
+			if got := tellPlain(t, l, m.id, task); !slices.Equal(got, []string{"clear " + task.Task}) {
+				t.Errorf("%s: %s is told %v when its task has ended", c.name, m.id, got)
+			}
+		}
+		if told != c.stops || len(j.on) > 0 || l.used["blue"].CPU != 0 {
+			t.Errorf("%s: %d are told, want %d; %d are left, %+v used", c.name, told, c.stops, len(j.on), l.used["blue"])
+		}
+	}
+}
+
+// TestGangAtLimit has a gang use all that its team may, in each of its states: others of the
+// team wait until its tasks are gone, those that wait for each other too.
+func TestGangAtLimit(t *testing.T) {
+	cases := []struct {
+		name   string
+		before func(t *testing.T, l *Leader)
+		room   bool
+	}{
+		{"its places are reserved", func(t *testing.T, l *Leader) { tellTasks(t, l, "i-1") }, false},
+		{"its starts are sent", func(t *testing.T, l *Leader) { launchGang(t, l, "") }, false},
+		{"it fetches", func(t *testing.T, l *Leader) { launchGang(t, l, wire.TaskFetching) }, false},
+		{"it waits", func(t *testing.T, l *Leader) { launchGang(t, l, wire.TaskWaiting) }, false},
+		{"it runs", func(t *testing.T, l *Leader) { launchGang(t, l, wire.TaskRunning) }, false},
+		{"it is stopped", func(t *testing.T, l *Leader) {
+			launchGang(t, l, wire.TaskRunning)
+			l.stopAll(l.jobs["j-000002"], 0, "test")
+		}, false},
+		{"it is cancelled, and not gone", func(t *testing.T, l *Leader) {
+			launchGang(t, l, wire.TaskWaiting)
+			l.forget(l.jobs["j-000002"], wire.JobCancelled)
+		}, false},
+		{"it is cancelled, and one is gone", func(t *testing.T, l *Leader) {
+			launchGang(t, l, wire.TaskWaiting)
+			j := l.jobs["j-000002"]
+			l.forget(j, wire.JobCancelled)
+			l.returned(l.machines["i-3"])
+		}, true},
+	}
+	for _, c := range cases {
+		l := newGangTest(t, false)
+		l.teams["blue"] = settings.Team{Name: "blue", CPUsMax: 9}
+		c.before(t, l)
+		small := &wire.Job{ID: "j-000003", Team: "blue", Shape: wire.ShapeArray, Priority: "prod", Tasks: 4, CPUs: 1, EstimateS: 5, Spot: true}
+		l.jobs[small.ID] = newJob(replica.Job{Spec: small, SubmittedAt: micros.Wall()}, false)
+		addUp(l, "i-4", "a")
+		got := tellPlain(t, l, "i-4")
+		if (len(got) > 0) != c.room || l.used["blue"].CPU > 9000 {
+			t.Errorf("%s: another of its team is told %v; %d used", c.name, got, l.used["blue"].CPU)
+		}
+	}
+}
+
 // TestUnknownWords has reports use words that the protocol does not have. Each is told to
 // the log once, and the task counts as being there, or as ended.
 func TestUnknownWords(t *testing.T) {
@@ -595,3 +912,21 @@
 		}
 	}
 }
+
+// TestAttemptNumbers has jobs of each shape start: a gang's tasks share a number, for
+// others it only tells one start from another.
+func TestAttemptNumbers(t *testing.T) {
+	for shape, numbers := range map[string]int{wire.ShapeGang: 1, wire.ShapeArray: 3, wire.ShapeService: 3} {
+		l := newGangTest(t, false)
+		j := l.jobs["j-000002"]
+		j.spec.Shape = shape
+		launchGang(t, l, "")
+		seen := map[uint64]bool{}
+		for _, a := range j.on {
+			seen[a.n] = true
+		}
+		if len(seen) != numbers {
+			t.Errorf("%s: numbers %v", shape, seen)
+		}
+	}
+}
