--- a/gangs_test.go
+++ b/gangs_test.go
@@ -178,6 +178,29 @@
 			c.until(id, waiting(2))
 			c.back(c.leader())
 		}, 1, 80 * time.Second},
+		{"its result is lost with its machine before it is stored, and the leader ends", gangJob(id, 4, 1, nil), nil, 2, func(c *cluster) {
+			c.until(id, running(4))
+			time.Sleep(18 * time.Second)
+			c.setFault(func(_ string, r *http.Request) standin.Fault {
+				if isState(r) && r.URL.Path == "/txn" {
+					return standin.LostRequest
+				}
+				return standin.Pass
+			})
+			machine := c.cloud.With(id)[0]
+			time.Sleep(4 * time.Second)
+			if len(machine.Tasks()) > 0 {
+				c.t.Error("it is not done")
+			}
+			machine.Take(0)
+			leader := c.leader()
+			c.kill(leader)
+			c.setFault(nil)
+			if code, s := c.request(http.MethodGet, (leader+1)%3, "/v1/jobs/"+id, nil); code != http.StatusOK || s.Status == wire.JobDone {
+				c.t.Errorf("%d, it is %s: its end was stored", code, s.Status)
+			}
+			c.start(leader)
+		}, 1, 100 * time.Second},
 		{"one reports done, and the leader ends", wide, nil, 0, func(c *cluster) {
 			c.until(id, running(3))
 			time.Sleep(18 * time.Second)
--- a/troubles_test.go
+++ b/troubles_test.go
@@ -329,6 +329,16 @@
 		{"a zone that there is not", with("hall", "z"), http.StatusUnprocessableEntity},
 		{"a type that there is not", with("builds", []string{"m5"}), http.StatusUnprocessableEntity},
 		{"more than its team may use", func(job map[string]any) { job["desk"], job["vcpus"] = "small", 4.5 }, http.StatusUnprocessableEntity},
+		{"an unknown shape", with("shape", "band"), http.StatusBadRequest},
+		{"a shape that is a number", with("shape", 7), http.StatusBadRequest},
+		{"a gang of half a task", func(job map[string]any) { job["shape"], job["pieces"] = "gang", 0.5 }, http.StatusBadRequest},
+		{"a gang whose flag is a number", func(job map[string]any) { job["shape"], job["together"] = "gang", 1 }, http.StatusBadRequest},
+		{"a gang whose number of tasks is text", func(job map[string]any) { job["shape"], job["pieces"] = "gang", "3" }, http.StatusBadRequest},
+		{"a gang without a number of tasks", func(job map[string]any) { job["shape"] = "gang"; delete(job, "pieces") }, http.StatusBadRequest},
+		{"a gang that needs more than its team may use, each task less", func(job map[string]any) {
+			job["shape"], job["desk"], job["pieces"], job["vcpus"] = "gang", "small", 5, 1.0
+		}, http.StatusUnprocessableEntity},
+		{"a gang of which a task fits no machine", func(job map[string]any) { job["shape"], job["vcpus"] = "gang", 5.0 }, http.StatusUnprocessableEntity},
 	}
 	cases := []struct {
 		name    string
