Gangs: one that runs by the time a task is to leave is stopped whole

A task told to leave its machine while its gang waited may run when the stop arrives. The others were told only when it showed that it saves; now when any of them shows to run, so that they are in time if its reports are lost. TestGangRaces fails without it ("one is to leave as they wait, and another shows that they run"), and without the look at the number ("one of a lower attempt is to leave").

TestStartsInFlight fails now and then, with this commit and before these changes alike: when its next leader is seen to lead, the starts that were held up have run. It is left as it is.

--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -144,20 +144,27 @@
 	if g.ending && a.stopped == 0 {
 		l.stopAll(j, saveGrace(j), "its gang is being stopped")
 	}
-	if !g.ending && (g.n <= j.attemptOver || g.started && j.hasReserved()) {
-		// It can't be complete: its exits say so, or a start was never sent.
-		l.stopAll(j, 0, "another task of its gang is gone")
-	}
+	l.gangShown(j)
 }
 
-// hasReserved tells whether a task has its place and no start yet.
-func (j *job) hasReserved() bool {
+// gangShown ends an attempt of which a report shows that it can't be complete, or is being
+// stopped.
+func (l *Leader) gangShown(j *job) {
+	g := &j.gang
+	reserved, leaving := false, false
 	for _, a := range j.on {
-		if a.reserved {
-			return true
-		}
+		reserved = reserved || a.reserved
+		leaving = leaving || a.n == g.n && a.stopped != 0
+	}
+	switch {
+	case g.ending:
+	case g.n <= j.attemptOver || g.started && reserved:
+		// Its exits say so, or one of its starts was never sent.
+		l.stopAll(j, 0, "another task of its gang is gone")
+	case g.started && leaving:
+		// One that was to leave while it waited runs by now: all must be told in time.
+		l.stopAll(j, saveGrace(j), "one of its gang's machines is given up")
 	}
-	return false
 }
 
 // gangDone notes that all tasks of a gang are done, as one is: they complete together.
--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -466,6 +466,14 @@
 		{"the others run, so the one that has its place is too late", wire.TaskWaiting, append(slices.Clone(moved),
 			step{nil, "i-1", []string{". running"}, []string{"stop"}},
 			step{nil, "i-4", nil, nil})},
+		{"one is to leave as they wait, and another shows that they run", wire.TaskWaiting, []step{
+			{func(l *Leader) { leave(l, "i-2") }, "i-1", []string{". running"}, []string{"stop"}},
+			{nil, "i-3", []string{". running"}, []string{"stop"}},
+			{nil, "i-2", []string{". flushing"}, []string{"stop"}}}},
+		{"one of a lower attempt is to leave, which is another matter", "old", []step{
+			{nil, "i-1", []string{"0@6 running"}, nil},
+			{nil, "i-3", []string{"2@5 waiting"}, []string{"stop"}},
+			{nil, "i-2", []string{"1@6 running"}, nil}}},
 		{"others run, and the last start is not heard of yet", "", []step{
 			{func(l *Leader) { addUp(l, "i-4", "a") }, "i-1", nil, []string{"start"}},
 			{nil, "i-2", nil, []string{"start"}},
