Tests of upgrades: one table over, in production, and, with gangs

Each moment also has what the machines reported, so that take-overs are tried with the machines of then gone, as before, and still there.

New ones: the frozen layouts miss nothing of what was captured (of each key, the leader key too, which was captured though a comment denied it), a gang's attempt that runs or is done does not begin anew at a take-over, and production must be among the captured versions.

--- /dev/null
+++ b/internal/leader/oldversions_test.go
@@ -0,0 +1,261 @@
+package leader
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"caperlatch/internal/replica"
+	"caperlatch/internal/wire"
+)
+
+// What earlier versions store, frozen: not to be changed along with the code. A type is
+// named after the first version that has it; those after it share it until one differs,
+// which then gets a type of its own.
+type (
+	v3a714abJob struct {
+		Spec        *v3a714abSpec `json:"job,omitempty"`
+		SubmittedAt int64         `json:"at"`
+		State       string        `json:"state"`
+		Reason      string        `json:"why,omitempty"`
+		EndedAt     int64         `json:"end,omitempty"`
+	}
+	v3a714abSpec struct {
+		ID          string   `json:"id"`
+		Class       string   `json:"lane"`
+		Team        string   `json:"desk"`
+		Shape       string   `json:"shape"`
+		Priority    string   `json:"rank"`
+		Tasks       int      `json:"pieces"`
+		CPUs        float64  `json:"vcpus"`
+		GPUs        float64  `json:"cards"`
+		MemoryGB    float64  `json:"memory_gb"`
+		Image       string   `json:"bundle"`
+		ImageGB     float64  `json:"pull_gb"`
+		Types       []string `json:"builds,omitempty"`
+		Zone        string   `json:"hall,omitempty"`
+		OneZone     bool     `json:"together"`
+		Spread      bool     `json:"scatter"`
+		Spot        bool     `json:"standby"`
+		EstimateS   float64  `json:"expect_s"`
+		CheckpointS float64  `json:"save_every_s"`
+		SaveS       float64  `json:"store_s"`
+		DeadlineS   *float64 `json:"due_s,omitempty"`
+	}
+	v3a714abLeader struct {
+		Member string `json:"member"`
+		Token  uint64 `json:"token"`
+		Hold   uint64 `json:"hold"`
+	}
+	v3a714abToken struct {
+		Token uint64 `json:"token"`
+	}
+	v3a714abProgress struct {
+		Done string `json:"done"`
+	}
+	v3a714abBooking struct {
+		Type     string   `json:"type"`
+		Zone     string   `json:"zone"`
+		Spot     bool     `json:"spot"`
+		Count    int      `json:"count"`
+		At       int64    `json:"at"`
+		Answered bool     `json:"answered"`
+		Machines []string `json:"machines"`
+	}
+	v3a714abUpList struct {
+		Machines []string `json:"m"`
+	}
+	v3a714abStaffing struct {
+		Types map[string]struct {
+			Lambda   float64 `json:"lambda"`
+			M        float64 `json:"m"`
+			Mu       float64 `json:"mu"`
+			Finished int     `json:"finished"`
+			Want     float64 `json:"want"`
+			Target   int     `json:"target"`
+			InFlight int     `json:"in_flight"`
+		} `json:"types"`
+		AtFault map[string]int `json:"at_fault,omitempty"`
+	}
+	v3a714abCatalog struct {
+		Types []struct {
+			Name        string   `json:"name"`
+			CPUs        float64  `json:"vcpus"`
+			GPUs        float64  `json:"cards"`
+			MemoryGB    float64  `json:"memory_gb"`
+			CacheGB     float64  `json:"local_gb"`
+			FetchGBPerS float64  `json:"fetch_gb_per_s"`
+			Price       float64  `json:"price"`
+			SpotPrice   float64  `json:"low_price"`
+			BootS       float64  `json:"startup_s"`
+			Zones       []string `json:"halls"`
+		} `json:"builds"`
+	}
+)
+
+// layout is what is stored under keys of a prefix, as it is now and as an earlier version
+// has it.
+type layout struct {
+	prefix   string
+	now, old reflect.Type
+}
+
+// oldVersion is an earlier version that may serve beside this one.
+type oldVersion struct {
+	name    string // its directory in testdata/versions
+	layouts []layout
+}
+
+// v3a714abLayouts are those of 3a714ab.
+var v3a714abLayouts = []layout{
+	{replica.JobPrefix, reflect.TypeFor[replica.Job](), reflect.TypeFor[v3a714abJob]()},
+	{replica.ProgressPrefix, reflect.TypeFor[progress](), reflect.TypeFor[v3a714abProgress]()},
+	{replica.BookingPrefix, reflect.TypeFor[booking](), reflect.TypeFor[v3a714abBooking]()},
+	{replica.UpPrefix, reflect.TypeFor[upList](), reflect.TypeFor[v3a714abUpList]()},
+	{replica.StaffingKey, reflect.TypeFor[staffingRecord](), reflect.TypeFor[v3a714abStaffing]()},
+	{replica.CatalogKey, reflect.TypeFor[wire.Catalog](), reflect.TypeFor[v3a714abCatalog]()},
+	{replica.TokenKey, reflect.TypeFor[replica.Token](), reflect.TypeFor[v3a714abToken]()},
+	{replica.LeaderKey, reflect.TypeFor[replica.Leader](), reflect.TypeFor[v3a714abLeader]()},
+}
+
+var oldVersions = []oldVersion{
+	{"3a714ab", v3a714abLayouts},
+	// It stores gangs as all other jobs, and divided lists as all other lists.
+	{"5fd93d5", v3a714abLayouts},
+}
+
+// of finds the layout of a key.
+func (v oldVersion) of(key string) (layout, bool) {
+	i := slices.IndexFunc(v.layouts, func(l layout) bool { return strings.HasPrefix(key, l.prefix) })
+	if i < 0 {
+		return layout{}, false
+	}
+	return v.layouts[i], true
+}
+
+// stored is what was captured from the version (testdata/versions/capture), by moment and
+// key.
+func (v oldVersion) stored(t *testing.T) (moments map[string]map[string]wire.Raw) {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("..", "..", "testdata", "versions", v.name, "stored.cbor"))
+	if err == nil {
+		err = wire.Unmarshal(b, &moments)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return moments
+}
+
+// through encodes a value and decodes it as another type.
+func through(t *testing.T, v any, as reflect.Type) any {
+	t.Helper()
+	b, err := wire.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := reflect.New(as)
+	if err := wire.Unmarshal(b, out.Interface()); err != nil {
+		t.Fatalf("%v as %v: %v", reflect.TypeOf(v), as, err)
+	}
+	return out.Elem().Interface()
+}
+
+// TestOldVersionsStored reads all that was captured from earlier versions. Their frozen
+// layouts say all of it, and stored again by either version after the other it says the
+// same.
+func TestOldVersionsStored(t *testing.T) {
+	for _, v := range oldVersions {
+		t.Run(v.name, func(t *testing.T) {
+			met := map[string]int{}
+			for moment, keys := range v.stored(t) {
+				for key, value := range keys {
+					l, ok := v.of(key)
+					if !ok {
+						t.Errorf("%s: nobody reads %s", moment, key)
+						continue
+					}
+					met[l.prefix]++
+					l.checkStored(t, moment+", "+key, value)
+				}
+			}
+			for _, l := range v.layouts {
+				if met[l.prefix] == 0 {
+					t.Errorf("nothing captured of %s", l.prefix)
+				}
+			}
+		})
+	}
+}
+
+// checkStored checks one value that an earlier version stored.
+func (l layout) checkStored(t *testing.T, what string, value wire.Raw) {
+	t.Helper()
+	now, old := through(t, value, l.now), through(t, value, l.old)
+	if got := through(t, now, l.old); !reflect.DeepEqual(got, old) {
+		t.Errorf("%s: rewritten here it is %+v, was %+v", what, got, old)
+	}
+	if got := through(t, old, l.now); !reflect.DeepEqual(got, now) {
+		t.Errorf("%s: rewritten by the earlier version it is %+v, was %+v", what, got, now)
+	}
+	whole := reflect.TypeFor[any]()
+	if got, want := through(t, old, whole), through(t, value, whole); !reflect.DeepEqual(got, want) {
+		t.Errorf("%s: the frozen layout says %+v of %+v", what, got, want)
+	}
+}
+
+// fill sets every stored field of a value, all different.
+func fill(v reflect.Value, n *int) {
+	*n++
+	switch v.Kind() {
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem(), n)
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if v.Type().Field(i).IsExported() {
+				fill(v.Field(i), n)
+			}
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		fill(v.Index(0), n)
+		fill(v.Index(1), n)
+	case reflect.Map:
+		v.Set(reflect.MakeMap(v.Type()))
+		e := reflect.New(v.Type().Elem()).Elem()
+		fill(e, n)
+		v.SetMapIndex(reflect.ValueOf(fmt.Sprint("k", *n)).Convert(v.Type().Key()), e)
+	case reflect.String:
+		v.SetString(fmt.Sprint("s", *n))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(float64(*n) + 0.5)
+	case reflect.Uint64:
+		v.SetUint(uint64(*n))
+	default:
+		v.SetInt(int64(*n))
+	}
+}
+
+// TestOldVersionsKeep has the frozen layout of each earlier version rewrite what this
+// version stores, with every field set. A new field that an earlier version drops fails
+// here: either it does not matter, then say why where it is declared and take it out of
+// the comparison, or it must wait until every node speaks the new version.
+func TestOldVersionsKeep(t *testing.T) {
+	for _, v := range oldVersions {
+		for _, l := range v.layouts {
+			n := 0
+			ours := reflect.New(l.now).Elem()
+			fill(ours, &n)
+			if got := through(t, through(t, ours.Interface(), l.old), l.now); !reflect.DeepEqual(got, ours.Interface()) {
+				t.Errorf("%s: rewritten by %s it is %+v, was %+v", l.prefix, v.name, got, ours.Interface())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/restore.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"caperlatch/internal/wire"
+)
+
+// Restore has the cloud own machines that report what they reported once, as if they had
+// been rented and worked on. The rules must know the jobs of their tasks.
+func (c *Cloud) Restore(reports []wire.Report) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range reports {
+		r := &reports[i]
+		rental := wire.Rental{Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+		c.Rules.Rented(r.Machine, rental)
+		w := makeWorker(c, r.Machine, rental)
+		w.restore(r)
+		c.machines[w.ID] = w
+		c.Net.Handle(w.address, w)
+		if err := c.reserveName(w.ID); err != nil {
+			return err
+		}
+		for _, t := range w.tasks {
+			c.restoreSite(t, w.ID)
+		}
+	}
+	for i := range reports { // only now, since the tasks of a gang watch each other
+		w := c.machines[reports[i].Machine]
+		go w.run(w.ctx)
+	}
+	return nil
+}
+
+// reserveName keeps the name of a machine from being given to a further one.
+func (c *Cloud) reserveName(id string) error {
+	var n int
+	if _, err := fmt.Sscanf(id, "i-%d", &n); err != nil {
+		return fmt.Errorf("machine %s: %w", id, err)
+	}
+	c.next = max(c.next, n+1)
+	return nil
+}
+
+// restoreSite notes that a machine has a task, or that it is done there; the caller holds
+// the lock.
+func (c *Cloud) restoreSite(t *workerTask, machine string) {
+	switch {
+	case t.State == wire.TaskFetching:
+		// Noted when it begins.
+	case t.State != wire.TaskExited:
+		c.Rules.Started(t.Task, machine)
+		c.sites[t.Task] = machine
+	case t.Cause == wire.CauseDone:
+		c.Rules.Started(t.Task, machine)
+		c.Rules.Left(t.Task, machine, true)
+	}
+}
+
+// restore has a worker that does not run yet be as its report told.
+func (w *Worker) restore(r *wire.Report) {
+	w.session, w.seq, w.token = r.Session, r.Seq, r.Token
+	if r.NoticeS != nil {
+		w.recall = time.Now().Add(seconds(*r.NoticeS))
+	}
+	for _, reported := range r.Tasks {
+		t := &workerTask{ReportTask: reported}
+		job := w.job(t.Task)
+		switch t.State {
+		case wire.TaskFetching:
+			t.ends = time.Now().Add(seconds(w.cloud.FetchS))
+		case wire.TaskRunning:
+			t.ends = time.Now().Add(seconds(w.cloud.RunFor(t.Task)))
+		case wire.TaskSaving:
+			t.ends = time.Now().Add(seconds(job.SaveS))
+		}
+		if t.State != wire.TaskFetching {
+			w.images[job.Image] = true
+		}
+		if job.Shape == wire.ShapeGang {
+			w.cloud.gangs.restore(t, &job, w.cloud.RunFor(t.Task))
+		}
+		w.tasks = append(w.tasks, t)
+	}
+}
+
+// restore has a gang's attempt be as one of its tasks was reported.
+func (g *gangs) restore(t *workerTask, job *wire.Job, runFor float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now, a := time.Now(), g.attempt(t, job)
+	m := &gangMember{joined: now, seen: now}
+	switch t.State {
+	case wire.TaskFetching:
+		return
+	case wire.TaskExited:
+		if t.Cause == wire.CauseDone {
+			g.done[job.ID] = true
+		}
+		return
+	case wire.TaskRunning, wire.TaskSaving:
+		a.started, a.ends = now, now.Add(seconds(runFor))
+	}
+	if t.State == wire.TaskSaving {
+		a.firstStop, a.lastStop, m.told = now, now, true
+	}
+	a.members[t.Task] = m
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -44,14 +44,21 @@
 	ends time.Time // of what its state says
 }
 
+// newWorker is a worker that runs.
 func newWorker(c *Cloud, id string, r wire.Rental) *Worker {
+	w := makeWorker(c, id, r)
+	go w.run(w.ctx)
+	return w
+}
+
+// makeWorker is a worker that does not run yet.
+func makeWorker(c *Cloud, id string, r wire.Rental) *Worker {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Worker{ID: id, cloud: c, address: id + workerPort, rental: r, ctx: ctx, cancel: cancel, session: 1,
 		client: &http.Client{Transport: c.Net.From(id)}, renewed: time.Now(), changed: make(chan struct{}, 1), images: map[string]bool{}}
 	if c.Serve != nil {
 		w.address = c.Serve(w)
 	}
-	go w.run(ctx)
 	return w
 }
 
--- a/testdata/production/capture_test.go
+++ b/testdata/versions/capture_test.go
@@ -1,9 +1,10 @@
 package caperlatch
 
 // This file is not of the package that it stands beside: ./capture runs it among the
-// sources of the version in production.
+// sources of an earlier version, and must therefore use what all of these have.
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -22,8 +23,27 @@
 	"caperlatch/internal/wire"
 )
 
-// TestCapture writes stored.cbor, what the state service holds at some moments of a
-// cluster's life, and messages.cbor, one of each message between nodes.
+// captures are the lives of clusters that moments are taken of. Those that only one
+// version can live are added in a file of its own.
+var captures = []func(t *testing.T, m moments){capture, captureLargeList}
+
+// addMessages adds what only one version says, likewise.
+var addMessages = func(t *testing.T, said map[string]wire.Raw) {}
+
+// moments is what was there at some moments of clusters' lives, by their names.
+type moments struct {
+	stored   map[string]map[string]wire.Raw // what the state service holds, by key
+	machines map[string][]wire.Raw          // a report of each machine that does not hang
+}
+
+// take adds a moment.
+func (m moments) take(c *cluster, name string) {
+	m.stored[name] = stored(c)
+	m.machines[name] = machines(c)
+}
+
+// TestCapture writes stored.cbor and machines.cbor, what the state service holds and the
+// machines report at some moments, and messages.cbor, one of each message between nodes.
 func TestCapture(t *testing.T) {
 	dir := os.Getenv("CAPTURE_TO")
 	if dir == "" {
@@ -38,10 +58,49 @@
 			t.Fatal(err)
 		}
 	}
-	moments := map[string]map[string]wire.Raw{}
-	synctest.Test(t, func(t *testing.T) { capture(t, moments) })
-	write("stored.cbor", moments)
-	write("messages.cbor", messages(t))
+	m := moments{stored: map[string]map[string]wire.Raw{}, machines: map[string][]wire.Raw{}}
+	for _, life := range captures {
+		synctest.Test(t, func(t *testing.T) { life(t, m) })
+	}
+	m.check(t)
+	write("stored.cbor", m.stored)
+	write("machines.cbor", m.machines)
+	said := messages(t)
+	addMessages(t, said)
+	write("messages.cbor", said)
+}
+
+// check looks whether each kind of key was stored at each moment.
+func (m moments) check(t *testing.T) {
+	for name, keys := range m.stored {
+		var kinds []string
+		for _, kind := range []string{"c/token", "c/catalog", "c/staffing", "c/j/", "c/p/", "c/b/", "c/u/"} {
+			n := 0
+			for key := range keys {
+				if strings.HasPrefix(key, kind) {
+					n++
+				}
+			}
+			if n == 0 {
+				t.Errorf("%s: nothing stored under %s", name, kind)
+			}
+			kinds = append(kinds, fmt.Sprint(kind, " ", n))
+		}
+		t.Log(name, kinds, "machines", len(m.machines[name]))
+	}
+}
+
+// machines asks each machine for its report, which it tells to one whose token is too low.
+func machines(c *cluster) (out []wire.Raw) {
+	for _, w := range c.cloud.Workers() {
+		ctx, cancel := context.WithTimeout(c.t.Context(), 50*time.Millisecond)
+		code, b, err := wire.Exchange(ctx, c.user, http.MethodPost, "http://"+w.ID+":9000/commands", wire.DirectCommands{})
+		cancel()
+		if err == nil && code == http.StatusConflict {
+			out = append(out, b)
+		}
+	}
+	return out
 }
 
 // stored reads every key of the state service.
@@ -67,7 +126,7 @@
 	}
 }
 
-func capture(t *testing.T, moments map[string]map[string]wire.Raw) {
+func capture(t *testing.T, m moments) {
 	c := newTunedCluster(t, 3, func(s *settings.Settings) {
 		s.Params.State = settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 12}
 	})
@@ -107,13 +166,12 @@
 	long["expect_s"], long["desk"] = 300.0, "small"
 	put(long)
 	time.Sleep(40 * time.Second)
-	moments["running"] = stored(c)
-	// A list of machines over 2 KB.
+	m.take(c, "running")
 	many := testJob("j-000007", 500)
 	many["expect_s"] = 300.0
 	put(many)
 	time.Sleep(25 * time.Second)
-	moments["large"] = stored(c)
+	m.take(c, "large")
 	// Bookings that the cloud has not answered, and nobody leads.
 	c.setFault(func(from string, r *http.Request) standin.Fault {
 		if r.URL.Host == "cloud" && r.Method == http.MethodPost {
@@ -129,29 +187,46 @@
 		c.kill(i)
 	}
 	time.Sleep(5 * time.Second)
-	moments["renting"] = stored(c)
+	m.take(c, "renting")
 	for i := range c.stops {
 		c.start(i)
 	}
-	for name, m := range moments {
-		var kinds []string
-		for _, kind := range []string{"c/token", "c/catalog", "c/staffing", "c/j/", "c/p/", "c/b/", "c/u/"} {
-			n := 0
-			for key := range m {
-				if strings.HasPrefix(key, kind) {
-					n++
-				}
-			}
-			if n == 0 {
-				t.Errorf("%s: nothing stored under %s", name, kind)
-			}
-			kinds = append(kinds, fmt.Sprint(kind, " ", n))
+}
+
+// manyMachines is a cluster that soon has hundreds of machines, in a list of over 4 KB.
+func manyMachines(t *testing.T, tune func(*settings.Settings)) *cluster {
+	c := newTunedCluster(t, 3, func(s *settings.Settings) {
+		s.Params.State = settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 12}
+		tune(s)
+	})
+	c.cloud.RunFor = func(task string) float64 {
+		if strings.HasPrefix(task, "j-000001/") && strings.HasSuffix(task, "0") {
+			return 3
 		}
-		t.Log(name, kinds)
+		return 300
+	}
+	time.Sleep(3 * time.Second)
+	many := testJob("j-000001", 500)
+	many["expect_s"] = 300.0
+	if code, _ := c.request(http.MethodPost, 0, "/v1/jobs", many); code != http.StatusCreated {
+		t.Fatalf("%s: %d", many["id"], code)
+	}
+	return c
+}
+
+// captureLargeList takes a list of machines that is larger than the lowered limits admit.
+func captureLargeList(t *testing.T, m moments) {
+	c := manyMachines(t, func(*settings.Settings) {})
+	defer c.close()
+	time.Sleep(25 * time.Second)
+	m.take(c, "a large list")
+	var list any
+	if err := wire.Unmarshal(m.stored["a large list"]["c/u/0"], &list); err != nil || wire.JSONSize(list) < 4096 {
+		t.Errorf("the list of machines has %d bytes, %v", wire.JSONSize(list), err)
 	}
 }
 
-// messages has each message with every field filled in. The new version's tests know
+// messages has each message, with every field that all versions know. The tests know
 // these values.
 func messages(t *testing.T) map[string]wire.Raw {
 	raw := func(v any) wire.Raw {
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -24,19 +25,67 @@
 	"caperlatch/internal/wire"
 )
 
-// productionStored is what was captured from the version in production, by moment and
-// key (testdata/production/capture).
-func productionStored(t *testing.T) map[string]map[string]wire.Raw {
+// oldVersion is an earlier version that may serve beside this one, and be upgraded from.
+type oldVersion struct {
+	name  string // first digits of its commit, and its directory in testdata/versions
+	gangs bool   // it runs gangs
+}
+
+var oldVersions = []oldVersion{{"3a714ab", false}, {"5fd93d5", true}}
+
+func (v oldVersion) path(file string) string {
+	return filepath.Join("testdata", "versions", v.name, file)
+}
+
+// commit is the whole hash of the version.
+func (v oldVersion) commit(t *testing.T) string {
 	t.Helper()
-	b, err := os.ReadFile("testdata/production/stored.cbor")
+	b, err := os.ReadFile(v.path("COMMIT"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	var moments map[string]map[string]wire.Raw
-	if err := wire.Unmarshal(b, &moments); err != nil {
+	return strings.TrimSpace(string(b))
+}
+
+// captured is what was captured from a version (testdata/versions/capture), by moment.
+type captured struct {
+	stored   map[string]map[string]wire.Raw // by key
+	machines map[string][]wire.Report
+}
+
+func (v oldVersion) captured(t *testing.T) (c captured) {
+	t.Helper()
+	for file, into := range map[string]any{"stored.cbor": &c.stored, "machines.cbor": &c.machines} {
+		b, err := os.ReadFile(v.path(file))
+		if err == nil {
+			err = wire.Unmarshal(b, into)
+		}
+		if err != nil {
+			t.Fatalf("%s: %v", v.path(file), err)
+		}
+	}
+	return c
+}
+
+// TestProductionIsCaptured sees to it that the version in production is one of those that
+// the tests of upgrades know, and that each of them was captured from its own commit.
+func TestProductionIsCaptured(t *testing.T) {
+	b, err := os.ReadFile("deploy/service.toml")
+	if err != nil {
 		t.Fatal(err)
 	}
-	return moments
+	found := regexp.MustCompile(`(?m)^production = "([0-9a-f]{40})"$`).FindSubmatch(b)
+	known := false
+	for _, v := range oldVersions {
+		commit := v.commit(t)
+		if !strings.HasPrefix(commit, v.name) || len(commit) != 40 {
+			t.Errorf("%s was captured from %s", v.name, commit)
+		}
+		known = known || found != nil && commit == string(found[1])
+	}
+	if found != nil && !known {
+		t.Errorf("production is %s, which is not in testdata/versions", found[1])
+	}
 }
 
 // goOn has the checker of rules know what was so before a stored moment, and returns
@@ -98,60 +147,105 @@
 	return ends
 }
 
-// TestTakeOverFromProduction has this version take over what production stored, with the
-// limits of then or with lower ones. What was over stays so, what ran is done, and nodes
-// that end meanwhile change nothing of that.
-func TestTakeOverFromProduction(t *testing.T) {
-	cases := []struct {
-		name  string
-		lower time.Duration // when the limits are lowered, negative: never
-		kill  bool          // the first leader ends
-	}{
-		{"the limits stay", -1, false},
-		{"the limits are lower", 0, false},
-		{"the limits are lowered as the leader ends", 3 * time.Second, true},
-	}
-	for moment, stored := range productionStored(t) {
-		for _, tc := range cases {
-			t.Run(moment+", "+tc.name, func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					c := newTunedCluster(t, 3, tellNext)
-					defer c.close()
-					for i := range c.stops {
-						c.kill(i)
-					}
-					c.cloud.RunFor = func(string) float64 { return 3 }
-					for key, value := range stored {
-						if key != replica.LeaderKey { // its hold has ended
-							c.state.Put(key, value)
+// capturedGang is the gang of the moments that gangRuns names.
+const capturedGang = "j-000002"
+
+// gangRuns is how often a gang's attempt comes to run after the take-over, if its machines
+// are still there: what runs, or is done, must not begin anew, and what waits or was
+// stopped runs once.
+var gangRuns = map[string]int{
+	"a gang waits for a machine that hangs": 1,
+	"a gang runs":                           0,
+	"a gang is being stopped":               1,
+	"a gang is done, which is not stored":   0,
+	"a list is being divided, a gang runs":  0,
+	"a list was divided, a gang runs":       0,
+}
+
+// takeOver is a way to take over from an earlier version.
+type takeOver struct {
+	name  string
+	there bool          // the machines of then are there, with their tasks
+	lower time.Duration // when the limits are lowered, negative: never
+	kill  bool          // the first leader ends
+}
+
+// TestTakeOverFromOldVersions has this version take over what earlier ones stored, with
+// the limits of then or with lower ones, while the machines of then are gone or still
+// there. What was over stays so, what ran is done, and nodes that end meanwhile change
+// nothing of that.
+func TestTakeOverFromOldVersions(t *testing.T) {
+	cases := []takeOver{
+		{"the limits stay", false, -1, false},
+		{"the limits are lower", false, 0, false},
+		{"the limits are lowered as the leader ends", false, 3 * time.Second, true},
+		{"the machines are there, the limits stay", true, -1, false},
+		{"the machines are there, the limits are lower", true, 0, false},
+		{"the machines are there, the limits are lowered as the leader ends", true, 3 * time.Second, true},
+	}
+	for _, v := range oldVersions {
+		old := v.captured(t)
+		for moment, stored := range old.stored {
+			for _, tc := range cases {
+				t.Run(v.name+", "+moment+", "+tc.name, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						c := newTunedCluster(t, 3, tellNext)
+						defer c.close()
+						c.takeOver(tc, stored, old.machines[moment])
+						if runs, known := gangRuns[moment]; known && tc.there && c.cloud.GangRuns(capturedGang) != runs {
+							t.Errorf("%d attempts of the gang ran, want %d", c.cloud.GangRuns(capturedGang), runs)
+						}
+						if n := c.state.Refused(); n != 0 {
+							t.Errorf("%d transactions were refused for their size", n)
 						}
-					}
-					ends := c.goOn(stored)
-					if tc.lower == 0 {
-						c.state.SetLimits(lowered)
-					}
-					for i := range c.stops {
-						c.start(i)
-					}
-					if i := c.leader(); tc.kill {
-						time.Sleep(tc.lower)
-						c.state.SetLimits(lowered)
-						c.kill(i)
-						time.Sleep(time.Second)
-						c.start(i)
-					}
-					for id, end := range ends {
-						c.await(id, end, 4*time.Minute)
-					}
-					if n := c.state.Refused(); n != 0 {
-						t.Errorf("%d transactions were refused for their size", n)
-					}
-					if broken := c.cloud.Broken(); broken != nil {
-						t.Error(broken)
-					}
+						if broken := c.cloud.Broken(); broken != nil {
+							t.Error(broken)
+						}
+					})
 				})
-			})
+			}
+		}
+	}
+}
+
+// takeOver has a cluster begin with what was stored, and awaits the ends of all jobs.
+func (c *cluster) takeOver(how takeOver, stored map[string]wire.Raw, machines []wire.Report) {
+	for i := range c.stops {
+		c.kill(i)
+	}
+	c.cloud.RunFor = func(task string) float64 {
+		id, _, _ := strings.Cut(task, "/")
+		if c.rules.Job(id).Shape == wire.ShapeGang {
+			return 12 // beyond the take-over
 		}
+		return 3
+	}
+	for key, value := range stored {
+		if key != replica.LeaderKey { // its hold has ended
+			c.state.Put(key, value)
+		}
+	}
+	ends := c.goOn(stored)
+	if how.there {
+		if err := c.cloud.Restore(machines); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	if how.lower == 0 {
+		c.state.SetLimits(lowered)
+	}
+	for i := range c.stops {
+		c.start(i)
+	}
+	if i := c.leader(); how.kill {
+		time.Sleep(how.lower)
+		c.state.SetLimits(lowered)
+		c.kill(i)
+		time.Sleep(time.Second)
+		c.start(i)
+	}
+	for id, end := range ends {
+		c.await(id, end, 4*time.Minute)
 	}
 }
 
@@ -177,7 +271,7 @@
 		}
 	}
 	old, now := filepath.Join(dir, "old"), filepath.Join(dir, "now")
-	shell(`commit=$(.ci/production); commit=${commit:-$(cat testdata/production/COMMIT)}
+	shell(`commit=$(.ci/production); commit=${commit:-$(cat testdata/versions/3a714ab/COMMIT)}
 		mkdir "$1.src"; git archive "$commit" | tar -x -C "$1.src"; cd "$1.src"
 		go build -ldflags=-linkmode=external -o "$1" ./cmd/caperlatch`, old)
 	shell(`go build -ldflags=-linkmode=external -o "$1" ./cmd/caperlatch`, now)
