--- a/internal/peer/oldversions_test.go
+++ b/internal/peer/oldversions_test.go
@@ -269,8 +269,32 @@
 	}
 }
 
+// noteFields notes of all fields within a message whether one of its kind is set.
+func noteFields(v reflect.Value, set map[string]bool) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if !v.IsNil() {
+			noteFields(v.Elem(), set)
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			noteFields(v.Index(i), set)
+		}
+	case reflect.Struct:
+		switch v.Interface().(type) {
+		case leader.Explanation, replica.Job:
+			return // only shown; as it is stored
+		}
+		for i := range v.NumField() {
+			name := v.Type().String() + "." + v.Type().Field(i).Name
+			set[name] = set[name] || !v.Field(i).IsZero()
+			noteFields(v.Field(i), set)
+		}
+	}
+}
+
 // TestOldVersionsUnderstand has the frozen layout of each earlier version read what this
-// version says. Said again by it, nothing that matters may be missing.
+// version says, with every field set. Said again by it, nothing that matters may be missing.
 func TestOldVersionsUnderstand(t *testing.T) {
 	report, answer := capturedReport(), capturedAnswer()
 	grace := 10.0
@@ -279,6 +303,15 @@
 	request := Request{ID: 7, Probe: capturedProbe(), Relay: []wire.Raw{raw(t, report)}, Explain: "j-000412"}
 	response := Response{ID: 7, State: capturedState(Version), Relay: []Relayed{{Answer: raw(t, answer)}, {Error: "not entitled"}}, Error: "not leading",
 		Explain: &leader.Explanation{Job: "j-000412", By: "host-1", Tasks: 16, Why: []string{"no room"}}}
+	set := map[string]bool{}
+	for _, message := range []any{request, response, report, answer} {
+		noteFields(reflect.ValueOf(message), set)
+	}
+	for field, is := range set {
+		if !is {
+			t.Errorf("%s is not set here: set it, to see what earlier versions make of it", field)
+		}
+	}
 	for _, v := range oldVersions {
 		t.Run(v.name, func(t *testing.T) {
 			if got := read[Request](t, resaid(t, raw(t, request), v.request)); !reflect.DeepEqual(got, request) {
