Take-overs from: nothing of a gang begins anew that need not

The tests count the starts of a gang's tasks after a take-over, not only the attempts that ran: one start completes a gang that waits for a lost machine, none follows one that runs or is done, also when a machine of a gang that is done is gone.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 
 	"caperlatch/internal/wire"
@@ -31,13 +32,14 @@
 	next     int
 	sites    map[string]string // task -> machine that has it
 	starts   int
+	startsOf map[string]int // by job
 	rented   int
 }
 
 // NewCloud makes a cloud without machines.
 func NewCloud(n *Net, rules *Rules, nodes []string, reportS, leaseS float64, runFor func(string) float64) *Cloud {
 	return &Cloud{Net: n, Rules: rules, Nodes: nodes, RunFor: runFor, ReportS: reportS, LeaseS: leaseS,
-		gangs: newGangs(), bookings: map[string][]string{}, machines: map[string]*Worker{}, sites: map[string]string{}}
+		gangs: newGangs(), bookings: map[string][]string{}, machines: map[string]*Worker{}, sites: map[string]string{}, startsOf: map[string]int{}}
 }
 
 // Catalog is what this cloud offers.
@@ -121,6 +123,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
+	id, _, _ := strings.Cut(task, "/")
+	c.startsOf[id]++
 	c.Rules.Started(task, machine)
 	c.sites[task] = machine
 }
@@ -144,6 +148,13 @@
 	return c.starts
 }
 
+// StartsOf counts the starts of a job's tasks.
+func (c *Cloud) StartsOf(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.startsOf[id]
+}
+
 // Rented counts the machines rented so far.
 func (c *Cloud) Rented() int {
 	c.mu.Lock()
--- a/testdata/versions/5fd93d5/moments_test.go
+++ b/testdata/versions/5fd93d5/moments_test.go
@@ -61,6 +61,7 @@
 
 	c.until(id, map[string]int{wire.TaskRunning: 3})
 	time.Sleep(5 * time.Second)
+	last := c.cloud.With(id)[0]
 	c.setFault(func(from string, _ *http.Request) standin.Fault {
 		if strings.HasPrefix(from, "i-") { // nobody hears that it is done
 			return standin.LostRequest
@@ -69,6 +70,9 @@
 	})
 	c.until(id, map[string]int{})
 	m.take(c, "a gang is done, which is not stored")
+	last.Take(0)
+	time.Sleep(100 * time.Millisecond)
+	m.take(c, "a gang is done, which is not stored, and a machine is gone")
 }
 
 // captureDivided lowers the limits where a list of machines that is up is stored too
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -137,19 +137,25 @@
 	return ends
 }
 
-// capturedGang is the gang of the moments that gangRuns names.
+// capturedGang is the gang of the moments that gangBegins names.
 const capturedGang = "j-000002"
 
-// gangRuns is how often a gang's attempt comes to run after the take-over, if its machines
-// are still there: what runs, or is done, must not begin anew, and what waits or was
-// stopped runs once.
-var gangRuns = map[string]int{
-	"a gang waits for a machine that hangs": 1,
-	"a gang runs":                           0,
-	"a gang is being stopped":               1,
-	"a gang is done, which is not stored":   0,
-	"a list is being divided, a gang runs":  0,
-	"a list was divided, a gang runs":       0,
+// begun counts what begins of a gang after a take-over.
+type begun struct {
+	starts int // of its tasks
+	runs   int // attempts of which all tasks came to run
+}
+
+// gangBegins is what begins of the gang if its machines are still there: what runs, or is
+// done, does not begin anew, what waits is completed, and what was stopped runs again.
+var gangBegins = map[string]begun{
+	"a gang waits for a machine that hangs":                      {1, 1},
+	"a gang runs":                                                {0, 0},
+	"a gang is being stopped":                                    {3, 1},
+	"a gang is done, which is not stored":                        {0, 0},
+	"a gang is done, which is not stored, and a machine is gone": {0, 0},
+	"a list is being divided, a gang runs":                       {0, 0},
+	"a list was divided, a gang runs":                            {0, 0},
 }
 
 // takeOver is a way to take over from an earlier version.
@@ -182,8 +188,9 @@
 						c := newTunedCluster(t, 3, tellNext)
 						defer c.close()
 						c.takeOver(tc, stored, old.machines[moment])
-						if runs, known := gangRuns[moment]; known && tc.there && c.cloud.GangRuns(capturedGang) != runs {
-							t.Errorf("%d attempts of the gang ran, want %d", c.cloud.GangRuns(capturedGang), runs)
+						got := begun{c.cloud.StartsOf(capturedGang), c.cloud.GangRuns(capturedGang)}
+						if want, known := gangBegins[moment]; known && tc.there && got != want {
+							t.Errorf("of the gang there began %+v, want %+v", got, want)
 						}
 						if n := c.state.Refused(); n != 0 {
 							t.Errorf("%d transactions were refused for their size", n)
