--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -25,6 +25,7 @@
 	changed  chan struct{}
 	down     bool
 	limits   limits
+	fate     func(Transaction) Fate // nil: all are carried out
 }
 
 type hold struct {
@@ -45,6 +46,18 @@
 	return e, ok
 }
 
+// Entries lists the keys with a prefix, in any order.
+func (s *State) Entries(prefix string) (entries []wire.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, e := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
 // Put stores a value, whatever the limits are.
 func (s *State) Put(key string, value wire.Raw) {
 	s.mu.Lock()
@@ -112,7 +125,7 @@
 	case r.Method == http.MethodGet && r.URL.Path == "/watch":
 		s.watch(w, r)
 	case r.URL.Path == "/txn":
-		s.txn(w, body)
+		s.txn(w, r, body)
 	case path[0] == "holds":
 		s.hold(w, r, path[1:], body)
 	default:
@@ -177,27 +190,27 @@
 	}
 }
 
-func (s *State) txn(w http.ResponseWriter, body []byte) {
-	var t struct {
-		If   []wire.Condition `json:"when"`
-		Then []struct {
-			Write  string   `json:"write"`
-			Value  wire.Raw `json:"data"`
-			Hold   uint64   `json:"permit"`
-			Remove string   `json:"remove"`
-		} `json:"then"`
-	}
-	if wire.Unmarshal(body, &t) != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	if s.Check != nil {
-		var keys []string
-		for _, op := range t.Then {
-			keys = append(keys, op.Write+op.Remove)
-		}
-		s.Check(t.If, keys)
+// transaction is the body of a request for one.
+type transaction struct {
+	If   []wire.Condition `json:"when"`
+	Then []struct {
+		Write  string   `json:"write"`
+		Value  wire.Raw `json:"data"`
+		Hold   uint64   `json:"permit"`
+		Remove string   `json:"remove"`
+	} `json:"then"`
+}
+
+// keys lists the keys that a transaction changes.
+func (t *transaction) keys() (keys []string) {
+	for _, op := range t.Then {
+		keys = append(keys, op.Write+op.Remove)
 	}
+	return keys
+}
+
+// commit carries a transaction out if its conditions hold.
+func (s *State) commit(w http.ResponseWriter, t *transaction) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var values []wire.Raw
