Test: a node whose pages of all keys are of different moments leads at once

Without the barrier at the take-over it knows of no booking of the machines that run a job, and starts the job's tasks elsewhere: TestOldPages reports ran_twice.

--- a/guards_test.go
+++ b/guards_test.go
@@ -1,6 +1,7 @@
 package caperlatch
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
 	"caperlatch/internal/standin"
 	"caperlatch/internal/wire"
 )
@@ -109,3 +111,73 @@
 		})
 	}
 }
+
+// TestOldPages has a node start, whose pages of all keys are of different moments: the
+// bookings from before the leader rented machines, the leader key from after it ended. It
+// leads at once, with its watch held up. Without the barrier at the take-over it does not
+// know of the machines that run the last job, and starts the job's tasks elsewhere.
+func TestOldPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTunedCluster(t, 3, func(s *settings.Settings) { s.Params.Workers.LeaseS, s.Params.Workers.CancelS = 20, 50 })
+		defer c.close()
+		c.cloud.RunFor = func(string) float64 { return 60 }
+		const between = 45 // keys of jobs that are read between the bookings and the leader key
+		for n := range between {
+			id := fmt.Sprintf("j-%06d", n+1)
+			c.submit(id, 1)
+			c.cancelJob(id, 0)
+		}
+		filler := testJob("j-800000", 8) // the next job needs other machines
+		filler["expect_s"] = 200.0
+		c.runJob(filler)
+		first := c.leader()
+		next := (first + 1) % 3
+		c.kill(next)
+		c.kill((first + 2) % 3)
+		var pages, watches tally
+		c.setFault(func(from string, r *http.Request) standin.Fault {
+			switch {
+			case fromNode(from, next) && r.URL.Path == "/store":
+				pages.add("read")
+				return standin.Slow
+			case fromNode(from, next) && r.URL.Path == "/watch":
+				watches.add("held")
+				return standin.LostRequest
+			}
+			return standin.Pass
+		})
+		c.start(next)
+		time.Sleep(2 * time.Second) // the bookings are read
+		job := testJob("j-900000", 8)
+		job["expect_s"] = 200.0
+		for range 40 {
+			if code, _ := c.request(http.MethodPost, first, "/v1/jobs", job); code == http.StatusCreated {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i := 0; c.running("j-900000") < 8 && i < 100; i++ {
+			time.Sleep(50 * time.Millisecond)
+		}
+		ran, read, before := c.running("j-900000"), pages.of("read"), c.token()
+		var cut tally
+		cutThem := c.cutAll("j-900000", &cut)
+		c.kill(first)
+		for i := 0; c.token() == before && i < 400; i++ {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if ran < 8 || c.token() == before || pages.of("read") <= read+4 || watches.of("held") == 0 {
+			t.Errorf("%d tasks ran, token %d after %d, pages %d after %d, %d watches held", ran, c.token(), before, pages.of("read"), read, watches.of("held"))
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.setFault(cutThem)
+		time.Sleep(9 * time.Second) // well within their lease
+		if on := c.running("j-900000"); on < ran {
+			t.Errorf("%d of %d tasks still ran", on, ran)
+		}
+		c.setFault(nil)
+		c.start(first)
+		c.await("j-900000", wire.JobDone, 4*time.Minute)
+		c.broken()
+	})
+}
