Tests: a leader told of its successor answers nobody; old copies of refusals

Without superseded in the leader TestToldOfSuccessor reports ran_twice in some of its phases: the election sees the higher token only when its request to the state service has failed. Without the order of reports TestGangOldCopies has a gang's task started on two machines.

--- a/guards_test.go
+++ b/guards_test.go
@@ -181,3 +181,76 @@
 		c.broken()
 	})
 }
+
+// TestToldOfSuccessor has a leader be cut from the state service, and then hear from its
+// peers that another leads, while half of the machines reach only it. It told the next
+// leader that it knows its token, which thus counts these machines' leases as over a lease
+// later: it must answer none of them from then on (`superseded`), not even until its
+// request to the state service has failed.
+func TestToldOfSuccessor(t *testing.T) {
+	for phase := range 8 {
+		t.Run(fmt.Sprintf("phase %d", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 60 }
+				base := testJob("j-000009", 8) // leaves a CPU of each machine
+				base["vcpus"], base["expect_s"] = 3.0, 200.0
+				c.runJob(base)
+				job := testJob("j-000001", 3)
+				job["expect_s"] = 200.0
+				c.runJob(job)
+				time.Sleep(2 * time.Second)
+				ids := map[string]bool{}
+				for _, w := range c.holders("j-000001") {
+					ids[w.ID] = true
+				}
+				first, before := c.leader(), c.token()
+				host := fmt.Sprintf("host-%d", first)
+				var met tally
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					if fromNode(from, first) && r.URL.Path == "/watch" && !strings.Contains(r.URL.RawQuery, "wait_ms=0") {
+						return standin.LostRequest
+					}
+					return standin.Pass
+				})
+				time.Sleep(12 * time.Second) // until no watch is open that would tell it
+				fault := func(others bool) func(string, *http.Request) standin.Fault {
+					return func(from string, r *http.Request) standin.Fault {
+						switch {
+						case isState(r) && fromNode(from, first):
+							return standin.LostRequest
+						case isState(r) && !others || r.URL.Path == "/hosts/return":
+							return standin.Refused
+						case machineOf(from) != "" && ids[machineOf(from)] != (r.URL.Host == host+":8080"):
+							return standin.Refused // the others would tell the old leader by their reports
+						case ids[machineOf(from)] && others && c.token() > before:
+							met.add("reports to the old leader")
+						case ids[machineOf(r.URL.Host)] && !fromNode(from, first):
+							return standin.LostRequest
+						}
+						return standin.Pass
+					}
+				}
+				cut := func() { c.pipes.Cut(func(from, to string) bool { return (from == host) != (to == host) }) }
+				cut()
+				c.setFault(fault(false))
+				time.Sleep(7*time.Second + time.Duration(phase)*210*time.Millisecond)
+				c.pipes.Cut(func(string, string) bool { return false })
+				c.setFault(fault(true))
+				c.ledAfter(before)
+				ran := c.running("j-000001")
+				time.Sleep(600 * time.Millisecond) // until all have told each other
+				cut()
+				time.Sleep(time.Duration(leaseS+4) * time.Second)
+				c.setFault(nil)
+				c.pipes.Cut(func(string, string) bool { return false })
+				if ran != 3 || met.of("reports to the old leader") == 0 {
+					t.Errorf("%d tasks ran, met %v", ran, met.n)
+				}
+				c.await("j-000001", wire.JobDone, 4*time.Minute)
+				c.broken()
+			})
+		})
+	}
+}
--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -296,3 +296,48 @@
 		t.Error("it is kept again at once")
 	}
 }
+
+// TestGangOldCopies has a task of a gang be refused, cleared and started again on the same
+// machine, under the same number: while a gang waits, an attempt does not tell its starts
+// apart. A late copy of the refusal, made in this term, must not count for the second start:
+// the leader would take the task for gone and start it on another machine as well. What
+// guards is the order of reports within a session.
+func TestGangOldCopies(t *testing.T) {
+	l := newGangTest(t, false)
+	for _, machine := range []string{"i-1", "i-2", "i-3"} {
+		tellTasks(t, l, machine)
+	}
+	j := l.jobs["j-000002"]
+	var a *attempt
+	for _, x := range j.on {
+		if x.machine.id == "i-2" {
+			a = x
+		}
+	}
+	m, n := l.machines["i-2"], j.gang.n
+	name := taskName(j.spec.ID, a.task)
+	ended := &wire.Report{Machine: m.id, Address: m.address, Type: "m4", Zone: "a", Session: 1, Seq: m.seq + 1, Token: token,
+		Tasks: []wire.ReportTask{{Task: name, Attempt: n, State: wire.TaskExited, Cause: wire.CauseStopped}}}
+	l.plannedAt = 0
+	if answer, err := l.Report(ended); err != nil || !slices.Contains(verbs(answer), "start "+name) {
+		t.Fatalf("told %v (%v), want the start again", answer.Commands, err)
+	}
+	waiting := *ended
+	waiting.Seq, waiting.Tasks = ended.Seq+1, []wire.ReportTask{{Task: name, Attempt: n, State: wire.TaskWaiting}}
+	if _, err := l.Report(&waiting); err != nil || j.gang.n != n {
+		t.Fatalf("attempt %d (%v), want %d", j.gang.n, err, n)
+	}
+	if _, err := l.Report(ended); err == nil {
+		t.Error("a late copy was answered")
+	}
+	l.addMachine("i-4", l.bookings["r-1"], l.began)
+	free := l.machines["i-4"]
+	free.up, free.stored, free.upStored, free.current, free.session = true, true, true, true, 1
+	free.reported, free.answered = micros.Now(), micros.Now()
+	if told := tellTasks(t, l, "i-4"); len(told) > 0 {
+		t.Errorf("another machine is told %v", told)
+	}
+	if x := j.on[a.task]; x == nil || x.machine != m {
+		t.Errorf("the task is not counted on %s any more", m.id)
+	}
+}
