--- a/guards_test.go
+++ b/guards_test.go
@@ -254,3 +254,86 @@
 		})
 	}
 }
+
+// TestNewsBeforeTheEnd has a leader whose hold has ended hear of a job that was accepted
+// under the next leader, before it notices that its own term is over: its changes come late,
+// all at once, while it waits for the answer about its hold. The next leader starts new jobs
+// without waiting for anybody; so the old one may start nothing unless its hold lasts or all
+// peers promise not to lead (`Term.Sure`).
+func TestNewsBeforeTheEnd(t *testing.T) {
+	for phase := range 6 {
+		t.Run(fmt.Sprintf("phase %d", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 40 }
+				base := testJob("j-000009", 8) // leaves a CPU of each machine
+				base["vcpus"], base["expect_s"] = 3.0, 200.0
+				c.runJob(base)
+				time.Sleep(2 * time.Second)
+				ids := map[string]bool{} // machines that reach the old leader only
+				for i, w := range c.holders("j-000009") {
+					ids[w.ID] = i%2 == 0
+				}
+				first, before := c.leader(), c.token()
+				host := fmt.Sprintf("host-%d", first)
+				var met tally
+				fault := func(news bool) func(string, *http.Request) standin.Fault {
+					return func(from string, r *http.Request) standin.Fault {
+						switch {
+						case isState(r) && fromNode(from, first) && (!news || r.URL.Path != "/watch"):
+							return standin.LostRequest
+						case isState(r) && fromNode(from, first):
+							met.add("news")
+						case r.URL.Path == "/hosts/return":
+							return standin.Refused
+						case machineOf(from) != "" && ids[machineOf(from)] != (r.URL.Host == host+":8080"):
+							return standin.Refused
+						case news && ids[machineOf(from)]:
+							met.add("reports to the old leader")
+						case ids[machineOf(r.URL.Host)] && !fromNode(from, first):
+							return standin.LostRequest
+						}
+						return standin.Pass
+					}
+				}
+				c.pipes.Cut(func(from, to string) bool { return (from == host) != (to == host) })
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					switch {
+					case fromNode(from, first) && r.URL.Path == "/watch" && !strings.Contains(r.URL.RawQuery, "wait_ms=0"):
+						return standin.LostRequest
+					case ids[machineOf(from)] && r.URL.Host != host+":8080":
+						return standin.Refused
+					}
+					return standin.Pass
+				})
+				time.Sleep(12 * time.Second) // until no watch is open that would tell it
+				c.setFault(fault(false))
+				c.ledAfter(before)
+				time.Sleep(500 * time.Millisecond) // a job that it finds at its take-over is none of its own
+				job := testJob("j-000001", 4)
+				job["expect_s"] = 200.0
+				for try := range 20 {
+					if code, _ := c.request(http.MethodPost, (first+1+try%2)%3, "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+						break
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(time.Duration(phase) * 270 * time.Millisecond)
+				c.setFault(fault(true))
+				time.Sleep(4 * time.Second)
+				for i := 0; c.running("j-000001") == 0 && i < 100; i++ {
+					time.Sleep(50 * time.Millisecond) // machines look for the next leader first
+				}
+				ran := c.running("j-000001")
+				if ran == 0 || met.of("news") == 0 || met.of("reports to the old leader") == 0 {
+					t.Errorf("%d tasks of the new job ran, met %v", ran, met.n)
+				}
+				c.setFault(nil)
+				c.pipes.Cut(func(string, string) bool { return false })
+				c.await("j-000001", wire.JobDone, 4*time.Minute)
+				c.broken()
+			})
+		})
+	}
+}
