An abort that meets a conflict reads once how the job ended, instead of trying again

A job's key changes once after its creation, so the second of up to four tries only ever read. The answer is the same; no rule hung on the repeat.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -290,39 +290,45 @@
 	if !wire.ValidJobID(id) {
 		return bad(c, http.StatusNotFound, errors.New("no such job"))
 	}
-	for range 4 {
-		j, stamp, ok, err := h.known(ctx, id)
-		switch {
-		case err != nil:
-			return unavailable(c, http.StatusServiceUnavailable)
-		case !ok:
-			return bad(c, http.StatusNotFound, errors.New("no such job"))
-		case j.Final():
-			return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: j.State})
-		}
-		final := replica.Job{Spec: j.Spec, SubmittedAt: j.SubmittedAt, State: wire.JobCancelled, Reason: "cancelled by its user", EndedAt: micros.Wall()}
-		if !h.Store.FitsValue(final) {
-			final.Spec = nil // a cancellation must always be possible
-		}
-		key := replica.JobPrefix + id
-		rev, err := h.put(ctx, key, stamp, final)
-		if errors.Is(err, statestore.ErrRefused) && final.Spec != nil {
-			// The service takes less than the settings say.
-			final.Spec = nil
-			rev, err = h.put(ctx, key, stamp, final)
-		}
-		switch {
-		case err == nil:
-			h.Replica.Wrote(key, final, rev)
-			return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: wire.JobCancelled})
-		case !errors.Is(err, statestore.ErrConflict):
-			slog.Debug("abort", "job", id, "error", err)
-			return unavailable(c, http.StatusServiceUnavailable)
+	j, stamp, ok, err := h.known(ctx, id)
+	switch {
+	case err != nil:
+		return unavailable(c, http.StatusServiceUnavailable)
+	case !ok:
+		return bad(c, http.StatusNotFound, errors.New("no such job"))
+	case j.Final():
+		return answerAbort(c, id, j)
+	}
+	final := replica.Job{Spec: j.Spec, SubmittedAt: j.SubmittedAt, State: wire.JobCancelled, Reason: "cancelled by its user", EndedAt: micros.Wall()}
+	if !h.Store.FitsValue(final) {
+		final.Spec = nil // a cancellation must always be possible
+	}
+	key := replica.JobPrefix + id
+	rev, err := h.put(ctx, key, stamp, final)
+	if errors.Is(err, statestore.ErrRefused) && final.Spec != nil {
+		// The service takes less than the settings say.
+		final.Spec = nil
+		rev, err = h.put(ctx, key, stamp, final)
+	}
+	switch {
+	case err == nil:
+		h.Replica.Wrote(key, final, rev)
+		return answerAbort(c, id, final)
+	case errors.Is(err, statestore.ErrConflict):
+		// A job's key changes once after its creation, when it ends: a read tells how.
+		if j, _, _, err = h.known(ctx, id); err == nil && j.Final() {
+			return answerAbort(c, id, j)
 		}
 	}
+	slog.Debug("abort", "job", id, "error", err)
 	return unavailable(c, http.StatusServiceUnavailable)
 }
 
+// answerAbort tells a user how a job that is over ended.
+func answerAbort(c echo.Context, id string, j replica.Job) error {
+	return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: j.State})
+}
+
 func (h *Handler) ready(c echo.Context) error {
 	code := http.StatusOK
 	if !h.Node.Ready() {
