--- a/gang_meetings_test.go
+++ b/gang_meetings_test.go
@@ -239,6 +239,37 @@
 				time.Sleep(time.Duration(leaseS) * time.Second)
 			}
 		}, []string{"gang being stopped", "old reports beside a later attempt"}},
+		{"old reports are all that the next leader hears of a gang's machines", 5, func(c *cluster, met *tally) {
+			var held heldReports
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if machineOf(from) != "" && isReport(r) {
+					held.keep(r)
+				}
+				return standin.Pass
+			})
+			c.saves(gangStops, met)
+			for i := 0; c.states(gangStops)[wire.TaskSaving] > 0 && i < 100; i++ {
+				time.Sleep(50 * time.Millisecond)
+			}
+			// Before and between its attempts; some show the first, some none.
+			old := held.all(func(*wire.Report) bool { return true })
+			c.until(gangStops, map[string]int{wire.TaskRunning: 3}) // the next attempt
+			ids := map[string]bool{}
+			for _, w := range c.cloud.With(gangStops) {
+				ids[w.ID] = true
+			}
+			var cut tally
+			before := c.token()
+			c.setFault(cutMachines(ids, &cut))
+			c.back(c.leader())
+			c.ledAfter(before)
+			for range 50 {
+				if c.deliver(old) > 0 && c.states(gangStops)[wire.TaskRunning] == 3 {
+					met.add("old report answered beside a later attempt")
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}, []string{"gang being stopped", "old report answered beside a later attempt"}},
 		// A gang's progress is its end: both are known at the same moment, and the end alone
 		// is stored.
 		{"the ends of gangs are stored late, as leaders change", 3, func(c *cluster, met *tally) {
