--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -612,3 +612,26 @@
 		}
 	}
 }
+
+// TestSupersede has a leader be told tokens. Once one is higher than its own it answers no
+// report, though its proofs hold: its successor counts on that from the moment it was told.
+func TestSupersede(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		told    []uint64
+		answers bool
+	}{
+		{"its own", []uint64{token}, true},
+		{"an earlier one", []uint64{token - 1}, true},
+		{"a higher one", []uint64{token + 1}, false},
+		{"a higher one, and then its own by one who is behind", []uint64{token + 1, token}, false},
+	} {
+		l, _ := newTest(t)
+		for _, told := range c.told {
+			l.Supersede(told)
+		}
+		if _, err := l.Report(report(10, token)); (err == nil) != c.answers {
+			t.Errorf("%s: error %v, answers wanted: %t", c.name, err, c.answers)
+		}
+	}
+}
