--- /dev/null
+++ b/guards_test.go
@@ -0,0 +1,339 @@
+package caperlatch
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// The tests in this file bring about the moments for which single guards are there. Each
+// shows that its moment came, and fails when the guard is taken out.
+
+// storedNames lists the machines that stand in the stored values under a prefix.
+func (c *cluster) storedNames(prefix string) map[string]bool {
+	names := map[string]bool{}
+	for _, e := range c.state.Entries(prefix) {
+		var value struct {
+			Listed []string `json:"m"`        // of a list of machines that are up
+			Booked []string `json:"machines"` // of a booking
+		}
+		if wire.Unmarshal(e.Value, &value) != nil {
+			c.t.Fatalf("stored %s is unreadable", e.Key)
+		}
+		for _, entry := range append(value.Listed, value.Booked...) {
+			id, _, _ := strings.Cut(entry, " ")
+			names[id] = true
+		}
+	}
+	return names
+}
+
+// unbooked counts the machines that stand in a stored list, but in no stored booking.
+func (c *cluster) unbooked() (n int) {
+	booked := c.storedNames(replica.BookingPrefix)
+	for id := range c.storedNames(replica.UpPrefix) {
+		if !booked[id] {
+			n++
+		}
+	}
+	return n
+}
+
+// cutAll has the machines with tasks of a job be out of reach.
+func (c *cluster) cutAll(job string, cut *tally) func(string, *http.Request) standin.Fault {
+	ids := map[string]bool{}
+	for _, w := range c.cloud.Workers() {
+		ids[w.ID] = ids[w.ID] || slices.ContainsFunc(w.Tasks(), func(task string) bool { return strings.HasPrefix(task, job+"/") })
+	}
+	return cutMachines(ids, cut)
+}
+
+// TestListedNotBooked has the state service take lists of machines that are up, and the
+// bookings that name these machines not: refused, lost or carried out late. Then the leader
+// ends. The next one finds machines listed that no booking has, and takes them for gone:
+// none of them may have got a task (the guard is `stored` in machine.open).
+func TestListedNotBooked(t *testing.T) {
+	fates := []struct {
+		name string
+		fate standin.Fate
+	}{{"refused", standin.Unserved}, {"lost", standin.Unheard}, {"carried out late", standin.Delayed}}
+	for _, f := range fates {
+		t.Run(f.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 40 }
+				c.submit("j-000009", 4) // it fills a machine that stays in reach
+				time.Sleep(3 * time.Second)
+				// One that changes both is too large, and comes again in parts.
+				c.state.SetFate(func(x standin.Transaction) standin.Fate {
+					names := slices.ContainsFunc(x.Conditions, func(k wire.Condition) bool {
+						return strings.HasPrefix(k.Key, replica.BookingPrefix) && k.Stamp != 0
+					})
+					switch {
+					case names && len(x.Keys) > 1:
+						return standin.Oversized
+					case names:
+						return f.fate
+					}
+					return standin.Executed
+				})
+				long := testJob("j-000001", 12)
+				long["expect_s"] = 200.0
+				c.submitJob(long)
+				for i := 0; c.unbooked() == 0 && i < 200; i++ {
+					time.Sleep(50 * time.Millisecond)
+				}
+				time.Sleep(1500 * time.Millisecond)
+				unbooked, before := c.unbooked(), c.token()
+				var cut tally
+				c.setFault(c.cutAll("j-000001", &cut))
+				c.back(c.leader())
+				c.ledAfter(before)
+				c.state.SetFate(nil)
+				time.Sleep(time.Duration(leaseS-1) * time.Second)
+				c.setFault(nil)
+				if unbooked == 0 {
+					t.Error("no machine was listed and not booked")
+				}
+				c.await("j-000001", wire.JobDone, 4*time.Minute)
+				c.broken()
+			})
+		})
+	}
+}
+
+// TestOldPages has a node start, whose pages of all keys are of different moments: the
+// bookings from before the leader rented machines, the leader key from after it ended. It
+// leads at once, with its watch held up. Without the barrier at the take-over it does not
+// know of the machines that run the last job, and starts the job's tasks elsewhere.
+func TestOldPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTunedCluster(t, 3, func(s *settings.Settings) { s.Params.Workers.LeaseS, s.Params.Workers.CancelS = 20, 50 })
+		defer c.close()
+		c.cloud.RunFor = func(string) float64 { return 60 }
+		const between = 45 // keys of jobs that are read between the bookings and the leader key
+		for n := range between {
+			id := fmt.Sprintf("j-%06d", n+1)
+			c.submit(id, 1)
+			c.cancelJob(id, 0)
+		}
+		filler := testJob("j-800000", 8) // the next job needs other machines
+		filler["expect_s"] = 200.0
+		c.runJob(filler)
+		first := c.leader()
+		next := (first + 1) % 3
+		c.kill(next)
+		c.kill((first + 2) % 3)
+		var pages, watches tally
+		c.setFault(func(from string, r *http.Request) standin.Fault {
+			switch {
+			case fromNode(from, next) && r.URL.Path == "/store":
+				pages.add("read")
+				return standin.Slow
+			case fromNode(from, next) && r.URL.Path == "/watch":
+				watches.add("held")
+				return standin.LostRequest
+			}
+			return standin.Pass
+		})
+		c.start(next)
+		time.Sleep(2 * time.Second) // the bookings are read
+		job := testJob("j-900000", 8)
+		job["expect_s"] = 200.0
+		for range 40 {
+			if code, _ := c.request(http.MethodPost, first, "/v1/jobs", job); code == http.StatusCreated {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i := 0; c.running("j-900000") < 8 && i < 100; i++ {
+			time.Sleep(50 * time.Millisecond)
+		}
+		ran, read, before := c.running("j-900000"), pages.of("read"), c.token()
+		var cut tally
+		cutThem := c.cutAll("j-900000", &cut)
+		c.kill(first)
+		for i := 0; c.token() == before && i < 400; i++ {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if ran < 8 || c.token() == before || pages.of("read") <= read+4 || watches.of("held") == 0 {
+			t.Errorf("%d tasks ran, token %d after %d, pages %d after %d, %d watches held", ran, c.token(), before, pages.of("read"), read, watches.of("held"))
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.setFault(cutThem)
+		time.Sleep(9 * time.Second) // well within their lease
+		if on := c.running("j-900000"); on < ran {
+			t.Errorf("%d of %d tasks still ran", on, ran)
+		}
+		c.setFault(nil)
+		c.start(first)
+		c.await("j-900000", wire.JobDone, 4*time.Minute)
+		c.broken()
+	})
+}
+
+// TestToldOfSuccessor has a leader be cut from the state service, and then hear from its
+// peers that another leads, while half of the machines reach only it. It told the next
+// leader that it knows its token, which thus counts these machines' leases as over a lease
+// later: it must answer none of them from then on (`superseded`), not even until its
+// request to the state service has failed.
+func TestToldOfSuccessor(t *testing.T) {
+	for phase := range 8 {
+		t.Run(fmt.Sprintf("phase %d", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 60 }
+				base := testJob("j-000009", 8) // leaves a CPU of each machine
+				base["vcpus"], base["expect_s"] = 3.0, 200.0
+				c.runJob(base)
+				job := testJob("j-000001", 3)
+				job["expect_s"] = 200.0
+				c.runJob(job)
+				time.Sleep(2 * time.Second)
+				ids := map[string]bool{}
+				for _, w := range c.holders("j-000001") {
+					ids[w.ID] = true
+				}
+				first, before := c.leader(), c.token()
+				host := fmt.Sprintf("host-%d", first)
+				var met tally
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					if fromNode(from, first) && r.URL.Path == "/watch" && !strings.Contains(r.URL.RawQuery, "wait_ms=0") {
+						return standin.LostRequest
+					}
+					return standin.Pass
+				})
+				time.Sleep(12 * time.Second) // until no watch is open that would tell it
+				fault := func(others bool) func(string, *http.Request) standin.Fault {
+					return func(from string, r *http.Request) standin.Fault {
+						switch {
+						case isState(r) && fromNode(from, first):
+							return standin.LostRequest
+						case isState(r) && !others || r.URL.Path == "/hosts/return":
+							return standin.Refused
+						case machineOf(from) != "" && ids[machineOf(from)] != (r.URL.Host == host+":8080"):
+							return standin.Refused // the others would tell the old leader by their reports
+						case ids[machineOf(from)] && others && c.token() > before:
+							met.add("reports to the old leader")
+						case ids[machineOf(r.URL.Host)] && !fromNode(from, first):
+							return standin.LostRequest
+						}
+						return standin.Pass
+					}
+				}
+				cut := func() { c.pipes.Cut(func(from, to string) bool { return (from == host) != (to == host) }) }
+				cut()
+				c.setFault(fault(false))
+				time.Sleep(7*time.Second + time.Duration(phase)*210*time.Millisecond)
+				c.pipes.Cut(func(string, string) bool { return false })
+				c.setFault(fault(true))
+				c.ledAfter(before)
+				ran := c.running("j-000001")
+				time.Sleep(600 * time.Millisecond) // until all have told each other
+				cut()
+				time.Sleep(time.Duration(leaseS+4) * time.Second)
+				c.setFault(nil)
+				c.pipes.Cut(func(string, string) bool { return false })
+				if ran != 3 || met.of("reports to the old leader") == 0 {
+					t.Errorf("%d tasks ran, met %v", ran, met.n)
+				}
+				c.await("j-000001", wire.JobDone, 4*time.Minute)
+				c.broken()
+			})
+		})
+	}
+}
+
+// TestNewsBeforeTheEnd has a leader whose hold has ended hear of a job that was accepted
+// under the next leader, before it notices that its own term is over: its changes come late,
+// all at once, while it waits for the answer about its hold. The next leader starts new jobs
+// without waiting for anybody; so the old one may start nothing unless its hold lasts or all
+// peers promise not to lead (`Term.Sure`).
+func TestNewsBeforeTheEnd(t *testing.T) {
+	for phase := range 6 {
+		t.Run(fmt.Sprintf("phase %d", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				c.cloud.RunFor = func(string) float64 { return 40 }
+				base := testJob("j-000009", 8) // leaves a CPU of each machine
+				base["vcpus"], base["expect_s"] = 3.0, 200.0
+				c.runJob(base)
+				time.Sleep(2 * time.Second)
+				ids := map[string]bool{} // machines that reach the old leader only
+				for i, w := range c.holders("j-000009") {
+					ids[w.ID] = i%2 == 0
+				}
+				first, before := c.leader(), c.token()
+				host := fmt.Sprintf("host-%d", first)
+				var met tally
+				fault := func(news bool) func(string, *http.Request) standin.Fault {
+					return func(from string, r *http.Request) standin.Fault {
+						switch {
+						case isState(r) && fromNode(from, first) && (!news || r.URL.Path != "/watch"):
+							return standin.LostRequest
+						case isState(r) && fromNode(from, first):
+							met.add("news")
+						case r.URL.Path == "/hosts/return":
+							return standin.Refused
+						case machineOf(from) != "" && ids[machineOf(from)] != (r.URL.Host == host+":8080"):
+							return standin.Refused
+						case news && ids[machineOf(from)]:
+							met.add("reports to the old leader")
+						case ids[machineOf(r.URL.Host)] && !fromNode(from, first):
+							return standin.LostRequest
+						}
+						return standin.Pass
+					}
+				}
+				c.pipes.Cut(func(from, to string) bool { return (from == host) != (to == host) })
+				c.setFault(func(from string, r *http.Request) standin.Fault {
+					switch {
+					case fromNode(from, first) && r.URL.Path == "/watch" && !strings.Contains(r.URL.RawQuery, "wait_ms=0"):
+						return standin.LostRequest
+					case ids[machineOf(from)] && r.URL.Host != host+":8080":
+						return standin.Refused
+					}
+					return standin.Pass
+				})
+				time.Sleep(12 * time.Second) // until no watch is open that would tell it
+				c.setFault(fault(false))
+				c.ledAfter(before)
+				time.Sleep(500 * time.Millisecond) // a job that it finds at its take-over is none of its own
+				job := testJob("j-000001", 4)
+				job["expect_s"] = 200.0
+				for try := range 20 {
+					if code, _ := c.request(http.MethodPost, (first+1+try%2)%3, "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
+						break
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(time.Duration(phase) * 270 * time.Millisecond)
+				c.setFault(fault(true))
+				time.Sleep(4 * time.Second)
+				for i := 0; c.running("j-000001") == 0 && i < 100; i++ {
+					time.Sleep(50 * time.Millisecond) // machines look for the next leader first
+				}
+				ran := c.running("j-000001")
+				if ran == 0 || met.of("news") == 0 || met.of("reports to the old leader") == 0 {
+					t.Errorf("%d tasks of the new job ran, met %v", ran, met.n)
+				}
+				c.setFault(nil)
+				c.pipes.Cut(func(string, string) bool { return false })
+				c.await("j-000001", wire.JobDone, 4*time.Minute)
+				c.broken()
+			})
+		})
+	}
+}
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -18,9 +18,6 @@
 // userTimeout is within what users wait for a poll.
 const userTimeout = 1800 * micros.Millisecond
 
-// cancelTries is how often a cancellation is tried against concurrent changes of its job.
-const cancelTries = 4
-
 // What users are told, and callers in this package tell apart.
 var (
 	errNoSuchJob      = errors.New("no such job")
@@ -248,25 +245,26 @@
 	if !wire.ValidJobID(id) {
 		return bad(c, http.StatusNotFound, errNoSuchJob)
 	}
-	for range cancelTries {
-		job, err := h.known(ctx, id)
-		switch {
-		case errors.Is(err, errNoSuchJob):
-			return bad(c, http.StatusNotFound, errNoSuchJob)
-		case err != nil:
-			return unavailable(c)
-		case job.Final():
+	job, err := h.known(ctx, id)
+	switch {
+	case errors.Is(err, errNoSuchJob):
+		return bad(c, http.StatusNotFound, errNoSuchJob)
+	case err != nil:
+		return unavailable(c)
+	case job.Final():
+		return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: job.State})
+	}
+	err = h.storeCancellation(ctx, id, job)
+	switch {
+	case err == nil:
+		return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: wire.JobCancelled})
+	case errors.Is(err, statestore.ErrConflict):
+		// A job's key changes once after its creation, when it ends: a read tells how.
+		if job, err = h.known(ctx, id); err == nil && job.Final() {
 			return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: job.State})
 		}
-		err = h.storeCancellation(ctx, id, job)
-		switch {
-		case err == nil:
-			return reply(c, http.StatusOK, wire.JobStatus{ID: id, Status: wire.JobCancelled})
-		case !errors.Is(err, statestore.ErrConflict):
-			slog.Debug("abort", "job", id, "error", err)
-			return unavailable(c)
-		}
 	}
+	slog.Debug("abort", "job", id, "error", err)
 	return unavailable(c)
 }
 
