--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -458,9 +458,7 @@
 		dearMean += (t.m - t.mGuests) * t.CPUs
 	}
 	short := staffing.Backlog(waiting, running, mean, supply, boot)
-	// An ordinary machine must be worth what is paid for it at least: one that came up when
-	// the queue was gone cost as much as three that stayed.
-	dearShort := staffing.Backlog(impatient, staying, dearMean, supply, math.Max(boot, minPaid.Seconds()))
+	dearShort := staffing.Backlog(impatient, staying, dearMean, supply, boot)
 	for name, w := range work {
 		part := w / total / math.Max(l.types[name].CPUs, 0.001)
 		need[name], dear[name] = short*part, math.Min(short, dearShort)*part
