--- a/internal/leader/gang_reserve.go
+++ b/internal/leader/gang_reserve.go
@@ -114,7 +114,7 @@
 // interval unless they rise.
 func (l *Leader) stepReserves(now micros.Micros) {
 	for _, r := range l.reserves {
-		lambda, mu := r.window.EarlyRate(now), r.service.Mu(0)
+		lambda, mu := r.window.EarlyRate(now, l.Tuning.Z), r.service.Mu(0)
 		r.mean = staffing.Step(r.mean, lambda, mu, 1)
 		// What is rented now is up after a boot and should then do for an interval.
 		horizon := l.types[r.kind.Type].BootS + l.Tuning.ReviewInterval.Seconds()
--- a/internal/leader/gang_reserve_test.go
+++ b/internal/leader/gang_reserve_test.go
@@ -60,7 +60,8 @@
 		}
 	}
 	// Two CPUs of four: a gang is half of a machine. Four that came in now, over a third
-	// of a window at least, are 2.4 machines in the mean by the end of an interval, rounded up. Seven machines that report every 8 s
+	// of a window at least and with 1.3 deviations of their number, are 3.9 machines in the mean
+	// by the end of an interval, rounded up. Seven machines that report every 8 s
 	// must have room: 0.75^7 = 0.13. The fleet's share bounds both.
 	for _, c := range []struct {
 		name string
@@ -75,7 +76,7 @@
 				m.up, m.stored, m.upStored, m.resolved, m.current, m.reported = true, true, true, true, true, l.began
 			}
 			gang(nil)(l)
-		}, 10},
+		}, 11},
 		{"known at a take-over", func(l *Leader) {
 			for i := range 4 {
 				addJob(l, fmt.Sprintf("j-00010%d", i), wire.ShapeGang, 2, true, nil)
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -110,13 +110,16 @@
 }
 
 // EarlyRate is Rate for a stream that begins in the midst of a day: nothing waited for it, so
-// what came in tells its rate as soon as a part of the window has passed.
-func (w *Window) EarlyRate(now micros.Micros) float64 {
+// what came in tells its rate as soon as a part of the window has passed. Until all of it
+// has, few entries tell the rate badly, and z standard deviations of their number are added.
+func (w *Window) EarlyRate(now micros.Micros, z float64) float64 {
 	rate := w.Rate(now)
-	if span := max(now-w.began, w.length/leastPart); span < w.length {
-		rate *= w.length.Seconds() / span.Seconds()
+	span := max(now-w.began, w.length/leastPart)
+	if span >= w.length || len(w.entries) == 0 {
+		return rate
 	}
-	return rate
+	margin := z / math.Sqrt(float64(len(w.entries)))
+	return rate * (1 + margin) * w.length.Seconds() / span.Seconds()
 }
 
 // MinTasks is how many tasks must have finished before their run times are
--- a/staffing/staffing_test.go
+++ b/staffing/staffing_test.go
@@ -203,19 +203,22 @@
 	for _, c := range []struct {
 		name  string
 		after int64 // seconds since the first
+		z     float64
 		want  float64
 	}{
-		{"the first counts over a third of the window", 0, 0.1},
-		{"after a third", 20, 0.5},
-		{"after two thirds", 40, 0.45},
-		{"after all of it it is the rate", 100, 0.4},
+		{"the first counts over a third of the window", 0, 0, 0.1},
+		{"and may have been one of three", 0, 2, 0.3},
+		{"after a third", 20, 0, 0.5},
+		{"after two thirds", 40, 0, 0.45},
+		{"with a standard deviation", 40, 1, 0.6},
+		{"after all of it it is the rate", 100, 1, 0.4},
 	} {
 		w := NewWindow(60 * micros.Second)
 		began := 1000 * micros.Second
 		for at := int64(0); at <= c.after; at += 5 {
 			w.Add(began+micros.Micros(at)*micros.Second, 2)
 		}
-		if got := w.EarlyRate(began + micros.Micros(c.after)*micros.Second); !near(got, c.want) {
+		if got := w.EarlyRate(began+micros.Micros(c.after)*micros.Second, c.z); !near(got, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
