--- a/internal/leader/ask.go
+++ b/internal/leader/ask.go
@@ -144,5 +144,5 @@
 	m.asked = r.Seq
 	// It is alive; and no answer of an earlier term renews its lease from now on.
 	m.reported, m.answered = now, now
-	l.picture(m, r, now)
+	l.reconcile(m, r, now)
 }
--- a/internal/leader/ask_test.go
+++ b/internal/leader/ask_test.go
@@ -116,7 +116,7 @@
 	for _, c := range []struct {
 		name           string
 		asked, answers int // of its zone
-		unseen         int
+		unresolved     int
 		leaves         bool
 	}{
 		{"the only one", 20, 19, 1, true},
@@ -131,7 +131,7 @@
 		now := l.began + askedLimit + 100*micros.Millisecond
 		for i, m := range l.order {
 			m.reported, m.answered, m.resolved = now, now, true
-			if i < c.unseen {
+			if i < c.unresolved {
 				m.reported, m.answered, m.resolved, m.asks = 0, 0, false, 2
 			}
 		}
--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -46,7 +46,7 @@
 			b.Machines = append(b.Machines, benchMachine(i*50+k))
 		}
 		r.Wrote(replica.BookingPrefix+fmt.Sprintf("r-1-%d", i), b, uint64(i+5000))
-		r.Wrote(upKey(i), upList{Machines: b.Machines}, uint64(i+6000))
+		r.Wrote(runningListKey(i), runningList{Machines: b.Machines}, uint64(i+6000))
 	}
 	return r
 }
--- a/internal/leader/boot_test.go
+++ b/internal/leader/boot_test.go
@@ -39,7 +39,7 @@
 			m := l.addMachine(fmt.Sprintf("i-1%02d", i), &booking{id: "r-5", Type: "m4", Zone: "a", Answered: true}, now)
 			m.rentedAt, m.up, m.reported, m.answered = now-age, up, now, now
 			if up {
-				m.upList = 0
+				m.runningList = 0
 			}
 			return m
 		}
--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -17,7 +17,7 @@
 const movedAfter = counted
 
 // consolidate empties machines that are not wanted and hold a few tasks that can save,
-// when others have room for all of these: long tasks of guests, spread thin, kept half
+// when others have room for all of these: long best-effort tasks, spread thin, kept half
 // of a fleet up for minutes after everybody else had gone. It acts only while nothing
 // waits, so that a moved task finds its room at once.
 func (l *Leader) consolidate(now micros.Micros) {
@@ -43,7 +43,7 @@
 		room[i] = m.free
 	}
 	for i, m := range ms {
-		if !m.surplus && !m.unworthy || !l.movable(m, now) {
+		if !m.surplus && !m.closedToPatient || !l.movable(m, now) {
 			continue
 		}
 		into := slices.Clone(room)
@@ -52,7 +52,7 @@
 			k := len(ms) - 1
 			for ; k > i; k-- {
 				o := ms[k]
-				if o.draining == "" && !o.unworthy && into[k].Fits(a.job.need) &&
+				if o.draining == "" && !o.closedToPatient && into[k].Fits(a.job.need) &&
 					placement.Allowed(&placement.Job{Types: a.job.spec.Types, Zone: a.job.spec.Zone, Spot: a.job.spec.Spot}, o.kind.Type, o.kind.Zone, o.kind.Spot) {
 					break
 				}
@@ -78,8 +78,8 @@
 func (l *Leader) movable(m *machine, now micros.Micros) bool {
 	// Its free room is worth as much as that of an idle machine, which is kept for a
 	// while: moved at once, what came next found less room (hoalan-grown, bagtag-reprint
-	// in 8 s 0.87 -> 0.78). Guests never come so pressingly.
-	kept := m.surplusAt != 0 && now-m.surplusAt > l.idleLimit(l.types[m.kind.Type], m.kind.Spot)
+	// in 8 s 0.87 -> 0.78). Best-effort jobs never come so pressingly.
+	longSurplus := m.surplusAt != 0 && now-m.surplusAt > l.idleLimit(l.types[m.kind.Type], m.kind.Spot)
 	for _, a := range m.tasks {
 		// A gang would be stopped whole, wherever else its tasks are.
 		s := a.job.spec
@@ -96,7 +96,7 @@
 		if l.patient(a.job) {
 			continue
 		}
-		if !kept {
+		if !longSurplus {
 			return false
 		}
 		// It must not be late for being moved: on fleets whose images take 25 s to
--- a/internal/leader/consolidate_test.go
+++ b/internal/leader/consolidate_test.go
@@ -14,17 +14,17 @@
 func TestConsolidate(t *testing.T) {
 	const s = micros.Second
 	cases := []struct {
-		name     string
-		saves    float64
-		ran      micros.Micros
-		surplus  bool
-		waiting  bool
-		tasks    [2]int // on each machine of four CPUs
-		held     bool
-		unworthy bool // the other machine
-		due      float64
-		since    micros.Micros // it is not wanted
-		emptied  bool
+		name            string
+		saves           float64
+		ran             micros.Micros
+		surplus         bool
+		waiting         bool
+		tasks           [2]int // on each machine of four CPUs
+		held            bool
+		closedToPatient bool // the other machine
+		due             float64
+		since           micros.Micros // it is not wanted
+		emptied         bool
 	}{
 		{"room elsewhere", 30, 60 * s, true, false, [2]int{1, 2}, true, false, 0, 60 * s, true},
 		{"no room elsewhere", 30, 60 * s, true, false, [2]int{2, 3}, true, false, 0, 60 * s, false},
@@ -56,7 +56,7 @@
 				l.hold(&attempt{job: j, task: task, n: 1, machine: m, sentAt: 1, began: now - c.ran, running: now - c.ran, state: wire.TaskRunning})
 			}
 		}
-		l.order[0].surplus, l.order[1].unworthy = c.surplus, c.unworthy
+		l.order[0].surplus, l.order[1].closedToPatient = c.surplus, c.closedToPatient
 		l.order[0].surplusAt = now - c.since
 		if c.waiting {
 			l.queue.jobs = []*job{j}
@@ -73,14 +73,14 @@
 	}
 }
 
-// TestUnworthy has guests on ordinary machines that nobody else wants: no more of them
+// TestClosedToPatient has best-effort tasks on ordinary machines that nobody else wants: no more of them
 // start there. What others use, or wait for, stays open to all.
-func TestUnworthy(t *testing.T) {
+func TestClosedToPatient(t *testing.T) {
 	for _, c := range []struct {
 		name       string
 		priorities []int // of a task on each machine
 		want, need float64
-		unworthy   int
+		closed     int
 	}{
 		{"nobody wants them", []int{0, 0, 0}, 0, 0, 3},
 		{"one holds other work", []int{0, 1, 0}, 0, 0, 2},
@@ -99,28 +99,28 @@
 		l.markUnworthy(l.types["m4"], c.want, c.need)
 		n := 0
 		for _, m := range l.order {
-			if m.unworthy {
+			if m.closedToPatient {
 				n++
 			}
 		}
-		if n != c.unworthy {
-			t.Errorf("%s: %d machines closed to guests, want %d", c.name, n, c.unworthy)
+		if n != c.closed {
+			t.Errorf("%s: %d machines closed to patient work, want %d", c.name, n, c.closed)
 		}
 	}
 }
 
-// TestVictims has guests' tasks that could be stopped: the part of a job that begins is
+// TestVictims has best-effort tasks that could be stopped: the part of a job that begins is
 // left alone until its starts count, what is nearly over is spared, and of the others the
 // job goes first that has most yet to start.
 func TestVictims(t *testing.T) {
 	const s = micros.Second
 	for _, c := range []struct {
-		name  string
-		tasks int // of the job; 4 of them are on the machine
-		kept  bool
-		ran   micros.Micros
-		guest bool
-		lost  [2]micros.Micros // at least, at most
+		name       string
+		tasks      int // of the job; 4 of them are on the machine
+		protected  bool
+		ran        micros.Micros
+		bestEffort bool
+		lost       [2]micros.Micros // at least, at most
 	}{
 		{"begun long ago", 400, true, 100 * s, true, [2]micros.Micros{3 * s, 4 * s}},
 		{"just begun", 400, true, 10 * s, false, [2]micros.Micros{38 * s, 39 * s}},
@@ -135,14 +135,14 @@
 		l.jobs = map[string]*job{j.spec.ID: j}
 		for range 4 {
 			task, _ := j.take()
-			l.hold(&attempt{job: j, task: task, machine: m, began: now - c.ran, running: now - c.ran, kept: c.kept})
+			l.hold(&attempt{job: j, task: task, machine: m, began: now - c.ran, running: now - c.ran, protected: c.protected})
 		}
 		ms, _ := l.withVictims(now)
 		if len(ms) != 1 || len(ms[0].Victims) != 4 {
 			t.Fatalf("%s: %+v", c.name, ms)
 		}
-		if v := ms[0].Victims[0]; v.Guest != c.guest || v.Lost < c.lost[0] || v.Lost > c.lost[1] {
-			t.Errorf("%s: a guest %v that loses %v", c.name, v.Guest, v.Lost.Duration())
+		if v := ms[0].Victims[0]; v.BestEffort != c.bestEffort || v.Lost < c.lost[0] || v.Lost > c.lost[1] {
+			t.Errorf("%s: best-effort %v, loses %v", c.name, v.BestEffort, v.Lost.Duration())
 		}
 	}
 }
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -32,15 +32,15 @@
 
 // Bounds of the memory for notes, and of what is shown of one job.
 const (
-	keptNotes  = 4000
+	maxNotes   = 4000
 	shownNotes = 50
 )
 
 func (l *Leader) note(a *attempt, why string) {
 	n := StopNote{Task: taskName(a.job.spec.ID, a.task), Attempt: a.n, Machine: a.machine.id, At: micros.Wall(), Why: why}
 	slog.Debug("task stopped", "task", n.Task, "machine", n.Machine, "why", why)
-	if len(l.lastStops) >= keptNotes {
-		l.lastStops = slices.Delete(l.lastStops, 0, keptNotes/4)
+	if len(l.lastStops) >= maxNotes {
+		l.lastStops = slices.Delete(l.lastStops, 0, maxNotes/4)
 	}
 	l.lastStops = append(l.lastStops, n)
 }
@@ -145,8 +145,8 @@
 			why = append(why, fmt.Sprintf("its gang was ended, and %d tasks are not gone yet", len(j.on)))
 		case len(j.on) > 0:
 			why = append(why, fmt.Sprintf("%d of its gang's tasks have their places; it is completed under the same attempt", len(j.on)))
-		case l.keeps[j.spec.ID] != nil && len(l.keeps[j.spec.ID].machines) > 0:
-			why = append(why, fmt.Sprintf("room for the whole gang is gathered on %d machines", len(l.keeps[j.spec.ID].machines)))
+		case l.gatherings[j.spec.ID] != nil && len(l.gatherings[j.spec.ID].machines) > 0:
+			why = append(why, fmt.Sprintf("room for the whole gang is gathered on %d machines", len(l.gatherings[j.spec.ID].machines)))
 		}
 	}
 	if !l.Term.Sure() {
@@ -185,7 +185,7 @@
 }
 
 // logPicture shows now and then what the leader sees.
-func (l *Leader) logPicture(now micros.Micros) {
+func (l *Leader) logSnapshot(now micros.Micros) {
 	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
@@ -210,6 +210,6 @@
 	for _, t := range l.types {
 		targets[t.Name] = fmt.Sprintf("m=%.1f want=%.1f target=%d", t.m, t.want, t.target)
 	}
-	slog.Debug("picture", "jobs", len(l.jobs), "waiting", waiting, "open", open, "states", states,
+	slog.Debug("snapshot", "jobs", len(l.jobs), "waiting", waiting, "open", open, "states", states,
 		"held_cpus", held/1000, "usable_cpus", cpus/1000, "machines", len(l.machines), "unresolved", l.unresolved(), "targets", targets)
 }
--- a/internal/leader/blame.go
+++ b/internal/leader/faults.go
@@ -32,7 +32,7 @@
 	probeTasks = 2
 	probePause = 60 * micros.Second
 	// keptAtFault bounds how many jobs put off the staffing record names.
-	keptAtFault = 50
+	maxAtFault = 50
 )
 
 // good tells whether any task of the job has been done.
@@ -81,8 +81,8 @@
 	l.replan = true
 }
 
-// blame decides whether a failure speaks against the machine or the job.
-func (l *Leader) blame(m *machine, j *job, now micros.Micros) {
+// attributeFault decides whether a failure speaks against the machine or the job.
+func (l *Leader) attributeFault(m *machine, j *job, now micros.Micros) {
 	if j.good() {
 		m.strikes++
 		m.notUntil = max(m.notUntil, now+micros.Micros(m.strikes)*micros.Second)
@@ -231,7 +231,7 @@
 func (l *Leader) atFaultRecord() map[string]int {
 	out := map[string]int{}
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
-		if j := l.jobs[id]; j.atFault && len(out) < keptAtFault {
+		if j := l.jobs[id]; j.atFault && len(out) < maxAtFault {
 			out[id] = j.rounds
 		}
 	}
--- a/internal/leader/blame_test.go
+++ b/internal/leader/faults_test.go
@@ -9,11 +9,11 @@
 	"caperlatch/internal/wire"
 )
 
-// TestBlame has tasks fail and succeed, step by step. A job that was submitted with a
+// TestAttributeFault has tasks fail and succeed, step by step. A job that was submitted with a
 // mistake fails on every machine and must cost none; a machine that fails everything
 // is found all the same, also among such jobs. Steps: "2x1" is a failure of job 2 on
 // machine 1, "2+1" a success there of a task that began after all before.
-func TestBlame(t *testing.T) {
+func TestAttributeFault(t *testing.T) {
 	cases := []struct {
 		name    string
 		steps   []string
@@ -61,7 +61,7 @@
 			j, m := jobs[step[0]-'0'], l.machines["i-"+step[2:]]
 			if step[1] == 'x' {
 				j.failures++
-				l.blame(m, j, now)
+				l.attributeFault(m, j, now)
 			} else {
 				j.ndone++
 				l.succeeded(m, j, &attempt{job: j, machine: m, sentAt: 1, began: now}, now)
@@ -103,7 +103,7 @@
 	window := l.types["m4"].window
 	before := window.Rate(now)
 	for i := 1; i <= 3; i++ {
-		l.blame(l.machines[fmt.Sprintf("i-%d", i)], j, now)
+		l.attributeFault(l.machines[fmt.Sprintf("i-%d", i)], j, now)
 	}
 	if after := window.Rate(now); before <= 0 || after >= before/2 {
 		t.Errorf("demand %v before and %v after it was put off", before, after)
@@ -119,7 +119,7 @@
 			t.Errorf("%d tasks are tried, want %d", n, probeTasks)
 		}
 		for range probeTasks { // one try
-			l.blame(l.machines["i-1"], j, now)
+			l.attributeFault(l.machines["i-1"], j, now)
 		}
 	}
 	for i := 1; i < len(pauses); i++ {
@@ -161,7 +161,7 @@
 		j.failTook = c.failTook
 		l.hold(&attempt{job: j, machine: l.machines["i-1"], running: now})
 		for i := 2; i <= 4; i++ {
-			l.blame(l.addMachine(fmt.Sprintf("i-%d", i), l.bookings["r-1"], now), j, now)
+			l.attributeFault(l.addMachine(fmt.Sprintf("i-%d", i), l.bookings["r-1"], now), j, now)
 		}
 		if !j.atFault {
 			t.Fatalf("%s: not put aside", c.name)
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -71,12 +71,12 @@
 	return w, true
 }
 
-// upList names machines that may have got tasks. The lists are apart from the
+// runningList names machines that may have got tasks. The lists are apart from the
 // bookings, so that all machines that come up at about the same time share a
 // write: with a booking written anew for each of its machines, a thousand that
 // booted waited seconds for their first tasks. Each machine stands with its
 // address, so that a next leader can ask it for its tasks.
-type upList struct {
+type runningList struct {
 	Machines []string `json:"m"` // "id address"
 
 	// apart is set while a list that is too large is being split: it has the list
@@ -84,39 +84,39 @@
 	apart *int
 }
 
-func upEntry(m *machine) string { return m.id + " " + m.address }
+func runningEntry(m *machine) string { return m.id + " " + m.address }
 
-func upKey(n int) string { return replica.UpPrefix + strconv.Itoa(n) }
+func runningListKey(n int) string { return replica.UpPrefix + strconv.Itoa(n) }
 
 // restoreUps reads which machines an earlier term may have given tasks.
-func (l *Leader) restoreUps() error {
+func (l *Leader) restoreRunningLists() error {
 	for _, key := range l.Replica.Keys(replica.UpPrefix) {
 		n, err := strconv.Atoi(strings.TrimPrefix(key, replica.UpPrefix))
 		if err != nil || n < 0 || n > 1<<20 {
 			return fmt.Errorf("stored %s: no list of machines", key)
 		}
-		for len(l.ups) <= n {
-			l.ups = append(l.ups, &upList{})
+		for len(l.runningLists) <= n {
+			l.runningLists = append(l.runningLists, &runningList{})
 		}
-		if _, err := l.Replica.Get(key, l.ups[n]); err != nil {
+		if _, err := l.Replica.Get(key, l.runningLists[n]); err != nil {
 			return err
 		}
 	}
-	for n, up := range l.ups {
+	for n, up := range l.runningLists {
 		for _, entry := range up.Machines {
 			id, address, _ := strings.Cut(entry, " ")
 			if m := l.machines[id]; m != nil {
-				m.up, m.upStored, m.resolved, m.upList, m.address = true, true, false, n, address
+				m.up, m.upStored, m.resolved, m.runningList, m.address = true, true, false, n, address
 			}
 		}
 	}
-	for n, up := range l.ups {
+	for n, up := range l.runningLists {
 		// A leader that ended while it split a list left machines in two.
 		if before := len(up.Machines); l.keepOwn(n) < before {
-			l.markLazily(upKey(n))
+			l.markLazily(runningListKey(n))
 		}
 	}
-	for n := range l.ups {
+	for n := range l.runningLists {
 		l.splitUp(n)
 	}
 	return nil
@@ -125,11 +125,11 @@
 // keepOwn takes machines off a list that stand in another as well, and tells how many
 // are left.
 func (l *Leader) keepOwn(n int) int {
-	up := l.ups[n]
+	up := l.runningLists[n]
 	up.Machines = slices.DeleteFunc(up.Machines, func(entry string) bool {
 		id, _, _ := strings.Cut(entry, " ")
 		m := l.machines[id]
-		return m != nil && m.upList != n || l.gone[id]
+		return m != nil && m.runningList != n || l.gone[id]
 	})
 	return len(up.Machines)
 }
@@ -139,11 +139,11 @@
 // as it is, names their machines until they are known to be stored. So at no moment,
 // whatever gets no answer and whoever takes over, a machine stands in no list.
 func (l *Leader) splitUp(n int) {
-	whole := l.ups[n].Machines
+	whole := l.runningLists[n].Machines
 	fits := func(entries []string) int {
 		lo, hi := 1, len(entries)
 		for lo < hi { // the most that fit
-			if mid := (lo + hi + 1) / 2; l.Store.FitsValue(upList{Machines: entries[:mid]}) {
+			if mid := (lo + hi + 1) / 2; l.Store.FitsValue(runningList{Machines: entries[:mid]}) {
 				lo = mid
 			} else {
 				hi = mid - 1
@@ -154,52 +154,52 @@
 	for rest := whole[min(len(whole), fits(whole)):]; len(rest) > 0; {
 		part := rest[:fits(rest)]
 		rest = rest[len(part):]
-		l.ups = append(l.ups, &upList{Machines: slices.Clone(part), apart: &n})
+		l.runningLists = append(l.runningLists, &runningList{Machines: slices.Clone(part), apart: &n})
 		for _, entry := range part {
 			id, _, _ := strings.Cut(entry, " ")
 			if m := l.machines[id]; m != nil {
-				m.upList = len(l.ups) - 1
+				m.runningList = len(l.runningLists) - 1
 			}
 		}
-		l.dirty[upKey(len(l.ups)-1)] = true
+		l.dirty[runningListKey(len(l.runningLists)-1)] = true
 	}
 }
 
 // parted is called once a part of a list that was split is stored, or is empty: the
 // list that it was part of need not name its machines any more.
 func (l *Leader) parted(n int) {
-	if of := l.ups[n].apart; of != nil {
-		l.ups[n].apart = nil
+	if of := l.runningLists[n].apart; of != nil {
+		l.runningLists[n].apart = nil
 		l.keepOwn(*of)
-		l.markLazily(upKey(*of))
+		l.markLazily(runningListKey(*of))
 	}
 }
 
 // markUp has it stored that a machine may get tasks.
 func (l *Leader) markUp(m *machine) {
 	m.up = true
-	n := len(l.ups) - 1
-	if n < 0 || !l.Store.FitsValue(upList{Machines: append(l.ups[n].Machines, upEntry(m), upEntry(m))}) {
-		l.ups = append(l.ups, &upList{})
+	n := len(l.runningLists) - 1
+	if n < 0 || !l.Store.FitsValue(runningList{Machines: append(l.runningLists[n].Machines, runningEntry(m), runningEntry(m))}) {
+		l.runningLists = append(l.runningLists, &runningList{})
 		n++
 	}
-	m.upList = n
-	l.ups[n].Machines = append(l.ups[n].Machines, upEntry(m))
-	l.dirty[upKey(n)] = true
+	m.runningList = n
+	l.runningLists[n].Machines = append(l.runningLists[n].Machines, runningEntry(m))
+	l.dirty[runningListKey(n)] = true
 	l.wakeFlush()
 }
 
-func (l *Leader) buildUp(w write) (write, bool) {
+func (l *Leader) buildRunningList(w write) (write, bool) {
 	n, err := strconv.Atoi(strings.TrimPrefix(w.key, replica.UpPrefix))
-	if err != nil || n >= len(l.ups) {
+	if err != nil || n >= len(l.runningLists) {
 		return w, false
 	}
-	snapshot := slices.Clone(l.ups[n].Machines)
+	snapshot := slices.Clone(l.runningLists[n].Machines)
 	if len(snapshot) == 0 {
 		l.parted(n)
 		return w, w.stamp != 0
 	}
-	w.value = upList{Machines: snapshot}
+	w.value = runningList{Machines: snapshot}
 	if w.stamp != 0 && len(snapshot) > 1 && !l.Store.FitsValue(w.value) {
 		return w, false // it is being split
 	}
@@ -396,12 +396,12 @@
 	b := m.booking
 	b.Machines = slices.DeleteFunc(b.Machines, func(id string) bool { return id == m.id })
 	if m.up {
-		up := l.ups[m.upList]
+		up := l.runningLists[m.runningList]
 		up.Machines = slices.DeleteFunc(up.Machines, func(entry string) bool {
 			id, _, _ := strings.Cut(entry, " ")
 			return id == m.id
 		})
-		l.markLazily(upKey(m.upList))
+		l.markLazily(runningListKey(m.runningList))
 	}
 	b.dropped = b.Answered && len(b.Machines) == 0
 	l.markLazily(replica.BookingPrefix + b.id)
@@ -445,20 +445,20 @@
 		case m != nil || open:
 		default:
 			seen[x.ID] = true
-			since, ok := l.strays[x.ID]
+			since, ok := l.unbooked[x.ID]
 			if !ok {
-				l.strays[x.ID] = now
+				l.unbooked[x.ID] = now
 			} else if now-since > 3*lag+10*micros.Second {
 				// Nobody uses it: a rental carried out late, or a return lost.
-				delete(l.strays, x.ID)
-				slog.Info("returning a stray machine", "machine", x.ID)
+				delete(l.unbooked, x.ID)
+				slog.Info("returning an unbooked machine", "machine", x.ID)
 				l.toReturn = append(l.toReturn, x.ID)
 			}
 		}
 	}
-	for id := range l.strays {
+	for id := range l.unbooked {
 		if !seen[id] {
-			delete(l.strays, id)
+			delete(l.unbooked, id)
 		}
 	}
 }
--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -218,7 +218,7 @@
 func (l *Leader) build(key string) (write, bool) {
 	w := write{key: key, stamp: l.Replica.Stamp(key)}
 	if strings.HasPrefix(key, replica.UpPrefix) {
-		return l.buildUp(w)
+		return l.buildRunningList(w)
 	}
 	if id, ok := strings.CutPrefix(key, replica.BookingPrefix); ok {
 		return l.buildBooking(w, id)
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -66,7 +66,7 @@
 		}
 		return
 	}
-	l.dropKeep(j)
+	l.dropGathering(j)
 	if len(j.on) == 0 {
 		j.gang = gang{n: l.attempt()}
 		slog.Debug("gang", "job", j.spec.ID, "attempt", j.gang.n, "tasks", j.spec.Tasks)
@@ -76,8 +76,8 @@
 		if !ok {
 			return
 		}
-		a := &attempt{job: j, task: task, n: j.gang.n, machine: m, began: now, reserved: true, kept: true}
-		j.kept++
+		a := &attempt{job: j, task: task, n: j.gang.n, machine: m, began: now, reserved: true, protected: true}
+		j.protectedTasks++
 		l.hold(a)
 	}
 }
@@ -251,7 +251,7 @@
 	}
 	for _, a := range j.on {
 		m := a.machine
-		if m.leaving || m.deaf > 0 || m.address == "" || l.cutOff[m.kind.Zone] ||
+		if m.leaving || m.notReceiving > 0 || m.address == "" || l.cutOff[m.kind.Zone] ||
 			l.silentFor(m, now) > l.report+l.report/4+micros.Second {
 			return false
 		}
@@ -335,8 +335,8 @@
 		if j.ndone > 0 {
 			continue
 		}
-		if k := l.keeps[j.spec.ID]; k != nil && now >= k.until && (len(k.machines) > 0 || now >= k.again) {
-			l.dropKeep(j)
+		if g := l.gatherings[j.spec.ID]; g != nil && now >= g.until && (len(g.machines) > 0 || now >= g.again) {
+			l.dropGathering(j)
 		}
 		if len(j.on) == 0 {
 			continue
@@ -374,38 +374,38 @@
 	return out
 }
 
-// keep is room that is gathered for a gang that found none: on its machines only work
+// gathering is room that is gathered for a gang that found none: on its machines only work
 // that goes before the gang may start. It ends after a time, and the gang then waits as
 // long for the next: no room is held for ever.
-type keep struct {
+type gathering struct {
 	view     *placement.Job // the gang, as of the latest queue
 	machines []*machine
 	until    micros.Micros
 	again    micros.Micros // not before
 }
 
-// Bounds of what is kept for gangs.
+// Bounds of what is gathered for gangs.
 const (
-	keepWithin = 16 * micros.Second // in what time its room must come free
-	keepShare  = 8                  // part of the machines
-	gatherJobs = 8                  // that a plan looks for room for
+	gatherWithin = 16 * micros.Second // in what time its room must come free
+	gatherShare  = 8                  // part of the machines
+	gatherJobs   = 8                  // that a plan looks for room for
 )
 
-// gatherRoom keeps room for gangs that found none, in the queue's order. Machines are kept
+// gatherRoom gathers room for gangs that found none, in the queue's order. Machines are held
 // for one gang each, so none waits for another's.
 func (l *Leader) gatherRoom(now micros.Micros) {
 	q := &l.queue
 	var machines []placement.Machine
 	var ms []*machine
-	kept, tries := 0, 0
+	gathered, tries := 0, 0
 	for _, m := range l.order {
-		if m.kept != nil {
-			kept++
+		if m.gathering != nil {
+			gathered++
 		}
 	}
 	for i, w := range q.waiting {
-		k := l.keeps[w.ID]
-		if !w.Whole || w.Waiting == 0 || k != nil && (len(k.machines) > 0 || now < k.again) || kept > 0 && keepShare*kept >= len(l.order) {
+		g := l.gatherings[w.ID]
+		if !w.Whole || w.Waiting == 0 || g != nil && (len(g.machines) > 0 || now < g.again) || gathered > 0 && gatherShare*gathered >= len(l.order) {
 			continue
 		}
 		if tries++; tries > gatherJobs {
@@ -426,49 +426,49 @@
 				}
 			}
 		}
-		for _, n := range placement.Gather(machines, w, q.teams[w.Team], keepWithin) {
-			machines[n].Kept = w
-			l.keepFor(q.jobs[i].spec.ID, ms[n], now)
-			kept++
+		for _, n := range placement.Gather(machines, w, q.teams[w.Team], gatherWithin) {
+			machines[n].GatheredFor = w
+			l.gatherFor(q.jobs[i].spec.ID, ms[n], now)
+			gathered++
 		}
 	}
 }
 
-// keepFor keeps a machine for a gang.
-func (l *Leader) keepFor(id string, m *machine, now micros.Micros) {
+// gatherFor adds a machine to a gang's gathering.
+func (l *Leader) gatherFor(id string, m *machine, now micros.Micros) {
 	j := l.jobs[id]
-	if j == nil || m.kept != nil {
+	if j == nil || m.gathering != nil {
 		return
 	}
-	k := l.keeps[id]
-	if k == nil || len(k.machines) == 0 {
-		k = &keep{until: now + keepWithin + l.report, again: now + 2*(keepWithin+l.report)}
-		l.keeps[id] = k
+	g := l.gatherings[id]
+	if g == nil || len(g.machines) == 0 {
+		g = &gathering{until: now + gatherWithin + l.report, again: now + 2*(gatherWithin+l.report)}
+		l.gatherings[id] = g
 		for _, w := range l.queue.waiting {
 			if w.ID == id {
-				k.view = w
+				g.view = w
 			}
 		}
 	}
-	m.kept = k
-	k.machines = append(k.machines, m)
+	m.gathering = g
+	g.machines = append(g.machines, m)
 }
 
-// dropKeep opens what is kept for a gang to all.
-func (l *Leader) dropKeep(j *job) {
-	k := l.keeps[j.spec.ID]
-	if k == nil {
+// dropGathering opens to all what is gathered for a gang.
+func (l *Leader) dropGathering(j *job) {
+	g := l.gatherings[j.spec.ID]
+	if g == nil {
 		return
 	}
-	for _, m := range k.machines {
-		if m.kept == k {
-			m.kept = nil
+	for _, m := range g.machines {
+		if m.gathering == g {
+			m.gathering = nil
 			l.replan = true
 		}
 	}
-	k.machines = nil
-	if j.over || micros.Now() >= k.again {
-		delete(l.keeps, j.spec.ID)
+	g.machines = nil
+	if j.over || micros.Now() >= g.again {
+		delete(l.gatherings, j.spec.ID)
 	}
 }
 
--- a/internal/leader/gang_reserve.go
+++ b/internal/leader/gang_reserve.go
@@ -23,7 +23,7 @@
 	kind     reserveKind
 	window   *staffing.Window // machines' worth of gangs that came in
 	service  staffing.Service
-	lumps    staffing.Lumps
+	lumps    staffing.Batches
 	mean     float64 // machines that gangs hold, by the equation
 	standing int     // machines that must have room, for one to report in time
 	target   int     // machines
@@ -261,7 +261,7 @@
 	wall := micros.Wall()
 	var late []*placement.Job
 	for _, w := range l.queue.waiting {
-		k := l.keeps[w.ID]
+		k := l.gatherings[w.ID]
 		if w.Whole && w.Pressing && !w.Late && (k == nil || len(k.machines) == 0) && (w.Soonest == 0 || wall+w.Soonest > w.Due) {
 			late = append(late, w)
 		}
@@ -276,7 +276,7 @@
 		if len(stops) == 0 {
 			continue
 		}
-		l.keepFor(w.ID, ms[at], now)
+		l.gatherFor(w.ID, ms[at], now)
 		for _, s := range stops {
 			a := ms[at].tasks[taskName(s.Victim.Job, s.Victim.Task)]
 			if a == nil {
--- a/internal/leader/gang_reserve_test.go
+++ b/internal/leader/gang_reserve_test.go
@@ -177,7 +177,7 @@
 	} {
 		m := l.machines[c.machine]
 		m.resolved = false
-		l.picture(m, &wire.Report{Machine: m.id, Session: 1, Seq: 1, Token: token, Tasks: c.tasks}, micros.Now())
+		l.reconcile(m, &wire.Report{Machine: m.id, Session: 1, Seq: 1, Token: token, Tasks: c.tasks}, micros.Now())
 		if got := m.reserve != nil; got != c.reserved {
 			t.Errorf("%s: reserved: %t, want %t", c.name, got, c.reserved)
 		}
--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -180,7 +180,7 @@
 		}
 		for name, m := range l.machines {
 			if m.strikes > 0 || len(m.failed) > 0 && !strings.Contains(c.name, "failed") {
-				t.Errorf("%s: %s is blamed: %d, %v", c.name, name, m.strikes, m.failed)
+				t.Errorf("%s: %s is at fault: %d, %v", c.name, name, m.strikes, m.failed)
 			}
 		}
 	}
@@ -196,7 +196,7 @@
 	}{
 		{"all can be told", func(*Leader, *machine) {}, 3},
 		{"one is silent", func(l *Leader, m *machine) { m.reported = micros.Now() - 10*micros.Second; l.began = m.reported }, 0},
-		{"one hears nothing", func(_ *Leader, m *machine) { m.deaf = 1 }, 0},
+		{"one hears nothing", func(_ *Leader, m *machine) { m.notReceiving = 1 }, 0},
 		{"one is being returned", func(_ *Leader, m *machine) { m.leaving = true }, 0},
 		{"one is in a zone that is cut off", func(l *Leader, _ *machine) { l.cutOff["a"] = true }, 0},
 		{"its leader is in doubt", func(l *Leader, _ *machine) { l.Term.(*fakeTerm).sure = false }, 0},
@@ -261,9 +261,9 @@
 	}
 }
 
-// TestGangKeep has a gang find no room beside work that ends soon: room is gathered for a
+// TestGangGathering has a gang find no room beside work that ends soon: room is gathered for a
 // time, then let go for as long.
-func TestGangKeep(t *testing.T) {
+func TestGangGathering(t *testing.T) {
 	const s = micros.Second
 	l := newGangTest(t, false)
 	l.began -= 100 * s
@@ -275,17 +275,17 @@
 			l.hold(&attempt{job: small, task: task, n: 1, machine: m, sentAt: 1, began: now, running: now, state: wire.TaskRunning})
 		}
 	}
-	kept := func() (n int) {
+	gathered := func() (n int) {
 		for _, m := range l.order {
-			if m.kept != nil {
+			if m.gathering != nil {
 				n++
 			}
 		}
 		return n
 	}
 	l.plan(now)
-	if kept() != 3 {
-		t.Fatalf("%d machines are kept", kept())
+	if gathered() != 3 {
+		t.Fatalf("%d machines are gathered", gathered())
 	}
 	m := l.machines["i-1"]
 	for _, a := range m.tasks {
@@ -294,16 +294,16 @@
 	}
 	l.jobs[small.spec.ID] = small
 	if small.spec.Priority = "normal"; len(tellTasks(t, l, "i-1")) != 0 {
-		t.Error("the room that is kept went to another")
+		t.Error("the room that is gathered went to another")
 	}
-	k := l.keeps["j-000002"]
-	k.until = micros.Now()
+	g := l.gatherings["j-000002"]
+	g.until = micros.Now()
 	l.watchGangs(micros.Now())
-	if kept() != 0 {
-		t.Error("it is kept for ever")
+	if gathered() != 0 {
+		t.Error("it is gathered for ever")
 	}
-	if l.plan(micros.Now()); kept() != 0 {
-		t.Error("it is kept again at once")
+	if l.plan(micros.Now()); gathered() != 0 {
+		t.Error("it is gathered again at once")
 	}
 }
 
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -14,33 +14,33 @@
 
 // job is an accepted job that is not over.
 type job struct {
-	spec      *wire.Job
-	submitted micros.Micros // time of day
-	seen      micros.Micros // when this term saw it
-	need      placement.Resources
-	image     int     // see Leader.image
-	offers    []offer // see offersFor
-	offersOf  int     // the catalog that they are of
-	priority  int
-	old       bool // an earlier term may have started tasks of it
-	over      bool
-	done      bitset
-	stored    bitset // what of done is in the state service
-	ndone     int
-	on        map[int]*attempt // tasks that may be on a machine
-	zones     map[string]int   // of these
-	kept      int              // of these, see attempt.kept
-	running   int              // of these, seen running
-	returned  []int            // tasks to start again
-	cursor    int              // tasks from here on have not been started
-	resumed   map[int]bool     // tasks that ran before, whose next run is shorter
-	gang      gang             // its present attempt, if it is one
+	spec           *wire.Job
+	submitted      micros.Micros // time of day
+	seen           micros.Micros // when this term saw it
+	need           placement.Resources
+	image          int     // see Leader.image
+	offers         []offer // see offersFor
+	offersOf       int     // the catalog that they are of
+	priority       int
+	old            bool // an earlier term may have started tasks of it
+	over           bool
+	done           bitset
+	stored         bitset // what of done is in the state service
+	ndone          int
+	on             map[int]*attempt // tasks that may be on a machine
+	zones          map[string]int   // of these
+	protectedTasks int              // of these, see attempt.protected
+	running        int              // of these, seen running
+	returned       []int            // tasks to start again
+	cursor         int              // tasks from here on have not been started
+	resumed        map[int]bool     // tasks that ran before, whose next run is shorter
+	gang           gang             // its present attempt, if it is one
 	// The highest number of a gang's attempt that its tasks' exits show to be over. A new
 	// leader may hear of these before it hears of what is left of the attempt.
 	attemptOver uint64
 	notBefore   micros.Micros
 	waitsFor    string
-	// How its tasks failed, see blame.go.
+	// How its tasks failed, see faults.go.
 	errors     map[string]micros.Micros // machines where one did, when last, while none has been done
 	failures   int                      // in this term
 	lastFailed string                   // machine
@@ -57,18 +57,18 @@
 
 // attempt is a task that may be on a machine, or has its place there.
 type attempt struct {
-	job     *job
-	task    int
-	n       uint64
-	machine *machine
-	state   string // as last reported; empty: start sent, not yet reported
-	sentAt  uint64 // seq of the report whose answer carried the start
-	began   micros.Micros
-	running micros.Micros // since when it is seen running
-	stopped micros.Micros // when first told to stop, 0 if not
-	grace   micros.Micros
-	why     string
-	kept    bool // of the part of a job that is left alone until it has begun
+	job       *job
+	task      int
+	n         uint64
+	machine   *machine
+	state     string // as last reported; empty: start sent, not yet reported
+	sentAt    uint64 // seq of the report whose answer carried the start
+	began     micros.Micros
+	running   micros.Micros // since when it is seen running
+	stopped   micros.Micros // when first told to stop, 0 if not
+	grace     micros.Micros
+	why       string
+	protected bool // of the part of a job that is left alone until it has begun
 	// A gang's task that has its place, and whose start its machine's next answer carries.
 	reserved bool
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -1,4 +1,4 @@
-// Package leader is what the leading node does: it keeps the picture of
+// Package leader is what the leading node does: it keeps a snapshot of
 // machines and tasks, gives workers their orders, and rents and returns
 // machines.
 package leader
@@ -55,50 +55,50 @@
 	// Workers' usual time between reports, and their lease.
 	report, lease micros.Micros
 
-	mu                sync.Mutex
-	ready             bool // the picture has been rebuilt
-	raised            bool // the means have been raised to it
-	superseded        bool // a higher token is known
-	jobs              map[string]*job
-	ghosts            map[string]*job // cancelled before this term, with tasks still on machines
-	machines          map[string]*machine
-	order             []*machine                     // by name
-	used              map[string]placement.Resources // by what is on machines, a team
-	hidden            placement.Resources            // what machines with unknown tasks may hold, as of the last plan
-	images            map[string]int                 // the numbers that stand for images
-	bookings          map[string]*booking
-	ups               []*upList
-	strays            map[string]micros.Micros // listed machines that no booking explains, since when
-	gone              map[string]bool          // machines that the cloud took back from us
-	toReturn          []string                 // machines to be returned
-	types             map[string]*machineType
-	typeOrder         []string
-	catalog           int // raised with each new one
-	teams             map[string]settings.Team
-	dirty             map[string]bool // keys to be written; false: see markLazily
-	finals            map[string]replica.Job
-	counts            map[string][2]int // see AllCounts
-	countsAt          micros.Micros
-	attempts          uint64
-	bookingSeq        uint64
-	replan            bool
-	planTook          micros.Micros
-	plannedAt         micros.Micros
-	unseen            int // machines whose tasks are not known, as of the last look
-	preempted         micros.Micros
-	preemptedForGangs micros.Micros
-	lateBoots         boots
-	ends              int // tasks that were done since endsAt
-	endsAt            micros.Micros
-	endsRate          float64
-	answering         *machine         // whose report is being answered
-	queue             queue            // what waits, as of the last plan
-	keeps             map[string]*keep // room being gathered for gangs, by job
-	reserves          map[reserveKind]*gangReserve
-	offers            map[offer]*offerState
-	estimates         map[string]*staffing.Estimate // by class
-	lastStops         []StopNote
-	tallies           tallies
+	mu                 sync.Mutex
+	ready              bool // the snapshot has been rebuilt
+	raised             bool // the means have been raised to it
+	superseded         bool // a higher token is known
+	jobs               map[string]*job
+	orphans            map[string]*job // cancelled before this term, with tasks still on machines
+	machines           map[string]*machine
+	order              []*machine                     // by name
+	used               map[string]placement.Resources // by what is on machines, a team
+	hidden             placement.Resources            // what machines with unknown tasks may hold, as of the last plan
+	images             map[string]int                 // the numbers that stand for images
+	bookings           map[string]*booking
+	runningLists       []*runningList
+	unbooked           map[string]micros.Micros // listed machines that no booking explains, since when
+	gone               map[string]bool          // machines that the cloud took back from us
+	toReturn           []string                 // machines to be returned
+	types              map[string]*machineType
+	typeOrder          []string
+	catalog            int // raised with each new one
+	teams              map[string]settings.Team
+	dirty              map[string]bool // keys to be written; false: see markLazily
+	finals             map[string]replica.Job
+	counts             map[string][2]int // see AllCounts
+	countsAt           micros.Micros
+	attempts           uint64
+	bookingSeq         uint64
+	replan             bool
+	planTook           micros.Micros
+	plannedAt          micros.Micros
+	unresolvedMachines int // machines whose tasks are not known, as of the last look
+	preempted          micros.Micros
+	preemptedForGangs  micros.Micros
+	lateBoots          boots
+	ends               int // tasks that were done since endsAt
+	endsAt             micros.Micros
+	endsRate           float64
+	answering          *machine              // whose report is being answered
+	queue              queue                 // what waits, as of the last plan
+	gatherings         map[string]*gathering // room being gathered for gangs, by job
+	reserves           map[reserveKind]*gangReserve
+	offers             map[offer]*offerState
+	estimates          map[string]*staffing.Estimate // by class
+	lastStops          []StopNote
+	tallies            tallies
 	// How the machines of a zone took to being asked for their tasks.
 	zoneAnswers map[string]answers
 	calls       chan struct{}   // calls to workers in progress
@@ -115,28 +115,28 @@
 // machineType is a type of the catalog with its staffing.
 type machineType struct {
 	wire.MachineType
-	capacity placement.Resources
-	m        float64
-	mGuests  float64 // of m, by patient jobs
-	window   *staffing.Window
-	guests   *staffing.Window // of these
-	service  staffing.Service
-	lumps    staffing.Lumps
-	finished int
-	want     float64 // the formula's, held for an interval
-	dear     float64 // the same with the z of ordinary machines
-	target   int     // what the fleet is steered toward
-	heldTill micros.Micros
+	capacity     placement.Resources
+	m            float64
+	mBestEffort  float64 // of m, by patient jobs
+	window       *staffing.Window
+	bestEffort   *staffing.Window // of these
+	service      staffing.Service
+	batches      staffing.Batches
+	finished     int
+	want         float64 // the formula's, held for an interval
+	wantOrdinary float64 // the same with the z of ordinary machines
+	target       int     // what the fleet is steered toward
+	heldTill     micros.Micros
 }
 
 // New makes a leader for a term.
 func New(c Config) *Leader {
 	l := &Leader{
 		Config: c, began: micros.Now(), beganWall: micros.Wall(), report: c.Settings.Params.Workers.Report(), lease: c.Settings.Params.Workers.Lease(),
-		jobs: map[string]*job{}, ghosts: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
-		strays: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
+		jobs: map[string]*job{}, orphans: map[string]*job{}, machines: map[string]*machine{}, bookings: map[string]*booking{},
+		unbooked: map[string]micros.Micros{}, gone: map[string]bool{}, types: map[string]*machineType{},
 		teams: map[string]settings.Team{}, used: map[string]placement.Resources{}, images: map[string]int{}, dirty: map[string]bool{}, finals: map[string]replica.Job{},
-		keeps: map[string]*keep{}, reserves: map[reserveKind]*gangReserve{},
+		gatherings: map[string]*gathering{}, reserves: map[reserveKind]*gangReserve{},
 		offers: map[offer]*offerState{}, estimates: map[string]*staffing.Estimate{},
 		flushNow: make(chan struct{}, 1), flushOps: c.Store.FlushOps(), tooLarge: map[string]int{}, lost: make(chan struct{}),
 		tallies: tallies{}, zoneAnswers: map[string]answers{}, cutOff: map[string]bool{}, calls: make(chan struct{}, max(8, c.Settings.Params.Limits.MaxSockets/callShare)),
@@ -152,7 +152,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for {
-		// All that earlier terms stored must be seen before the picture is
+		// All that earlier terms stored must be seen before the snapshot is
 		// built: their writes fail from this term's leader key on.
 		err := l.Replica.Barrier(ctx)
 		if err == nil {
@@ -258,7 +258,7 @@
 		l.typeOrder = append(l.typeOrder, t.Name)
 		mt := l.types[t.Name]
 		if mt == nil {
-			mt = &machineType{window: staffing.NewWindow(l.Tuning.Window), guests: staffing.NewWindow(l.Tuning.Window)}
+			mt = &machineType{window: staffing.NewWindow(l.Tuning.Window), bestEffort: staffing.NewWindow(l.Tuning.Window)}
 			l.types[t.Name] = mt
 		}
 		mt.MachineType = t
@@ -274,7 +274,7 @@
 	})
 }
 
-// rebuild makes the picture from what is stored. What machines hold is not
+// rebuild makes the snapshot from what is stored. What machines hold is not
 // known until each has answered with this term's token.
 func (l *Leader) rebuild() error {
 	l.mu.Lock()
@@ -293,7 +293,7 @@
 			l.addMachine(id, &b, now).stored = true
 		}
 	}
-	if err := l.restoreUps(); err != nil {
+	if err := l.restoreRunningLists(); err != nil {
 		return err
 	}
 	for _, id := range l.Replica.TakeChanged(true) {
@@ -361,7 +361,7 @@
 		}
 		if now-shown >= 5*micros.Second {
 			shown = now
-			l.logPicture(now)
+			l.logSnapshot(now)
 		}
 		l.mu.Unlock()
 	}
@@ -447,7 +447,7 @@
 		}
 	}
 	if j.isGang() {
-		l.dropKeep(j)
+		l.dropGathering(j)
 		l.stopAll(j, 0, "job is "+state)
 	}
 	for _, a := range j.on {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -44,7 +44,7 @@
 	m := l.addMachine("i-1", b, now)
 	m.up, m.stored, m.upStored, m.resolved = true, true, true, false
 	m.current = true
-	l.ups = []*upList{{Machines: []string{"i-1"}}}
+	l.runningLists = []*runningList{{Machines: []string{"i-1"}}}
 	job := replica.Job{State: wire.JobPending, SubmittedAt: micros.Wall(), Spec: &wire.Job{
 		ID: "j-000001", Team: "blue", Shape: wire.ShapeArray, Priority: "normal", Tasks: 3, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}}
 	l.Replica.Wrote(replica.JobPrefix+"j-000001", job, 1)
@@ -143,7 +143,7 @@
 	ws, more := l.gather()
 	// The record goes before progress: behind it, a busy leader's was never written, and
 	// the next one knew nothing of the jobs at fault.
-	if len(ws) < 3 || !more || ws[0].key != replica.JobPrefix+"j-000001" || ws[1].key != upKey(0) || ws[2].key != replica.StaffingKey {
+	if len(ws) < 3 || !more || ws[0].key != replica.JobPrefix+"j-000001" || ws[1].key != runningListKey(0) || ws[2].key != replica.StaffingKey {
 		t.Fatalf("written first: %+v", ws)
 	}
 	if ws, _ = l.gather(); len(ws) == 0 {
@@ -160,8 +160,8 @@
 // removed, and what is in use is not.
 func TestSweep(t *testing.T) {
 	l, _ := newTest(t)
-	ghosts := []string{replica.BookingPrefix + "r-9", progressKey("j-000009", 0)}
-	for _, key := range append(ghosts, replica.BookingPrefix+"r-1", progressKey("j-000001", 0)) {
+	leftovers := []string{replica.BookingPrefix + "r-9", progressKey("j-000009", 0)}
+	for _, key := range append(leftovers, replica.BookingPrefix+"r-1", progressKey("j-000001", 0)) {
 		l.Replica.Wrote(key, map[string]any{}, 5)
 	}
 	l.sweep()
@@ -173,8 +173,8 @@
 		}
 		removed = append(removed, w.key)
 	}
-	if !slices.Equal(removed, ghosts) {
-		t.Errorf("removed %v, want %v", removed, ghosts)
+	if !slices.Equal(removed, leftovers) {
+		t.Errorf("removed %v, want %v", removed, leftovers)
 	}
 }
 
@@ -251,9 +251,9 @@
 	}
 }
 
-// TestDeaf has a machine's reports arrive while answers don't reach it: it is not
+// TestNotReceiving has a machine's reports arrive while answers don't reach it: it is not
 // taken for healthy and fed work for ever, and in the end it is returned.
-func TestDeaf(t *testing.T) {
+func TestNotReceiving(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		obeys  bool
@@ -532,8 +532,8 @@
 			t.Errorf("%s: %v, %v, want %v", s.name, got, err, s.want)
 		}
 	}
-	if len(l.ghosts) > 0 || l.used["blue"].CPU != 3000 {
-		t.Errorf("%d ghosts are left, the team uses %v", len(l.ghosts), l.used["blue"])
+	if len(l.orphans) > 0 || l.used["blue"].CPU != 3000 {
+		t.Errorf("%d orphans are left, the team uses %v", len(l.orphans), l.used["blue"])
 	}
 }
 
--- a/internal/leader/limits_test.go
+++ b/internal/leader/limits_test.go
@@ -34,7 +34,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			l, _ := newTest(t)
 			l.Store = statestore.New("unused", settings.State{RPS: 1, WriteRPS: 1, ValueKB: 2, TxnOps: 3}, nil)
-			l.ups = nil
+			l.runningLists = nil
 			var entries []string
 			for i := range 300 {
 				id := fmt.Sprintf("i-%06d", i)
@@ -43,16 +43,16 @@
 			}
 			stored := map[string][]string{}
 			revision := uint64(100)
-			put := func(key string, u upList) {
+			put := func(key string, u runningList) {
 				revision++
 				stored[key] = slices.Clone(u.Machines)
 				l.Replica.Wrote(key, u, revision)
 			}
-			put(upKey(0), upList{Machines: entries})
+			put(runningListKey(0), runningList{Machines: entries})
 			if c.twice {
-				put(upKey(1), upList{Machines: entries[60:100]})
+				put(runningListKey(1), runningList{Machines: entries[60:100]})
 			}
-			if err := l.restoreUps(); err != nil {
+			if err := l.restoreRunningLists(); err != nil {
 				t.Fatal(err)
 			}
 			for n := 0; len(l.dirty) > 0; n++ {
@@ -71,7 +71,7 @@
 					case !l.Store.FitsValue(w.value):
 						t.Fatalf("%s is written too large", w.key)
 					default:
-						put(w.key, w.value.(upList))
+						put(w.key, w.value.(runningList))
 					}
 					if c.answered(n) {
 						w.stored()
@@ -92,7 +92,7 @@
 			total := 0
 			for key, list := range stored {
 				total += len(list)
-				if !l.Store.FitsValue(upList{Machines: list}) {
+				if !l.Store.FitsValue(runningList{Machines: list}) {
 					t.Errorf("%s stays too large", key)
 				}
 			}
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -13,54 +13,54 @@
 
 // machine is a rented machine.
 type machine struct {
-	id        string
-	booking   *booking
-	kind      offer
-	address   string
-	session   uint64
-	seq       uint64
-	up        bool           // it has reported, or is stored as up
-	stored    bool           // with its booking
-	upStored  bool           // as up: only with both may it get tasks
-	upList    int            // where
-	first     micros.Micros  // first report in this term, 0 if none
-	current   bool           // its last report carried this term's token
-	told      bool           // it was answered in this term
-	listed    bool           // it has been in the cloud\'s list
-	missing   int            // lists in a row since then without it
-	sent      []wire.Command // starts and clears of the last answer
-	deaf      int            // answers in a row that did not reach it
-	deafSince micros.Micros
-	resolved  bool          // its tasks are known: it reported with this term's token
-	asked     uint64        // seq of its answer when asked for its tasks, see askLoop
-	asks      int           // that it gave no answer to
-	expired   micros.Micros // since when its lease is over
-	rentedAt  micros.Micros
-	reported  micros.Micros // last newer report
-	answered  micros.Micros // last answer that may have renewed its lease
-	bounced   micros.Micros // when last sent away in doubt
-	tasks     map[string]*attempt
-	stopping  int                 // tasks that were told to stop
-	free      placement.Resources // what no task holds
-	clears    []wire.Command
-	planned   []*job       // one entry a start
-	kept      *keep        // its room is gathered for a gang
-	reserve   *gangReserve // only gangs start on it
-	images    imageCache
-	have      placement.ImageSet // these, and what is being fetched
-	surplus   bool               // not wanted by the formula
-	surplusAt micros.Micros      // since when, 0 if it is not
-	unworthy  bool               // an ordinary one that only patient work would use
-	draining  string             // why it gets no more tasks
-	leaving   bool               // a return has been asked for
-	recallAt  micros.Micros
-	faultyAt  micros.Micros   // when found faulty
-	strikes   int             // failures of good jobs since its last success
-	failed    map[string]bool // other jobs that failed on it since then, see blame.go
-	proven    micros.Micros   // when the latest task began that was done
-	notUntil  micros.Micros   // no starts before
-	busyTill  micros.Micros   // idle since, for returns
-	withMost  bool            // it is late as most that were rented with it
+	id                string
+	booking           *booking
+	kind              offer
+	address           string
+	session           uint64
+	seq               uint64
+	up                bool           // it has reported, or is stored as up
+	stored            bool           // with its booking
+	upStored          bool           // as up: only with both may it get tasks
+	runningList       int            // where
+	first             micros.Micros  // first report in this term, 0 if none
+	current           bool           // its last report carried this term's token
+	told              bool           // it was answered in this term
+	listed            bool           // it has been in the cloud\'s list
+	missing           int            // lists in a row since then without it
+	sent              []wire.Command // starts and clears of the last answer
+	notReceiving      int            // answers in a row that did not reach it
+	notReceivingSince micros.Micros
+	resolved          bool          // its tasks are known: it reported with this term's token
+	asked             uint64        // seq of its answer when asked for its tasks, see askLoop
+	asks              int           // that it gave no answer to
+	expired           micros.Micros // since when its lease is over
+	rentedAt          micros.Micros
+	reported          micros.Micros // last newer report
+	answered          micros.Micros // last answer that may have renewed its lease
+	bounced           micros.Micros // when last sent away in doubt
+	tasks             map[string]*attempt
+	stopping          int                 // tasks that were told to stop
+	free              placement.Resources // what no task holds
+	clears            []wire.Command
+	planned           []*job       // one entry a start
+	gathering         *gathering   // its room is gathered for a gang
+	reserve           *gangReserve // only gangs start on it
+	images            imageCache
+	have              placement.ImageSet // these, and what is being fetched
+	surplus           bool               // not wanted by the formula
+	surplusAt         micros.Micros      // since when, 0 if it is not
+	closedToPatient   bool               // an ordinary one that only patient work would use
+	draining          string             // why it gets no more tasks
+	leaving           bool               // a return has been asked for
+	recallAt          micros.Micros
+	faultyAt          micros.Micros   // when found faulty
+	strikes           int             // failures of good jobs since its last success
+	failed            map[string]bool // other jobs that failed on it since then, see faults.go
+	proven            micros.Micros   // when the latest task began that was done
+	notUntil          micros.Micros   // no starts before
+	busyTill          micros.Micros   // idle since, for returns
+	withMost          bool            // it is late as most that were rented with it
 }
 
 func (l *Leader) addMachine(id string, b *booking, now micros.Micros) *machine {
@@ -114,10 +114,10 @@
 		// worker reports within five quarters of the usual time; it may have to
 		// give a node up before (4 s, and a pause of 1 s).
 		late := l.report + l.report/4 + 2*micros.Second
-		if m.asks >= 2 && l.zoneAnswers[m.kind.Zone].most() && 10*l.unseen <= len(l.order) {
+		if m.asks >= 2 && l.zoneAnswers[m.kind.Zone].most() && 10*l.unresolvedMachines <= len(l.order) {
 			return min(late, askedLimit)
 		}
-		if 50*l.unseen <= len(l.order) || m.asks >= 2 && l.mostAnswered() {
+		if 50*l.unresolvedMachines <= len(l.order) || m.asks >= 2 && l.mostAnswered() {
 			return late
 		}
 		return late + 5*micros.Second
@@ -125,9 +125,9 @@
 	return max(3*l.report+4*micros.Second, min(l.lease, 20*micros.Second))
 }
 
-// deafAfter is how many answers in a row must have been lost before a machine is
-// taken for deaf.
-const deafAfter = 3
+// notReceivingAfter is how many answers in a row must have been lost before a machine is
+// taken for one that receives none.
+const notReceivingAfter = 3
 
 // taken tells whether the cloud seems to have taken a machine without a notice: it is
 // silent, and was listed before and is so no longer. That proves nothing, as lists
@@ -153,7 +153,7 @@
 		if m.up && !m.leaving {
 			n := zones[m.kind.Zone]
 			n.up++
-			if l.silentFor(m, now) > 2*l.report+micros.Second || m.deaf >= deafAfter {
+			if l.silentFor(m, now) > 2*l.report+micros.Second || m.notReceiving >= notReceivingAfter {
 				n.silent++
 				all.silent++
 			}
@@ -185,7 +185,7 @@
 	mass := l.massSilence(now)
 	l.watchBoots(now)
 	l.probeBoots(now)
-	l.unseen = l.unresolved()
+	l.unresolvedMachines = l.unresolved()
 	for _, m := range slices.Clone(l.order) {
 		over := now > l.leaseOver(m)
 		if over && (len(m.tasks) > 0 || !m.resolved) {
@@ -203,7 +203,7 @@
 			l.giveUp(m, "silent")
 		case m.up && l.taken(m, now):
 			l.giveUp(m, "silent and no longer listed")
-		case m.deaf >= deafAfter && now-m.deafSince > l.silentLimit(m) && (!mass || over):
+		case m.notReceiving >= notReceivingAfter && now-m.notReceivingSince > l.silentLimit(m) && (!mass || over):
 			l.giveUp(m, "it hears nothing")
 		case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*w.Report():
 			l.lateBoots.add(false)
@@ -257,8 +257,8 @@
 	if a.stopped != 0 {
 		a.machine.stopping--
 	}
-	if a.kept {
-		a.job.kept--
+	if a.protected {
+		a.job.protectedTasks--
 	}
 	a.machine.free = a.machine.free.Plus(a.job.need, 1)
 	l.used[a.job.spec.Team] = l.used[a.job.spec.Team].Plus(a.job.need, -1)
@@ -273,7 +273,7 @@
 		}
 		a.job.giveBack(a.task)
 		if len(a.job.on) == 0 {
-			delete(l.ghosts, a.job.spec.ID)
+			delete(l.orphans, a.job.spec.ID)
 		}
 		if a.running != 0 && !a.job.done.has(a.task) {
 			a.job.resumed[a.task] = true
--- a/internal/leader/oldversions_test.go
+++ b/internal/leader/oldversions_test.go
@@ -115,7 +115,7 @@
 	{replica.JobPrefix, reflect.TypeFor[replica.Job](), reflect.TypeFor[v3a714abJob]()},
 	{replica.ProgressPrefix, reflect.TypeFor[progress](), reflect.TypeFor[v3a714abProgress]()},
 	{replica.BookingPrefix, reflect.TypeFor[booking](), reflect.TypeFor[v3a714abBooking]()},
-	{replica.UpPrefix, reflect.TypeFor[upList](), reflect.TypeFor[v3a714abUpList]()},
+	{replica.UpPrefix, reflect.TypeFor[runningList](), reflect.TypeFor[v3a714abUpList]()},
 	{replica.StaffingKey, reflect.TypeFor[staffingRecord](), reflect.TypeFor[v3a714abStaffing]()},
 	{replica.CatalogKey, reflect.TypeFor[wire.Catalog](), reflect.TypeFor[v3a714abCatalog]()},
 	{replica.TokenKey, reflect.TypeFor[replica.Token](), reflect.TypeFor[v3a714abToken]()},
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -85,9 +85,9 @@
 		return
 	}
 	machines, ms = l.withVictims(now)
-	stops, keeps := placement.Preempt(machines, q.waiting, q.teams, preemptJobs)
-	for _, k := range keeps {
-		l.keepFor(k.For, ms[k.Machine], now)
+	stops, gatherings := placement.Preempt(machines, q.waiting, q.teams, preemptJobs)
+	for _, g := range gatherings {
+		l.gatherFor(g.For, ms[g.Machine], now)
 	}
 	for _, s := range stops {
 		if a := ms[s.Machine].tasks[taskName(s.Victim.Job, s.Victim.Task)]; a != nil {
@@ -178,7 +178,7 @@
 )
 
 // counted is how long a task must run before its start is worth anything. The part of a
-// guests' job that starts first is left alone for so long: what begins loses least when it
+// best-effort job that starts first is left alone for so long: what begins loses least when it
 // is stopped, so a job let in after two minutes was stopped again within seconds, and had
 // not begun for six.
 const counted = 35 * micros.Second
@@ -237,8 +237,8 @@
 				entries, waiting = append(entries, entry{&rest, j}), append(waiting, &rest)
 			}
 		}
-		if k := l.keeps[s.ID]; k != nil {
-			k.view = w
+		if g := l.gatherings[s.ID]; g != nil {
+			g.view = w
 		}
 		entries, waiting = append(entries, entry{w, j}), append(waiting, w)
 	}
@@ -381,8 +381,8 @@
 	p := placement.Machine{
 		ID: m.id, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.kind.Spot,
 		Free: m.free, Delay: max(0, m.reported+l.report-now), Idle: len(m.tasks) == 0,
-		Unworthy: m.unworthy, Images: m.have, GBPerS: t.FetchGBPerS,
-		Dear: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
+		ClosedToPatient: m.closedToPatient, Images: m.have, GBPerS: t.FetchGBPerS,
+		Penalty: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
 	}
 	if late := now - m.reported - l.report - l.report/4; late > 0 {
 		p.Delay = l.report + late // it has missed a report, and may be gone
@@ -391,10 +391,10 @@
 		p.Delay = 0
 	}
 	if m.surplus {
-		p.Dear += 30 * micros.Second
+		p.Penalty += 30 * micros.Second
 	}
-	if k := m.kept; k != nil {
-		p.Kept = k.view
+	if k := m.gathering; k != nil {
+		p.GatheredFor = k.view
 	}
 	p.WholeOnly = m.reserve != nil
 	return p
@@ -428,16 +428,16 @@
 			} else if !a.job.over && !spared[a.job] {
 				v := placement.Victim{
 					Job: a.job.spec.ID, Task: a.task, Team: a.job.spec.Team, Priority: a.job.priority,
-					Need: a.job.need, Covered: covered[a.job], Guest: a.job.priority == 0 && !covered[a.job], Lost: lostWork(a, now),
+					Need: a.job.need, Covered: covered[a.job], BestEffort: a.job.priority == 0 && !covered[a.job], Lost: lostWork(a, now),
 				}
-				if v.Guest {
+				if v.BestEffort {
 					v.Lost += l.setBack(a, now)
 				}
 				if a.job.isGang() {
 					v.Gang, v.Lost = true, v.Lost*micros.Micros(len(a.job.on))
 				}
-				if a.kept && (a.running == 0 || now-a.running < counted) {
-					v.Guest, v.Lost = false, v.Lost+counted
+				if a.protected && (a.running == 0 || now-a.running < counted) {
+					v.BestEffort, v.Lost = false, v.Lost+counted
 				}
 				p.Victims = append(p.Victims, v)
 			}
@@ -462,7 +462,7 @@
 // nearlyOver is how long before its end a task is spared.
 const nearlyOver = 30
 
-// setBack is what stopping a guest's task costs its job besides the work lost: it is
+// setBack is what stopping a best-effort task costs its job besides the work lost: it is
 // least for the job that has most yet to start, so that the others end and are out of the
 // way; taken from all alike, none of six was over when the day was. And what is nearly
 // over frees its room by itself.
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -88,7 +88,7 @@
 	}
 	m.told = true
 	if m.current {
-		l.picture(m, r, now)
+		l.reconcile(m, r, now)
 	} else {
 		// The answer may renew the machine's lease, whatever is thought of the report.
 		m.clears = l.stopsOf(r)
@@ -101,10 +101,10 @@
 	return answer, nil
 }
 
-// picture compares a report with what should be on the machine. The report
+// reconcile compares a report with what should be on the machine. The report
 // carries this term's token, so the worker made it after it had accepted an
 // answer of this term: starts of earlier terms can no longer be executed.
-func (l *Leader) picture(m *machine, r *wire.Report, now micros.Micros) {
+func (l *Leader) reconcile(m *machine, r *wire.Report, now micros.Micros) {
 	resolved := m.resolved
 	if !m.resolved {
 		m.resolved = true
@@ -147,7 +147,7 @@
 	m.sent = m.sent[:0]
 	switch {
 	case obeyed:
-		m.deaf = 0
+		m.notReceiving = 0
 	case missed:
 		l.unheard(m, now)
 	}
@@ -157,12 +157,12 @@
 // second in a row on, starts wait longer each time. See watchMachines for what
 // becomes of a machine that hears nothing at all.
 func (l *Leader) unheard(m *machine, now micros.Micros) {
-	if m.deaf == 0 {
-		m.deafSince = now
+	if m.notReceiving == 0 {
+		m.notReceivingSince = now
 	}
-	m.deaf++
-	if m.deaf >= 2 {
-		m.notUntil = max(m.notUntil, now+min(l.lease, micros.Second<<min(m.deaf, 10)))
+	m.notReceiving++
+	if m.notReceiving >= 2 {
+		m.notUntil = max(m.notUntil, now+min(l.lease, micros.Second<<min(m.notReceiving, 10)))
 	}
 }
 
@@ -195,7 +195,7 @@
 	if a != nil {
 		j = a.job
 	} else if j == nil {
-		j = l.ghost(id)
+		j = l.orphan(id)
 	}
 	if err != nil || j == nil || task >= j.spec.Tasks {
 		if t.State == wire.TaskExited {
@@ -252,7 +252,7 @@
 }
 
 // stopsOf has the tasks of jobs that are over stopped by the answer to a report which is
-// not taken for the machine's picture. Every answer that renews a lease must do that: one
+// not taken for the machine's snapshot. Every answer that renews a lease must do that: one
 // that came first after a take-over, to a machine which then heard nothing more, kept
 // cancelled tasks for a lease too long.
 func (l *Leader) stopsOf(r *wire.Report) (stops []wire.Command) {
@@ -269,12 +269,12 @@
 	return stops
 }
 
-// ghost is a job that was cancelled before this term saw it, but that a machine still
+// orphan is a job that was cancelled before this term saw it, but that a machine still
 // has tasks of: they were not told to stop, or the machine hung. Until they are gone they
 // take their places, and count against their team's limit; when they did not, a leader that
 // took over from one which had been cut off filled the team up beside them.
-func (l *Leader) ghost(id string) *job {
-	if j := l.ghosts[id]; j != nil {
+func (l *Leader) orphan(id string) *job {
+	if j := l.orphans[id]; j != nil {
 		return j
 	}
 	r, _, ok := l.Replica.Job(id)
@@ -284,7 +284,7 @@
 	j := newJob(r, true)
 	j.over = true
 	j.image = l.image(j.spec.Image)
-	l.ghosts[id] = j
+	l.orphans[id] = j
 	return j
 }
 
@@ -333,7 +333,7 @@
 		if a.running != 0 {
 			j.failTook = max(j.failTook, now-a.running)
 		}
-		l.blame(m, j, now)
+		l.attributeFault(m, j, now)
 	case wire.CauseNoRoom:
 		// Our count of what is free was wrong: wait for the next reports.
 		m.notUntil = now + 2*l.report
@@ -388,9 +388,9 @@
 			continue
 		}
 		n := l.attempt()
-		a := &attempt{job: j, task: task, n: n, machine: m, sentAt: m.seq, began: now, kept: j.kept < 1+j.spec.Tasks/agedPart}
-		if a.kept {
-			j.kept++
+		a := &attempt{job: j, task: task, n: n, machine: m, sentAt: m.seq, began: now, protected: j.protectedTasks < 1+j.spec.Tasks/agedPart}
+		if a.protected {
+			j.protectedTasks++
 		}
 		l.hold(a)
 		orders = append(orders, wire.Command{Verb: wire.VerbStart, Task: taskName(j.spec.ID, task), Attempt: n})
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -125,13 +125,13 @@
 	work := float64(j.waiting()) * fraction(t, j.need)
 	j.demandOf, j.demandWork = t, work
 	due, _ := l.due(j, false, j.submitted)
-	t.lumps.Add(float64(j.spec.Tasks)*fraction(t, j.need), j.spec.Tasks, (due-j.submitted).Seconds() > t.BootS)
+	t.batches.Add(float64(j.spec.Tasks)*fraction(t, j.need), j.spec.Tasks, (due-j.submitted).Seconds() > t.BootS)
 	if j.old {
 		j.demandWork = 0 // the record's rate has it
 	} else {
 		t.window.Add(now, work)
 		if l.patient(j) {
-			t.guests.Add(now, work)
+			t.bestEffort.Add(now, work)
 		}
 	}
 	t.service.Estimate(work, l.expected(j.spec)+j.spec.ImageGB/math.Max(t.FetchGBPerS, 0.01))
@@ -184,11 +184,11 @@
 			dearFloor = float64(have[t.Name]) + ceiling(dearNeed[t.Name])
 		}
 		beyond := l.reservedBeyondMean(t.Name)
-		want, dearWant := t.want+beyond+excess/size, t.dear+beyond+urgent/size
+		want, dearWant := t.want+beyond+excess/size, t.wantOrdinary+beyond+urgent/size
 		target := int(math.Max(ceiling(want), floor))
 		short := target - have[t.Name]
 		t.target = target
-		slog.Debug("staff", "type", t.Name, "m", t.m, "want", t.want, "dear", t.dear, "busy", busy[t.Name], "need", need[t.Name], "excess", excess, "urgent", urgent, "have", have[t.Name])
+		slog.Debug("staff", "type", t.Name, "m", t.m, "want", t.want, "dear", t.wantOrdinary, "busy", busy[t.Name], "need", need[t.Name], "excess", excess, "urgent", urgent, "have", have[t.Name])
 		booked := 0
 		if short > 0 {
 			booked = l.rentMore(t, true, short, now)
@@ -260,7 +260,7 @@
 		if m.kind.Type != t.Name || m.leaving || m.draining != "" {
 			continue
 		}
-		m.unworthy = false
+		m.closedToPatient = false
 		if m.kind.Spot {
 			wanted--
 			continue
@@ -280,7 +280,7 @@
 	}
 	slices.SortStableFunc(ms, func(a, b *machine) int { return cmp.Compare(len(a.tasks), len(b.tasks)) })
 	for _, m := range ms[:max(0, min(len(ms), len(ms)-int(math.Max(0, wanted))))] {
-		m.unworthy = true
+		m.closedToPatient = true
 	}
 }
 
@@ -325,22 +325,22 @@
 		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
 		t.m = staffing.Step(t.m, lambda, mu, 1)
 		// The same equation for the part that is not worth ordinary machines.
-		guests := t.guests.Rate(now)
-		t.mGuests = math.Min(t.m, staffing.Step(t.mGuests, guests, mu, 1))
+		guests := t.bestEffort.Rate(now)
+		t.mBestEffort = math.Min(t.m, staffing.Step(t.mBestEffort, guests, mu, 1))
 		all := staffing.PeakMean(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds())
 		servers := func(spot bool) float64 {
 			mean := all
 			if !spot {
-				mean = staffing.PeakMean(t.m-t.mGuests, math.Max(0, lambda-guests), mu, l.Tuning.ReviewInterval.Seconds())
+				mean = staffing.PeakMean(t.m-t.mBestEffort, math.Max(0, lambda-guests), mu, l.Tuning.ReviewInterval.Seconds())
 			}
 			if mean < 0.05 {
 				return 0 // formula (4) would keep a machine for nothing
 			}
 			z := staffing.PricedZ(l.Tuning.Z, l.priceRatio(t, spot))
-			return float64(staffing.Servers(mean, t.lumps.Peakedness()*mean, z))
+			return float64(staffing.Servers(mean, t.batches.Peakedness()*mean, z))
 		}
 		if want := servers(true); l.raised && now >= t.heldTill || want > t.want {
-			t.want, t.dear = want, servers(false)
+			t.want, t.wantOrdinary = want, servers(false)
 			t.heldTill = now + l.Tuning.ReviewInterval
 		}
 	}
@@ -455,7 +455,7 @@
 	mean, dearMean := 0.0, 0.0
 	for _, t := range l.types {
 		mean += t.m * t.CPUs
-		dearMean += (t.m - t.mGuests) * t.CPUs
+		dearMean += (t.m - t.mBestEffort) * t.CPUs
 	}
 	short := staffing.Backlog(waiting, running, mean, supply, boot)
 	// An ordinary machine must be worth what is paid for it at least: one that came up when
@@ -610,7 +610,7 @@
 func (l *Leader) idleLimit(t *machineType, spot bool) micros.Micros {
 	tight, types := 0.0, 0.0
 	for _, x := range l.types {
-		tight += x.lumps.Tight()
+		tight += x.batches.Tight()
 		types++
 	}
 	keep := micros.FromSeconds(t.BootS / l.priceRatio(t, spot) * tight / types)
@@ -674,7 +674,7 @@
 		t.window.Seed(now, x.Lambda)
 		// The target is taken anew as soon as the means are known: how long it was to hold is
 		// not stored, and held anew by each of several leaders it outlasted its peak by minutes.
-		t.want, t.dear = x.Want, x.Want
+		t.want, t.wantOrdinary = x.Want, x.Want
 		if x.Mu > 0 {
 			// As if what is held had just ended: what ends first now are short tasks.
 			t.service.Finished(math.Max(1, x.M), 1/x.Mu, 1)
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -15,8 +15,8 @@
 	Need Resources
 }
 
-// Keep tells to keep a machine's room for a whole job.
-type Keep struct {
+// Gathering tells to gather a machine's room for a whole job.
+type Gathering struct {
 	Machine int
 	For     string
 }
@@ -163,7 +163,7 @@
 	return soonest
 }
 
-// Gather picks the machines whose room should be kept for a whole job that found none,
+// Gather picks the machines whose room should be gathered for a whole job that found none,
 // until enough of what is on them has ended by itself: the fewest of those where that
 // takes least. It picks none if it takes longer than within.
 func Gather(machines []Machine, j *Job, team *Team, within micros.Micros) []int {
@@ -192,11 +192,11 @@
 			}
 		}
 		if best != nil {
-			keep := make([]int, len(best))
+			chosen := make([]int, len(best))
 			for i, s := range best {
-				keep[i] = s.machine
+				chosen[i] = s.machine
 			}
-			return keep
+			return chosen
 		}
 	}
 	return nil
@@ -237,12 +237,12 @@
 		m.Soon = m.Soon.Plus(m.Victims[v].Need, 1)
 		m.Victims = slices.Delete(m.Victims, v, v+1)
 	}
-	m.Kept = j
+	m.GatheredFor = j
 	return stops, machine
 }
 
 // preemptWhole stops what loses least for all tasks of a job, or nothing.
-func preemptWhole(machines []Machine, j *Job, team *Team) (stops []Stop, keeps []Keep) {
+func preemptWhole(machines []Machine, j *Job, team *Team) (stops []Stop, gatherings []Gathering) {
 	if team.Room(j.Need, j.Waiting) < j.Waiting {
 		return nil, nil
 	}
@@ -287,10 +287,10 @@
 	stops = append(stops, stopWith(machines, gangs, j.ID)...)
 	slices.Sort(bestRoom)
 	for _, i := range slices.Compact(bestRoom) {
-		keeps = append(keeps, Keep{Machine: bestSet[i], For: j.ID})
-		machines[bestSet[i]].Kept = j
+		gatherings = append(gatherings, Gathering{Machine: bestSet[i], For: j.ID})
+		machines[bestSet[i]].GatheredFor = j
 	}
-	return stops, keeps
+	return stops, gatherings
 }
 
 // stopWith stops the other tasks of gangs of which one is stopped, wherever they are.
--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -67,14 +67,14 @@
 			[]*Job{whole(4, func(j *Job) { j.Spread = true })}, nil, []string{"g@a*2", "g@b*2"}},
 		{"scattered, with one zone", []Machine{machine("a", "y", 4)}, []*Job{whole(4, func(j *Job) { j.Spread = true })}, nil, nil},
 		{"its team has room for a part", []Machine{cold("a", 9)}, []*Job{whole(4, nil)}, &Team{Used: cpus(2), Limit: cpus(5)}, nil},
-		{"room that is kept for it", []Machine{at(cold("a", 4), func(m *Machine) { m.Kept = whole(4, nil) })}, []*Job{whole(4, nil)}, nil, []string{"g@a*4"}},
-		{"room that is kept for another", []Machine{at(cold("a", 4), func(m *Machine) { m.Kept = job("x", 4, nil) })}, []*Job{whole(4, nil)}, nil, nil},
+		{"room that is gathered for it", []Machine{at(cold("a", 4), func(m *Machine) { m.GatheredFor = whole(4, nil) })}, []*Job{whole(4, nil)}, nil, []string{"g@a*4"}},
+		{"room that is gathered for another", []Machine{at(cold("a", 4), func(m *Machine) { m.GatheredFor = job("x", 4, nil) })}, []*Job{whole(4, nil)}, nil, nil},
 		{"a machine for whole jobs only", []Machine{at(cold("a", 4), func(m *Machine) { m.WholeOnly = true })}, []*Job{whole(3, nil), other}, nil, []string{"g@a*3"}},
 		{"several for whole jobs: the first that reports will do", []Machine{at(late("a", 4, s/2), func(m *Machine) { m.WholeOnly = true })},
 			[]*Job{whole(4, func(j *Job) { j.Accept = 2 * s })}, nil, nil},
 		{"one of them has reported", []Machine{at(cold("a", 4), func(m *Machine) { m.WholeOnly = true })},
 			[]*Job{whole(4, func(j *Job) { j.Accept = 2 * s })}, nil, []string{"g@a*4"}},
-		{"room that is kept, for work that goes before", []Machine{at(cold("a", 2), func(m *Machine) { m.Kept = whole(4, nil) })}, []*Job{job("k", 2, func(j *Job) { j.Priority = 2 })}, nil, []string{"k@a*2"}},
+		{"room that is gathered, for work that goes before", []Machine{at(cold("a", 2), func(m *Machine) { m.GatheredFor = whole(4, nil) })}, []*Job{job("k", 2, func(j *Job) { j.Priority = 2 })}, nil, []string{"k@a*2"}},
 	} {
 		var got []string
 		for _, x := range Plan(c.machines, c.jobs, map[string]*Team{"t": c.team}) {
@@ -158,7 +158,7 @@
 		machines []Machine
 		edit     func(j *Job)
 		stops    []string
-		kept     int
+		machine  int
 	}{
 		{"where least is lost", []Machine{full("x", 3*s, 3*s), full("y", s, 2*s, s)}, nil, []string{"y/0", "y/2"}, 1},
 		{"not on two", []Machine{full("x", s), full("y", s)}, nil, nil, -1},
@@ -175,21 +175,21 @@
 			c.edit(j)
 		}
 		var stops []string
-		got, kept := PreemptOnOne(c.machines, j, nil)
+		got, machine := PreemptOnOne(c.machines, j, nil)
 		for _, x := range got {
 			stops = append(stops, fmt.Sprintf("%s/%d", x.Victim.Job, x.Victim.Task))
 		}
 		slices.Sort(stops)
-		if !slices.Equal(stops, c.stops) || kept != c.kept {
-			t.Errorf("%s: stops %v on %d, want %v on %d", c.name, stops, kept, c.stops, c.kept)
+		if !slices.Equal(stops, c.stops) || machine != c.machine {
+			t.Errorf("%s: stops %v on %d, want %v on %d", c.name, stops, machine, c.stops, c.machine)
 		}
 	}
-	if _, kept := PreemptOnOne([]Machine{full("x", s, s)}, whole(3, func(j *Job) { j.Priority = 2 }), &Team{Limit: cpus(2)}); kept != -1 {
+	if _, machine := PreemptOnOne([]Machine{full("x", s, s)}, whole(3, func(j *Job) { j.Priority = 2 }), &Team{Limit: cpus(2)}); machine != -1 {
 		t.Error("it is over its team's limit")
 	}
 }
 
-// TestGather picks machines whose room is to be kept for a whole job until it is enough.
+// TestGather picks machines whose room is to be gathered for a whole job until it is enough.
 func TestGather(t *testing.T) {
 	s := micros.Second
 	busy := func(id, zone string, free int64, left ...micros.Micros) Machine {
@@ -233,11 +233,11 @@
 		return at(machine(id, zone, 0), func(m *Machine) { m.Victims = vs })
 	}
 	for _, c := range []struct {
-		name     string
-		machines []Machine
-		job      *Job
-		stops    []string
-		keeps    []int
+		name       string
+		machines   []Machine
+		job        *Job
+		stops      []string
+		gatherings []int
 	}{
 		{"all of it", []Machine{full("a", "z", victim("x", 0, s), victim("x", 1, s)), full("b", "z", victim("y", 0, s))}, whole(3, nil),
 			[]string{"x/0", "x/1", "y/0"}, []int{0, 1}},
@@ -253,17 +253,17 @@
 	} {
 		c.job.Priority = 2
 		var stops []string
-		var kept []int
-		got, keeps := Preempt(c.machines, []*Job{c.job}, nil, 8)
+		var machines []int
+		got, gatherings := Preempt(c.machines, []*Job{c.job}, nil, 8)
 		for _, x := range got {
 			stops = append(stops, fmt.Sprintf("%s/%d", x.Victim.Job, x.Victim.Task))
 		}
-		for _, k := range keeps {
-			kept = append(kept, k.Machine)
+		for _, k := range gatherings {
+			machines = append(machines, k.Machine)
 		}
 		slices.Sort(stops)
-		if !slices.Equal(stops, c.stops) || !slices.Equal(kept, c.keeps) {
-			t.Errorf("%s: stops %v and keeps %v, want %v and %v", c.name, stops, kept, c.stops, c.keeps)
+		if !slices.Equal(stops, c.stops) || !slices.Equal(machines, c.gatherings) {
+			t.Errorf("%s: stops %v and gathers %v, want %v and %v", c.name, stops, machines, c.stops, c.gatherings)
 		}
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,33 +53,33 @@
 
 // Machine is a machine that may take tasks.
 type Machine struct {
-	ID, Type, Zone string
-	Spot           bool
-	Free           Resources     // nothing holds it
-	Soon           Resources     // held by tasks that are being stopped
-	Delay          micros.Micros // until orders reach it
-	Idle           bool          // no task is on it
-	Images         ImageSet      // cached or being fetched
-	GBPerS         float64       // image fetch
-	Dear           micros.Micros // wait that is put up with to leave it idle
-	Unworthy       bool          // of patient work: dear, and wanted by no other
-	Victims        []Victim      // running tasks that could be stopped
-	Ending         []Ending      // when what is on it should end by itself
-	Kept           *Job          // its room is gathered for this one; nil: for nobody
-	WholeOnly      bool          // only whole jobs may start on it
+	ID, Type, Zone  string
+	Spot            bool
+	Free            Resources     // nothing holds it
+	Soon            Resources     // held by tasks that are being stopped
+	Delay           micros.Micros // until orders reach it
+	Idle            bool          // no task is on it
+	Images          ImageSet      // cached or being fetched
+	GBPerS          float64       // image fetch
+	Penalty         micros.Micros // wait that is put up with to leave it idle
+	ClosedToPatient bool          // to patient work: costly, and wanted by no other
+	Victims         []Victim      // running tasks that could be stopped
+	Ending          []Ending      // when what is on it should end by itself
+	GatheredFor     *Job          // its room is gathered for this one; nil: for nobody
+	WholeOnly       bool          // only whole jobs may start on it
 }
 
 // Victim is a running task.
 type Victim struct {
-	Job      string
-	Task     int
-	Team     string
-	Priority int
-	Need     Resources
-	Covered  bool          // within its team's guarantee
-	Guest    bool          // of the lowest priority, and guaranteed to nobody
-	Lost     micros.Micros // work that a stop would lose
-	Gang     bool          // all tasks of its job stop with it, and Lost is of all
+	Job        string
+	Task       int
+	Team       string
+	Priority   int
+	Need       Resources
+	Covered    bool          // within its team's guarantee
+	BestEffort bool          // of the lowest priority, and guaranteed to nobody
+	Lost       micros.Micros // work that a stop would lose
+	Gang       bool          // all tasks of its job stop with it, and Lost is of all
 }
 
 // Job is a job with waiting tasks.
@@ -94,8 +94,8 @@
 	Work            float64         // CPU seconds that wait, as estimated
 	Late            bool            // cannot be in time any more, or set aside
 	Pressing        bool            // would be late if it waited for others to end
-	Claims          bool            // need not wait for guests to end
-	Patient         bool            // not worth dear machines
+	Claims          bool            // need not wait for best-effort tasks to end
+	Patient         bool            // not worth costly machines
 	Need            Resources
 	Waiting         int
 	Total           int
@@ -156,7 +156,7 @@
 		return
 	}
 	ahead, strained := 0.0, false
-	var kept []*Job // of the present claim, by work
+	var onTime []*Job // of the present claim, by work
 	for i := 0; i < len(order); i++ {
 		j := order[i]
 		if j.Aged {
@@ -166,21 +166,21 @@
 			if strained {
 				shortestFirst(order[:i], order[i-1], cpus, now)
 			}
-			kept, strained = kept[:0], false
+			onTime, strained = onTime[:0], false
 		}
 		if j.Late {
 			continue
 		}
 		ahead += j.Work
-		at, _ := slices.BinarySearchFunc(kept, j, func(a, b *Job) int {
+		at, _ := slices.BinarySearchFunc(onTime, j, func(a, b *Job) int {
 			return cmp.Or(cmp.Compare(a.Work, b.Work), cmp.Compare(a.ID, b.ID))
 		})
-		kept = slices.Insert(kept, at, j)
+		onTime = slices.Insert(onTime, at, j)
 		if now+micros.FromSeconds(ahead/cpus) > j.Due {
 			strained = true
-			most := kept[len(kept)-1]
+			most := onTime[len(onTime)-1]
 			ahead -= most.Work
-			kept = kept[:len(kept)-1]
+			onTime = onTime[:len(onTime)-1]
 			for len(most.Later) > 0 && most.Due <= j.Due {
 				most.Due, most.Later = most.Later[0], most.Later[1:]
 			}
@@ -235,13 +235,13 @@
 
 // admits tells the same of a machine, and whether the job is worth it.
 func admits(m *Machine, j *Job) bool {
-	if m.Kept != nil && m.Kept.ID != j.ID && claim(j, m.Kept) >= 0 {
+	if m.GatheredFor != nil && m.GatheredFor.ID != j.ID && claim(j, m.GatheredFor) >= 0 {
 		return false
 	}
 	if m.WholeOnly && !j.Whole {
 		return false
 	}
-	return Allowed(j, m.Type, m.Zone, m.Spot) && !(j.Patient && m.Unworthy)
+	return Allowed(j, m.Type, m.Zone, m.Spot) && !(j.Patient && m.ClosedToPatient)
 }
 
 // Open tells the same as things are now: where a job's other tasks are may bind the next
@@ -315,9 +315,9 @@
 }
 
 // Preempt looks for running work of less claim to stop for pressing jobs that
-// found no room, and for guests to stop for any other job; at most limit jobs. What it
-// frees for a whole job, and the room that was there, is to be kept for it.
-func Preempt(machines []Machine, jobs []*Job, teams map[string]*Team, limit int) (stops []Stop, keeps []Keep) {
+// found no room, and for best-effort tasks to stop for any other job; at most limit jobs. What it
+// frees for a whole job, and the room that was there, is to be gathered for it.
+func Preempt(machines []Machine, jobs []*Job, teams map[string]*Team, limit int) (stops []Stop, gatherings []Gathering) {
 	for _, j := range jobs {
 		if limit == 0 {
 			break
@@ -326,14 +326,14 @@
 			limit--
 			if j.Whole {
 				s, k := preemptWhole(machines, j, teams[j.Team])
-				stops, keeps = append(stops, s...), append(keeps, k...)
+				stops, gatherings = append(stops, s...), append(gatherings, k...)
 				continue
 			}
 			s, _, _ := preempt(machines, j, teams[j.Team])
 			stops = append(stops, s...)
 		}
 	}
-	return stops, keeps
+	return stops, gatherings
 }
 
 // lookahead is how many jobs of one claim Fill compares.
@@ -403,7 +403,7 @@
 const failedBefore = 10 * micros.Second
 
 // cost is how long a task would wait for its start on m, with a little for
-// leaving dear and empty machines as they are, and large holes.
+// leaving costly and empty machines as they are, and large holes.
 func cost(m *Machine, j *Job) micros.Micros {
 	c := m.Delay + fetch(m, j)
 	if m.Idle {
@@ -413,7 +413,7 @@
 		c += failedBefore
 	}
 	left := m.Free.CPU - j.Need.CPU
-	return c + m.Dear + micros.Micros(left)*micros.Millisecond/1000*10
+	return c + m.Penalty + micros.Micros(left)*micros.Millisecond/1000*10
 }
 
 // worthWaiting tells whether a start on m may be planned ahead. What presses is
@@ -473,7 +473,7 @@
 // yields tells whether v may be stopped for j: for a higher priority, or to
 // give j's team its guarantee from another team's borrowed room.
 func yields(v *Victim, j *Job) bool {
-	if v.Job == j.ID || !j.Pressing && !v.Guest {
+	if v.Job == j.ID || !j.Pressing && !v.BestEffort {
 		return false
 	}
 	if j.Covered && !v.Covered && v.Team != j.Team {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -79,9 +79,9 @@
 			m.Victims = []Victim{{Job: "x", Priority: 1, Need: cpus(1)}}
 			return m
 		}()}, []*Job{job("j", 1, func(j *Job) { j.Priority, j.Pressing = 2, false })}, nil, nil, nil},
-		{"stops guests for any other work at once, and only these", []Machine{func() Machine {
+		{"stops best-effort tasks for any other work at once, and only these", []Machine{func() Machine {
 			m := machine("a", "z", 0)
-			m.Victims = []Victim{{Job: "x", Priority: 0, Need: cpus(1), Lost: 9, Guest: true}, {Job: "y", Priority: 0, Need: cpus(1), Lost: 4}}
+			m.Victims = []Victim{{Job: "x", Priority: 0, Need: cpus(1), Lost: 9, BestEffort: true}, {Job: "y", Priority: 0, Need: cpus(1), Lost: 4}}
 			return m
 		}()}, []*Job{job("j", 2, func(j *Job) { j.Pressing, j.Claims = false, true })}, nil, nil, []string{"x/0"}},
 		{"stops where the image is", []Machine{func() Machine {
--- a/staffing/staffing.go
+++ b/staffing/staffing.go
@@ -34,11 +34,11 @@
 }
 
 // Peakedness is the paper's z(t), formulas (17) to (19), for work that comes in
-// lumps. A job that brings w machines' worth of tasks at once counts w times
+// batches. A job that brings w machines' worth of tasks at once counts w times
 // over in the variance of arrivals, so c² = Σw²/Σw; as service times are
 // taken for exponential, ∫(1-G)² is half their mean. A single task of size f
 // adds the other half.
-func Peakedness(lumps, taskSize float64) float64 { return (lumps + taskSize) / 2 }
+func Peakedness(batches, taskSize float64) float64 { return (batches + taskSize) / 2 }
 
 // PricedZ is z for machines that cost k times as much as the cheapest. The
 // paper leaves α to the user; spare machines are worth their price as long as
@@ -143,13 +143,13 @@
 // Estimate counts what owners say of work that came in.
 func (s *Service) Estimate(weight, seconds float64) { s.estimate.add(weight, seconds, 1) }
 
-// Lumps keeps what jobs bring at once, for the peakedness.
-type Lumps struct{ sum, squares, tasks, tight float64 }
+// Batches counts what jobs bring at once, for the peakedness.
+type Batches struct{ sum, squares, tasks, tight float64 }
 
 // Add counts a job that brings weight machines' worth of work in tasks tasks.
 // Spare machines are for those who cannot wait until one has booted; a job that
 // can counts in the mean alone.
-func (l *Lumps) Add(weight float64, tasks int, canWait bool) {
+func (l *Batches) Add(weight float64, tasks int, canWait bool) {
 	if tasks <= 0 {
 		return
 	}
@@ -163,7 +163,7 @@
 }
 
 // Peakedness of what came in; 1, the paper's default, while nothing has.
-func (l *Lumps) Peakedness() float64 {
+func (l *Batches) Peakedness() float64 {
 	if l.sum <= 0 {
 		return 1
 	}
@@ -172,7 +172,7 @@
 
 // Tight is the share of the work whose jobs cannot wait; all of it while
 // nothing has come in.
-func (l *Lumps) Tight() float64 {
+func (l *Batches) Tight() float64 {
 	if l.sum <= 0 {
 		return 1
 	}
--- a/staffing/staffing_test.go
+++ b/staffing/staffing_test.go
@@ -61,17 +61,17 @@
 
 func TestMargin(t *testing.T) {
 	// Poisson arrivals of whole machines: the paper's default v = m.
-	var single Lumps
+	var single Batches
 	single.Add(1, 1, false)
 	single.Add(1, 1, false)
 	if got := single.Peakedness(); !near(got, 1) {
 		t.Errorf("single arrivals: peakedness %v, want 1", got)
 	}
-	// Lumps of four whole machines: (4+1)/2.
-	var lumps Lumps
-	lumps.Add(4, 4, false)
-	if got := lumps.Peakedness(); !near(got, 2.5) {
-		t.Errorf("lumps of four: peakedness %v, want 2.5", got)
+	// Batches of four whole machines: (4+1)/2.
+	var batches Batches
+	batches.Add(4, 4, false)
+	if got := batches.Peakedness(); !near(got, 2.5) {
+		t.Errorf("batches of four: peakedness %v, want 2.5", got)
 	}
 	for _, c := range []struct{ z, k, want float64 }{{1.282, 1, 1.282}, {1.282, 3, 0.524}, {1.282, 5, 0}, {1.282, 50, 0}} {
 		if got := PricedZ(c.z, c.k); math.Abs(got-c.want) > 2e-3 {
