--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -184,7 +184,7 @@
 	return j.ndone, j.running, true
 }
 
-// logPicture shows now and then what the leader sees.
+// logSnapshot shows now and then what the leader sees.
 func (l *Leader) logSnapshot(now micros.Micros) {
 	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
 		return
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -88,7 +88,7 @@
 
 func runningListKey(n int) string { return replica.UpPrefix + strconv.Itoa(n) }
 
-// restoreUps reads which machines an earlier term may have given tasks.
+// restoreRunningLists reads which machines an earlier term may have given tasks.
 func (l *Leader) restoreRunningLists() error {
 	for _, key := range l.Replica.Keys(replica.UpPrefix) {
 		n, err := strconv.Atoi(strings.TrimPrefix(key, replica.UpPrefix))
