--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -62,36 +62,11 @@
 	if len(ws) == 0 {
 		return false
 	}
-	// Each write is conditioned on its key's version as well as on the
-	// leadership: a transaction that got no answer may be applied late, and
-	// must not undo a newer one.
-	t := wire.Txn{If: []wire.Condition{{Key: replica.LeaderKey, Stamp: l.Stamp}}}
-	for _, w := range ws {
-		t.If = append(t.If, wire.Condition{Key: w.key, Stamp: w.stamp})
-		op := wire.Op{Write: w.key, Value: w.value}
-		if w.value == nil {
-			op = wire.Op{Remove: w.key}
-		}
-		t.Then = append(t.Then, op)
-	}
-	rev, err := l.Store.CommitPaced(ctx, t)
+	rev, err := l.Store.CommitPaced(ctx, l.transaction(ws))
 	var conflict *statestore.Conflict
 	switch {
 	case err == nil:
-		for _, w := range ws {
-			if w.value == nil {
-				l.Replica.Removed(w.key, rev)
-			} else {
-				l.Replica.Wrote(w.key, w.value, rev)
-			}
-		}
-		l.mu.Lock()
-		for _, w := range ws {
-			if w.stored != nil {
-				w.stored()
-			}
-		}
-		l.mu.Unlock()
+		l.flushed(ws, rev)
 		return more
 	case errors.As(err, &conflict) && slices.Contains(conflict.Keys, replica.LeaderKey):
 		slog.Info("a newer term has begun")
@@ -102,10 +77,48 @@
 		defer l.mu.Unlock()
 		l.flushRefused(ws, err)
 		return true
-	default:
-		slog.Debug("flush", "error", err)
 	}
-	// Either a version is not as thought, or nobody knows: look, and try again.
+	slog.Debug("flush", "error", err)
+	l.flushAgain(ctx, ws)
+	return false
+}
+
+// transaction conditions each write on its key's version as well as on the leadership:
+// a transaction that got no answer may be applied late, and must not undo a newer one.
+func (l *Leader) transaction(ws []write) wire.Txn {
+	t := wire.Txn{If: []wire.Condition{{Key: replica.LeaderKey, Stamp: l.Stamp}}}
+	for _, w := range ws {
+		t.If = append(t.If, wire.Condition{Key: w.key, Stamp: w.stamp})
+		op := wire.Op{Write: w.key, Value: w.value}
+		if w.value == nil {
+			op = wire.Op{Remove: w.key}
+		}
+		t.Then = append(t.Then, op)
+	}
+	return t
+}
+
+// flushed takes over writes that were stored with revision rev.
+func (l *Leader) flushed(ws []write, rev uint64) {
+	for _, w := range ws {
+		if w.value == nil {
+			l.Replica.Removed(w.key, rev)
+		} else {
+			l.Replica.Wrote(w.key, w.value, rev)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range ws {
+		if w.stored != nil {
+			w.stored()
+		}
+	}
+}
+
+// flushAgain has writes repeated whose outcome is not known, or of which a version is not
+// as thought, once the replica has seen what is stored.
+func (l *Leader) flushAgain(ctx context.Context, ws []write) {
 	l.mu.Lock()
 	for _, w := range ws {
 		l.dirty[w.key] = true
@@ -115,7 +128,6 @@
 		slog.Debug("flush", "error", err)
 	}
 	l.wakeFlush()
-	return false
 }
 
 // flushRefused makes a transaction smaller that the state service refuses as it is.
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -397,34 +397,16 @@
 	q := &l.queue
 	var machines []placement.Machine
 	var ms []*machine
-	gathered, tries := 0, 0
-	for _, m := range l.order {
-		if m.gathering != nil {
-			gathered++
-		}
-	}
+	gathered, tries := l.countGathered(), 0
 	for i, w := range q.waiting {
-		g := l.gatherings[w.ID]
-		if !w.Whole || w.Waiting == 0 || g != nil && (len(g.machines) > 0 || now < g.again) || gathered > 0 && gatherShare*gathered >= len(l.order) {
+		if !l.mayGather(w, now) || gathered > 0 && gatherShare*gathered >= len(l.order) {
 			continue
 		}
 		if tries++; tries > gatherJobs {
 			break
 		}
 		if machines == nil {
-			machines, ms = l.placeable(now, placement.Resources{})
-			for n, m := range ms {
-				for _, j := range m.planned {
-					machines[n].Free = machines[n].Free.Plus(j.need, -1)
-				}
-				for _, a := range m.tasks {
-					e := placement.Ending{Left: micros.FromSeconds(l.left(a, now)), Need: a.job.need}
-					if a.stopped != 0 {
-						e.Left = a.grace
-					}
-					machines[n].Ending = append(machines[n].Ending, e)
-				}
-			}
+			machines, ms = l.withEndings(now)
 		}
 		for _, n := range placement.Gather(machines, w, q.teams[w.Team], gatherWithin) {
 			machines[n].GatheredFor = w
@@ -434,6 +416,46 @@
 	}
 }
 
+// countGathered counts the machines that are gathered for gangs.
+func (l *Leader) countGathered() int {
+	n := 0
+	for _, m := range l.order {
+		if m.gathering != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// mayGather tells whether room may be gathered for a waiting job: a gang that has none
+// gathered, and none let go of lately.
+func (l *Leader) mayGather(w *placement.Job, now micros.Micros) bool {
+	if !w.Whole || w.Waiting == 0 {
+		return false
+	}
+	g := l.gatherings[w.ID]
+	return g == nil || len(g.machines) == 0 && now >= g.again
+}
+
+// withEndings lists the machines that may get tasks, with when what runs there should end.
+func (l *Leader) withEndings(now micros.Micros) ([]placement.Machine, []*machine) {
+	machines, ms := l.placeable(now, placement.Resources{})
+	for n, m := range ms {
+		p := &machines[n]
+		for _, j := range m.planned {
+			p.Free = p.Free.Plus(j.need, -1)
+		}
+		for _, a := range m.tasks {
+			e := placement.Ending{Left: micros.FromSeconds(l.left(a, now)), Need: a.job.need}
+			if a.stopped != 0 {
+				e.Left = a.grace
+			}
+			p.Ending = append(p.Ending, e)
+		}
+	}
+	return machines, ms
+}
+
 // gatherFor adds a machine to a gang's gathering.
 func (l *Leader) gatherFor(id string, m *machine, now micros.Micros) {
 	j := l.jobs[id]
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -76,11 +76,18 @@
 func newJob(r replica.Job, old bool) *job {
 	s := r.Spec
 	return &job{
-		spec: s, submitted: r.SubmittedAt, seen: micros.Now(), old: old,
-		need:     placement.Resources{CPU: ceil(s.CPUs), GPU: ceil(s.GPUs), Mem: ceil(s.MemoryGB)},
-		priority: wire.PriorityRank(s.Priority),
-		done:     newBitset(s.Tasks), stored: newBitset(s.Tasks),
-		on: map[int]*attempt{}, zones: map[string]int{}, errors: map[string]micros.Micros{}, resumed: map[int]bool{},
+		spec:      s,
+		submitted: r.SubmittedAt,
+		seen:      micros.Now(),
+		old:       old,
+		need:      placement.Resources{CPU: ceil(s.CPUs), GPU: ceil(s.GPUs), Mem: ceil(s.MemoryGB)},
+		priority:  wire.PriorityRank(s.Priority),
+		done:      newBitset(s.Tasks),
+		stored:    newBitset(s.Tasks),
+		on:        map[int]*attempt{},
+		zones:     map[string]int{},
+		errors:    map[string]micros.Micros{},
+		resumed:   map[int]bool{},
 	}
 }
 
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -65,9 +65,13 @@
 
 func (l *Leader) addMachine(id string, b *booking, now micros.Micros) *machine {
 	m := &machine{
-		id: id, booking: b, kind: offer{b.Type, b.Zone, b.Spot},
+		id:       id,
+		booking:  b,
+		kind:     offer{b.Type, b.Zone, b.Spot},
 		tasks:    map[string]*attempt{},
-		rentedAt: now - max(0, micros.Wall()-b.At), failed: map[string]bool{}, busyTill: now,
+		rentedAt: now - max(0, micros.Wall()-b.At),
+		failed:   map[string]bool{},
+		busyTill: now,
 	}
 	m.resolved = true // unless it is stored as up, it cannot have got tasks from an earlier term
 	if t := l.types[b.Type]; t != nil {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -183,79 +183,119 @@
 // not begun for six.
 const counted = 35 * micros.Second
 
+// queueEntry is a job of the queue, as placement sees it and as it is.
+type queueEntry struct {
+	waiting *placement.Job
+	job     *job
+}
+
 // newQueue lists the jobs that may start tasks now. A job that an earlier term
 // may have started waits until no machine's tasks are unknown.
 func (l *Leader) newQueue(now micros.Micros) queue {
-	var q queue
-	var unresolved int
-	q.teams, unresolved = l.teamUse()
+	teams, unresolved := l.teamUse()
 	covered := l.covered()
 	wall := micros.Wall()
-	type entry struct {
-		waiting *placement.Job
-		job     *job
-	}
-	var entries []entry
-	var waiting []*placement.Job
+	var entries []queueEntry
 	for _, j := range l.jobs {
 		l.pardon(j, now)
 		n := j.ready(now)
 		if n <= 0 || j.old && unresolved > 0 {
 			continue
 		}
-		s := j.spec
-		w := &placement.Job{
-			ID: s.ID, Team: s.Team, Image: j.image, Priority: j.priority, Covered: covered[j],
-			Need: j.need, Waiting: n, Total: s.Tasks, Types: s.Types, Zone: s.Zone,
-			OneZone: s.OneZone, Spread: s.Spread, Whole: j.isGang(), Spot: s.Spot, ImageGB: s.ImageGB,
-		}
-		w.Due, w.Later, w.Late = l.dues(j, covered[j], wall)
-		w.Pressing = w.Due-wall < 4*l.report && !j.probing()
-		w.Claims = j.priority > 0 && !j.probing()
-		w.Patient = l.patient(j)
-		if j.isGang() && len(j.on) > 0 {
-			w.Due, w.Late, w.Pressing = wall, false, !j.probing() // the others of its tasks wait for these
-		}
-		if j.isGang() {
-			w.Failed = j.errors
-			w.Accept = max(acceptAtOnce, wall-j.submitted)
-		}
-		w.Work = float64(n) * s.CPUs * l.expected(s)
-		if s.OneZone || s.Spread {
-			w.PerZone = maps.Clone(j.zones)
-		}
-		since := max(j.submitted, j.lastStart)
-		if j.ndone > 0 {
-			since = max(since, l.beganWall) // no earlier term's starts are known
-		}
-		if len(j.on) == 0 && wall-since > aged && !j.probing() {
-			w.Aged, w.Late, w.Patient = true, false, false
-			if part := 1 + n/agedPart; !s.OneZone && !s.Spread && !w.Whole && part < n {
-				rest := *w
-				rest.Aged, rest.Patient = false, l.patient(j)
-				w.Waiting, rest.Waiting = part, n-part
-				entries, waiting = append(entries, entry{&rest, j}), append(waiting, &rest)
+		w := l.waitingJob(j, n, covered[j], wall)
+		if l.hasAged(j, wall) {
+			if rest := l.age(w, j); rest != nil {
+				entries = append(entries, queueEntry{rest, j})
 			}
 		}
-		if g := l.gatherings[s.ID]; g != nil {
+		if g := l.gatherings[j.spec.ID]; g != nil {
 			g.view = w
 		}
-		entries, waiting = append(entries, entry{w, j}), append(waiting, w)
+		entries = append(entries, queueEntry{w, j})
+	}
+	waiting := make([]*placement.Job, len(entries))
+	for i, e := range entries {
+		waiting[i] = e.waiting
 	}
+	placement.SetAside(waiting, l.openCPUs(now), wall)
+	slices.SortFunc(entries, func(a, b queueEntry) int { return placement.Less(a.waiting, b.waiting) })
+	q := queue{teams: teams, waiting: waiting, jobs: make([]*job, len(entries))}
+	for i, e := range entries {
+		q.waiting[i], q.jobs[i] = e.waiting, e.job
+	}
+	q.least = placement.Least(q.waiting)
+	return q
+}
+
+// waitingJob is a job with n tasks to start as placement sees it.
+func (l *Leader) waitingJob(j *job, n int, covered bool, wall micros.Micros) *placement.Job {
+	s := j.spec
+	w := &placement.Job{
+		ID:       s.ID,
+		Team:     s.Team,
+		Image:    j.image,
+		Priority: j.priority,
+		Covered:  covered,
+		Need:     j.need,
+		Waiting:  n,
+		Total:    s.Tasks,
+		Types:    s.Types,
+		Zone:     s.Zone,
+		OneZone:  s.OneZone,
+		Spread:   s.Spread,
+		Whole:    j.isGang(),
+		Spot:     s.Spot,
+		ImageGB:  s.ImageGB,
+	}
+	w.Due, w.Later, w.Late = l.dues(j, covered, wall)
+	w.Pressing = w.Due-wall < 4*l.report && !j.probing()
+	w.Claims = j.priority > 0 && !j.probing()
+	w.Patient = l.patient(j)
+	if j.isGang() && len(j.on) > 0 {
+		w.Due, w.Late, w.Pressing = wall, false, !j.probing() // the others of its tasks wait for these
+	}
+	if j.isGang() {
+		w.Failed = j.errors
+		w.Accept = max(acceptAtOnce, wall-j.submitted)
+	}
+	w.Work = float64(n) * s.CPUs * l.expected(s)
+	if s.OneZone || s.Spread {
+		w.PerZone = maps.Clone(j.zones)
+	}
+	return w
+}
+
+// hasAged tells whether a job has waited for a start for so long that it goes before others.
+func (l *Leader) hasAged(j *job, wall micros.Micros) bool {
+	since := max(j.submitted, j.lastStart)
+	if j.ndone > 0 {
+		since = max(since, l.beganWall) // no earlier term's starts are known
+	}
+	return len(j.on) == 0 && wall-since > aged && !j.probing()
+}
+
+// age has a part of a job go before all others; the rest, if any, waits as before.
+func (l *Leader) age(w *placement.Job, j *job) (rest *placement.Job) {
+	w.Aged, w.Late, w.Patient = true, false, false
+	part := 1 + w.Waiting/agedPart
+	if w.OneZone || w.Spread || w.Whole || part >= w.Waiting {
+		return nil
+	}
+	other := *w
+	other.Aged, other.Patient = false, l.patient(j)
+	w.Waiting, other.Waiting = part, w.Waiting-part
+	return &other
+}
+
+// openCPUs counts the CPUs of the machines that may get tasks.
+func (l *Leader) openCPUs(now micros.Micros) float64 {
 	cpus := 0.0
 	for _, m := range l.order {
 		if m.open(now) {
 			cpus += l.types[m.kind.Type].CPUs
 		}
 	}
-	placement.SetAside(waiting, cpus, wall)
-	slices.SortFunc(entries, func(a, b entry) int { return placement.Less(a.waiting, b.waiting) })
-	q.waiting, q.jobs = waiting[:0], make([]*job, 0, len(entries))
-	for _, e := range entries {
-		q.waiting, q.jobs = append(q.waiting, e.waiting), append(q.jobs, e.job)
-	}
-	q.least = placement.Least(q.waiting)
-	return q
+	return cpus
 }
 
 // due is when the last of a job's tasks should have started, by the next thing
@@ -379,10 +419,17 @@
 func (l *Leader) placementMachine(m *machine, now micros.Micros) placement.Machine {
 	t := l.types[m.kind.Type]
 	p := placement.Machine{
-		ID: m.id, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.kind.Spot,
-		Free: m.free, Delay: max(0, m.reported+l.report-now), Idle: len(m.tasks) == 0,
-		ClosedToPatient: m.closedToPatient, Images: m.have, GBPerS: t.FetchGBPerS,
-		Penalty: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
+		ID:              m.id,
+		Type:            m.kind.Type,
+		Zone:            m.kind.Zone,
+		Spot:            m.kind.Spot,
+		Free:            m.free,
+		Delay:           max(0, m.reported+l.report-now),
+		Idle:            len(m.tasks) == 0,
+		ClosedToPatient: m.closedToPatient,
+		Images:          m.have,
+		GBPerS:          t.FetchGBPerS,
+		Penalty:         micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
 	}
 	if late := now - m.reported - l.report - l.report/4; late > 0 {
 		p.Delay = l.report + late // it has missed a report, and may be gone
@@ -426,20 +473,7 @@
 			if a.stopped != 0 {
 				p.Soon = p.Soon.Plus(a.job.need, 1)
 			} else if !a.job.over && !spared[a.job] {
-				v := placement.Victim{
-					Job: a.job.spec.ID, Task: a.task, Team: a.job.spec.Team, Priority: a.job.priority,
-					Need: a.job.need, Covered: covered[a.job], BestEffort: a.job.priority == 0 && !covered[a.job], Lost: lostWork(a, now),
-				}
-				if v.BestEffort {
-					v.Lost += l.setBack(a, now)
-				}
-				if a.job.isGang() {
-					v.Gang, v.Lost = true, v.Lost*micros.Micros(len(a.job.on))
-				}
-				if a.protected && (a.running == 0 || now-a.running < counted) {
-					v.BestEffort, v.Lost = false, v.Lost+counted
-				}
-				p.Victims = append(p.Victims, v)
+				p.Victims = append(p.Victims, l.victim(a, covered[a.job], now))
 			}
 		}
 		slices.SortFunc(p.Victims, func(a, b placement.Victim) int {
@@ -449,6 +483,30 @@
 	return out, ms
 }
 
+// victim is a running task as placement sees it.
+func (l *Leader) victim(a *attempt, covered bool, now micros.Micros) placement.Victim {
+	v := placement.Victim{
+		Job:        a.job.spec.ID,
+		Task:       a.task,
+		Team:       a.job.spec.Team,
+		Priority:   a.job.priority,
+		Need:       a.job.need,
+		Covered:    covered,
+		BestEffort: a.job.priority == 0 && !covered,
+		Lost:       lostWork(a, now),
+	}
+	if v.BestEffort {
+		v.Lost += l.setBack(a, now)
+	}
+	if a.job.isGang() {
+		v.Gang, v.Lost = true, v.Lost*micros.Micros(len(a.job.on))
+	}
+	if a.protected && (a.running == 0 || now-a.running < counted) {
+		v.BestEffort, v.Lost = false, v.Lost+counted
+	}
+	return v
+}
+
 // left is how many seconds a task should still take. The longer one has
 // outlasted its estimate, the longer it may go on; a service never ends.
 func (l *Leader) left(a *attempt, now micros.Micros) float64 {
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -30,12 +30,7 @@
 	defer l.mu.Unlock()
 	now := micros.Now()
 	answer := wire.ReportAnswer{Token: l.Token, Commands: []wire.Command{}}
-	if l.superseded || r.Token > l.Token {
-		l.superseded = true
-		l.lostOnce.Do(func() { close(l.lost) })
-		return answer, ErrNotEntitled
-	}
-	if !l.ready || now >= l.Term.Confirmed()+l.Settings.Params.Workers.RenewFor() {
+	if !l.mayAnswer(r, now) {
 		return answer, ErrNotEntitled
 	}
 	// What this node has told a user, or was told by a peer, holds for the answer: no
@@ -46,25 +41,57 @@
 		answer.Commands = append(answer.Commands, l.stopsOf(r)...)
 		return answer, l.unknown(r, now)
 	}
+	if !l.accepts(m, r, now) {
+		return answer, ErrNotEntitled
+	}
+	l.endEarlierSession(m, r)
+	l.recordReport(m, r, now)
+	l.takeTasks(m, r, now)
+	l.drainOnNotice(m, now)
+	answer.Commands = l.planOrders(m, now)
+	return answer, nil
+}
+
+// mayAnswer tells whether this node may answer a report now. A report with a higher
+// token ends the term.
+func (l *Leader) mayAnswer(r *wire.Report, now micros.Micros) bool {
+	if l.superseded || r.Token > l.Token {
+		l.superseded = true
+		l.lostOnce.Do(func() { close(l.lost) })
+		return false
+	}
+	return l.ready && now < l.Term.Confirmed()+l.Settings.Params.Workers.RenewFor()
+}
+
+// accepts tells whether a known machine's report is to be answered.
+func (l *Leader) accepts(m *machine, r *wire.Report, now micros.Micros) bool {
 	if !l.Term.Sure() && now-m.bounced > bounceAgain {
 		// Another node may lead by now. A worker that finds no other answer
 		// comes back and has its lease renewed.
 		m.bounced = now
-		return answer, ErrNotEntitled
-	}
-	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
-		// A late copy. Its worker gave up waiting for the answer.
-		return answer, ErrNotEntitled
+		return false
 	}
-	if m.session != 0 && r.Session > m.session {
-		// That an earlier session ended says nothing of what earlier terms started in this
-		// one: a report held back from before a take-over may be all that is known of it.
-		resolved := m.resolved
-		l.lose(m, "the worker's session ended")
-		m.resolved = resolved
-		m.asked = 0
-		m.sent = m.sent[:0]
+	// A late copy is refused. Its worker gave up waiting for the answer.
+	late := r.Session < m.session || r.Session == m.session && r.Seq <= m.seq
+	return !late
+}
+
+// endEarlierSession frees the tasks of a worker's session when a later one reports.
+func (l *Leader) endEarlierSession(m *machine, r *wire.Report) {
+	if m.session == 0 || r.Session <= m.session {
+		return
 	}
+	// That an earlier session ended says nothing of what earlier terms started in this
+	// one: a report held back from before a take-over may be all that is known of it.
+	resolved := m.resolved
+	l.lose(m, "the worker's session ended")
+	m.resolved = resolved
+	m.asked = 0
+	m.sent = m.sent[:0]
+}
+
+// recordReport notes what a report tells besides the tasks.
+func (l *Leader) recordReport(m *machine, r *wire.Report, now micros.Micros) {
 	m.session, m.seq, m.address = r.Session, r.Seq, r.Address
 	m.reported = now
 	m.answered = now
@@ -81,6 +108,10 @@
 	if !m.up {
 		l.markUp(m)
 	}
+}
+
+// takeTasks takes over the tasks of a report that is a snapshot of its machine.
+func (l *Leader) takeTasks(m *machine, r *wire.Report, now micros.Micros) {
 	// One that is older than what the machine answered when asked tells nothing new.
 	m.current = r.Token == l.Token && r.Seq > m.asked
 	if !m.current && m.told {
@@ -93,12 +124,14 @@
 		// The answer may renew the machine's lease, whatever is thought of the report.
 		m.clears = l.stopsOf(r)
 	}
-	l.drainOnNotice(m, now)
+}
+
+// planOrders plans anew if that is due, and gives the orders for the machine that reports.
+func (l *Leader) planOrders(m *machine, now micros.Micros) []wire.Command {
 	l.answering = m
 	defer func() { l.answering = nil }()
 	l.planIfNeeded(now)
-	answer.Commands = l.orders(m, now)
-	return answer, nil
+	return l.orders(m, now)
 }
 
 // reconcile compares a report with what should be on the machine. The report
@@ -197,58 +230,85 @@
 	} else if j == nil {
 		j = l.orphan(id)
 	}
-	if err != nil || j == nil || task >= j.spec.Tasks {
-		if t.State == wire.TaskExited {
-			m.clears = append(m.clears, clearCommand(t))
-		} else {
-			l.direct(m, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
-			m.clears = append(m.clears, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
-		}
+	switch {
+	case err != nil || j == nil || task >= j.spec.Tasks:
+		l.rejectTask(m, t)
+	case t.State != wire.TaskExited:
+		l.present(m, j, task, a, t, now)
+	case a != nil && a.reserved && t.Cause != wire.CauseDone:
+		// An earlier start of the same attempt, for whose place this one is held.
+		m.clears = append(m.clears, clearCommand(t))
+	default:
+		l.exited(m, j, task, a, t, now)
+	}
+}
+
+// rejectTask has a task that belongs to no job stopped, or cleared if it has ended.
+func (l *Leader) rejectTask(m *machine, t *wire.ReportTask) {
+	if t.State == wire.TaskExited {
+		m.clears = append(m.clears, clearCommand(t))
 		return
 	}
-	if t.State != wire.TaskExited {
-		if a == nil {
-			if other := j.on[task]; other != nil && other.reserved {
-				l.release(other, "an earlier start of it is on "+m.id)
-			}
-			if other := j.on[task]; !j.over && (other != nil && other.machine != m || j.done.has(task)) {
-				m.clears = append(m.clears, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
-				return
-			}
-			a = &attempt{job: j, task: task, n: t.Attempt, machine: m, began: now}
-			l.hold(a)
-			if j.over {
-				l.stop(a, 0, "job is over")
-			}
-		}
-		a.n, a.reserved = t.Attempt, false
-		if t.State == wire.TaskRunning && a.running == 0 {
-			a.running = now
-			if j.on[task] == a {
-				j.running++
-			}
-			j.lastStart = micros.Wall()
-			if j.firstStart == 0 {
-				j.firstStart = j.lastStart
-			}
-			if mt := l.types[m.kind.Type]; mt != nil {
-				m.images.use(j.spec.Image, j.spec.ImageGB, mt.CacheGB)
-				l.countImages(m)
-			}
-		}
-		if t.State != a.state && !wire.KnownState(t.State) {
-			l.tallies.add(fmt.Sprintf("a task's state is unknown, it is taken to be there: %.40q", t.State), m.id)
+	l.direct(m, stopAtOnce(t))
+	m.clears = append(m.clears, stopAtOnce(t))
+}
+
+// present takes over a task that is on its machine. a is nil if it was not known there.
+func (l *Leader) present(m *machine, j *job, task int, a *attempt, t *wire.ReportTask, now micros.Micros) {
+	if a == nil {
+		if a = l.adopt(m, j, task, t, now); a == nil {
+			return
 		}
-		a.state = t.State
-		l.gangListed(a, now)
-		return
 	}
-	if a != nil && a.reserved && t.Cause != wire.CauseDone {
-		// An earlier start of the same attempt, for whose place this one is held.
-		m.clears = append(m.clears, clearCommand(t))
-		return
+	a.n, a.reserved = t.Attempt, false
+	if t.State == wire.TaskRunning && a.running == 0 {
+		l.noteRunning(m, a, now)
+	}
+	if t.State != a.state && !wire.KnownState(t.State) {
+		l.tallies.add(fmt.Sprintf("a task's state is unknown, it is taken to be there: %.40q", t.State), m.id)
+	}
+	a.state = t.State
+	l.gangListed(a, now)
+}
+
+// adopt counts a task as being on a machine that was not known to have it. It has the
+// task stopped instead, and gives nil, if that is done or on another machine.
+func (l *Leader) adopt(m *machine, j *job, task int, t *wire.ReportTask, now micros.Micros) *attempt {
+	if other := j.on[task]; other != nil && other.reserved {
+		l.release(other, "an earlier start of it is on "+m.id)
+	}
+	if other := j.on[task]; !j.over && (other != nil && other.machine != m || j.done.has(task)) {
+		m.clears = append(m.clears, stopAtOnce(t))
+		return nil
+	}
+	a := &attempt{job: j, task: task, n: t.Attempt, machine: m, began: now}
+	l.hold(a)
+	if j.over {
+		l.stop(a, 0, "job is over")
+	}
+	return a
+}
+
+// noteRunning notes that a task was seen running for the first time.
+func (l *Leader) noteRunning(m *machine, a *attempt, now micros.Micros) {
+	j := a.job
+	a.running = now
+	if j.on[a.task] == a {
+		j.running++
 	}
-	l.exited(m, j, task, a, t, now)
+	j.lastStart = micros.Wall()
+	if j.firstStart == 0 {
+		j.firstStart = j.lastStart
+	}
+	if mt := l.types[m.kind.Type]; mt != nil {
+		m.images.use(j.spec.Image, j.spec.ImageGB, mt.CacheGB)
+		l.countImages(m)
+	}
+}
+
+// stopAtOnce stops a reported task without time to save.
+func stopAtOnce(t *wire.ReportTask) wire.Command {
+	return wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)}
 }
 
 // stopsOf has the tasks of jobs that are over stopped by the answer to a report which is
@@ -263,7 +323,7 @@
 			continue
 		}
 		if j, _, ok := l.Replica.Job(id); ok && j.Final() {
-			stops = append(stops, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: seconds(0)})
+			stops = append(stops, stopAtOnce(t))
 		}
 	}
 	return stops
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -76,57 +76,81 @@
 	if team.Room(j.Need, j.Waiting) < j.Waiting {
 		return nil
 	}
-	free := func(k int) Resources { return machines[k].Free }
-	var best []share
-	var bestCost, startsIn micros.Micros
-	consider := func(set []int) {
-		worst, costs := micros.Micros(0), map[int]micros.Micros{}
-		for _, k := range set {
-			costs[k] = cost(&machines[k], j)
-		}
-		shares := divide(machines, set, j, j.Waiting, free)
-		for _, s := range shares {
-			worst = max(worst, costs[s.machine])
-		}
-		worst += micros.Micros(len(shares)-1) * skew
-		if shares != nil && (best == nil || worst < bestCost) {
-			best, bestCost, startsIn = shares, worst, 0
-			for _, s := range shares {
-				m := &machines[s.machine]
-				startsIn = max(startsIn, m.Delay+fetch(m, j))
-			}
-		}
-	}
+	p := wholePlacement{machines: machines, job: j}
 	for _, set := range choices(machines, j, func(m *Machine) bool { return m.Free.Fits(j.Need) }) {
 		slices.SortFunc(set, func(a, b int) int {
 			return cmp.Or(cmp.Compare(cost(&machines[a], j), cost(&machines[b], j)), cmp.Compare(machines[a].ID, machines[b].ID))
 		})
-		for _, k := range set {
-			if divide(machines, []int{k}, j, j.Waiting, free) != nil {
-				consider([]int{k})
-				break
-			}
-		}
-		// The shortest beginning of the set that has room, and of it the roomiest.
-		if divide(machines, set, j, j.Waiting, free) != nil {
-			n := sort.Search(len(set), func(n int) bool { return divide(machines, set[:n], j, j.Waiting, free) != nil })
-			soonest := slices.Clone(set[:n])
-			slices.SortStableFunc(soonest, func(a, b int) int {
-				return cmp.Compare(machines[b].Free.Times(j.Need, j.Waiting), machines[a].Free.Times(j.Need, j.Waiting))
-			})
-			consider(soonest)
-		}
+		p.considerOne(set)
+		p.considerSeveral(set)
 	}
-	if j.Accept > 0 && (startsIn > j.Accept || waitsForReport(machines, best)) {
+	if j.Accept > 0 && (p.startsIn > j.Accept || waitsForReport(machines, p.best)) {
 		return nil
 	}
-	for _, s := range best {
+	for _, s := range p.best {
 		take(&machines[s.machine], j, team, s.count)
 		starts = append(starts, Start{Job: index, Machine: s.machine, Count: s.count})
 	}
 	return starts
 }
 
+// wholePlacement is the state of a search for a whole job's place.
+type wholePlacement struct {
+	machines []Machine
+	job      *Job
+	best     []share
+	bestCost micros.Micros
+	startsIn micros.Micros // when the last task starts in the best place
+}
+
+// divide shares all waiting tasks among a set of machines, by their free room.
+func (p *wholePlacement) divide(set []int) []share {
+	free := func(k int) Resources { return p.machines[k].Free }
+	return divide(p.machines, set, p.job, p.job.Waiting, free)
+}
+
+// considerOne considers the first machine of a set that has room for all tasks.
+func (p *wholePlacement) considerOne(set []int) {
+	for _, k := range set {
+		if shares := p.divide([]int{k}); shares != nil {
+			p.consider(shares)
+			return
+		}
+	}
+}
+
+// considerSeveral considers the shortest beginning of a set that has room, and of it the
+// roomiest machines.
+func (p *wholePlacement) considerSeveral(set []int) {
+	if p.divide(set) == nil {
+		return
+	}
+	n := sort.Search(len(set), func(n int) bool { return p.divide(set[:n]) != nil })
+	soonest := slices.Clone(set[:n])
+	count := func(k int) int { return p.machines[k].Free.Times(p.job.Need, p.job.Waiting) }
+	slices.SortStableFunc(soonest, func(a, b int) int { return cmp.Compare(count(b), count(a)) })
+	if shares := p.divide(soonest); shares != nil {
+		p.consider(shares)
+	}
+}
+
+// consider takes a place if it is better than the best so far.
+func (p *wholePlacement) consider(shares []share) {
+	worst := micros.Micros(0)
+	for _, s := range shares {
+		worst = max(worst, cost(&p.machines[s.machine], p.job))
+	}
+	worst += micros.Micros(len(shares)-1) * skew
+	if p.best != nil && worst >= p.bestCost {
+		return
+	}
+	p.best, p.bestCost, p.startsIn = shares, worst, 0
+	for _, s := range shares {
+		m := &p.machines[s.machine]
+		p.startsIn = max(p.startsIn, m.Delay+fetch(m, p.job))
+	}
+}
+
 // waitsForReport tells whether the best place is one machine of several that are held
 // free for whole jobs. The first that reports takes the job (Fill); to choose one
 // beforehand would be to wait for its report alone.
@@ -250,47 +274,63 @@
 	var bestSet, bestRoom []int
 	var bestLost micros.Micros
 	for _, set := range choices(machines, j, func(*Machine) bool { return true }) {
-		part := make([]Machine, len(set))
-		for i, k := range set {
-			part[i] = machines[k]
-			part[i].Victims = slices.Clone(machines[k].Victims)
-		}
-		trial := *j
-		trial.PerZone = maps.Clone(j.PerZone)
-		if trial.PerZone == nil {
-			trial.PerZone = map[string]int{}
-		}
-		s, room, left := preempt(part, &trial, team)
+		s, room, left := tryPreempt(machines, set, j, team)
 		if left > 0 {
 			continue
 		}
-		lost, counted := micros.Micros(0), map[string]bool{}
-		for _, x := range s {
-			if !x.Victim.Gang || !counted[x.Victim.Job] {
-				lost += x.Victim.Lost
-				counted[x.Victim.Job] = true
-			}
-		}
-		if bestRoom == nil || lost < bestLost {
+		if lost := lostBy(s); bestRoom == nil || lost < bestLost {
 			best, bestSet, bestRoom, bestLost = s, set, room, lost
 		}
 	}
+	stops = stopAll(machines, bestSet, best, j.ID)
+	slices.Sort(bestRoom)
+	for _, i := range slices.Compact(bestRoom) {
+		gatherings = append(gatherings, Gathering{Machine: bestSet[i], For: j.ID})
+		machines[bestSet[i]].GatheredFor = j
+	}
+	return stops, gatherings
+}
+
+// tryPreempt is preempt on copies of a set of the machines, to which its results refer.
+func tryPreempt(machines []Machine, set []int, j *Job, team *Team) (stops []Stop, room []int, want int) {
+	part := make([]Machine, len(set))
+	for i, k := range set {
+		part[i] = machines[k]
+		part[i].Victims = slices.Clone(machines[k].Victims)
+	}
+	trial := *j
+	trial.PerZone = maps.Clone(j.PerZone)
+	if trial.PerZone == nil {
+		trial.PerZone = map[string]int{}
+	}
+	return preempt(part, &trial, team)
+}
+
+// lostBy is the work that stops lose; a gang's is lost once.
+func lostBy(stops []Stop) micros.Micros {
+	lost, counted := micros.Micros(0), map[string]bool{}
+	for _, s := range stops {
+		if !s.Victim.Gang || !counted[s.Victim.Job] {
+			lost += s.Victim.Lost
+			counted[s.Victim.Job] = true
+		}
+	}
+	return lost
+}
+
+// stopAll carries out on machines the stops that were found on a set of them, with all
+// other tasks of the gangs among them.
+func stopAll(machines []Machine, set []int, found []Stop, by string) (stops []Stop) {
 	gangs := map[string]bool{}
-	for _, s := range best {
-		s.Machine = bestSet[s.Machine]
+	for _, s := range found {
+		s.Machine = set[s.Machine]
 		stops = append(stops, s)
 		m := &machines[s.Machine]
 		m.Soon = m.Soon.Plus(s.Victim.Need, 1)
 		m.Victims = slices.DeleteFunc(m.Victims, func(v Victim) bool { return v.Job == s.Victim.Job && v.Task == s.Victim.Task })
 		gangs[s.Victim.Job] = s.Victim.Gang
 	}
-	stops = append(stops, stopWith(machines, gangs, j.ID)...)
-	slices.Sort(bestRoom)
-	for _, i := range slices.Compact(bestRoom) {
-		gatherings = append(gatherings, Gathering{Machine: bestSet[i], For: j.ID})
-		machines[bestSet[i]].GatheredFor = j
-	}
-	return stops, gatherings
+	return append(stops, stopWith(machines, gangs, by)...)
 }
 
 // stopWith stops the other tasks of gangs of which one is stopped, wherever they are.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -485,92 +485,118 @@
 // preempt also tells on which machines there is room, or will be, and how many tasks
 // found none.
 func preempt(machines []Machine, j *Job, team *Team) (stops []Stop, room []int, want int) {
-	want = team.Room(j.Need, j.Waiting)
-	for k := range machines {
-		// What is being freed already will serve the first in the queue.
-		m := &machines[k]
-		if want > 0 && admits(m, j) {
-			n := m.Free.Plus(m.Soon, 1).Times(j.Need, min(want, zoneRoom(j, m.Zone)))
-			m.Soon = m.Soon.Plus(j.Need, -int64(n))
-			want -= n
-			if n > 0 && j.Whole {
-				j.PerZone[m.Zone] += n
-				room = append(room, k)
-			}
-		}
-	}
-	// Each machine is looked at once, and again only after something on it is
-	// to be stopped.
-	type candidate struct {
-		machine int
-		take    []int
-		lost    micros.Micros
+	p := preemption{machines: machines, job: j, want: team.Room(j.Need, j.Waiting)}
+	// What is being freed already will serve the first in the queue.
+	p.useRoom()
+	if p.want > 0 {
+		p.findCandidates()
 	}
-	var heap []candidate
-	less := func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.machine, b.machine))
+	for p.want > 0 && len(p.candidates) > 0 {
+		p.stopFirst()
 	}
-	look := func(k int) (candidate, bool) {
-		m := &machines[k]
-		if !admits(m, j) || zoneRoom(j, m.Zone) == 0 {
-			return candidate{}, false
+	return p.stops, p.room, p.want
+}
+
+// preemption is the state of a search for what to stop for one job.
+type preemption struct {
+	machines   []Machine
+	job        *Job
+	want       int // tasks that have no room yet
+	stops      []Stop
+	room       []int              // machines with room for tasks of a whole job
+	candidates []preemptCandidate // the least loss first
+}
+
+// preemptCandidate is a machine with what must stop there for one task, and what that loses.
+type preemptCandidate struct {
+	machine int
+	take    []int
+	lost    micros.Micros
+}
+
+func compareCandidates(a, b preemptCandidate) int {
+	return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.machine, b.machine))
+}
+
+// useRoom takes the room that is there or is being freed.
+func (p *preemption) useRoom() {
+	for k := range p.machines {
+		m := &p.machines[k]
+		if p.want == 0 || !admits(m, p.job) {
+			continue
 		}
-		take, lost := victims(m, j)
-		// The image must be fetched there as well before the task starts.
-		return candidate{k, take, lost + fetch(m, j)}, take != nil
-	}
-	fill := func() {
-		heap = heap[:0]
-		for k := range machines {
-			if c, ok := look(k); ok {
-				heap = append(heap, c)
-			}
+		n := m.Free.Plus(m.Soon, 1).Times(p.job.Need, min(p.want, zoneRoom(p.job, m.Zone)))
+		if n > 0 {
+			p.place(k, n)
 		}
-		slices.SortFunc(heap, less)
 	}
-	if want > 0 {
-		fill()
+}
+
+// place counts n tasks as having room on machine k.
+func (p *preemption) place(k, n int) {
+	m := &p.machines[k]
+	m.Soon = m.Soon.Plus(p.job.Need, -int64(n))
+	p.want -= n
+	if p.job.Whole {
+		p.job.PerZone[m.Zone] += n
+		p.room = append(p.room, k)
 	}
-	for want > 0 && len(heap) > 0 {
-		c := heap[0]
-		heap = heap[1:]
-		m := &machines[c.machine]
-		gangs := map[string]bool{}
-		for _, v := range slices.Backward(c.take) {
-			gangs[m.Victims[v].Job] = m.Victims[v].Gang
-			stops = append(stops, Stop{Machine: c.machine, Victim: m.Victims[v], For: j.ID})
-			m.Soon = m.Soon.Plus(m.Victims[v].Need, 1)
-			m.Victims = slices.Delete(m.Victims, v, v+1)
-		}
-		m.Soon = m.Soon.Plus(j.Need, -1)
-		want--
-		if j.Whole {
-			j.PerZone[m.Zone]++
-			room = append(room, c.machine)
-		}
-		if freed := stopWith(machines, gangs, j.ID); len(freed) > 0 {
-			// Their room serves as well, before anything more is stopped.
-			stops = append(stops, freed...)
-			for k := range machines {
-				m := &machines[k]
-				if n := m.Free.Plus(m.Soon, 1).Times(j.Need, min(want, zoneRoom(j, m.Zone))); n > 0 && admits(m, j) {
-					m.Soon = m.Soon.Plus(j.Need, -int64(n))
-					want -= n
-					if j.Whole {
-						j.PerZone[m.Zone] += n
-						room = append(room, k)
-					}
-				}
-			}
-			fill()
-			continue
-		}
-		if c, ok := look(c.machine); ok {
-			at, _ := slices.BinarySearchFunc(heap, c, less)
-			heap = slices.Insert(heap, at, c)
+}
+
+// findCandidates looks at each machine once. It is looked at again only after something
+// on it is to be stopped.
+func (p *preemption) findCandidates() {
+	p.candidates = p.candidates[:0]
+	for k := range p.machines {
+		if c, ok := p.candidate(k); ok {
+			p.candidates = append(p.candidates, c)
 		}
 	}
-	return stops, room, want
+	slices.SortFunc(p.candidates, compareCandidates)
+}
+
+// candidate tells what must stop on machine k for one task, if that is possible.
+func (p *preemption) candidate(k int) (preemptCandidate, bool) {
+	m := &p.machines[k]
+	if !admits(m, p.job) || zoneRoom(p.job, m.Zone) == 0 {
+		return preemptCandidate{}, false
+	}
+	take, lost := victims(m, p.job)
+	// The image must be fetched there as well before the task starts.
+	return preemptCandidate{k, take, lost + fetch(m, p.job)}, take != nil
+}
+
+// stopFirst stops what the first candidate names.
+func (p *preemption) stopFirst() {
+	c := p.candidates[0]
+	p.candidates = p.candidates[1:]
+	gangs := p.stopVictims(c)
+	p.place(c.machine, 1)
+	if freed := stopWith(p.machines, gangs, p.job.ID); len(freed) > 0 {
+		// Their room serves as well, before anything more is stopped.
+		p.stops = append(p.stops, freed...)
+		p.useRoom()
+		p.findCandidates()
+		return
+	}
+	if c, ok := p.candidate(c.machine); ok {
+		at, _ := slices.BinarySearchFunc(p.candidates, c, compareCandidates)
+		p.candidates = slices.Insert(p.candidates, at, c)
+	}
+}
+
+// stopVictims stops a candidate's victims, and tells of their jobs which are gangs.
+func (p *preemption) stopVictims(c preemptCandidate) map[string]bool {
+	m := &p.machines[c.machine]
+	gangs := map[string]bool{}
+	for _, v := range slices.Backward(c.take) {
+		victim := m.Victims[v]
+		gangs[victim.Job] = victim.Gang
+		p.stops = append(p.stops, Stop{Machine: c.machine, Victim: victim, For: p.job.ID})
+		m.Soon = m.Soon.Plus(victim.Need, 1)
+		m.Victims = slices.Delete(m.Victims, v, v+1)
+	}
+	return gangs
 }
 
 // victims picks, in order of their indexes, the tasks to stop on m for one
