--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -236,30 +236,10 @@
 		return l.buildBooking(w, id)
 	}
 	if id, ok := strings.CutPrefix(key, replica.JobPrefix); ok {
-		final, ok := l.finals[id]
-		// The version and the state go together: were the version read later,
-		// a cancellation that came in between would be overwritten.
-		known, stamp, _ := l.Replica.Job(id)
-		if known.Final() {
-			return w, false
-		}
-		w.value, w.stamp = final, stamp
-		w.stored = func() { l.finalStored(id) }
-		return w, ok
+		return l.buildFinal(w, id)
 	}
 	if strings.HasPrefix(key, replica.ProgressPrefix) {
-		id, chunk, err := parseProgressKey(key)
-		j := l.jobs[id]
-		if err != nil || j == nil {
-			return w, l.Replica.Stamp(key) != 0 // the job is over
-		}
-		if _, finishing := l.finals[id]; finishing {
-			return w, false // the final state says it all
-		}
-		w.value = j.progress(chunk)
-		snapshot := slices.Clone(j.done.part(chunk))
-		w.stored = func() { copy(j.stored.part(chunk), snapshot) }
-		return w, true
+		return l.buildProgress(w)
 	}
 	if key == replica.StaffingKey {
 		w.value = l.staffingRecord()
@@ -268,6 +248,36 @@
 	return w, false
 }
 
+// buildFinal makes the record of a job that has ended.
+func (l *Leader) buildFinal(w write, id string) (write, bool) {
+	final, ok := l.finals[id]
+	// The version and the state go together: were the version read later,
+	// a cancellation that came in between would be overwritten.
+	known, stamp, _ := l.Replica.Job(id)
+	if known.Final() {
+		return w, false
+	}
+	w.value, w.stamp = final, stamp
+	w.stored = func() { l.finalStored(id) }
+	return w, ok
+}
+
+// buildProgress makes the record of which tasks of a job are done.
+func (l *Leader) buildProgress(w write) (write, bool) {
+	id, chunk, err := parseProgressKey(w.key)
+	j := l.jobs[id]
+	if err != nil || j == nil {
+		return w, l.Replica.Stamp(w.key) != 0 // the job is over
+	}
+	if _, finishing := l.finals[id]; finishing {
+		return w, false // the final state says it all
+	}
+	w.value = j.progress(chunk)
+	snapshot := slices.Clone(j.done.part(chunk))
+	w.stored = func() { copy(j.stored.part(chunk), snapshot) }
+	return w, true
+}
+
 // finishIfDone has a job's end stored once all its tasks are done.
 func (l *Leader) finishIfDone(j *job) {
 	if j.over || j.ndone < j.spec.Tasks {
@@ -284,8 +294,15 @@
 
 func (l *Leader) finalStored(id string) {
 	if j := l.jobs[id]; j != nil {
-		slog.Debug("job done", "job", id, "class", j.spec.Class, "tasks", j.spec.Tasks, "estimate_s", j.spec.EstimateS,
-			"took", (micros.Wall() - j.submitted).Duration(), "first_start", (j.firstStart - j.submitted).Duration(), "last_start", (j.lastStart - j.submitted).Duration(), "longest_run", j.longest.Duration())
+		slog.Debug("job done",
+			"job", id,
+			"class", j.spec.Class,
+			"tasks", j.spec.Tasks,
+			"estimate_s", j.spec.EstimateS,
+			"took", (micros.Wall() - j.submitted).Duration(),
+			"first_start", (j.firstStart - j.submitted).Duration(),
+			"last_start", (j.lastStart - j.submitted).Duration(),
+			"longest_run", j.longest.Duration())
 		l.forget(j, wire.JobDone)
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -193,7 +193,16 @@
 		return
 	}
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){l.flushLoop, l.tickLoop, l.rentLoop, l.returnLoop, l.listLoop, l.catalogLoop, l.askLoop} {
+	loops := []func(context.Context){
+		l.flushLoop,
+		l.tickLoop,
+		l.rentLoop,
+		l.returnLoop,
+		l.listLoop,
+		l.catalogLoop,
+		l.askLoop,
+	}
+	for _, f := range loops {
 		wg.Go(func() { f(ctx) })
 	}
 	select {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -58,19 +58,29 @@
 	}
 	l.preemptForGangs(now)
 	l.gatherRoom(now)
+	q.spare = hasSpareRoom(machines, ms, q.waiting)
+	if now-l.preempted >= preemptEvery {
+		l.preempt(now)
+	}
+}
+
+// hasSpareRoom tells whether the machines that are wanted have room enough for what waits.
+func hasSpareRoom(machines []placement.Machine, ms []*machine, waiting []*placement.Job) bool {
 	room, need := int64(0), int64(0)
 	for i, m := range ms {
 		if !m.surplus {
 			room += machines[i].Free.CPU
 		}
 	}
-	for _, w := range q.waiting {
+	for _, w := range waiting {
 		need += int64(w.Waiting) * w.Need.CPU
 	}
-	q.spare = room >= spareTimes*need
-	if now-l.preempted < preemptEvery {
-		return
-	}
+	return room >= spareTimes*need
+}
+
+// preempt stops running tasks for what presses and found no room.
+func (l *Leader) preempt(now micros.Micros) {
+	q := &l.queue
 	pressing := 0
 	for _, w := range q.waiting {
 		if w.Pressing || w.Claims {
@@ -84,26 +94,32 @@
 	if pressing == 0 || float64(pressing) <= soon {
 		return
 	}
-	machines, ms = l.withVictims(now)
+	machines, ms := l.withVictims(now)
 	stops, gatherings := placement.Preempt(machines, q.waiting, q.teams, preemptJobs)
 	for _, g := range gatherings {
 		l.gatherFor(g.For, ms[g.Machine], now)
 	}
 	for _, s := range stops {
 		if a := ms[s.Machine].tasks[taskName(s.Victim.Job, s.Victim.Task)]; a != nil {
-			if a.job.isGang() {
-				l.stopGang(a.job, saveGrace(a.job), "stopped to make room for "+s.For, now)
-				continue
-			}
-			grace := micros.FromSeconds(a.job.spec.SaveS)
-			if a.running == 0 || now-a.running < grace {
-				grace = 0 // saving takes longer than doing it again
-			}
-			l.stop(a, grace, "stopped to make room for "+s.For)
+			l.stopVictim(a, s.For, now)
 		}
 	}
 }
 
+// stopVictim stops a task, or the gang that it is of, to make room for a job.
+func (l *Leader) stopVictim(a *attempt, by string, now micros.Micros) {
+	why := "stopped to make room for " + by
+	if a.job.isGang() {
+		l.stopGang(a.job, saveGrace(a.job), why, now)
+		return
+	}
+	grace := micros.FromSeconds(a.job.spec.SaveS)
+	if a.running == 0 || now-a.running < grace {
+		grace = 0 // saving takes longer than doing it again
+	}
+	l.stop(a, grace, why)
+}
+
 // endRate is how many tasks end in a second, lately.
 func (l *Leader) endRate(now micros.Micros) float64 {
 	if since := (now - l.endsAt).Seconds(); since >= 1 {
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -351,31 +351,7 @@
 // exited takes over a task that has ended on its machine.
 func (l *Leader) exited(m *machine, j *job, task int, a *attempt, t *wire.ReportTask, now micros.Micros) {
 	if t.Cause == wire.CauseDone && j.spec.Shape != wire.ShapeService {
-		if !j.done.has(task) && !j.over {
-			j.done.set(task)
-			j.ndone++
-			l.succeeded(m, j, a, now)
-			if a != nil {
-				l.finishedTask(j, m, a, now)
-			}
-			l.dirty[progressKey(j.spec.ID, task/chunkTasks)] = true
-			l.ends++
-			l.gangDone(j)
-		} else if a != nil && j.isGang() && !j.over {
-			l.finishedTask(j, m, a, now)
-		}
-		if a != nil {
-			l.ended(a, "")
-		}
-		if other := j.on[task]; other != nil {
-			l.stop(other, 0, "done elsewhere")
-		}
-		l.finishIfDone(j)
-		// The worker keeps the result until it is surely stored.
-		if j.over || j.stored.has(task) {
-			m.clears = append(m.clears, clearCommand(t))
-		}
-		l.wakeFlush()
+		l.exitedDone(m, j, task, a, t, now)
 		return
 	}
 	if !wire.KnownCause(t.Cause) {
@@ -407,6 +383,35 @@
 	l.ended(a, "ended: "+t.Cause)
 }
 
+// exitedDone takes over a task that is done.
+func (l *Leader) exitedDone(m *machine, j *job, task int, a *attempt, t *wire.ReportTask, now micros.Micros) {
+	if !j.done.has(task) && !j.over {
+		j.done.set(task)
+		j.ndone++
+		l.succeeded(m, j, a, now)
+		if a != nil {
+			l.finishedTask(j, m, a, now)
+		}
+		l.dirty[progressKey(j.spec.ID, task/chunkTasks)] = true
+		l.ends++
+		l.gangDone(j)
+	} else if a != nil && j.isGang() && !j.over {
+		l.finishedTask(j, m, a, now)
+	}
+	if a != nil {
+		l.ended(a, "")
+	}
+	if other := j.on[task]; other != nil {
+		l.stop(other, 0, "done elsewhere")
+	}
+	l.finishIfDone(j)
+	// The worker keeps the result until it is surely stored.
+	if j.over || j.stored.has(task) {
+		m.clears = append(m.clears, clearCommand(t))
+	}
+	l.wakeFlush()
+}
+
 func clearCommand(t *wire.ReportTask) wire.Command {
 	return wire.Command{Verb: wire.VerbClear, Task: t.Task, Attempt: t.Attempt}
 }
