--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -47,69 +47,109 @@
 	Workers  *http.Client
 }
 
-// Leader acts for one term.
+// Leader acts for one term. Its mu guards all that changes after New, except
+// catalogRefused, which only those who refresh the catalog use, one after the other.
 type Leader struct {
 	Config
+
+	// The term and its times, as of New.
 	began     micros.Micros
 	beganWall micros.Micros // time of day
-	// Workers' usual time between reports, and their lease.
-	report, lease micros.Micros
-
-	mu                 sync.Mutex
-	ready              bool // the snapshot has been rebuilt
-	raised             bool // the means have been raised to it
-	superseded         bool // a higher token is known
-	jobs               map[string]*job
-	orphans            map[string]*job // cancelled before this term, with tasks still on machines
+	report    micros.Micros // workers' usual time between reports
+	lease     micros.Micros // of workers
+
+	mu sync.Mutex
+
+	// How far the take-over is, and whether the term is over.
+	ready      bool          // the snapshot has been rebuilt
+	raised     bool          // the means have been raised to it
+	superseded bool          // a higher token is known
+	lost       chan struct{} // closed when a write proved that the term is over
+	lostOnce   sync.Once
+
+	jobState
+	fleetState
+	catalogState
+	planState
+	gangState
+	flushState
+	workerCalls
+
+	// What is shown to users and written to the log.
+	counts    map[string][2]int // see AllCounts
+	countsAt  micros.Micros
+	lastStops []StopNote
+	tallies   tallies
+}
+
+// jobState is what is known of jobs and their tasks.
+type jobState struct {
+	jobs      map[string]*job
+	orphans   map[string]*job                // cancelled before this term, with tasks still on machines
+	used      map[string]placement.Resources // by what is on machines, a team
+	hidden    placement.Resources            // what machines with unknown tasks may hold, as of the last plan
+	images    map[string]int                 // the numbers that stand for images
+	teams     map[string]settings.Team
+	attempts  uint64
+	estimates map[string]*staffing.Estimate // by class
+}
+
+// fleetState is what is known of machines and rentals.
+type fleetState struct {
 	machines           map[string]*machine
-	order              []*machine                     // by name
-	used               map[string]placement.Resources // by what is on machines, a team
-	hidden             placement.Resources            // what machines with unknown tasks may hold, as of the last plan
-	images             map[string]int                 // the numbers that stand for images
+	order              []*machine // by name
 	bookings           map[string]*booking
+	bookingSeq         uint64
 	runningLists       []*runningList
 	unbooked           map[string]micros.Micros // listed machines that no booking explains, since when
 	gone               map[string]bool          // machines that the cloud took back from us
 	toReturn           []string                 // machines to be returned
-	types              map[string]*machineType
-	typeOrder          []string
-	catalog            int // raised with each new one
-	teams              map[string]settings.Team
-	dirty              map[string]bool // keys to be written; false: see markLazily
-	finals             map[string]replica.Job
-	counts             map[string][2]int // see AllCounts
-	countsAt           micros.Micros
-	attempts           uint64
-	bookingSeq         uint64
-	replan             bool
-	planTook           micros.Micros
-	plannedAt          micros.Micros
+	offers             map[offer]*offerState
 	unresolvedMachines int // machines whose tasks are not known, as of the last look
-	preempted          micros.Micros
-	preemptedForGangs  micros.Micros
 	lateBoots          boots
-	ends               int // tasks that were done since endsAt
-	endsAt             micros.Micros
-	endsRate           float64
-	answering          *machine              // whose report is being answered
-	queue              queue                 // what waits, as of the last plan
-	gatherings         map[string]*gathering // room being gathered for gangs, by job
-	reserves           map[reserveKind]*gangReserve
-	offers             map[offer]*offerState
-	estimates          map[string]*staffing.Estimate // by class
-	lastStops          []StopNote
-	tallies            tallies
-	// How the machines of a zone took to being asked for their tasks.
-	zoneAnswers map[string]answers
-	calls       chan struct{}   // calls to workers in progress
-	cutOff      map[string]bool // zones in which most machines are silent
-	flushNow    chan struct{}
-	flushOps    int            // most changes in a transaction
-	tooLarge    map[string]int // sizes of values that the state service refused, by key
-	// A catalog that was refused is not sent again.
+	cutOff             map[string]bool // zones in which most machines are silent
+}
+
+// catalogState is the catalog, with the staffing of its types.
+type catalogState struct {
+	types     map[string]*machineType
+	typeOrder []string
+	catalog   int // raised with each new one
+	// A catalog that was refused is not sent again. Not guarded by mu.
 	catalogRefused *wire.Catalog
-	lost           chan struct{} // closed when a write proved that the term is over
-	lostOnce       sync.Once
+}
+
+// planState is what waits, and when it was planned.
+type planState struct {
+	queue     queue // as of the last plan
+	replan    bool  // something changed since then
+	planTook  micros.Micros
+	plannedAt micros.Micros
+	preempted micros.Micros
+	taskEnds  endRate
+	answering *machine // whose report is being answered
+}
+
+// gangState is what is held and done for gangs beside plans.
+type gangState struct {
+	gatherings        map[string]*gathering // room being gathered for gangs, by job
+	reserves          map[reserveKind]*gangReserve
+	preemptedForGangs micros.Micros
+}
+
+// flushState is what is to be written to the state service.
+type flushState struct {
+	dirty    map[string]bool // keys to be written; false: see markLazily
+	finals   map[string]replica.Job
+	flushNow chan struct{}
+	flushOps int            // most changes in a transaction
+	tooLarge map[string]int // sizes of values that the state service refused, by key
+}
+
+// workerCalls is what is known of this node's own calls to workers.
+type workerCalls struct {
+	calls       chan struct{}      // in progress
+	zoneAnswers map[string]answers // how the machines of a zone took to being asked for their tasks
 }
 
 // machineType is a type of the catalog with its staffing.
@@ -131,36 +171,49 @@
 
 // New makes a leader for a term.
 func New(c Config) *Leader {
+	workers := c.Settings.Params.Workers
 	l := &Leader{
-		Config:      c,
-		began:       micros.Now(),
-		beganWall:   micros.Wall(),
-		report:      c.Settings.Params.Workers.Report(),
-		lease:       c.Settings.Params.Workers.Lease(),
-		jobs:        map[string]*job{},
-		orphans:     map[string]*job{},
-		machines:    map[string]*machine{},
-		bookings:    map[string]*booking{},
-		unbooked:    map[string]micros.Micros{},
-		gone:        map[string]bool{},
-		types:       map[string]*machineType{},
-		teams:       map[string]settings.Team{},
-		used:        map[string]placement.Resources{},
-		images:      map[string]int{},
-		dirty:       map[string]bool{},
-		finals:      map[string]replica.Job{},
-		gatherings:  map[string]*gathering{},
-		reserves:    map[reserveKind]*gangReserve{},
-		offers:      map[offer]*offerState{},
-		estimates:   map[string]*staffing.Estimate{},
-		flushNow:    make(chan struct{}, 1),
-		flushOps:    c.Store.FlushOps(),
-		tooLarge:    map[string]int{},
-		lost:        make(chan struct{}),
-		tallies:     tallies{},
-		zoneAnswers: map[string]answers{},
-		cutOff:      map[string]bool{},
-		calls:       make(chan struct{}, max(8, c.Settings.Params.Limits.MaxSockets/callShare)),
+		Config:    c,
+		began:     micros.Now(),
+		beganWall: micros.Wall(),
+		report:    workers.Report(),
+		lease:     workers.Lease(),
+		lost:      make(chan struct{}),
+		tallies:   tallies{},
+		jobState: jobState{
+			jobs:      map[string]*job{},
+			orphans:   map[string]*job{},
+			used:      map[string]placement.Resources{},
+			images:    map[string]int{},
+			teams:     map[string]settings.Team{},
+			estimates: map[string]*staffing.Estimate{},
+		},
+		fleetState: fleetState{
+			machines: map[string]*machine{},
+			bookings: map[string]*booking{},
+			unbooked: map[string]micros.Micros{},
+			gone:     map[string]bool{},
+			offers:   map[offer]*offerState{},
+			cutOff:   map[string]bool{},
+		},
+		catalogState: catalogState{
+			types: map[string]*machineType{},
+		},
+		gangState: gangState{
+			gatherings: map[string]*gathering{},
+			reserves:   map[reserveKind]*gangReserve{},
+		},
+		flushState: flushState{
+			dirty:    map[string]bool{},
+			finals:   map[string]replica.Job{},
+			flushNow: make(chan struct{}, 1),
+			flushOps: c.Store.FlushOps(),
+			tooLarge: map[string]int{},
+		},
+		workerCalls: workerCalls{
+			calls:       make(chan struct{}, max(8, c.Settings.Params.Limits.MaxSockets/callShare)),
+			zoneAnswers: map[string]answers{},
+		},
 	}
 	for _, t := range c.Settings.Params.Teams {
 		l.teams[t.Name] = t
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -89,7 +89,7 @@
 	}
 	// Where so many tasks end by themselves that their room serves what presses
 	// within moments, stopping others would only waste their saving and fetching.
-	soon := l.endRate(now) * preemptEvery.Seconds()
+	soon := l.taskEnds.perSecond(now) * preemptEvery.Seconds()
 	l.preempted = now
 	if pressing == 0 || float64(pressing) <= soon {
 		return
@@ -120,13 +120,20 @@
 	l.stop(a, grace, why)
 }
 
-// endRate is how many tasks end in a second, lately.
-func (l *Leader) endRate(now micros.Micros) float64 {
-	if since := (now - l.endsAt).Seconds(); since >= 1 {
-		l.endsRate = l.endsRate/2 + float64(l.ends)/since/2
-		l.ends, l.endsAt = 0, now
+// endRate measures how many tasks end in a second, lately.
+type endRate struct {
+	count int // tasks that were done since at
+	at    micros.Micros
+	rate  float64
+}
+
+// perSecond is the rate, which halves its weight with each measurement.
+func (r *endRate) perSecond(now micros.Micros) float64 {
+	if since := (now - r.at).Seconds(); since >= 1 {
+		r.rate = r.rate/2 + float64(r.count)/since/2
+		r.count, r.at = 0, now
 	}
-	return l.endsRate
+	return r.rate
 }
 
 // queue is what waits, in order, with what is not planned on any machine.
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -393,7 +393,7 @@
 			l.finishedTask(j, m, a, now)
 		}
 		l.dirty[progressKey(j.spec.ID, task/chunkTasks)] = true
-		l.ends++
+		l.taskEnds.count++
 		l.gangDone(j)
 	} else if a != nil && j.isGang() && !j.over {
 		l.finishedTask(j, m, a, now)
