--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -62,36 +62,11 @@
 	if len(ws) == 0 {
 		return false
 	}
-	// Each write is conditioned on its key's version as well as on the
-	// leadership: a transaction that got no answer may be applied late, and
-	// must not undo a newer one.
-	t := wire.Txn{If: []wire.Condition{{Key: replica.LeaderKey, Stamp: l.Stamp}}}
-	for _, w := range ws {
-		t.If = append(t.If, wire.Condition{Key: w.key, Stamp: w.stamp})
-		op := wire.Op{Write: w.key, Value: w.value}
-		if w.value == nil {
-			op = wire.Op{Remove: w.key}
-		}
-		t.Then = append(t.Then, op)
-	}
-	rev, err := l.Store.CommitPaced(ctx, t)
+	rev, err := l.Store.CommitPaced(ctx, l.transaction(ws))
 	var conflict *statestore.Conflict
 	switch {
 	case err == nil:
-		for _, w := range ws {
-			if w.value == nil {
-				l.Replica.Removed(w.key, rev)
-			} else {
-				l.Replica.Wrote(w.key, w.value, rev)
-			}
-		}
-		l.mu.Lock()
-		for _, w := range ws {
-			if w.stored != nil {
-				w.stored()
-			}
-		}
-		l.mu.Unlock()
+		l.flushed(ws, rev)
 		return more
 	case errors.As(err, &conflict) && slices.Contains(conflict.Keys, replica.LeaderKey):
 		slog.Info("a newer term has begun")
@@ -102,10 +77,48 @@
 		defer l.mu.Unlock()
 		l.flushRefused(ws, err)
 		return true
-	default:
-		slog.Debug("flush", "error", err)
 	}
-	// Either a version is not as thought, or nobody knows: look, and try again.
+	slog.Debug("flush", "error", err)
+	l.flushAgain(ctx, ws)
+	return false
+}
+
+// transaction conditions each write on its key's version as well as on the leadership:
+// a transaction that got no answer may be applied late, and must not undo a newer one.
+func (l *Leader) transaction(ws []write) wire.Txn {
+	t := wire.Txn{If: []wire.Condition{{Key: replica.LeaderKey, Stamp: l.Stamp}}}
+	for _, w := range ws {
+		t.If = append(t.If, wire.Condition{Key: w.key, Stamp: w.stamp})
+		op := wire.Op{Write: w.key, Value: w.value}
+		if w.value == nil {
+			op = wire.Op{Remove: w.key}
+		}
+		t.Then = append(t.Then, op)
+	}
+	return t
+}
+
+// flushed takes over writes that were stored with revision rev.
+func (l *Leader) flushed(ws []write, rev uint64) {
+	for _, w := range ws {
+		if w.value == nil {
+			l.Replica.Removed(w.key, rev)
+		} else {
+			l.Replica.Wrote(w.key, w.value, rev)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range ws {
+		if w.stored != nil {
+			w.stored()
+		}
+	}
+}
+
+// flushAgain has writes repeated whose outcome is not known, or of which a version is not
+// as thought, once the replica has seen what is stored.
+func (l *Leader) flushAgain(ctx context.Context, ws []write) {
 	l.mu.Lock()
 	for _, w := range ws {
 		l.dirty[w.key] = true
@@ -115,7 +128,6 @@
 		slog.Debug("flush", "error", err)
 	}
 	l.wakeFlush()
-	return false
 }
 
 // flushRefused makes a transaction smaller that the state service refuses as it is.
@@ -218,36 +230,16 @@
 func (l *Leader) build(key string) (write, bool) {
 	w := write{key: key, stamp: l.Replica.Stamp(key)}
 	if strings.HasPrefix(key, replica.UpPrefix) {
-		return l.buildUp(w)
+		return l.buildRunningList(w)
 	}
 	if id, ok := strings.CutPrefix(key, replica.BookingPrefix); ok {
 		return l.buildBooking(w, id)
 	}
 	if id, ok := strings.CutPrefix(key, replica.JobPrefix); ok {
-		final, ok := l.finals[id]
-		// The version and the state go together: were the version read later,
-		// a cancellation that came in between would be overwritten.
-		known, stamp, _ := l.Replica.Job(id)
-		if known.Final() {
-			return w, false
-		}
-		w.value, w.stamp = final, stamp
-		w.stored = func() { l.finalStored(id) }
-		return w, ok
+		return l.buildFinal(w, id)
 	}
 	if strings.HasPrefix(key, replica.ProgressPrefix) {
-		id, chunk, err := parseProgressKey(key)
-		j := l.jobs[id]
-		if err != nil || j == nil {
-			return w, l.Replica.Stamp(key) != 0 // the job is over
-		}
-		if _, finishing := l.finals[id]; finishing {
-			return w, false // the final state says it all
-		}
-		w.value = j.progress(chunk)
-		snapshot := slices.Clone(j.done.part(chunk))
-		w.stored = func() { copy(j.stored.part(chunk), snapshot) }
-		return w, true
+		return l.buildProgress(w)
 	}
 	if key == replica.StaffingKey {
 		w.value = l.staffingRecord()
@@ -256,6 +248,36 @@
 	return w, false
 }
 
+// buildFinal makes the record of a job that has ended.
+func (l *Leader) buildFinal(w write, id string) (write, bool) {
+	final, ok := l.finals[id]
+	// The version and the state go together: were the version read later,
+	// a cancellation that came in between would be overwritten.
+	known, stamp, _ := l.Replica.Job(id)
+	if known.Final() {
+		return w, false
+	}
+	w.value, w.stamp = final, stamp
+	w.stored = func() { l.finalStored(id) }
+	return w, ok
+}
+
+// buildProgress makes the record of which tasks of a job are done.
+func (l *Leader) buildProgress(w write) (write, bool) {
+	id, chunk, err := parseProgressKey(w.key)
+	j := l.jobs[id]
+	if err != nil || j == nil {
+		return w, l.Replica.Stamp(w.key) != 0 // the job is over
+	}
+	if _, finishing := l.finals[id]; finishing {
+		return w, false // the final state says it all
+	}
+	w.value = j.progress(chunk)
+	snapshot := slices.Clone(j.done.part(chunk))
+	w.stored = func() { copy(j.stored.part(chunk), snapshot) }
+	return w, true
+}
+
 // finishIfDone has a job's end stored once all its tasks are done.
 func (l *Leader) finishIfDone(j *job) {
 	if j.over || j.ndone < j.spec.Tasks {
@@ -272,8 +294,15 @@
 
 func (l *Leader) finalStored(id string) {
 	if j := l.jobs[id]; j != nil {
-		slog.Debug("job done", "job", id, "class", j.spec.Class, "tasks", j.spec.Tasks, "estimate_s", j.spec.EstimateS,
-			"took", (micros.Wall() - j.submitted).Duration(), "first_start", (j.firstStart - j.submitted).Duration(), "last_start", (j.lastStart - j.submitted).Duration(), "longest_run", j.longest.Duration())
+		slog.Debug("job done",
+			"job", id,
+			"class", j.spec.Class,
+			"tasks", j.spec.Tasks,
+			"estimate_s", j.spec.EstimateS,
+			"took", (micros.Wall() - j.submitted).Duration(),
+			"first_start", (j.firstStart - j.submitted).Duration(),
+			"last_start", (j.lastStart - j.submitted).Duration(),
+			"longest_run", j.longest.Duration())
 		l.forget(j, wire.JobDone)
 	}
 }
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -58,19 +58,29 @@
 	}
 	l.preemptForGangs(now)
 	l.gatherRoom(now)
+	q.spare = hasSpareRoom(machines, ms, q.waiting)
+	if now-l.preempted >= preemptEvery {
+		l.preempt(now)
+	}
+}
+
+// hasSpareRoom tells whether the machines that are wanted have room enough for what waits.
+func hasSpareRoom(machines []placement.Machine, ms []*machine, waiting []*placement.Job) bool {
 	room, need := int64(0), int64(0)
 	for i, m := range ms {
 		if !m.surplus {
 			room += machines[i].Free.CPU
 		}
 	}
-	for _, w := range q.waiting {
+	for _, w := range waiting {
 		need += int64(w.Waiting) * w.Need.CPU
 	}
-	q.spare = room >= spareTimes*need
-	if now-l.preempted < preemptEvery {
-		return
-	}
+	return room >= spareTimes*need
+}
+
+// preempt stops running tasks for what presses and found no room.
+func (l *Leader) preempt(now micros.Micros) {
+	q := &l.queue
 	pressing := 0
 	for _, w := range q.waiting {
 		if w.Pressing || w.Claims {
@@ -79,38 +89,51 @@
 	}
 	// Where so many tasks end by themselves that their room serves what presses
 	// within moments, stopping others would only waste their saving and fetching.
-	soon := l.endRate(now) * preemptEvery.Seconds()
+	soon := l.taskEnds.perSecond(now) * preemptEvery.Seconds()
 	l.preempted = now
 	if pressing == 0 || float64(pressing) <= soon {
 		return
 	}
-	machines, ms = l.withVictims(now)
-	stops, keeps := placement.Preempt(machines, q.waiting, q.teams, preemptJobs)
-	for _, k := range keeps {
-		l.keepFor(k.For, ms[k.Machine], now)
+	machines, ms := l.withVictims(now)
+	stops, gatherings := placement.Preempt(machines, q.waiting, q.teams, preemptJobs)
+	for _, g := range gatherings {
+		l.gatherFor(g.For, ms[g.Machine], now)
 	}
 	for _, s := range stops {
 		if a := ms[s.Machine].tasks[taskName(s.Victim.Job, s.Victim.Task)]; a != nil {
-			if a.job.isGang() {
-				l.stopGang(a.job, saveGrace(a.job), "stopped to make room for "+s.For, now)
-				continue
-			}
-			grace := micros.FromSeconds(a.job.spec.SaveS)
-			if a.running == 0 || now-a.running < grace {
-				grace = 0 // saving takes longer than doing it again
-			}
-			l.stop(a, grace, "stopped to make room for "+s.For)
+			l.stopVictim(a, s.For, now)
 		}
 	}
 }
 
-// endRate is how many tasks end in a second, lately.
-func (l *Leader) endRate(now micros.Micros) float64 {
-	if since := (now - l.endsAt).Seconds(); since >= 1 {
-		l.endsRate = l.endsRate/2 + float64(l.ends)/since/2
-		l.ends, l.endsAt = 0, now
+// stopVictim stops a task, or the gang that it is of, to make room for a job.
+func (l *Leader) stopVictim(a *attempt, by string, now micros.Micros) {
+	why := "stopped to make room for " + by
+	if a.job.isGang() {
+		l.stopGang(a.job, saveGrace(a.job), why, now)
+		return
 	}
-	return l.endsRate
+	grace := micros.FromSeconds(a.job.spec.SaveS)
+	if a.running == 0 || now-a.running < grace {
+		grace = 0 // saving takes longer than doing it again
+	}
+	l.stop(a, grace, why)
+}
+
+// endRate measures how many tasks end in a second, lately.
+type endRate struct {
+	count int // tasks that were done since at
+	at    micros.Micros
+	rate  float64
+}
+
+// perSecond is the rate, which halves its weight with each measurement.
+func (r *endRate) perSecond(now micros.Micros) float64 {
+	if since := (now - r.at).Seconds(); since >= 1 {
+		r.rate = r.rate/2 + float64(r.count)/since/2
+		r.count, r.at = 0, now
+	}
+	return r.rate
 }
 
 // queue is what waits, in order, with what is not planned on any machine.
@@ -178,84 +201,124 @@
 )
 
 // counted is how long a task must run before its start is worth anything. The part of a
-// guests' job that starts first is left alone for so long: what begins loses least when it
+// best-effort job that starts first is left alone for so long: what begins loses least when it
 // is stopped, so a job let in after two minutes was stopped again within seconds, and had
 // not begun for six.
 const counted = 35 * micros.Second
 
+// queueEntry is a job of the queue, as placement sees it and as it is.
+type queueEntry struct {
+	waiting *placement.Job
+	job     *job
+}
+
 // newQueue lists the jobs that may start tasks now. A job that an earlier term
 // may have started waits until no machine's tasks are unknown.
 func (l *Leader) newQueue(now micros.Micros) queue {
-	var q queue
-	var unresolved int
-	q.teams, unresolved = l.teamUse()
+	teams, unresolved := l.teamUse()
 	covered := l.covered()
 	wall := micros.Wall()
-	type entry struct {
-		waiting *placement.Job
-		job     *job
-	}
-	var entries []entry
-	var waiting []*placement.Job
+	var entries []queueEntry
 	for _, j := range l.jobs {
 		l.pardon(j, now)
 		n := j.ready(now)
 		if n <= 0 || j.old && unresolved > 0 {
 			continue
 		}
-		s := j.spec
-		w := &placement.Job{
-			ID: s.ID, Team: s.Team, Image: j.image, Priority: j.priority, Covered: covered[j],
-			Need: j.need, Waiting: n, Total: s.Tasks, Types: s.Types, Zone: s.Zone,
-			OneZone: s.OneZone, Spread: s.Spread, Whole: j.isGang(), Spot: s.Spot, ImageGB: s.ImageGB,
-		}
-		w.Due, w.Later, w.Late = l.dues(j, covered[j], wall)
-		w.Pressing = w.Due-wall < 4*l.report && !j.probing()
-		w.Claims = j.priority > 0 && !j.probing()
-		w.Patient = l.patient(j)
-		if j.isGang() && len(j.on) > 0 {
-			w.Due, w.Late, w.Pressing = wall, false, !j.probing() // the others of its tasks wait for these
-		}
-		if j.isGang() {
-			w.Failed = j.errors
-			w.Accept = max(acceptAtOnce, wall-j.submitted)
-		}
-		w.Work = float64(n) * s.CPUs * l.expected(s)
-		if s.OneZone || s.Spread {
-			w.PerZone = maps.Clone(j.zones)
-		}
-		since := max(j.submitted, j.lastStart)
-		if j.ndone > 0 {
-			since = max(since, l.beganWall) // no earlier term's starts are known
-		}
-		if len(j.on) == 0 && wall-since > aged && !j.probing() {
-			w.Aged, w.Late, w.Patient = true, false, false
-			if part := 1 + n/agedPart; !s.OneZone && !s.Spread && !w.Whole && part < n {
-				rest := *w
-				rest.Aged, rest.Patient = false, l.patient(j)
-				w.Waiting, rest.Waiting = part, n-part
-				entries, waiting = append(entries, entry{&rest, j}), append(waiting, &rest)
+		w := l.waitingJob(j, n, covered[j], wall)
+		if l.hasAged(j, wall) {
+			if rest := l.age(w, j); rest != nil {
+				entries = append(entries, queueEntry{rest, j})
 			}
 		}
-		if k := l.keeps[s.ID]; k != nil {
-			k.view = w
+		if g := l.gatherings[j.spec.ID]; g != nil {
+			g.view = w
 		}
-		entries, waiting = append(entries, entry{w, j}), append(waiting, w)
+		entries = append(entries, queueEntry{w, j})
+	}
+	waiting := make([]*placement.Job, len(entries))
+	for i, e := range entries {
+		waiting[i] = e.waiting
+	}
+	placement.SetAside(waiting, l.openCPUs(now), wall)
+	slices.SortFunc(entries, func(a, b queueEntry) int { return placement.Less(a.waiting, b.waiting) })
+	q := queue{teams: teams, waiting: waiting, jobs: make([]*job, len(entries))}
+	for i, e := range entries {
+		q.waiting[i], q.jobs[i] = e.waiting, e.job
+	}
+	q.least = placement.Least(q.waiting)
+	return q
+}
+
+// waitingJob is a job with n tasks to start as placement sees it.
+func (l *Leader) waitingJob(j *job, n int, covered bool, wall micros.Micros) *placement.Job {
+	s := j.spec
+	w := &placement.Job{
+		ID:       s.ID,
+		Team:     s.Team,
+		Image:    j.image,
+		Priority: j.priority,
+		Covered:  covered,
+		Need:     j.need,
+		Waiting:  n,
+		Total:    s.Tasks,
+		Types:    s.Types,
+		Zone:     s.Zone,
+		OneZone:  s.OneZone,
+		Spread:   s.Spread,
+		Whole:    j.isGang(),
+		Spot:     s.Spot,
+		ImageGB:  s.ImageGB,
+	}
+	w.Due, w.Later, w.Late = l.dues(j, covered, wall)
+	w.Pressing = w.Due-wall < 4*l.report && !j.probing()
+	w.Claims = j.priority > 0 && !j.probing()
+	w.Patient = l.patient(j)
+	if j.isGang() && len(j.on) > 0 {
+		w.Due, w.Late, w.Pressing = wall, false, !j.probing() // the others of its tasks wait for these
+	}
+	if j.isGang() {
+		w.Failed = j.errors
+		w.Accept = max(acceptAtOnce, wall-j.submitted)
+	}
+	w.Work = float64(n) * s.CPUs * l.expected(s)
+	if s.OneZone || s.Spread {
+		w.PerZone = maps.Clone(j.zones)
+	}
+	return w
+}
+
+// hasAged tells whether a job has waited for a start for so long that it goes before others.
+func (l *Leader) hasAged(j *job, wall micros.Micros) bool {
+	since := max(j.submitted, j.lastStart)
+	if j.ndone > 0 {
+		since = max(since, l.beganWall) // no earlier term's starts are known
 	}
+	return len(j.on) == 0 && wall-since > aged && !j.probing()
+}
+
+// age has a part of a job go before all others; the rest, if any, waits as before.
+func (l *Leader) age(w *placement.Job, j *job) (rest *placement.Job) {
+	w.Aged, w.Late, w.Patient = true, false, false
+	part := 1 + w.Waiting/agedPart
+	if w.OneZone || w.Spread || w.Whole || part >= w.Waiting {
+		return nil
+	}
+	other := *w
+	other.Aged, other.Patient = false, l.patient(j)
+	w.Waiting, other.Waiting = part, w.Waiting-part
+	return &other
+}
+
+// openCPUs counts the CPUs of the machines that may get tasks.
+func (l *Leader) openCPUs(now micros.Micros) float64 {
 	cpus := 0.0
 	for _, m := range l.order {
 		if m.open(now) {
 			cpus += l.types[m.kind.Type].CPUs
 		}
 	}
-	placement.SetAside(waiting, cpus, wall)
-	slices.SortFunc(entries, func(a, b entry) int { return placement.Less(a.waiting, b.waiting) })
-	q.waiting, q.jobs = waiting[:0], make([]*job, 0, len(entries))
-	for _, e := range entries {
-		q.waiting, q.jobs = append(q.waiting, e.waiting), append(q.jobs, e.job)
-	}
-	q.least = placement.Least(q.waiting)
-	return q
+	return cpus
 }
 
 // due is when the last of a job's tasks should have started, by the next thing
@@ -379,10 +442,17 @@
 func (l *Leader) placementMachine(m *machine, now micros.Micros) placement.Machine {
 	t := l.types[m.kind.Type]
 	p := placement.Machine{
-		ID: m.id, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.kind.Spot,
-		Free: m.free, Delay: max(0, m.reported+l.report-now), Idle: len(m.tasks) == 0,
-		Unworthy: m.unworthy, Images: m.have, GBPerS: t.FetchGBPerS,
-		Dear: micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
+		ID:              m.id,
+		Type:            m.kind.Type,
+		Zone:            m.kind.Zone,
+		Spot:            m.kind.Spot,
+		Free:            m.free,
+		Delay:           max(0, m.reported+l.report-now),
+		Idle:            len(m.tasks) == 0,
+		ClosedToPatient: m.closedToPatient,
+		Images:          m.have,
+		GBPerS:          t.FetchGBPerS,
+		Penalty:         micros.FromSeconds(l.priceRatio(t, m.kind.Spot) - 1),
 	}
 	if late := now - m.reported - l.report - l.report/4; late > 0 {
 		p.Delay = l.report + late // it has missed a report, and may be gone
@@ -391,10 +461,10 @@
 		p.Delay = 0
 	}
 	if m.surplus {
-		p.Dear += 30 * micros.Second
+		p.Penalty += 30 * micros.Second
 	}
-	if k := m.kept; k != nil {
-		p.Kept = k.view
+	if k := m.gathering; k != nil {
+		p.GatheredFor = k.view
 	}
 	p.WholeOnly = m.reserve != nil
 	return p
@@ -426,20 +496,7 @@
 			if a.stopped != 0 {
 				p.Soon = p.Soon.Plus(a.job.need, 1)
 			} else if !a.job.over && !spared[a.job] {
-				v := placement.Victim{
-					Job: a.job.spec.ID, Task: a.task, Team: a.job.spec.Team, Priority: a.job.priority,
-					Need: a.job.need, Covered: covered[a.job], Guest: a.job.priority == 0 && !covered[a.job], Lost: lostWork(a, now),
-				}
-				if v.Guest {
-					v.Lost += l.setBack(a, now)
-				}
-				if a.job.isGang() {
-					v.Gang, v.Lost = true, v.Lost*micros.Micros(len(a.job.on))
-				}
-				if a.kept && (a.running == 0 || now-a.running < counted) {
-					v.Guest, v.Lost = false, v.Lost+counted
-				}
-				p.Victims = append(p.Victims, v)
+				p.Victims = append(p.Victims, l.victim(a, covered[a.job], now))
 			}
 		}
 		slices.SortFunc(p.Victims, func(a, b placement.Victim) int {
@@ -449,6 +506,30 @@
 	return out, ms
 }
 
+// victim is a running task as placement sees it.
+func (l *Leader) victim(a *attempt, covered bool, now micros.Micros) placement.Victim {
+	v := placement.Victim{
+		Job:        a.job.spec.ID,
+		Task:       a.task,
+		Team:       a.job.spec.Team,
+		Priority:   a.job.priority,
+		Need:       a.job.need,
+		Covered:    covered,
+		BestEffort: a.job.priority == 0 && !covered,
+		Lost:       lostWork(a, now),
+	}
+	if v.BestEffort {
+		v.Lost += l.setBack(a, now)
+	}
+	if a.job.isGang() {
+		v.Gang, v.Lost = true, v.Lost*micros.Micros(len(a.job.on))
+	}
+	if a.protected && (a.running == 0 || now-a.running < counted) {
+		v.BestEffort, v.Lost = false, v.Lost+counted
+	}
+	return v
+}
+
 // left is how many seconds a task should still take. The longer one has
 // outlasted its estimate, the longer it may go on; a service never ends.
 func (l *Leader) left(a *attempt, now micros.Micros) float64 {
@@ -462,7 +543,7 @@
 // nearlyOver is how long before its end a task is spared.
 const nearlyOver = 30
 
-// setBack is what stopping a guest's task costs its job besides the work lost: it is
+// setBack is what stopping a best-effort task costs its job besides the work lost: it is
 // least for the job that has most yet to start, so that the others end and are out of the
 // way; taken from all alike, none of six was over when the day was. And what is nearly
 // over frees its room by itself.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,33 +53,33 @@
 
 // Machine is a machine that may take tasks.
 type Machine struct {
-	ID, Type, Zone string
-	Spot           bool
-	Free           Resources     // nothing holds it
-	Soon           Resources     // held by tasks that are being stopped
-	Delay          micros.Micros // until orders reach it
-	Idle           bool          // no task is on it
-	Images         ImageSet      // cached or being fetched
-	GBPerS         float64       // image fetch
-	Dear           micros.Micros // wait that is put up with to leave it idle
-	Unworthy       bool          // of patient work: dear, and wanted by no other
-	Victims        []Victim      // running tasks that could be stopped
-	Ending         []Ending      // when what is on it should end by itself
-	Kept           *Job          // its room is gathered for this one; nil: for nobody
-	WholeOnly      bool          // only whole jobs may start on it
+	ID, Type, Zone  string
+	Spot            bool
+	Free            Resources     // nothing holds it
+	Soon            Resources     // held by tasks that are being stopped
+	Delay           micros.Micros // until orders reach it
+	Idle            bool          // no task is on it
+	Images          ImageSet      // cached or being fetched
+	GBPerS          float64       // image fetch
+	Penalty         micros.Micros // wait that is put up with to leave it idle
+	ClosedToPatient bool          // to patient work: costly, and wanted by no other
+	Victims         []Victim      // running tasks that could be stopped
+	Ending          []Ending      // when what is on it should end by itself
+	GatheredFor     *Job          // its room is gathered for this one; nil: for nobody
+	WholeOnly       bool          // only whole jobs may start on it
 }
 
 // Victim is a running task.
 type Victim struct {
-	Job      string
-	Task     int
-	Team     string
-	Priority int
-	Need     Resources
-	Covered  bool          // within its team's guarantee
-	Guest    bool          // of the lowest priority, and guaranteed to nobody
-	Lost     micros.Micros // work that a stop would lose
-	Gang     bool          // all tasks of its job stop with it, and Lost is of all
+	Job        string
+	Task       int
+	Team       string
+	Priority   int
+	Need       Resources
+	Covered    bool          // within its team's guarantee
+	BestEffort bool          // of the lowest priority, and guaranteed to nobody
+	Lost       micros.Micros // work that a stop would lose
+	Gang       bool          // all tasks of its job stop with it, and Lost is of all
 }
 
 // Job is a job with waiting tasks.
@@ -94,8 +94,8 @@
 	Work            float64         // CPU seconds that wait, as estimated
 	Late            bool            // cannot be in time any more, or set aside
 	Pressing        bool            // would be late if it waited for others to end
-	Claims          bool            // need not wait for guests to end
-	Patient         bool            // not worth dear machines
+	Claims          bool            // need not wait for best-effort tasks to end
+	Patient         bool            // not worth costly machines
 	Need            Resources
 	Waiting         int
 	Total           int
@@ -156,7 +156,7 @@
 		return
 	}
 	ahead, strained := 0.0, false
-	var kept []*Job // of the present claim, by work
+	var onTime []*Job // of the present claim, by work
 	for i := 0; i < len(order); i++ {
 		j := order[i]
 		if j.Aged {
@@ -166,21 +166,21 @@
 			if strained {
 				shortestFirst(order[:i], order[i-1], cpus, now)
 			}
-			kept, strained = kept[:0], false
+			onTime, strained = onTime[:0], false
 		}
 		if j.Late {
 			continue
 		}
 		ahead += j.Work
-		at, _ := slices.BinarySearchFunc(kept, j, func(a, b *Job) int {
+		at, _ := slices.BinarySearchFunc(onTime, j, func(a, b *Job) int {
 			return cmp.Or(cmp.Compare(a.Work, b.Work), cmp.Compare(a.ID, b.ID))
 		})
-		kept = slices.Insert(kept, at, j)
+		onTime = slices.Insert(onTime, at, j)
 		if now+micros.FromSeconds(ahead/cpus) > j.Due {
 			strained = true
-			most := kept[len(kept)-1]
+			most := onTime[len(onTime)-1]
 			ahead -= most.Work
-			kept = kept[:len(kept)-1]
+			onTime = onTime[:len(onTime)-1]
 			for len(most.Later) > 0 && most.Due <= j.Due {
 				most.Due, most.Later = most.Later[0], most.Later[1:]
 			}
@@ -235,13 +235,13 @@
 
 // admits tells the same of a machine, and whether the job is worth it.
 func admits(m *Machine, j *Job) bool {
-	if m.Kept != nil && m.Kept.ID != j.ID && claim(j, m.Kept) >= 0 {
+	if m.GatheredFor != nil && m.GatheredFor.ID != j.ID && claim(j, m.GatheredFor) >= 0 {
 		return false
 	}
 	if m.WholeOnly && !j.Whole {
 		return false
 	}
-	return Allowed(j, m.Type, m.Zone, m.Spot) && !(j.Patient && m.Unworthy)
+	return Allowed(j, m.Type, m.Zone, m.Spot) && !(j.Patient && m.ClosedToPatient)
 }
 
 // Open tells the same as things are now: where a job's other tasks are may bind the next
@@ -315,9 +315,9 @@
 }
 
 // Preempt looks for running work of less claim to stop for pressing jobs that
-// found no room, and for guests to stop for any other job; at most limit jobs. What it
-// frees for a whole job, and the room that was there, is to be kept for it.
-func Preempt(machines []Machine, jobs []*Job, teams map[string]*Team, limit int) (stops []Stop, keeps []Keep) {
+// found no room, and for best-effort tasks to stop for any other job; at most limit jobs. What it
+// frees for a whole job, and the room that was there, is to be gathered for it.
+func Preempt(machines []Machine, jobs []*Job, teams map[string]*Team, limit int) (stops []Stop, gatherings []Gathering) {
 	for _, j := range jobs {
 		if limit == 0 {
 			break
@@ -326,14 +326,14 @@
 			limit--
 			if j.Whole {
 				s, k := preemptWhole(machines, j, teams[j.Team])
-				stops, keeps = append(stops, s...), append(keeps, k...)
+				stops, gatherings = append(stops, s...), append(gatherings, k...)
 				continue
 			}
 			s, _, _ := preempt(machines, j, teams[j.Team])
 			stops = append(stops, s...)
 		}
 	}
-	return stops, keeps
+	return stops, gatherings
 }
 
 // lookahead is how many jobs of one claim Fill compares.
@@ -403,7 +403,7 @@
 const failedBefore = 10 * micros.Second
 
 // cost is how long a task would wait for its start on m, with a little for
-// leaving dear and empty machines as they are, and large holes.
+// leaving costly and empty machines as they are, and large holes.
 func cost(m *Machine, j *Job) micros.Micros {
 	c := m.Delay + fetch(m, j)
 	if m.Idle {
@@ -413,7 +413,7 @@
 		c += failedBefore
 	}
 	left := m.Free.CPU - j.Need.CPU
-	return c + m.Dear + micros.Micros(left)*micros.Millisecond/1000*10
+	return c + m.Penalty + micros.Micros(left)*micros.Millisecond/1000*10
 }
 
 // worthWaiting tells whether a start on m may be planned ahead. What presses is
@@ -473,7 +473,7 @@
 // yields tells whether v may be stopped for j: for a higher priority, or to
 // give j's team its guarantee from another team's borrowed room.
 func yields(v *Victim, j *Job) bool {
-	if v.Job == j.ID || !j.Pressing && !v.Guest {
+	if v.Job == j.ID || !j.Pressing && !v.BestEffort {
 		return false
 	}
 	if j.Covered && !v.Covered && v.Team != j.Team {
@@ -485,92 +485,118 @@
 // preempt also tells on which machines there is room, or will be, and how many tasks
 // found none.
 func preempt(machines []Machine, j *Job, team *Team) (stops []Stop, room []int, want int) {
-	want = team.Room(j.Need, j.Waiting)
-	for k := range machines {
-		// What is being freed already will serve the first in the queue.
-		m := &machines[k]
-		if want > 0 && admits(m, j) {
-			n := m.Free.Plus(m.Soon, 1).Times(j.Need, min(want, zoneRoom(j, m.Zone)))
-			m.Soon = m.Soon.Plus(j.Need, -int64(n))
-			want -= n
-			if n > 0 && j.Whole {
-				j.PerZone[m.Zone] += n
-				room = append(room, k)
-			}
-		}
+	p := preemption{machines: machines, job: j, want: team.Room(j.Need, j.Waiting)}
+	// What is being freed already will serve the first in the queue.
+	p.useRoom()
+	if p.want > 0 {
+		p.findCandidates()
 	}
-	// Each machine is looked at once, and again only after something on it is
-	// to be stopped.
-	type candidate struct {
-		machine int
-		take    []int
-		lost    micros.Micros
-	}
-	var heap []candidate
-	less := func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.machine, b.machine))
+	for p.want > 0 && len(p.candidates) > 0 {
+		p.stopFirst()
 	}
-	look := func(k int) (candidate, bool) {
-		m := &machines[k]
-		if !admits(m, j) || zoneRoom(j, m.Zone) == 0 {
-			return candidate{}, false
+	return p.stops, p.room, p.want
+}
+
+// preemption is the state of a search for what to stop for one job.
+type preemption struct {
+	machines   []Machine
+	job        *Job
+	want       int // tasks that have no room yet
+	stops      []Stop
+	room       []int              // machines with room for tasks of a whole job
+	candidates []preemptCandidate // the least loss first
+}
+
+// preemptCandidate is a machine with what must stop there for one task, and what that loses.
+type preemptCandidate struct {
+	machine int
+	take    []int
+	lost    micros.Micros
+}
+
+func compareCandidates(a, b preemptCandidate) int {
+	return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.machine, b.machine))
+}
+
+// useRoom takes the room that is there or is being freed.
+func (p *preemption) useRoom() {
+	for k := range p.machines {
+		m := &p.machines[k]
+		if p.want == 0 || !admits(m, p.job) {
+			continue
 		}
-		take, lost := victims(m, j)
-		// The image must be fetched there as well before the task starts.
-		return candidate{k, take, lost + fetch(m, j)}, take != nil
-	}
-	fill := func() {
-		heap = heap[:0]
-		for k := range machines {
-			if c, ok := look(k); ok {
-				heap = append(heap, c)
-			}
+		n := m.Free.Plus(m.Soon, 1).Times(p.job.Need, min(p.want, zoneRoom(p.job, m.Zone)))
+		if n > 0 {
+			p.place(k, n)
 		}
-		slices.SortFunc(heap, less)
 	}
-	if want > 0 {
-		fill()
+}
+
+// place counts n tasks as having room on machine k.
+func (p *preemption) place(k, n int) {
+	m := &p.machines[k]
+	m.Soon = m.Soon.Plus(p.job.Need, -int64(n))
+	p.want -= n
+	if p.job.Whole {
+		p.job.PerZone[m.Zone] += n
+		p.room = append(p.room, k)
 	}
-	for want > 0 && len(heap) > 0 {
-		c := heap[0]
-		heap = heap[1:]
-		m := &machines[c.machine]
-		gangs := map[string]bool{}
-		for _, v := range slices.Backward(c.take) {
-			gangs[m.Victims[v].Job] = m.Victims[v].Gang
-			stops = append(stops, Stop{Machine: c.machine, Victim: m.Victims[v], For: j.ID})
-			m.Soon = m.Soon.Plus(m.Victims[v].Need, 1)
-			m.Victims = slices.Delete(m.Victims, v, v+1)
-		}
-		m.Soon = m.Soon.Plus(j.Need, -1)
-		want--
-		if j.Whole {
-			j.PerZone[m.Zone]++
-			room = append(room, c.machine)
-		}
-		if freed := stopWith(machines, gangs, j.ID); len(freed) > 0 {
-			// Their room serves as well, before anything more is stopped.
-			stops = append(stops, freed...)
-			for k := range machines {
-				m := &machines[k]
-				if n := m.Free.Plus(m.Soon, 1).Times(j.Need, min(want, zoneRoom(j, m.Zone))); n > 0 && admits(m, j) {
-					m.Soon = m.Soon.Plus(j.Need, -int64(n))
-					want -= n
-					if j.Whole {
-						j.PerZone[m.Zone] += n
-						room = append(room, k)
-					}
-				}
-			}
-			fill()
-			continue
-		}
-		if c, ok := look(c.machine); ok {
-			at, _ := slices.BinarySearchFunc(heap, c, less)
-			heap = slices.Insert(heap, at, c)
+}
+
+// findCandidates looks at each machine once. It is looked at again only after something
+// on it is to be stopped.
+func (p *preemption) findCandidates() {
+	p.candidates = p.candidates[:0]
+	for k := range p.machines {
+		if c, ok := p.candidate(k); ok {
+			p.candidates = append(p.candidates, c)
 		}
 	}
-	return stops, room, want
+	slices.SortFunc(p.candidates, compareCandidates)
+}
+
+// candidate tells what must stop on machine k for one task, if that is possible.
+func (p *preemption) candidate(k int) (preemptCandidate, bool) {
+	m := &p.machines[k]
+	if !admits(m, p.job) || zoneRoom(p.job, m.Zone) == 0 {
+		return preemptCandidate{}, false
+	}
+	take, lost := victims(m, p.job)
+	// The image must be fetched there as well before the task starts.
+	return preemptCandidate{k, take, lost + fetch(m, p.job)}, take != nil
+}
+
+// stopFirst stops what the first candidate names.
+func (p *preemption) stopFirst() {
+	c := p.candidates[0]
+	p.candidates = p.candidates[1:]
+	gangs := p.stopVictims(c)
+	p.place(c.machine, 1)
+	if freed := stopWith(p.machines, gangs, p.job.ID); len(freed) > 0 {
+		// Their room serves as well, before anything more is stopped.
+		p.stops = append(p.stops, freed...)
+		p.useRoom()
+		p.findCandidates()
+		return
+	}
+	if c, ok := p.candidate(c.machine); ok {
+		at, _ := slices.BinarySearchFunc(p.candidates, c, compareCandidates)
+		p.candidates = slices.Insert(p.candidates, at, c)
+	}
+}
+
+// stopVictims stops a candidate's victims, and tells of their jobs which are gangs.
+func (p *preemption) stopVictims(c preemptCandidate) map[string]bool {
+	m := &p.machines[c.machine]
+	gangs := map[string]bool{}
+	for _, v := range slices.Backward(c.take) {
+		victim := m.Victims[v]
+		gangs[victim.Job] = victim.Gang
+		p.stops = append(p.stops, Stop{Machine: c.machine, Victim: victim, For: p.job.ID})
+		m.Soon = m.Soon.Plus(victim.Need, 1)
+		m.Victims = slices.Delete(m.Victims, v, v+1)
+	}
+	return gangs
 }
 
 // victims picks, in order of their indexes, the tasks to stop on m for one
