--- a/internal/leader/gang_reserve.go
+++ b/internal/leader/gang_reserve.go
@@ -206,7 +206,7 @@
 	return joined
 }
 
-// rejoinReserve takes a machine back into a reserve, when after a take-over its first picture
+// rejoinReserve takes a machine back into a reserve, when after a take-over its first snapshot
 // shows nothing but gangs on it. Which machines were reserved is not stored; in a fleet that
 // arrays fill, those with room for gangs are the ones. Without it the room that an earlier
 // leader held was filled up with arrays within a report's time.
