--- a/internal/leader/consolidate_test.go
+++ b/internal/leader/consolidate_test.go
@@ -96,7 +96,7 @@
 			j.priority = p
 			l.hold(&attempt{job: j, machine: l.order[i]})
 		}
-		l.markUnworthy(l.types["m4"], c.want, c.need)
+		l.closeToPatient(l.types["m4"], c.want, c.need)
 		n := 0
 		for _, m := range l.order {
 			if m.closedToPatient {
--- a/internal/leader/gang_reserve.go
+++ b/internal/leader/gang_reserve.go
@@ -23,7 +23,7 @@
 	kind     reserveKind
 	window   *staffing.Window // machines' worth of gangs that came in
 	service  staffing.Service
-	lumps    staffing.Batches
+	batches  staffing.Batches
 	mean     float64 // machines that gangs hold, by the equation
 	standing int     // machines that must have room, for one to report in time
 	target   int     // machines
@@ -82,7 +82,7 @@
 	size := 1 / float64(max(1, perMachine))
 	fetch := j.spec.ImageGB / math.Max(t.FetchGBPerS, 0.01)
 	r.service.Estimate(size, l.expected(j.spec)+fetch)
-	r.lumps.Add(size, 1, false)
+	r.batches.Add(size, 1, false)
 	r.standing = max(r.standing, l.standingFor(j, fetch))
 	if j.old {
 		// It may hold its machine already. The rate is what keeps the mean as it is.
@@ -121,7 +121,7 @@
 		peak := staffing.PeakMean(r.mean, lambda, mu, horizon)
 		target := 0
 		if peak >= leastReserveMean {
-			formula := staffing.Servers(peak, r.lumps.Peakedness()*peak, l.Tuning.Z)
+			formula := staffing.Servers(peak, r.batches.Peakedness()*peak, l.Tuning.Z)
 			target = max(formula, int(math.Ceil(peak))+r.standing)
 		}
 		target = min(target, len(l.order)/reserveShare)
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"log/slog"
-	"maps"
 	"math"
 	"slices"
 
@@ -150,78 +149,111 @@
 	if !l.ready {
 		return
 	}
-	busy, have := map[string]float64{}, map[string]int{}
+	supply := l.countSupply(now)
+	demand := l.waitingNeed(now)
+	types := l.byPrice()
+	l.raiseMeans()
+	l.stepModel(types, now)
+	l.stepReserves(now)
+	l.staffReserves(now)
+	// What a type cannot give as spot machines passes on to the next dearer one.
+	short := shortage{}
+	for _, t := range types {
+		short = l.staffType(t, supply[t.Name], demand[t.Name], short, now)
+	}
+	l.rentOrdinary(types, short.ordinary, now)
+	l.rentSpecial(now)
+	l.rentForGangs(now)
+	l.consolidate(now)
+	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
+		l.dirty[replica.StaffingKey] = true
+		l.sweep()
+		l.wakeFlush()
+	}
+}
+
+// typeSupply counts machines of one type.
+type typeSupply struct {
+	have int // that there are, booting and booked ones too
+	busy int // that are in use or reserved
+}
+
+// countSupply counts the machines that can be counted on, by type.
+func (l *Leader) countSupply(now micros.Micros) map[string]typeSupply {
+	supply := map[string]typeSupply{}
 	for _, m := range l.machines {
 		if m.leaving || m.draining != "" || l.overdue(m, now) {
 			continue
 		}
-		have[m.kind.Type]++
+		s := supply[m.kind.Type]
+		s.have++
 		if len(m.tasks) > 0 || len(m.planned) > 0 || m.reserve != nil {
-			busy[m.kind.Type]++
+			s.busy++
 		}
+		supply[m.kind.Type] = s
 	}
 	for _, b := range l.bookings {
 		if !b.Answered {
-			have[b.Type] += b.Count
+			s := supply[b.Type]
+			s.have += b.Count
+			supply[b.Type] = s
 		}
 	}
-	need, dearNeed := l.waitingNeed(now)
-	types := l.byPrice()
-	l.raiseMeans()
-	l.stepModel(types, now)
-	l.stepReserves(now)
-	l.staffReserves(now)
-	// What a type cannot give as spot machines passes on to the next dearer one, in
-	// CPUs; urgent is the part that may be ordinary machines.
-	excess, urgent := 0.0, 0.0
-	for _, t := range types {
-		size := math.Max(t.CPUs, 0.001)
-		floor, dearFloor := busy[t.Name], busy[t.Name]
-		if need[t.Name] > 0.01 {
-			floor = float64(have[t.Name]) + ceiling(need[t.Name])
-		}
-		if dearNeed[t.Name] > 0.01 {
-			dearFloor = float64(have[t.Name]) + ceiling(dearNeed[t.Name])
-		}
-		beyond := l.reservedBeyondMean(t.Name)
-		want, dearWant := t.want+beyond+excess/size, t.wantOrdinary+beyond+urgent/size
-		target := int(math.Max(ceiling(want), floor))
-		short := target - have[t.Name]
-		t.target = target
-		slog.Debug("staff", "type", t.Name, "m", t.m, "want", t.want, "dear", t.wantOrdinary, "busy", busy[t.Name], "need", need[t.Name], "excess", excess, "urgent", urgent, "have", have[t.Name])
-		booked := 0
-		if short > 0 {
-			booked = l.rentMore(t, true, short, now)
-		} else {
-			l.returnIdle(t, -short, now)
-		}
-		lean := int(ceiling(want))
-		if need[t.Name] > 0 {
-			lean = have[t.Name]
-		}
-		l.markSurplus(t, have[t.Name]-lean, now)
-		l.markUnworthy(t, dearWant, dearNeed[t.Name])
-		given := float64(have[t.Name] + booked)
-		excess = math.Max(0, math.Max(want, floor)-given) * size
-		urgent = math.Max(0, math.Max(dearWant, dearFloor)-given) * size
+	return supply
+}
+
+// shortage is what the types so far could not give, in CPUs.
+type shortage struct {
+	any      float64
+	ordinary float64 // the part that may be ordinary machines
+}
+
+// staffType rents or returns spot machines of one type toward its target, and tells what is
+// short with it.
+func (l *Leader) staffType(t *machineType, supply typeSupply, need typeNeed, short shortage, now micros.Micros) shortage {
+	size := math.Max(t.CPUs, 0.001)
+	floor, ordinaryFloor := float64(supply.busy), float64(supply.busy)
+	if need.any > 0.01 {
+		floor = float64(supply.have) + ceiling(need.any)
+	}
+	if need.ordinary > 0.01 {
+		ordinaryFloor = float64(supply.have) + ceiling(need.ordinary)
+	}
+	reserved := l.reservedBeyondMean(t.Name)
+	want := t.want + reserved + short.any/size
+	ordinaryWant := t.wantOrdinary + reserved + short.ordinary/size
+	t.target = int(math.Max(ceiling(want), floor))
+	slog.Debug("staff", "type", t.Name, "m", t.m, "want", t.want, "want_ordinary", t.wantOrdinary,
+		"busy", supply.busy, "need", need.any, "short", short.any, "short_ordinary", short.ordinary, "have", supply.have)
+	booked := 0
+	if missing := t.target - supply.have; missing > 0 {
+		booked = l.rentMore(t, true, missing, now)
+	} else {
+		l.returnIdle(t, -missing, now)
+	}
+	lean := int(ceiling(want))
+	if need.any > 0 {
+		lean = supply.have
 	}
-	// Ordinary machines cost about three times as much: only when no spot one of any
-	// type is to be had, the cheapest first.
+	l.markSurplus(t, supply.have-lean, now)
+	l.closeToPatient(t, ordinaryWant, need.ordinary)
+	given := float64(supply.have + booked)
+	return shortage{
+		any:      math.Max(0, math.Max(want, floor)-given) * size,
+		ordinary: math.Max(0, math.Max(ordinaryWant, ordinaryFloor)-given) * size,
+	}
+}
+
+// rentOrdinary rents ordinary machines for so many CPUs, the cheapest first. They cost about
+// three times as much: it is what no type had as spot machines.
+func (l *Leader) rentOrdinary(types []*machineType, cpus float64, now micros.Micros) {
 	slices.SortStableFunc(types, func(a, b *machineType) int { return cmp.Compare(a.Price/a.CPUs, b.Price/b.CPUs) })
 	for _, t := range types {
 		size := math.Max(t.CPUs, 0.001)
-		if n := int(ceiling(urgent / size)); n > 0 {
-			urgent -= float64(l.rentMore(t, false, n, now)) * size
+		if n := int(ceiling(cpus / size)); n > 0 {
+			cpus -= float64(l.rentMore(t, false, n, now)) * size
 		}
 	}
-	l.rentSpecial(now)
-	l.rentForGangs(now)
-	l.consolidate(now)
-	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
-		l.dirty[replica.StaffingKey] = true
-		l.sweep()
-		l.wakeFlush()
-	}
 }
 
 // markSurplus picks the n machines of a type that the formula does not want,
@@ -250,10 +282,10 @@
 	}
 }
 
-// markUnworthy picks the ordinary machines of a type that only patient work would use.
+// closeToPatient picks the ordinary machines of a type that only patient work would use.
 // They get none of it, and so are returned when they are idle: once rented for others,
-// guests kept them for the rest of the day.
-func (l *Leader) markUnworthy(t *machineType, want, need float64) {
+// best-effort work kept them for the rest of the day.
+func (l *Leader) closeToPatient(t *machineType, want, need float64) {
 	wanted := ceiling(want)
 	var ms []*machine
 	for _, m := range l.order {
@@ -325,13 +357,13 @@
 		lambda, mu := t.window.Rate(now), t.service.Mu(t.finished)
 		t.m = staffing.Step(t.m, lambda, mu, 1)
 		// The same equation for the part that is not worth ordinary machines.
-		guests := t.bestEffort.Rate(now)
-		t.mBestEffort = math.Min(t.m, staffing.Step(t.mBestEffort, guests, mu, 1))
+		bestEffort := t.bestEffort.Rate(now)
+		t.mBestEffort = math.Min(t.m, staffing.Step(t.mBestEffort, bestEffort, mu, 1))
 		all := staffing.PeakMean(t.m, lambda, mu, l.Tuning.ReviewInterval.Seconds())
 		servers := func(spot bool) float64 {
 			mean := all
 			if !spot {
-				mean = staffing.PeakMean(t.m-t.mBestEffort, math.Max(0, lambda-guests), mu, l.Tuning.ReviewInterval.Seconds())
+				mean = staffing.PeakMean(t.m-t.mBestEffort, math.Max(0, lambda-bestEffort), mu, l.Tuning.ReviewInterval.Seconds())
 			}
 			if mean < 0.05 {
 				return 0 // formula (4) would keep a machine for nothing
@@ -367,105 +399,6 @@
 	return ts
 }
 
-// waitingNeed is how many machines beyond the fleet the waiting tasks need to
-// be in time, by type.
-// The second result is what may be ordinary machines: it leaves out the patient jobs,
-// and what guests hold, since they give it back.
-func (l *Leader) waitingNeed(now micros.Micros) (need, dear map[string]float64) {
-	var waiting, impatient []staffing.Demand
-	var running, staying []staffing.Running
-	work := map[string]float64{} // by the type it is best for
-	total, supply, boot := 0.0, 0.0, math.Inf(1)
-	hidden := 0.0 // CPUs of machines whose tasks are not known
-	planned := map[*job]int{}
-	for _, m := range l.machines {
-		t := l.types[m.kind.Type]
-		if t == nil || m.leaving || m.draining != "" || l.overdue(m, now) {
-			continue
-		}
-		supply += t.CPUs
-		if !m.resolved {
-			hidden += t.CPUs
-		}
-		for _, j := range m.planned {
-			planned[j]++
-		}
-		for _, a := range m.tasks {
-			r := staffing.Running{CPUs: a.job.spec.CPUs, Left: l.left(a, now)}
-			running = append(running, r)
-			if a.job.priority > 0 {
-				staying = append(staying, r)
-			}
-		}
-	}
-	for _, b := range l.bookings {
-		if t := l.types[b.Type]; t != nil && !b.Answered {
-			supply += t.CPUs * float64(b.Count)
-		}
-	}
-	wall := micros.Wall()
-	teams, _ := l.teamUse()
-	jobs := slices.SortedFunc(maps.Values(l.jobs), func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.spec.ID, b.spec.ID))
-	})
-	for _, j := range jobs {
-		n := j.ready(now) - planned[j]
-		t := l.typeFor(j, now)
-		if n <= 0 || t == nil {
-			continue
-		}
-		// Machines are no help to what its team's limit keeps waiting.
-		if team := teams[j.spec.Team]; team != nil {
-			n = team.Room(j.need, n)
-			team.Used = team.Used.Plus(j.need, int64(n))
-		}
-		// What may run on machines whose tasks are not known most likely does. Counted as
-		// waiting, a fleet that was full had hundreds of machines rented at each take-over.
-		if j.old && hidden > 0 {
-			held := min(n, int(math.Ceil(hidden/math.Max(j.spec.CPUs, 0.001))))
-			hidden -= float64(held) * j.spec.CPUs
-			r := staffing.Running{CPUs: float64(held) * j.spec.CPUs, Left: l.expected(j.spec) / 2}
-			running, staying = append(running, r), append(staying, r)
-			if n -= held; n == 0 {
-				continue
-			}
-		}
-		boot = math.Min(boot, t.BootS)
-		due, late := l.due(j, false, wall)
-		w := float64(n) * j.spec.CPUs * l.expected(j.spec)
-		if per := t.capacity.Times(j.need, n+1); j.isGang() && per > 0 && per <= n {
-			// It fills whole machines at once, with what its tasks leave unused there.
-			w += float64(n/per) * (t.CPUs - float64(per)*j.spec.CPUs) * l.expected(j.spec)
-		}
-		in := (due - wall).Seconds()
-		if late { // it is to be done soon all the same
-			in = 2 * t.BootS
-		}
-		waiting = append(waiting, staffing.Demand{Work: w, Due: in})
-		if !l.patient(j) {
-			impatient = append(impatient, staffing.Demand{Work: w, Due: in})
-		}
-		work[t.Name] += w
-		total += w
-	}
-	need, dear = map[string]float64{}, map[string]float64{}
-	if total == 0 {
-		return need, dear
-	}
-	mean, dearMean := 0.0, 0.0
-	for _, t := range l.types {
-		mean += t.m * t.CPUs
-		dearMean += (t.m - t.mBestEffort) * t.CPUs
-	}
-	short := staffing.Backlog(waiting, running, mean, supply, boot)
-	dearShort := staffing.Backlog(impatient, staying, dearMean, supply, boot)
-	for name, w := range work {
-		part := w / total / math.Max(l.types[name].CPUs, 0.001)
-		need[name], dear[name] = short*part, math.Min(short, dearShort)*part
-	}
-	return need, dear
-}
-
 // rentMore books up to n machines of a type and kind spread over the zones, and
 // tells how many.
 func (l *Leader) rentMore(t *machineType, spot bool, n int, now micros.Micros) int {
