--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -536,7 +536,7 @@
 
 // idleLimit is how long an idle machine is kept in case it is needed again. As
 // much time as a new one takes to boot costs about what returning it in error
-// would, to jobs that cannot wait; a dear one is not worth that while spot
+// would, to jobs that cannot wait; an expensive one is not worth that while spot
 // machines can be had.
 func (l *Leader) idleLimit(t *machineType, spot bool) micros.Micros {
 	tight, types := 0.0, 0.0
