--- a/internal/leader/boot_test.go
+++ b/internal/leader/boot_test.go
@@ -68,3 +68,28 @@
 		}
 	}
 }
+
+// TestRentedLate has a booking answered right after it was made, or after an outage of the
+// cloud: its machines' boot and the time that is paid for are counted from the answer.
+func TestRentedLate(t *testing.T) {
+	for _, waited := range []micros.Micros{0, 45 * micros.Second, 300 * micros.Second} {
+		l, _ := newTest(t)
+		l.types["m4"].BootS = 20
+		b := &booking{id: "r-5", Type: "m4", Zone: "a", Count: 2, At: micros.Wall() - waited}
+		l.bookings[b.id] = b
+		l.rented(b, []string{"i-7", "i-8"})
+		now := micros.Now() + micros.Second
+		for _, id := range []string{"i-7", "i-8"} {
+			m := l.machines[id]
+			if age := now - m.rentedAt; age > 2*micros.Second {
+				t.Errorf("answered after %v: %s counts as rented for %v", waited.Duration(), id, age.Duration())
+			}
+			if l.overdue(m, now) {
+				t.Errorf("answered after %v: %s is taken for late", waited.Duration(), id)
+			}
+		}
+		if b.At < micros.Wall()-2*micros.Second {
+			t.Errorf("answered after %v: the next leader counts from the booking", waited.Duration())
+		}
+	}
+}
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -304,6 +304,10 @@
 	}
 	b.Answered = true
 	b.asking = false
+	// What was booked in an outage of the cloud was rented when it answered. Counted from the
+	// booking, machines were taken for late as soon as they were rented, and returned before
+	// the time was over that is paid for at least.
+	b.At = micros.Wall()
 	for _, id := range ids {
 		if l.machines[id] != nil || l.gone[id] {
 			continue
