--- a/cluster_test.go
+++ b/cluster_test.go
@@ -48,6 +48,9 @@
 	faults int
 	stops  []func()
 	lives  []int
+	nodes  []*Node // in their present lives
+	// standby turns the warm standby on.
+	standby *settings.Standby
 }
 
 // nodeSettings are the settings of node i of a cluster.
@@ -86,15 +89,22 @@
 
 // newTunedCluster starts a cluster whose nodes have their settings changed by tune.
 func newTunedCluster(t *testing.T, size int, tune func(*settings.Settings)) *cluster {
+	return newStandbyCluster(t, size, tune, nil)
+}
+
+// newStandbyCluster starts a cluster with a warm standby, or without if it has no settings.
+func newStandbyCluster(t *testing.T, size int, tune func(*settings.Settings), standby *settings.Standby) *cluster {
 	c := &cluster{
-		t:     t,
-		tune:  tune,
-		net:   standin.NewNet(),
-		pipes: standin.NewPipes(),
-		state: standin.NewState(),
-		dead:  map[string]bool{},
-		stops: make([]func(), size),
-		lives: make([]int, size),
+		t:       t,
+		tune:    tune,
+		standby: standby,
+		nodes:   make([]*Node, size),
+		net:     standin.NewNet(),
+		pipes:   standin.NewPipes(),
+		state:   standin.NewState(),
+		dead:    map[string]bool{},
+		stops:   make([]func(), size),
+		lives:   make([]int, size),
 	}
 	c.net.SetFault(c.faultOf)
 	nodes := make([]string, size)
@@ -145,12 +155,13 @@
 	name := fmt.Sprintf("%s/%d", member, c.lives[i])
 	s := nodeSettings(i, len(c.stops))
 	c.tune(s)
-	n := newNode(s, settings.DefaultTuning(), outside{
+	n := newNode(s, settings.DefaultTuning(), c.standby, outside{
 		services: c.net.From(name),
 		workers:  c.net.From(name),
 		dial:     func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, member, addr) },
 		listen:   func() (net.Listener, error) { return c.pipes.Listen(member), nil },
 	})
+	c.nodes[i] = n
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/cmd/caperlatch/get.go
+++ b/cmd/caperlatch/get.go
@@ -24,9 +24,14 @@
 
 // get asks a running node.
 func get(ctx context.Context, node, path string) (status int, body []byte, err error) {
+	return request(ctx, http.MethodGet, node, path)
+}
+
+// request sends a running node a request without a body.
+func request(ctx context.Context, method, node, path string) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, getTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, nil)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/cmd/caperlatch/main.go
+++ b/cmd/caperlatch/main.go
@@ -28,8 +28,8 @@
 
 // rootCommand is the program with all its commands; without one it runs a node.
 func rootCommand() *cobra.Command {
-	var config string
-	run := func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), config) }
+	var config, standbyFile string
+	run := func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), config, standbyFile) }
 	root := &cobra.Command{
 		Use:           "caperlatch",
 		Short:         "A cluster scheduler that rents its machines",
@@ -46,13 +46,16 @@
 	}
 	for _, cmd := range []*cobra.Command{root, runCmd} {
 		cmd.Flags().StringVar(&config, "config", "", "settings file (TOML)")
+		addStandbyFlag(cmd, &standbyFile)
 	}
-	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionsCommand(), versionCommand())
+	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionsCommand(), versionCommand(),
+		standbyCommand(), handoverCommand())
 	return root
 }
 
-// runNode runs a node with the settings in a file until ctx ends.
-func runNode(ctx context.Context, config string) error {
+// runNode runs a node with the settings in a file until ctx ends; with a warm standby if
+// there is a file of its settings.
+func runNode(ctx context.Context, config, standbyFile string) error {
 	if config == "" {
 		return fmt.Errorf("--config is missing")
 	}
@@ -68,7 +71,14 @@
 	if ctx == nil {
 		ctx = context.Background()
 	}
-	return caperlatch.NewNode(s, t).Run(ctx)
+	if standbyFile == "" {
+		return caperlatch.NewNode(s, t, nil).Run(ctx)
+	}
+	b, err := settings.ReadStandby(standbyFile)
+	if err != nil {
+		return err
+	}
+	return runUntilTerminated(ctx, caperlatch.NewNode(s, t, b))
 }
 
 // setLogLevel logs to standard error as much as LOG_LEVEL says.
@@ -85,9 +95,10 @@
 
 // checkCommand checks settings without running anything.
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
+	var standbyFile string
+	cmd := &cobra.Command{
 		Use:   "check FILE",
-		Short: "Check a settings file and the tuning file, if one is named",
+		Short: "Check a settings file, and the tuning and standby files, if they are named",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := settings.Read(args[0])
@@ -97,10 +108,17 @@
 			if _, err := settings.ReadTuning(); err != nil {
 				return err
 			}
+			if standbyFile != "" {
+				if _, err := settings.ReadStandby(standbyFile); err != nil {
+					return err
+				}
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "ok: member %s of %d nodes, %d teams\n", s.Member, len(s.Peers)+1, len(s.Params.Teams))
 			return nil
 		},
 	}
+	addStandbyFlag(cmd, &standbyFile)
+	return cmd
 }
 
 // versionCommand prints the version of this program, unlike versionsCommand.
--- /dev/null
+++ b/cmd/caperlatch/standby.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"caperlatch"
+	"caperlatch/internal/api"
+	"caperlatch/internal/standby"
+	"caperlatch/internal/wire"
+)
+
+// addStandbyFlag lets the operator turn the warm standby on.
+func addStandbyFlag(cmd *cobra.Command, file *string) {
+	cmd.Flags().StringVar(file, "standby", "", "settings of the warm standby (XML); without it, it is off")
+}
+
+// runUntilTerminated runs a node that hands over when it is told to end by SIGTERM.
+func runUntilTerminated(ctx context.Context, n *caperlatch.Node) error {
+	terminated, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
+	defer stop()
+	running, end := context.WithCancel(ctx)
+	defer end()
+	go func() {
+		<-terminated.Done()
+		n.HandOverAtEnd()
+		end()
+	}()
+	return n.Run(running)
+}
+
+// standbyCommand asks a node how far the warm standby is.
+func standbyCommand() *cobra.Command {
+	var node string
+	cmd := &cobra.Command{
+		Use:   "standby",
+		Short: "Say who leads, how far the others follow, and how the last take-over went",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var status api.StandbyStatus
+			if err := ask(cmd.Context(), http.MethodGet, node, "/standby", &status); err != nil {
+				return err
+			}
+			printStandby(cmd.OutOrStdout(), &status)
+			return nil
+		},
+	}
+	addNodeFlag(cmd, &node)
+	return cmd
+}
+
+// handoverCommand has a leader hand over.
+func handoverCommand() *cobra.Command {
+	var node string
+	cmd := &cobra.Command{
+		Use:   "handover",
+		Short: "Have the leader on this machine hand over to the standby that is furthest",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var done api.HandedOver
+			if err := ask(cmd.Context(), http.MethodPost, node, "/standby/handover", &done); err != nil {
+				return err
+			}
+			if done.To == "" {
+				done.To = "any node, as none follows closely"
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "handed over to", done.To)
+			return nil
+		},
+	}
+	addNodeFlag(cmd, &node)
+	return cmd
+}
+
+// ask sends a request to a node and decodes its answer; any other status is an error.
+func ask(ctx context.Context, method, node, path string, out any) error {
+	status, body, err := request(ctx, method, node, path)
+	if err != nil {
+		return err
+	}
+	if status == http.StatusOK {
+		return wire.Unmarshal(body, out)
+	}
+	var why wire.ErrorBody
+	if err := wire.Unmarshal(body, &why); err != nil || why.Error == "" {
+		why.Error = fmt.Sprintf("%d %s (a version without it?)", status, http.StatusText(status))
+	}
+	return fmt.Errorf("%s answers: %s", node, why.Error)
+}
+
+// printStandby writes a status for people.
+func printStandby(w io.Writer, s *api.StandbyStatus) {
+	fmt.Fprintf(w, "%s: %s, term %d led by %s\n", s.Member, s.Phase, s.Token, s.Leader)
+	if s.Leading {
+		fmt.Fprintf(w, "  position %d\n", s.Position)
+		for _, f := range s.Followers {
+			printFollower(w, s.Position, f)
+		}
+	}
+	if p := s.Progress; p != nil {
+		printProgress(w, p)
+	}
+	if s.Last != nil {
+		printRecord(w, s.Last)
+	}
+}
+
+// printFollower writes how far a follower is behind a position.
+func printFollower(w io.Writer, position uint64, f standby.FollowerState) {
+	if !f.Whole {
+		fmt.Fprintf(w, "  %s: takes a snapshot, asked %.1f s ago\n", f.Member, f.AgeS)
+		return
+	}
+	fmt.Fprintf(w, "  %s: position %d, %d entries behind, asked %.1f s ago\n", f.Member, f.Position, position-min(position, f.Position), f.AgeS)
+}
+
+// printProgress writes how far the asked follower is.
+func printProgress(w io.Writer, p *standby.Progress) {
+	state := "whole"
+	if !p.Whole {
+		state = "taking a snapshot"
+	}
+	fmt.Fprintf(w, "  follows term %d: position %d, %s, %d machines, %d tasks\n", p.Token, p.Position, state, p.Machines, p.Tasks)
+	if p.LagS >= 0 {
+		fmt.Fprintf(w, "  behind: %d entries, %.1f s\n", p.LagEntries, p.LagS)
+	}
+	for kind, n := range p.Refused {
+		fmt.Fprintf(w, "  refused pages: %d, %s\n", n, kind)
+	}
+}
+
+// printRecord writes how a take-over went.
+func printRecord(w io.Writer, r *standby.Record) {
+	kind := "cold"
+	switch {
+	case r.Evidence.HandedOver:
+		kind = "handed over"
+	case r.Warm:
+		kind = "warm"
+	}
+	fmt.Fprintf(w, "  last take-over here: token %d, %s; key taken at revision %d, read through %d\n",
+		r.Evidence.Token, kind, r.Evidence.Revision, r.Evidence.ReadThrough)
+	for _, p := range r.Phases {
+		fmt.Fprintf(w, "    %s after %.3f s\n", p.Phase, p.TookS)
+	}
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -46,6 +46,12 @@
 	Front(machine string) string
 	// Explain asks the leader about a job.
 	Explain(ctx context.Context, id string) (leader.Explanation, error)
+	// AwaitHandover waits, for a moment at most, while leadership is being handed over.
+	AwaitHandover(ctx context.Context)
+	// Standby tells how far the warm standby is.
+	Standby() (StandbyStatus, error)
+	// HandOver hands leadership over, and tells to whom.
+	HandOver() (to string, err error)
 }
 
 // Handler holds what the handlers work with.
@@ -75,6 +81,8 @@
 	// Users who ask very often must not keep the duty team from asking why.
 	e.GET("/v1/jobs/:id/why", h.explain, limited(newLimiter()))
 	e.GET("/ready", h.ready)
+	e.GET("/standby", h.standby)
+	e.POST("/standby/handover", h.handOver)
 	e.POST("/hello", h.report)
 	return e
 }
--- a/internal/api/report.go
+++ b/internal/api/report.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return bad(c, http.StatusBadRequest, err)
 	}
+	h.Node.AwaitHandover(c.Request().Context())
 	if l := h.Node.Leading(); l != nil {
 		return h.answerReport(c, l, body)
 	}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -49,8 +49,11 @@
 	lead    func(ctx context.Context, t *Term)
 	began   micros.Micros
 	// abstention is how long one of an earlier life may bind this one.
-	abstention micros.Micros
-	pause      micros.Micros // after a campaign in vain
+	abstention  micros.Micros
+	pause       micros.Micros // after a campaign in vain
+	campaigning func()
+	yield       func() micros.Micros
+	freeSince   micros.Micros // since when nobody is seen to lead, 0 if somebody is
 
 	mu           sync.Mutex
 	abstainUntil micros.Micros // until then this node must not try to lead
@@ -66,6 +69,11 @@
 	Peers   Peers
 	// Abstention is the longest that a node may have been told to abstain for.
 	Abstention micros.Micros
+	// Campaigning, if set, is called as this node begins to try to lead.
+	Campaigning func()
+	// Yield, if set, is for how long this node lets others go first when nobody leads. It
+	// only saves time: a node that yields in vain leads a little later.
+	Yield func() micros.Micros
 	// Lead is called for each term and must return soon after its context ends.
 	Lead func(context.Context, *Term)
 }
@@ -73,14 +81,16 @@
 // New makes an election.
 func New(c Config) *Election {
 	return &Election{
-		member:     c.Member,
-		store:      c.Store,
-		replica:    c.Replica,
-		peers:      c.Peers,
-		lead:       c.Lead,
-		began:      micros.Now(),
-		abstention: c.Abstention,
-		pause:      retryEvery,
+		member:      c.Member,
+		store:       c.Store,
+		replica:     c.Replica,
+		peers:       c.Peers,
+		lead:        c.Lead,
+		began:       micros.Now(),
+		abstention:  c.Abstention,
+		pause:       retryEvery,
+		campaigning: c.Campaigning,
+		yield:       c.Yield,
 	}
 }
 
@@ -174,10 +184,16 @@
 // a change after that.
 func (e *Election) step(ctx context.Context) (wait micros.Micros) {
 	l, stamp := e.Leader()
+	if stamp != 0 {
+		e.freeSince = 0
+	}
 	switch {
 	case !e.replica.Loaded():
 		return idleWait
 	case stamp == 0:
+		if wait := e.yielding(); wait > 0 {
+			return wait
+		}
 		return e.tryToLead(ctx)
 	case l.Member == e.member:
 		// An earlier life of this member, or an unanswered campaign of
@@ -190,11 +206,26 @@
 	return idleWait
 }
 
+// yielding is for how much longer this node lets others go first.
+func (e *Election) yielding() micros.Micros {
+	now := micros.Now()
+	if e.freeSince == 0 {
+		e.freeSince = now
+	}
+	if e.yield == nil {
+		return 0
+	}
+	return min(retryEvery, e.freeSince+e.yield()-now)
+}
+
 // tryToLead runs a campaign, and the term if it is won.
 func (e *Election) tryToLead(ctx context.Context) (wait micros.Micros) {
 	if !e.beginCampaign() {
 		return retryEvery
 	}
+	if e.campaigning != nil {
+		e.campaigning()
+	}
 	t := e.campaign(ctx)
 	if t != nil {
 		e.serve(ctx, t)
--- a/internal/leader/ask.go
+++ b/internal/leader/ask.go
@@ -50,13 +50,16 @@
 	l.mu.Lock()
 	var ms []*machine
 	for _, m := range l.order {
-		if !m.resolved && m.address != "" {
+		if (!m.resolved || m.unconfirmed) && m.address != "" {
 			ms = append(ms, m)
 			a := l.zoneAnswers[m.kind.Zone]
 			a.asked++
 			l.zoneAnswers[m.kind.Zone] = a
 		}
 	}
+	if l.Expected != nil {
+		l.askOrder(ms)
+	}
 	l.mu.Unlock()
 	type ask struct {
 		m  *machine
@@ -96,8 +99,8 @@
 	// A worker that lost its lease is in a session that only its answer tells.
 	for range 2 {
 		l.mu.Lock()
-		over := m.resolved || m.leaving || l.machines[m.id] != m || l.superseded
-		body := wire.DirectCommands{Token: l.Token, Session: max(1, m.session), Commands: []wire.Command{}}
+		over := m.resolved && !m.unconfirmed || m.leaving || l.machines[m.id] != m || l.superseded || l.handing
+		body := wire.DirectCommands{Token: l.Token, Session: m.probableSession(), Commands: []wire.Command{}}
 		l.mu.Unlock()
 		if over {
 			return true
@@ -126,12 +129,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return m.resolved
+	return m.resolved && !m.unconfirmed
 }
 
 // answeredAsk takes a machine's tasks from its answer, unless a report came first.
 func (l *Leader) answeredAsk(m *machine, r *wire.Report, now micros.Micros) {
-	if m.resolved || l.machines[m.id] != m || l.superseded || r.Session < m.session {
+	if m.resolved && !m.unconfirmed || l.machines[m.id] != m || l.superseded || r.Session < m.session {
 		return
 	}
 	m.session = r.Session
@@ -145,4 +148,13 @@
 	// It is alive; and no answer of an earlier term renews its lease from now on.
 	m.reported, m.answered = now, now
 	l.reconcile(m, r, now)
+	l.publishMachine(m)
+}
+
+// probableSession is the session that a machine is probably in.
+func (m *machine) probableSession() uint64 {
+	if m.session == 0 && m.expected != nil {
+		return max(1, m.expected.Session)
+	}
+	return max(1, m.session)
 }
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -123,8 +123,8 @@
 func (l *Leader) whyWaiting(j *job) (why []string) {
 	now := micros.Now()
 	teams, unresolved := l.teamUse()
-	if j.old && unresolved > 0 {
-		why = append(why, fmt.Sprintf("%d machines' tasks are not known yet after the take-over", unresolved))
+	if l.mustWait(j, unresolved) {
+		why = append(why, fmt.Sprintf("%d machines' tasks are not known yet after the take-over", unresolved+l.unconfirmed()))
 	}
 	if f := j.failing(now); f != "" && !j.good() {
 		why = append(why, f)
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -12,6 +12,7 @@
 	"caperlatch/internal/cloud"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
+	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
 )
 
@@ -230,10 +231,18 @@
 	return ids
 }
 
+// mayDecide tells whether this term may still decide.
+func (l *Leader) mayDecide() bool {
+	l.mu.Lock()
+	handing := l.handing
+	l.mu.Unlock()
+	return !handing && l.Term.Sure()
+}
+
 // rentLoop asks the cloud for what is booked.
 func (l *Leader) rentLoop(ctx context.Context) {
 	micros.Every(ctx, 100*micros.Millisecond, func() {
-		if !l.Term.Sure() {
+		if !l.mayDecide() {
 			return
 		}
 		for _, id := range l.openBookings() {
@@ -260,7 +269,7 @@
 	for wait := 500 * micros.Millisecond; ; wait = min(2*wait, 8*micros.Second) {
 		l.mu.Lock()
 		b := l.bookings[id]
-		over := b == nil || ctx.Err() != nil || !l.Term.Sure()
+		over := b == nil || ctx.Err() != nil || l.handing || !l.Term.Sure()
 		var r wire.Rental
 		if b != nil {
 			r = wire.Rental{Request: id, Type: b.Type, Zone: b.Zone, Spot: b.Spot, Count: b.Count}
@@ -348,6 +357,7 @@
 		a.why = "its machine is returned: " + why
 	}
 	l.toReturn = append(l.toReturn, m.id)
+	l.publish(standby.Entry{Returning: &standby.Returning{Machine: m.id, Why: why}})
 }
 
 // returnLoop has the cloud take machines back, many in a call: calls are few,
@@ -356,6 +366,9 @@
 	micros.Every(ctx, 200*micros.Millisecond, func() {
 		l.mu.Lock()
 		n := min(len(l.toReturn), cloud.MaxReturn)
+		if l.handing {
+			n = 0
+		}
 		ids := slices.Clone(l.toReturn[:n])
 		l.toReturn = slices.Delete(l.toReturn, 0, n)
 		l.mu.Unlock()
@@ -397,6 +410,7 @@
 		l.order = slices.Delete(l.order, i, i+1)
 	}
 	l.gone[m.id] = true
+	l.publish(standby.Entry{Gone: &standby.Gone{Machine: m.id}})
 	b := m.booking
 	b.Machines = slices.DeleteFunc(b.Machines, func(id string) bool { return id == m.id })
 	if m.up {
--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -58,10 +58,12 @@
 	}
 	l.mu.Lock()
 	ws, more := l.gather()
+	l.writing = len(ws) > 0
 	l.mu.Unlock()
 	if len(ws) == 0 {
 		return false
 	}
+	defer l.endWriting()
 	rev, err := l.Store.CommitPaced(ctx, l.transaction(ws))
 	var conflict *statestore.Conflict
 	switch {
@@ -73,8 +75,6 @@
 		l.lostOnce.Do(func() { close(l.lost) })
 		return false
 	case errors.Is(err, statestore.ErrRefused):
-		l.mu.Lock()
-		defer l.mu.Unlock()
 		l.flushRefused(ws, err)
 		return true
 	}
@@ -83,6 +83,13 @@
 	return false
 }
 
+// endWriting notes that no transaction is under way.
+func (l *Leader) endWriting() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writing = false
+}
+
 // transaction conditions each write on its key's version as well as on the leadership:
 // a transaction that got no answer may be applied late, and must not undo a newer one.
 func (l *Leader) transaction(ws []write) wire.Txn {
@@ -135,6 +142,8 @@
 // value: one that is refused alone is given up until it is smaller, while the others go
 // on. It was sent again for ever, with all that stood beside it.
 func (l *Leader) flushRefused(ws []write, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if len(ws) == 1 {
 		w := ws[0]
 		l.tooLarge[w.key] = wire.JSONSize(w.value)
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -100,6 +100,7 @@
 			continue
 		}
 		a.reserved, a.sentAt = false, m.seq
+		l.publishPlaced(a)
 		orders = append(orders, wire.Command{Verb: wire.VerbStart, Task: taskName(a.job.spec.ID, a.task), Attempt: a.n})
 	}
 	return orders
@@ -351,7 +352,7 @@
 		case j.gang.ending:
 			// What an adopted or repeated start brought is stopped as well.
 			l.stopAll(j, saveGrace(j), "its gang is being stopped")
-		case j.gang.started && j.waiting() > 0 && (!j.old || unresolved == 0):
+		case j.gang.started && j.waiting() > 0 && !l.mustWait(j, unresolved):
 			// Its task was lost in an earlier term, or between two.
 			l.stopAll(j, 0, "another task of its gang is gone")
 		case !j.gang.started && j.gang.waits != 0 && now-j.gang.waits > launchLimit(l.Settings.Params.Workers.GangWait()):
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -18,6 +18,7 @@
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
 	"caperlatch/internal/settings"
+	"caperlatch/internal/standby"
 	"caperlatch/internal/statestore"
 	"caperlatch/internal/wire"
 	"caperlatch/placement"
@@ -45,6 +46,10 @@
 	Token    uint64
 	Stamp    uint64 // of the leader key
 	Workers  *http.Client
+	// Of a node with a warm standby; nil without.
+	Followers Followers
+	Progress  Progress
+	Expected  *standby.View // of the term before, if one was followed
 }
 
 // Leader acts for one term. Its mu guards all that changes after New, except
@@ -74,6 +79,7 @@
 	gangState
 	flushState
 	workerCalls
+	standbyState
 
 	// What is shown to users and written to the log.
 	counts    map[string][2]int // see AllCounts
@@ -144,6 +150,7 @@
 	flushNow chan struct{}
 	flushOps int            // most changes in a transaction
 	tooLarge map[string]int // sizes of values that the state service refused, by key
+	writing  bool           // a transaction is under way
 }
 
 // workerCalls is what is known of this node's own calls to workers.
@@ -241,6 +248,10 @@
 			return
 		}
 	}
+	if l.Progress != nil && !l.Progress.Confirmed(l.Replica.Revision(), l.Expected != nil && l.Expected.Proves(l.Token)) {
+		slog.Error("take-over", "error", "there is no proof that the term before has ended")
+		return
+	}
 	if err := l.rebuild(); err != nil {
 		slog.Error("take-over", "error", err)
 		return
@@ -407,6 +418,7 @@
 	if err := l.restoreStaffing(now); err != nil {
 		return err
 	}
+	l.useExpected()
 	l.stepReserves(now)
 	l.ready = true
 	l.replan = true
@@ -431,6 +443,11 @@
 		now := micros.Now()
 		l.mu.Lock()
 		l.takeChanges()
+		if l.handing {
+			l.mu.Unlock()
+			continue
+		}
+		l.noteAdopted()
 		if now-watched >= 200*micros.Millisecond {
 			watched = now
 			l.watchMachines(now)
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"caperlatch/internal/micros"
+	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
 	"caperlatch/placement"
 )
@@ -54,13 +55,16 @@
 	draining          string             // why it gets no more tasks
 	leaving           bool               // a return has been asked for
 	recallAt          micros.Micros
-	faultyAt          micros.Micros   // when found faulty
-	strikes           int             // failures of good jobs since its last success
-	failed            map[string]bool // other jobs that failed on it since then, see faults.go
-	proven            micros.Micros   // when the latest task began that was done
-	notUntil          micros.Micros   // no starts before
-	busyTill          micros.Micros   // idle since, for returns
-	withMost          bool            // it is late as most that were rented with it
+	faultyAt          micros.Micros        // when found faulty
+	strikes           int                  // failures of good jobs since its last success
+	failed            map[string]bool      // other jobs that failed on it since then, see faults.go
+	proven            micros.Micros        // when the latest task began that was done
+	notUntil          micros.Micros        // no starts before
+	busyTill          micros.Micros        // idle since, for returns
+	withMost          bool                 // it is late as most that were rented with it
+	expected          *standby.Machine     // what the term before was seen to know of it
+	unconfirmed       bool                 // its tasks are known by a handover, and not by itself
+	published         standby.MachineState // to the followers
 }
 
 func (l *Leader) addMachine(id string, b *booking, now micros.Micros) *machine {
@@ -243,6 +247,7 @@
 	a.machine.free = a.machine.free.Plus(a.job.need, -1)
 	a.machine.have = a.machine.have.With(a.job.image)
 	l.used[a.job.spec.Team] = l.used[a.job.spec.Team].Plus(a.job.need, 1)
+	l.publishPlaced(a)
 }
 
 // lose frees all tasks of a machine that are surely gone.
@@ -250,14 +255,16 @@
 	for _, a := range m.tasks {
 		l.ended(a, why)
 	}
-	m.resolved = true
+	m.resolved, m.unconfirmed = true, false
 	m.planned = nil
 	l.replan = true
+	l.publishMachine(m)
 }
 
 // ended frees a task that is no longer on its machine.
 func (l *Leader) ended(a *attempt, why string) {
 	delete(a.machine.tasks, taskName(a.job.spec.ID, a.task))
+	l.publishLeft(a)
 	if a.stopped != 0 {
 		a.machine.stopping--
 	}
@@ -314,6 +321,7 @@
 		a.stopped = micros.Now()
 	}
 	a.grace, a.why = grace, why
+	l.publishPlaced(a)
 	return true
 }
 
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -222,7 +222,7 @@
 	for _, j := range l.jobs {
 		l.pardon(j, now)
 		n := j.ready(now)
-		if n <= 0 || j.old && unresolved > 0 {
+		if n <= 0 || l.mustWait(j, unresolved) {
 			continue
 		}
 		w := l.waitingJob(j, n, covered[j], wall)
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -48,6 +48,7 @@
 	l.recordReport(m, r, now)
 	l.takeTasks(m, r, now)
 	l.drainOnNotice(m, now)
+	l.publishMachine(m)
 	answer.Commands = l.planOrders(m, now)
 	return answer, nil
 }
@@ -60,7 +61,7 @@
 		l.lostOnce.Do(func() { close(l.lost) })
 		return false
 	}
-	return l.ready && now < l.Term.Confirmed()+l.Settings.Params.Workers.RenewFor()
+	return l.ready && !l.handing && now < l.Term.Confirmed()+l.Settings.Params.Workers.RenewFor()
 }
 
 // accepts tells whether a known machine's report is to be answered.
@@ -83,9 +84,9 @@
 	}
 	// That an earlier session ended says nothing of what earlier terms started in this
 	// one: a report held back from before a take-over may be all that is known of it.
-	resolved := m.resolved
+	resolved, unconfirmed := m.resolved, m.unconfirmed
 	l.lose(m, "the worker's session ended")
-	m.resolved = resolved
+	m.resolved, m.unconfirmed = resolved, unconfirmed
 	m.asked = 0
 	m.sent = m.sent[:0]
 }
@@ -138,9 +139,9 @@
 // carries this term's token, so the worker made it after it had accepted an
 // answer of this term: starts of earlier terms can no longer be executed.
 func (l *Leader) reconcile(m *machine, r *wire.Report, now micros.Micros) {
-	resolved := m.resolved
-	if !m.resolved {
-		m.resolved = true
+	confirmed := m.resolved && !m.unconfirmed
+	if !confirmed {
+		m.resolved, m.unconfirmed = true, false
 		l.replan = true
 	}
 	listed := make(map[string]bool, len(r.Tasks))
@@ -160,7 +161,7 @@
 			l.ended(a, "the start was lost")
 		}
 	}
-	if !resolved {
+	if !confirmed {
 		l.rejoinReserve(m)
 	}
 }
@@ -260,7 +261,10 @@
 			return
 		}
 	}
-	a.n, a.reserved = t.Attempt, false
+	if a.n != t.Attempt || a.reserved {
+		a.n, a.reserved = t.Attempt, false
+		l.publishPlaced(a)
+	}
 	if t.State == wire.TaskRunning && a.running == 0 {
 		l.noteRunning(m, a, now)
 	}
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -38,13 +38,16 @@
 	if a.running != 0 && (j.spec.CheckpointS == 0 || !j.resumed[a.task]) {
 		e := l.estimates[j.spec.Class]
 		if e == nil {
-			e = &staffing.Estimate{}
+			e = newEstimate()
 			l.estimates[j.spec.Class] = e
 		}
 		e.Observe(j.spec.EstimateS, (now - a.running).Seconds(), j.spec.Tasks)
 	}
 }
 
+// newEstimate is a class's estimate that has learned nothing yet.
+func newEstimate() *staffing.Estimate { return &staffing.Estimate{} }
+
 // fraction is the part of a machine that a task holds.
 func fraction(t *machineType, need placement.Resources) float64 {
 	f := 0.0
@@ -167,6 +170,7 @@
 	l.consolidate(now)
 	if record := int64(l.Tuning.RecordInterval / micros.Second); record < 1 || int64(now/micros.Second)%record == 0 {
 		l.dirty[replica.StaffingKey] = true
+		l.publishEstimates()
 		l.sweep()
 		l.wakeFlush()
 	}
--- /dev/null
+++ b/internal/leader/standby.go
@@ -0,0 +1,281 @@
+package leader
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/standby"
+	"caperlatch/internal/wire"
+)
+
+// Followers are the nodes that keep a view of what this term decides.
+type Followers interface {
+	// Publish adds an entry, without waiting for anybody.
+	Publish(e standby.Entry)
+	// Position is that of the newest entry.
+	Position() uint64
+	// Furthest is the follower that has applied most, of those heard within a time.
+	Furthest(within micros.Micros) standby.FollowerState
+	// Applied tells whether a follower has applied all up to a position.
+	Applied(member string, position uint64) bool
+}
+
+// Progress is told how far the take-over is.
+type Progress interface {
+	// Confirmed notes that all that earlier terms stored is known through a revision, and
+	// tells whether that allows to decide.
+	Confirmed(readThrough uint64, handedOver bool) bool
+	// Adopted notes that the tasks of all machines are known.
+	Adopted()
+}
+
+// standbyState is what the leader keeps for followers, and for a handover.
+type standbyState struct {
+	adopted    bool // Progress was told so
+	handedOver bool // some machines' tasks are known by the handover of the term before
+	handing    bool // this term hands over: nothing more is decided
+}
+
+// ErrNotReady says that a leader cannot hand over now.
+var ErrNotReady = errors.New("the leader is still taking over, or is handing over already")
+
+// publish tells the followers.
+func (l *Leader) publish(e standby.Entry) {
+	if l.Followers != nil {
+		l.Followers.Publish(e)
+	}
+}
+
+// publishPlaced tells that a task holds its place on a machine.
+func (l *Leader) publishPlaced(a *attempt) {
+	if l.Followers == nil {
+		return
+	}
+	l.publish(standby.Entry{Placed: &standby.Placed{
+		Machine: a.machine.id,
+		Task:    taskName(a.job.spec.ID, a.task),
+		TaskState: standby.TaskState{
+			Attempt:  a.n,
+			Stopping: a.stopped != 0,
+			Urgent:   a.job.priority >= wire.PriorityRank(wire.PriorityUrgent),
+			Reserved: a.reserved,
+		},
+	}})
+}
+
+// publishLeft tells that a task is surely no longer on a machine.
+func (l *Leader) publishLeft(a *attempt) {
+	if l.Followers != nil {
+		l.publish(standby.Entry{Left: &standby.Left{Machine: a.machine.id, Task: taskName(a.job.spec.ID, a.task)}})
+	}
+}
+
+// publishMachine tells what has changed of a machine besides its tasks.
+func (l *Leader) publishMachine(m *machine) {
+	state := standby.MachineState{Session: m.session, Resolved: m.resolved && !m.unconfirmed}
+	if l.Followers == nil || m.published == state {
+		return
+	}
+	m.published = state
+	l.publish(standby.Entry{Observed: &standby.Observed{Machine: m.id, MachineState: state}})
+}
+
+// publishEstimates tells what the classes' run times have been, which is not stored.
+func (l *Leader) publishEstimates() {
+	if l.Followers == nil {
+		return
+	}
+	for class, e := range l.estimates {
+		l.publish(standby.Entry{Estimated: &standby.Estimated{Class: class, Moments: e.Moments()}})
+	}
+}
+
+// useExpected goes on from the view of the term before. It is a hint: it tells whom to ask
+// first and in which session, which returns to repeat and how classes' run times turned
+// out. Only a complete handover proves more.
+func (l *Leader) useExpected() {
+	v := l.Expected
+	if v == nil {
+		return
+	}
+	for class, moments := range v.Estimates {
+		l.restoreEstimate(class, moments)
+	}
+	l.handedOver = v.Proves(l.Token)
+	for id, known := range v.Machines {
+		m := l.machines[id]
+		if m == nil {
+			continue
+		}
+		m.expected = known
+		if l.handedOver && known.Resolved && !m.resolved {
+			l.adoptHandedOver(m, known)
+		}
+		if known.Returning && l.Term.Held() {
+			// A return is never taken back; the term before may not have had its answer.
+			l.giveUp(m, "an earlier leader was returning it")
+		}
+	}
+	if l.handedOver {
+		l.returnDropped()
+	}
+	slog.Info("standby: the term before", "token", v.Token, "handed_over", l.handedOver, "machines", len(v.Machines), "tasks", v.Tasks())
+}
+
+// returnDropped returns the machines that the term before had dropped, which it does only
+// once their return was answered: that they are gone was not stored yet. What the cloud
+// answers proves it anew.
+func (l *Leader) returnDropped() {
+	for _, m := range l.order {
+		if !m.resolved && m.expected == nil && l.Term.Held() {
+			l.giveUp(m, "an earlier leader had returned it")
+		}
+	}
+}
+
+// restoreEstimate goes on from a class's estimate.
+func (l *Leader) restoreEstimate(class string, moments []float64) {
+	e := newEstimate()
+	if e.Restore(moments) {
+		l.estimates[class] = e
+	}
+}
+
+// adoptHandedOver takes a machine's tasks from the view of a leader that has handed over:
+// the machine holds none but these. Which of them are gone by now, its next snapshot tells.
+//
+// The leader before had made its last answer before it let go of its session, so before this
+// term began: the machine's lease counts from then on, as if this term had answered it.
+func (l *Leader) adoptHandedOver(m *machine, known *standby.Machine) {
+	for name, task := range known.Tasks {
+		if task.Reserved {
+			continue // its start was never sent
+		}
+		id, n, err := parseTask(name)
+		j := l.jobs[id]
+		if j == nil && err == nil {
+			j = l.orphan(id)
+		}
+		if err != nil || j == nil || n >= j.spec.Tasks {
+			continue // of a job that is over: reported, it is stopped
+		}
+		l.hold(&attempt{job: j, task: n, n: task.Attempt, machine: m, began: l.began})
+		if j.isGang() && task.Attempt > j.gang.n {
+			j.gang = gang{n: task.Attempt}
+		}
+	}
+	m.resolved, m.unconfirmed = true, true
+	m.answered = l.began
+}
+
+// mustWait tells whether a job must start nothing yet: it may have tasks on machines whose
+// tasks are not known. A gang also waits until all machines have confirmed what a handover
+// told of them, since only their reports tell whether its attempt runs or ends.
+func (l *Leader) mustWait(j *job, unresolved int) bool {
+	return j.old && (unresolved > 0 || j.isGang() && l.unconfirmed() > 0)
+}
+
+// unconfirmed counts the machines whose tasks are known by a handover alone.
+func (l *Leader) unconfirmed() (n int) {
+	if !l.handedOver {
+		return 0
+	}
+	for _, m := range l.machines {
+		if m.unconfirmed {
+			n++
+		}
+	}
+	return n
+}
+
+// noteAdopted tells once that the tasks of all machines are known.
+func (l *Leader) noteAdopted() {
+	if l.Progress == nil || l.adopted || !l.ready || l.unresolved()+l.unconfirmed() > 0 {
+		return
+	}
+	l.adopted = true
+	l.Progress.Adopted()
+}
+
+// askOrder has machines asked in the order in which their answers matter: while urgent work
+// waits, those that should have room for it, and then the busiest, which most jobs wait for.
+func (l *Leader) askOrder(ms []*machine) {
+	urgent := false
+	for _, j := range l.jobs {
+		urgent = urgent || j.waiting() > 0 && j.priority >= wire.PriorityRank(wire.PriorityUrgent)
+	}
+	rank := func(m *machine) int {
+		tasks := 0
+		if m.expected != nil {
+			tasks = len(m.expected.Tasks)
+		}
+		if urgent && tasks == 0 {
+			return -1 << 20
+		}
+		return -tasks
+	}
+	slices.SortStableFunc(ms, func(a, b *machine) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
+// Times of a handover.
+const (
+	handoverPoll = 20 * micros.Millisecond
+	// followerWithin is how fresh a follower's last query must be for it to be handed to.
+	followerWithin = micros.Second
+	// flushPart is the part of a handover's time that what is to be stored may take.
+	flushPart = 3
+)
+
+// HandOver ends the term as planned, within a limit: nothing more is decided, what can be
+// stored in time is, the follower that is furthest hears the last position, and then the
+// session is let go. If that follower ends, anyone may lead. It tells who was named.
+func (l *Leader) HandOver(limit micros.Micros) (to string, err error) {
+	if l.Followers == nil {
+		return "", fmt.Errorf("%w: the standby is off", ErrNotReady)
+	}
+	began := micros.Now()
+	l.mu.Lock()
+	if !l.ready || l.handing || l.superseded {
+		l.mu.Unlock()
+		return "", ErrNotReady
+	}
+	l.handing = true
+	l.mu.Unlock()
+	for micros.Now() < began+limit/flushPart && !l.allStored() {
+		l.wakeFlush()
+		handoverPoll.Sleep()
+	}
+	position, to := l.publishHandover()
+	for to != "" && micros.Now() < began+limit && !l.Followers.Applied(to, position) {
+		handoverPoll.Sleep()
+	}
+	slog.Info("handing over", "token", l.Token, "to", to, "applied", to != "" && l.Followers.Applied(to, position), "took", (micros.Now() - began).Duration())
+	l.lostOnce.Do(func() { close(l.lost) })
+	return to, nil
+}
+
+// allStored tells whether nothing waits to be written, but for what can wait for long.
+func (l *Leader) allStored() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, soon := range l.dirty {
+		if soon {
+			return false
+		}
+	}
+	return !l.writing
+}
+
+// publishHandover publishes the term's last entry. All starts were published before it,
+// since they are under the same lock and none follows.
+func (l *Leader) publishHandover() (position uint64, to string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	to = l.Followers.Furthest(followerWithin).Member
+	l.publish(standby.Entry{Handover: &standby.Handover{To: to, Complete: l.unresolved()+l.unconfirmed() == 0}})
+	return l.Followers.Position(), to
+}
--- a/internal/micros/micros.go
+++ b/internal/micros/micros.go
@@ -74,6 +74,9 @@
 	}
 }
 
+// Sleep waits for m.
+func (m Micros) Sleep() { time.Sleep(m.Duration()) }
+
 // Pause waits for d, or less if ctx ends.
 func Pause(ctx context.Context, d Micros) {
 	select {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -13,6 +13,7 @@
 	"caperlatch/internal/leader"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
+	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
 )
 
@@ -22,6 +23,9 @@
 	Probe   *Probe     `json:"probe,omitempty"`
 	Relay   []wire.Raw `json:"relay,omitempty"` // workers' reports
 	Explain string     `json:"explain,omitempty"`
+	// Standby asks a leader what it has decided. One of a version before this one ignores
+	// the field, and its answer says nothing.
+	Standby *standby.Query `json:"standby,omitempty"`
 }
 
 // Probe tells a peer of its sender and asks for its state.
@@ -56,6 +60,7 @@
 	State   *State              `json:"state,omitempty"`
 	Relay   []Relayed           `json:"relay,omitempty"`
 	Explain *leader.Explanation `json:"explain,omitempty"`
+	Standby *standby.Page       `json:"standby,omitempty"`
 	Error   string              `json:"error,omitempty"`
 }
 
--- a/internal/peer/oldversions_test.go
+++ b/internal/peer/oldversions_test.go
@@ -9,6 +9,7 @@
 	"caperlatch/internal/leader"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
+	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
 )
 
@@ -282,8 +283,8 @@
 		}
 	case reflect.Struct:
 		switch v.Interface().(type) {
-		case leader.Explanation, replica.Job:
-			return // only shown; as it is stored
+		case leader.Explanation, replica.Job, standby.Query, standby.Page:
+			return // only shown; as it is stored; not known to any earlier version
 		}
 		for i := range v.NumField() {
 			name := v.Type().String() + "." + v.Type().Field(i).Name
@@ -300,9 +301,11 @@
 	grace := 10.0
 	answer.Commands = append(answer.Commands, wire.Command{Verb: wire.VerbStop, Task: "j-000377/1", Attempt: 1, GraceS: &grace})
 	report.Tasks[1].Saved = true
-	request := Request{ID: 7, Probe: capturedProbe(), Relay: []wire.Raw{raw(t, report)}, Explain: "j-000412"}
+	request := Request{ID: 7, Probe: capturedProbe(), Relay: []wire.Raw{raw(t, report)}, Explain: "j-000412",
+		Standby: &standby.Query{Version: standby.Version, Member: "host-2", Token: 41, Position: 7}}
 	response := Response{ID: 7, State: capturedState(Version), Relay: []Relayed{{Answer: raw(t, answer)}, {Error: "not entitled"}}, Error: "not leading",
-		Explain: &leader.Explanation{Job: "j-000412", By: "host-1", Tasks: 16, Why: []string{"no room"}}}
+		Explain: &leader.Explanation{Job: "j-000412", By: "host-1", Tasks: 16, Why: []string{"no room"}},
+		Standby: &standby.Page{Version: standby.Version, Token: 41, Latest: 9, Entries: []standby.Entry{{Gone: &standby.Gone{Machine: "i-000231"}}}}}
 	set := map[string]bool{}
 	for _, message := range []any{request, response, report, answer} {
 		noteFields(reflect.ValueOf(message), set)
@@ -314,10 +317,14 @@
 	}
 	for _, v := range oldVersions {
 		t.Run(v.name, func(t *testing.T) {
-			if got := read[Request](t, resaid(t, raw(t, request), v.request)); !reflect.DeepEqual(got, request) {
-				t.Errorf("request: %+v, want %+v", got, request)
+			// Earlier versions neither follow a leader nor publish: they ignore both.
+			wantRequest := request
+			wantRequest.Standby = nil
+			if got := read[Request](t, resaid(t, raw(t, request), v.request)); !reflect.DeepEqual(got, wantRequest) {
+				t.Errorf("request: %+v, want %+v", got, wantRequest)
 			}
 			want := response
+			want.Standby = nil
 			if v.version == 0 {
 				want.State = capturedState(0) // it knows no versions, and does not pass them on
 			}
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"caperlatch/internal/leader"
+	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
 )
 
@@ -24,6 +25,8 @@
 	return leader.Explanation{}, errors.New("none")
 }
 
+func (*fullAnswers) Followed(*standby.Query) *standby.Page { return nil }
+
 // TestRelayMuch has a follower pass on the reports of a fleet that waits to be filled.
 // The answers to all of them do not fit one message: those that do must arrive, and
 // the leader must not have seen the reports whose answers do not.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 
 	"caperlatch/internal/leader"
 	"caperlatch/internal/micros"
+	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
 )
 
@@ -27,6 +28,8 @@
 	Relayed(report wire.Raw) (wire.Raw, error)
 	// Explained tells what the leader here knows of a job.
 	Explained(job string) (leader.Explanation, error)
+	// Followed tells a follower what the leader here has decided; nil if none publishes.
+	Followed(q *standby.Query) *standby.Page
 }
 
 // Serve answers requests on connections of l until ctx ends.
@@ -105,6 +108,8 @@
 		answer.State = h.Probed(q.Probe)
 	case q.Relay != nil:
 		answer.Relay = relayed(q.Relay, h)
+	case q.Standby != nil:
+		answer.Standby = h.Followed(q.Standby)
 	case q.Explain != "":
 		explanation, err := h.Explained(q.Explain)
 		answer.Explain = &explanation
--- /dev/null
+++ b/internal/settings/standby.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"caperlatch/internal/micros"
+)
+
+// Standby holds the settings of the warm standby; nil where it is off.
+type Standby struct {
+	Pull       micros.Micros // between a follower's queries
+	Suspect    micros.Micros // without an answer, the leader is suspected
+	LogEntries int           // that a leader keeps for followers which are behind
+	Handover   micros.Micros // what a planned handover may take
+}
+
+// defaultStandby is what holds for the elements that are left out.
+func defaultStandby() Standby {
+	return Standby{
+		Pull:       100 * micros.Millisecond,
+		Suspect:    800 * micros.Millisecond,
+		LogEntries: 50_000,
+		Handover:   1500 * micros.Millisecond,
+	}
+}
+
+// standbySection is the element that turns the standby on and holds its settings.
+const standbySection = "standby"
+
+// ReadStandby reads the file at path.
+func ReadStandby(path string) (*Standby, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("standby: %w", err)
+	}
+	defer f.Close()
+	return ParseStandby(f)
+}
+
+// ParseStandby reads
+//
+//	<caperlatch><standby><pull_ms>100</pull_ms><suspect_ms>800</suspect_ms>
+//	<log_entries>50000</log_entries><handover_ms>1500</handover_ms></standby></caperlatch>
+//
+// where every element within standby may be left out and no other may stand.
+func ParseStandby(r io.Reader) (*Standby, error) {
+	s := defaultStandby()
+	p := newElementParser(r, standbySection)
+	p.fields = map[string]field{
+		"pull_ms":     p.milliseconds(&s.Pull, 20, 5_000),
+		"suspect_ms":  p.milliseconds(&s.Suspect, 100, 60_000),
+		"log_entries": p.count(&s.LogEntries, 1_000, 1_000_000),
+		"handover_ms": p.milliseconds(&s.Handover, 200, 10_000),
+	}
+	err := p.parse()
+	if err == nil && !p.entered {
+		err = errors.New("element standby is missing")
+	}
+	if err == nil && s.Suspect <= s.Pull {
+		err = errors.New("suspect_ms must be over pull_ms")
+	}
+	if err != nil {
+		return nil, fmt.Errorf("standby: %w", err)
+	}
+	return &s, nil
+}
--- /dev/null
+++ b/internal/standby/follower.go
@@ -0,0 +1,237 @@
+package standby
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+
+	"caperlatch/internal/micros"
+)
+
+// Follower keeps a view of the present term's leader. It applies entries in order, and
+// refuses gaps, other terms and what is malformed; then it takes a snapshot.
+type Follower struct {
+	member string
+
+	mu       sync.Mutex
+	view     *View // nil until a leader was followed
+	snapshot *snapshot
+	latest   uint64        // position of the leader's newest entry, as last told
+	caughtUp micros.Micros // when a query was sent whose answer left nothing missing
+	heard    micros.Micros // when the last page came that was not refused
+	refused  map[string]int
+}
+
+// snapshot is how far taking a snapshot is.
+type snapshot struct {
+	after   string
+	started bool
+	// wholeAt is the position from which on the view is as the leader's was: until then
+	// entries may be older than what the pages show. 0: more pages are to come.
+	wholeAt uint64
+}
+
+// NewFollower is a follower that has not heard of any leader.
+func NewFollower(member string) *Follower {
+	return &Follower{member: member, refused: map[string]int{}}
+}
+
+// Query is what to ask the leader with a token next.
+func (f *Follower) Query(token uint64) *Query {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view == nil || f.view.Token < token {
+		f.restart(token)
+	}
+	q := &Query{Version: Version, Member: f.member, Token: f.view.Token, Position: f.view.Position}
+	if f.snapshot != nil && f.snapshot.wholeAt == 0 {
+		q.Snapshot, q.After = true, f.snapshot.after
+	}
+	return q
+}
+
+// restart forgets the view, and has a snapshot taken of a term.
+func (f *Follower) restart(token uint64) {
+	f.view = NewView(token)
+	f.snapshot = &snapshot{}
+	f.latest, f.caughtUp = 0, 0
+}
+
+// Apply takes over the answer to a query that was sent at an instant. A page that is refused
+// changes nothing but that a snapshot may be taken anew.
+func (f *Follower) Apply(page *Page, sent micros.Micros) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	err := f.take(page, sent)
+	if err != nil {
+		f.refuse(err)
+		return err
+	}
+	f.heard = micros.Now()
+	return nil
+}
+
+// take is Apply with the lock held.
+func (f *Follower) take(page *Page, sent micros.Micros) error {
+	if err := f.check(page); err != nil {
+		return err
+	}
+	switch {
+	case page.Compacted:
+		f.restart(page.Token)
+		return nil
+	case page.Snapshot != nil:
+		f.takeSnapshot(page)
+		return nil
+	case page.From > f.view.Position:
+		f.restart(page.Token)
+		return fmt.Errorf("%w: between %d and %d", ErrGap, f.view.Position, page.From)
+	}
+	known := f.view.Position - page.From // entries of a page that came before, in part or whole
+	for i := range page.Entries {
+		if uint64(i) >= known {
+			f.view.apply(&page.Entries[i])
+		}
+	}
+	if f.snapshot != nil && f.view.Position >= f.snapshot.wholeAt && f.snapshot.wholeAt > 0 {
+		f.snapshot = nil
+	}
+	f.latest = max(f.latest, page.Latest)
+	if f.view.Position >= page.Latest && f.snapshot == nil {
+		f.caughtUp = max(f.caughtUp, sent)
+	}
+	return nil
+}
+
+// check tells why a page is to be refused.
+func (f *Follower) check(page *Page) error {
+	switch {
+	case page.Version != Version:
+		return fmt.Errorf("%w: %d, own %d", ErrVersion, page.Version, Version)
+	case f.view == nil || page.Token != f.view.Token:
+		return fmt.Errorf("%w: token %d", ErrTerm, page.Token)
+	case page.From+uint64(len(page.Entries)) > page.Latest && page.Snapshot == nil && !page.Compacted:
+		f.restart(page.Token)
+		return fmt.Errorf("%w: entries beyond the newest", ErrMalformed)
+	}
+	for i := range page.Entries {
+		if err := page.Entries[i].check(); err != nil {
+			f.restart(page.Token)
+			return err
+		}
+	}
+	return nil
+}
+
+// takeSnapshot takes over the next page of a snapshot. The first page's position is where the
+// entries go on; what they repeat, the later pages have already.
+func (f *Follower) takeSnapshot(page *Page) {
+	s := f.snapshot
+	if s == nil || s.wholeAt > 0 {
+		return // a late copy
+	}
+	if !s.started {
+		s.started, f.view.Position = true, page.Latest
+	}
+	f.view.add(page.Snapshot)
+	f.latest = max(f.latest, page.Latest)
+	if n := len(page.Snapshot.Machines); n > 0 {
+		s.after = page.Snapshot.Machines[n-1].Name
+	}
+	if page.Snapshot.More {
+		return
+	}
+	if s.wholeAt = page.Latest; f.view.Position >= s.wholeAt {
+		f.snapshot = nil
+	}
+}
+
+// refusalKinds are the errors that are counted apart.
+var refusalKinds = []error{ErrMalformed, ErrVersion, ErrTerm, ErrGap}
+
+// refuse counts a refused page, and logs the first of a kind.
+func (f *Follower) refuse(err error) {
+	kind := "other"
+	for _, k := range refusalKinds {
+		if errors.Is(err, k) {
+			kind = k.Error()
+		}
+	}
+	f.refused[kind]++
+	if f.refused[kind] == 1 {
+		slog.Warn("standby: a page is refused", "kind", kind, "error", err)
+	}
+}
+
+// View is the follower's view if it is whole, else nil: the follower must not be asked to
+// apply anything to it any more.
+func (f *Follower) View() *View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view == nil || f.snapshot != nil {
+		return nil
+	}
+	v := f.view
+	f.view = nil
+	return v
+}
+
+// HandedTo is whom the leader of the followed term has named to lead next, if it has handed
+// over.
+func (f *Follower) HandedTo() (member string, handed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view == nil || f.view.Handover == nil {
+		return "", false
+	}
+	return f.view.Handover.To, true
+}
+
+// HandedIn tells whether the leader with a token has handed over, as far as it is known here.
+func (f *Follower) HandedIn(token uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view != nil && f.view.Token == token && f.view.Handover != nil
+}
+
+// Progress is how far a follower is.
+type Progress struct {
+	Token      uint64         `json:"token"`
+	Position   uint64         `json:"position"`
+	Whole      bool           `json:"whole"`
+	LagEntries uint64         `json:"lag_entries"`
+	LagS       float64        `json:"lag_s"` // since the view was known to lack nothing; -1: never
+	Machines   int            `json:"machines"`
+	Tasks      int            `json:"tasks"`
+	Refused    map[string]int `json:"refused,omitempty"` // pages, by kind
+}
+
+// Progress tells how far the follower is.
+func (f *Follower) Progress() Progress {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := Progress{LagS: -1, Refused: map[string]int{}}
+	for kind, n := range f.refused {
+		p.Refused[kind] = n
+	}
+	if f.view == nil {
+		return p
+	}
+	p.Token, p.Position, p.Whole = f.view.Token, f.view.Position, f.snapshot == nil
+	p.Machines, p.Tasks = len(f.view.Machines), f.view.Tasks()
+	if f.latest > f.view.Position {
+		p.LagEntries = f.latest - f.view.Position
+	}
+	if f.caughtUp != 0 {
+		p.LagS = (micros.Now() - f.caughtUp).Seconds()
+	}
+	return p
+}
+
+// HeardAt is when the leader was last heard; 0 if it never was.
+func (f *Follower) HeardAt() micros.Micros {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -103,7 +103,10 @@
 }
 
 // Priorities on the wire, lowest first.
-var priorities = []string{"idle", "normal", "urgent", "prod"}
+var priorities = []string{"idle", "normal", PriorityUrgent, "prod"}
+
+// PriorityUrgent is the lowest priority of urgent work.
+const PriorityUrgent = "urgent"
 
 // PriorityRank orders priorities; it is -1 for an unknown name.
 func PriorityRank(name string) int {
--- a/node.go
+++ b/node.go
@@ -41,6 +41,8 @@
 	outside  outside
 	times    *api.Times
 
+	standby *standbyNode // nil: off
+
 	mu       sync.Mutex
 	leading  *leader.Leader
 	counts   map[string][2]int // as the leader last told
@@ -67,10 +69,10 @@
 	errNoExplanation = errors.New("no explanation in the answer")
 )
 
-// NewNode makes a node from checked settings.
-func NewNode(s *settings.Settings, t settings.Tuning) *Node {
+// NewNode makes a node from checked settings; without those of the standby it is off.
+func NewNode(s *settings.Settings, t settings.Tuning, b *settings.Standby) *Node {
 	var dialer net.Dialer
-	return newNode(s, t, outside{
+	return newNode(s, t, b, outside{
 		services: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true},
 		workers:  &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 		dial:     func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
@@ -79,7 +81,7 @@
 }
 
 // newNode makes a node that reaches everything around it through o.
-func newNode(s *settings.Settings, t settings.Tuning, o outside) *Node {
+func newNode(s *settings.Settings, t settings.Tuning, b *settings.Standby, o outside) *Node {
 	n := &Node{settings: s, tuning: t, outside: o, times: api.NewTimes()}
 	n.store = statestore.New(s.External.State, s.Params.State, o.services)
 	n.cloud = cloud.New(s.External.Cloud, s.Params.Cloud, o.services)
@@ -89,14 +91,20 @@
 		clients[p.Member] = peer.NewClient(p.Addr, o.dial)
 	}
 	n.peers = peer.NewPeers(clients, n.probe, n.heard)
-	n.election = election.New(election.Config{
+	config := election.Config{
 		Member:     s.Member,
 		Store:      n.store,
 		Replica:    n.replica,
 		Peers:      n.peers,
 		Abstention: peer.PromiseLife,
 		Lead:       n.lead,
-	})
+	}
+	if b != nil {
+		n.standby = newStandbyNode(n, b)
+		config.Campaigning = n.standby.takeover.Campaign
+		config.Yield = n.standby.yield
+	}
+	n.election = election.New(config)
 	return n
 }
 
@@ -164,6 +172,9 @@
 	wg.Go(func() { n.listenToPeers(ctx) })
 	wg.Go(func() { n.stayInContact(ctx) })
 	wg.Go(func() { n.times.Run(ctx) })
+	if n.standby != nil {
+		wg.Go(func() { n.standby.follow(ctx) })
+	}
 	wg.Wait()
 }
 
@@ -205,7 +216,7 @@
 
 // lead is called by the election for each term.
 func (n *Node) lead(ctx context.Context, t *election.Term) {
-	l := leader.New(leader.Config{
+	config := leader.Config{
 		Settings: n.settings,
 		Tuning:   n.tuning,
 		Store:    n.store,
@@ -215,7 +226,12 @@
 		Token:    t.Token,
 		Stamp:    t.Stamp,
 		Workers:  &http.Client{Transport: n.outside.workers},
-	})
+	}
+	if n.standby != nil {
+		n.standby.beginTerm(t, &config)
+		defer n.standby.endTerm()
+	}
+	l := leader.New(config)
 	n.setLeading(l)
 	defer n.setLeading(nil)
 	l.Run(ctx)
--- a/staffing/estimate.go
+++ b/staffing/estimate.go
@@ -40,3 +40,20 @@
 	bias := (my - mx) * e.n / (e.n + trust)
 	return math.Exp(mx + bias + slope*(math.Log(estimated)-mx))
 }
+
+// Moments is what the estimate has learned, for Restore.
+func (e *Estimate) Moments() []float64 { return []float64{e.n, e.x, e.y, e.xx, e.xy} }
+
+// Restore goes on from another estimate's moments, and tells whether they are any.
+func (e *Estimate) Restore(moments []float64) bool {
+	if len(moments) != len(e.Moments()) || moments[0] < 0 {
+		return false
+	}
+	for _, v := range moments {
+		if math.IsNaN(v) || math.IsInf(v, 0) {
+			return false
+		}
+	}
+	e.n, e.x, e.y, e.xx, e.xy = moments[0], moments[1], moments[2], moments[3], moments[4]
+	return true
+}
--- /dev/null
+++ b/standby.go
@@ -0,0 +1,276 @@
+package caperlatch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+
+	"caperlatch/internal/api"
+	"caperlatch/internal/election"
+	"caperlatch/internal/leader"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/peer"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/standby"
+)
+
+// standbyNode is a node's part in the warm standby: it follows whoever leads, and publishes
+// what this node decides while it leads.
+type standbyNode struct {
+	node     *Node
+	settings *settings.Standby
+	follower *standby.Follower
+	takeover *standby.Takeover
+
+	mu        sync.Mutex
+	publisher *standby.Publisher // of the present term, nil while this node does not lead
+	others    []standby.FollowerState
+	handedAt  micros.Micros // when this node last handed over, 0 if it never did
+}
+
+// Times of letting others lead first.
+const (
+	// yieldToNamed is for how long the nodes that a handover does not name wait.
+	yieldToNamed = 700 * micros.Millisecond
+	// yieldToFurther is how long a node waits for each peer whose view is further.
+	yieldToFurther = 100 * micros.Millisecond
+	// yieldMost bounds the sum of these.
+	yieldMost = 300 * micros.Millisecond
+	// yieldAfterHandover is for how long a node that handed over does not lead again.
+	yieldAfterHandover = 2 * micros.Second
+)
+
+// queryTimeout bounds a query, as that of a probe on the same stream.
+const queryTimeout = 1200 * micros.Millisecond
+
+func newStandbyNode(n *Node, s *settings.Standby) *standbyNode {
+	return &standbyNode{
+		node:     n,
+		settings: s,
+		follower: standby.NewFollower(n.settings.Member),
+		takeover: standby.NewTakeover(),
+	}
+}
+
+// follow keeps the view of whoever leads until ctx ends.
+func (s *standbyNode) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.node.Leading() != nil || !s.query(ctx) {
+			micros.Pause(ctx, s.settings.Pull)
+		}
+	}
+}
+
+// query asks the leader once, and tells whether it has more to tell at once.
+func (s *standbyNode) query(ctx context.Context) (more bool) {
+	highest := s.node.election.Highest()
+	client := s.node.peers.Client(highest.Member)
+	if client == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout.Duration())
+	defer cancel()
+	q, sent := s.follower.Query(highest.Token), micros.Now()
+	response, err := client.Ask(ctx, peer.Request{Standby: q})
+	if err != nil {
+		s.suspect()
+		slog.Debug("standby: query", "leader", highest.Member, "error", err)
+		return false
+	}
+	page := response.Standby
+	if page == nil {
+		return false // it does not publish, or no longer leads
+	}
+	if err := s.follower.Apply(page, sent); err != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.others = page.Followers
+	s.mu.Unlock()
+	if _, handed := s.follower.HandedTo(); handed {
+		s.node.replica.SetEager(true) // its session ends within moments
+		return false
+	}
+	s.trust()
+	return page.Snapshot != nil || page.From+uint64(len(page.Entries)) < page.Latest
+}
+
+// suspect has this node follow the state service closely once the leader has not answered
+// for a while. It is a hint: leadership hangs on the session alone.
+func (s *standbyNode) suspect() {
+	if heard := s.follower.HeardAt(); heard != 0 && micros.Now()-heard > s.settings.Suspect {
+		s.takeover.Suspect()
+		s.node.replica.SetEager(true)
+	}
+}
+
+// trust notes that a leader answers.
+func (s *standbyNode) trust() {
+	s.takeover.Trust()
+	if s.node.Leading() == nil {
+		s.node.replica.SetEager(false)
+	}
+}
+
+// yield is for how long this node lets others go first when nobody leads.
+func (s *standbyNode) yield() micros.Micros {
+	s.mu.Lock()
+	handedAt, others := s.handedAt, s.others
+	s.mu.Unlock()
+	own := s.node.settings.Member
+	if to, handed := s.follower.HandedTo(); handed && to != "" {
+		if to == own || !s.node.peers.Reachable(to) {
+			return 0
+		}
+		return yieldToNamed
+	}
+	if handedAt != 0 && micros.Now()-handedAt < yieldAfterHandover {
+		return yieldAfterHandover
+	}
+	progress, wait := s.follower.Progress(), micros.Micros(0)
+	for _, f := range others {
+		if f.Member != own && f.Whole && s.node.peers.Reachable(f.Member) && (!progress.Whole || f.Position > progress.Position) {
+			wait += yieldToFurther
+		}
+	}
+	return min(wait, yieldMost)
+}
+
+// beginTerm has a term's leader publish, and go on from the view of the term before.
+func (s *standbyNode) beginTerm(t *election.Term, config *leader.Config) {
+	publisher := standby.NewPublisher(t.Token, s.settings.LogEntries)
+	config.Expected = s.follower.View()
+	config.Followers = publisher
+	config.Progress = s.takeover
+	s.takeover.Won(t.Token, t.Stamp, config.Expected != nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publisher, s.others = publisher, nil
+}
+
+// endTerm notes that this node no longer leads.
+func (s *standbyNode) endTerm() {
+	s.takeover.Ended()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publisher = nil
+}
+
+// present is the publisher of the present term, nil while this node does not lead.
+func (s *standbyNode) present() *standby.Publisher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.publisher
+}
+
+// Followed tells a follower what the leader here has decided.
+func (n *Node) Followed(q *standby.Query) *standby.Page {
+	if n.standby == nil {
+		return nil
+	}
+	p := n.standby.present()
+	if p == nil {
+		return nil
+	}
+	page := p.Answer(q)
+	page.Followers = p.Followers()
+	return page
+}
+
+// HandOver has this node, if it leads, hand over to the follower that is furthest. It tells
+// who was named.
+func (n *Node) HandOver() (to string, err error) {
+	if n.standby == nil {
+		return "", api.ErrStandbyOff
+	}
+	l := n.Leading()
+	if l == nil {
+		return "", errNotLeading
+	}
+	n.standby.mu.Lock()
+	n.standby.handedAt = micros.Now()
+	n.standby.mu.Unlock()
+	to, err = l.HandOver(n.standby.settings.Handover)
+	if err != nil {
+		n.standby.mu.Lock()
+		n.standby.handedAt = 0
+		n.standby.mu.Unlock()
+	}
+	return to, err
+}
+
+// awaitHandover waits while leadership is being handed over, so that a worker's report meets
+// the next leader: refused, the worker would come back a second later.
+func (s *standbyNode) awaitHandover(ctx context.Context) {
+	for until := micros.Now() + handoverWait; micros.Now() < until && s.between() && ctx.Err() == nil; {
+		micros.Pause(ctx, endPoll)
+	}
+}
+
+// between tells whether the known leader has handed over and nobody is known to lead yet.
+func (s *standbyNode) between() bool {
+	highest := s.node.election.Highest()
+	s.mu.Lock()
+	handedAt := s.handedAt
+	s.mu.Unlock()
+	if highest.Member == s.node.settings.Member {
+		return handedAt != 0 && micros.Now()-handedAt < yieldAfterHandover
+	}
+	return s.follower.HandedIn(highest.Token)
+}
+
+// AwaitHandover waits, for a moment at most, while leadership is being handed over.
+func (n *Node) AwaitHandover(ctx context.Context) {
+	if n.standby != nil {
+		n.standby.awaitHandover(ctx)
+	}
+}
+
+// handoverWait is for how long a worker's report is kept for the next leader at most. Its
+// worker waits for 4 s, of which passing the report on may take 2.5 s.
+const handoverWait = 1200 * micros.Millisecond
+
+// endPoll is how often a node that hands over as it ends looks whether it still leads.
+const endPoll = 20 * micros.Millisecond
+
+// HandOverAtEnd hands over, if this node leads, and waits until its session is let go of.
+func (n *Node) HandOverAtEnd() {
+	to, err := n.HandOver()
+	if errors.Is(err, errNotLeading) || errors.Is(err, api.ErrStandbyOff) {
+		return
+	}
+	slog.Info("ending", "handed_to", to, "error", err)
+	for until := micros.Now() + yieldAfterHandover; micros.Now() < until && !n.released(); {
+		endPoll.Sleep()
+	}
+}
+
+// released tells whether the leader key no longer names this node.
+func (n *Node) released() bool {
+	l, stamp := n.election.Leader()
+	return stamp == 0 || l.Member != n.settings.Member
+}
+
+// Standby tells how far the warm standby is, as this node knows it.
+func (n *Node) Standby() (api.StandbyStatus, error) {
+	if n.standby == nil {
+		return api.StandbyStatus{}, api.ErrStandbyOff
+	}
+	s := n.standby
+	highest := n.election.Highest()
+	status := api.StandbyStatus{
+		Member: n.settings.Member,
+		Leader: highest.Member,
+		Token:  highest.Token,
+		Phase:  s.takeover.Phase().String(),
+		Last:   s.takeover.Last(),
+	}
+	if p := s.present(); p != nil {
+		status.Leading, status.Position, status.Followers = true, p.Position(), p.Followers()
+		return status, nil
+	}
+	progress := s.follower.Progress()
+	status.Progress = &progress
+	return status, nil
+}
--- /dev/null
+++ b/standby_test.go
@@ -0,0 +1,220 @@
+package caperlatch
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/wire"
+)
+
+// testStandby are the settings of the clusters' warm standby.
+func testStandby() *settings.Standby {
+	return &settings.Standby{
+		Pull:       100 * micros.Millisecond,
+		Suspect:    800 * micros.Millisecond,
+		LogEntries: 2000,
+		Handover:   1500 * micros.Millisecond,
+	}
+}
+
+// noTuning leaves the settings of a cluster as they are.
+func noTuning(*settings.Settings) {}
+
+// awaitWhole waits until all nodes that do not lead have a whole view of the leader's.
+func (c *cluster) awaitWhole() {
+	c.t.Helper()
+	for range 200 {
+		whole := 0
+		for _, n := range c.nodes {
+			if p := n.standby.follower.Progress(); n.Leading() == nil && p.Whole && p.LagEntries == 0 && p.Token == c.token() {
+				whole++
+			}
+		}
+		if whole == len(c.nodes)-1 {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, n := range c.nodes {
+		c.t.Logf("%s: %+v", n.settings.Member, n.standby.follower.Progress())
+	}
+	c.t.Fatal("not all nodes follow")
+}
+
+// TestTakeOvers ends the leader while an array of which a part has begun goes on, and one of
+// its machines is out of reach. What remains of the array must wait for that machine, as
+// after any crash; after a complete handover it is known that the machine has none of it.
+func TestTakeOvers(t *testing.T) {
+	cases := []struct {
+		name    string
+		standby *settings.Standby
+		end     func(c *cluster, leader int)
+		soon    bool // the rest goes on before the machine's lease is over
+	}{
+		{"cold, a crash", nil, func(c *cluster, leader int) { c.kill(leader) }, false},
+		{"warm, a crash", testStandby(), func(c *cluster, leader int) { c.kill(leader) }, false},
+		{"a handover", testStandby(), func(c *cluster, leader int) {
+			to, err := c.nodes[leader].HandOver()
+			if err != nil || to == "" {
+				c.t.Errorf("handed over to %q: %v", to, err)
+			}
+		}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newStandbyCluster(t, 3, noTuning, tc.standby)
+				defer c.close()
+				c.cloud.Most = 6
+				c.cloud.RunFor = func(task string) float64 {
+					if strings.HasSuffix(task, "/0") {
+						return 300 // on the machine that is to be out of reach
+					}
+					return 1
+				}
+				job := testJob("j-000001", 1000)
+				if !c.accepts(0, job) {
+					c.submitJob(job)
+				}
+				for i := 0; c.cloud.Starts() < 60; i++ {
+					if i == 120 {
+						t.Fatalf("%d tasks started", c.cloud.Starts())
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				if tc.standby != nil {
+					c.awaitWhole()
+				}
+				away := map[string]bool{c.cloud.With("j-000001")[0].ID: true}
+				var cut tally
+				c.setFault(cutMachines(away, &cut))
+				leader, token := c.leader(), c.token()
+				tc.end(c, leader)
+				c.ledAfter(token)
+				led, before := time.Now(), c.cloud.Starts()
+				first := time.Duration(0)
+				for first == 0 && time.Since(led) < 40*time.Second {
+					time.Sleep(100 * time.Millisecond)
+					if c.cloud.Starts() > before+3 {
+						first = time.Since(led)
+					}
+				}
+				if soon := first != 0 && first < 2*time.Second; soon != tc.soon {
+					t.Errorf("the array goes on %v after another leads, want soon: %v", first, tc.soon)
+				}
+				t.Logf("the array goes on after %v", first)
+				c.setFault(nil)
+				c.broken()
+			})
+		})
+	}
+}
+
+// TestHandoverUnderWork hands leadership on again and again, while work comes, runs, ends and
+// is cancelled: each time the named node leads within a second, and no rule is broken.
+func TestHandoverUnderWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStandbyCluster(t, 3, noTuning, testStandby())
+		defer c.close()
+		c.cloud.RunFor = func(task string) float64 { return float64(2 + len(task)%3) }
+		var ids []string
+		for n := range 12 {
+			id := fmt.Sprintf("j-%06d", n+1)
+			ids = append(ids, id)
+			if n%4 == 3 {
+				c.submitJob(gangJob(id, 3, 2, nil))
+			} else {
+				c.submit(id, 20)
+			}
+			c.awaitWhole()
+			token, begun := c.token(), time.Now()
+			to, err := c.nodes[c.leader()].HandOver()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.ledAfter(token)
+			if took := time.Since(begun); took > 2500*time.Millisecond {
+				t.Errorf("handover %d took %v", n, took)
+			}
+			if leader := fmt.Sprintf("host-%d", c.leader()); leader != to {
+				t.Errorf("handover %d: %s leads, %s was named", n, leader, to)
+			}
+			if n%5 == 4 {
+				c.cancelJob(id, n%3)
+			}
+		}
+		for n, id := range ids {
+			want := wire.JobDone
+			if n%5 == 4 {
+				want = wire.JobCancelled
+			}
+			c.await(id, want, 2*time.Minute)
+		}
+		c.broken()
+	})
+}
+
+// TestHandoverToNobody hands over while the named node ends at once, and while no node
+// follows: anyone leads all the same, and not later than after a crash.
+func TestHandoverToNobody(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func(c *cluster, leader int) // before or as the handover begins
+	}{
+		{"the named node ends", func(c *cluster, leader int) {
+			named := c.nodes[leader].standby.present().Furthest(micros.Second).Member
+			for i, n := range c.nodes {
+				if n.settings.Member == named {
+					c.kill(i)
+				}
+			}
+		}},
+		{"no node hears the leader", func(c *cluster, leader int) {
+			host := fmt.Sprintf("host-%d", leader)
+			c.pipes.Cut(func(from, to string) bool { return from == host || to == host })
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newStandbyCluster(t, 3, noTuning, testStandby())
+				defer c.close()
+				c.submit("j-000001", 30)
+				c.awaitWhole()
+				leader, token := c.leader(), c.token()
+				tc.spoil(c, leader)
+				begun := time.Now()
+				if _, err := c.nodes[leader].HandOver(); err != nil {
+					t.Fatal(err)
+				}
+				c.ledAfter(token)
+				if took := time.Since(begun); took > 4*time.Second {
+					t.Errorf("nobody led for %v", took)
+				}
+				c.pipes.Cut(func(string, string) bool { return false })
+				c.await("j-000001", wire.JobDone, time.Minute)
+				c.broken()
+			})
+		})
+	}
+}
+
+// TestStandbyOff asks nodes without a standby, as earlier versions are: they say so.
+func TestStandbyOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.leader()
+		for method, path := range map[string]string{http.MethodGet: "/standby", http.MethodPost: "/standby/handover"} {
+			if code, _ := c.request(method, 0, path, nil); code != http.StatusNotFound && code != http.StatusForbidden {
+				t.Errorf("%s: %d", path, code)
+			}
+		}
+	})
+}
