--- /dev/null
+++ b/internal/leader/standby_test.go
@@ -0,0 +1,324 @@
+package leader
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
+	"caperlatch/internal/standby"
+	"caperlatch/internal/wire"
+)
+
+// handedView is a view of the term before, whose leader has handed over: machine i-1 has the
+// task j-000001/0.
+func handedView() *standby.View {
+	v := standby.NewView(token - 1)
+	v.Machines["i-1"] = &standby.Machine{
+		MachineState: standby.MachineState{Session: 4, Resolved: true},
+		Tasks:        map[string]standby.TaskState{"j-000001/0": {Attempt: 5}},
+	}
+	v.Handover = &standby.Handover{To: "host-1", Complete: true}
+	return v
+}
+
+// withSecond adds a machine that this term knows to be empty and that may get tasks.
+func withSecond(l *Leader) *machine {
+	b := &booking{id: "r-2", Type: "m4", Zone: "a", Answered: true, Machines: []string{"i-2"}}
+	l.bookings[b.id] = b
+	m := l.addMachine("i-2", b, l.began)
+	m.up, m.stored, m.upStored = true, true, true
+	return m
+}
+
+func reportOf(machine string, seq uint64, tasks ...wire.ReportTask) *wire.Report {
+	r := report(seq, token, tasks...)
+	r.Machine = machine
+	return r
+}
+
+// TestHandedOver has a leader begin with the view of the term before. Only a complete
+// handover by the very term before, applied whole, lets an old job go on while a machine has
+// not been heard; and then only with the tasks that the machine cannot have.
+func TestHandedOver(t *testing.T) {
+	cases := []struct {
+		name string
+		edit func(v *standby.View)
+		want []string // told to the second machine before the first is heard
+	}{
+		{"complete", func(*standby.View) {}, []string{"start j-000001/1", "start j-000001/2"}},
+		{"not complete", func(v *standby.View) { v.Handover.Complete = false }, nil},
+		{"no handover, a crash", func(v *standby.View) { v.Handover = nil }, nil},
+		{"another term led in between", func(v *standby.View) { v.Token-- }, nil},
+		{"the machine's tasks were not known", func(v *standby.View) { v.Machines["i-1"].Resolved = false }, nil},
+		{"the machine is not in the view", func(v *standby.View) { delete(v.Machines, "i-1") }, nil},
+		{"the start was never sent", func(v *standby.View) {
+			v.Machines["i-1"].Tasks["j-000001/0"] = standby.TaskState{Attempt: 5, Reserved: true}
+		}, []string{"start j-000001/0", "start j-000001/1", "start j-000001/2"}},
+		{"a task of a job that is over", func(v *standby.View) {
+			v.Machines["i-1"].Tasks["j-000777/0"] = standby.TaskState{Attempt: 9}
+		}, []string{"start j-000001/1", "start j-000001/2"}},
+		{"a task that the job does not have", func(v *standby.View) {
+			v.Machines["i-1"].Tasks["j-000001/9"] = standby.TaskState{Attempt: 9}
+		}, []string{"start j-000001/1", "start j-000001/2"}},
+		{"a name that is none", func(v *standby.View) {
+			v.Machines["i-1"].Tasks["j-000001"] = standby.TaskState{Attempt: 9}
+		}, []string{"start j-000001/1", "start j-000001/2"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			l, _ := newTest(t)
+			withSecond(l)
+			v := handedView()
+			tc.edit(v)
+			l.Expected = v
+			l.useExpected()
+			a, err := l.Report(reportOf("i-2", 1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := verbs(a); !slices.Equal(got, tc.want) {
+				t.Errorf("told %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestHandedOverLease has the machine that a handover told of stay silent: its task starts
+// elsewhere only once the lease is over that the leader before may have renewed until this
+// term began.
+func TestHandedOverLease(t *testing.T) {
+	l, term := newTest(t)
+	withSecond(l)
+	l.Expected = handedView()
+	l.useExpected()
+	m := l.machines["i-1"]
+	if over := l.leaseOver(m); over < l.began+l.lease {
+		t.Errorf("the lease is over %v after the term began, want %v at least", (over - l.began).Duration(), l.lease.Duration())
+	}
+	l.watchMachines(l.began + l.lease)
+	if l.jobs["j-000001"].on[0] == nil {
+		t.Error("the task is given up within the lease")
+	}
+	term.confirmed = l.leaseOver(m)
+	l.watchMachines(l.leaseOver(m) + 1)
+	if l.jobs["j-000001"].on[0] != nil || m.unconfirmed {
+		t.Error("the task is kept after the lease")
+	}
+}
+
+// TestHandedOverConfirmed has the machine report after a handover: what it does not show is
+// lost, what it shows is kept, and what nobody told of is adopted.
+func TestHandedOverConfirmed(t *testing.T) {
+	running := func(task string) wire.ReportTask {
+		return wire.ReportTask{Task: task, Attempt: 5, State: wire.TaskRunning}
+	}
+	cases := []struct {
+		name  string
+		tasks []wire.ReportTask
+		on    []int
+	}{
+		{"as told", []wire.ReportTask{running("j-000001/0")}, []int{0}},
+		{"its start was lost", nil, nil},
+		{"another task", []wire.ReportTask{running("j-000001/0"), running("j-000001/2")}, []int{0, 2}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			l, _ := newTest(t)
+			l.Expected = handedView()
+			l.useExpected()
+			m := l.machines["i-1"]
+			if m.probableSession() != 4 {
+				t.Errorf("it is asked in session %d", m.probableSession())
+			}
+			m.notUntil = l.began + 100*micros.Second // no starts here
+			if _, err := l.Report(reportOf("i-1", 3, tc.tasks...)); err != nil {
+				t.Fatal(err)
+			}
+			var on []int
+			for task := range l.jobs["j-000001"].on {
+				on = append(on, task)
+			}
+			slices.Sort(on)
+			if !slices.Equal(on, tc.on) || m.unconfirmed || l.unresolved() > 0 {
+				t.Errorf("on machines %v, want %v; unconfirmed %v", on, tc.on, m.unconfirmed)
+			}
+		})
+	}
+}
+
+// TestHandedOverGang has a gang wait until its machine has confirmed: the view does not tell
+// whether its attempt runs, waits or ends, and a task completed under an attempt that runs
+// would be one too many.
+func TestHandedOverGang(t *testing.T) {
+	l, _ := newTest(t)
+	m := withSecond(l)
+	l.jobs["j-000001"].spec.Shape = wire.ShapeGang
+	l.Expected = handedView()
+	l.useExpected()
+	a, err := l.Report(reportOf("i-2", 1))
+	if err != nil || len(a.Commands) > 0 {
+		t.Errorf("told %v (%v) before the gang's machine has confirmed", verbs(a), err)
+	}
+	if l.jobs["j-000001"].gang.n != 5 {
+		t.Errorf("the gang's attempt is %d, want 5", l.jobs["j-000001"].gang.n)
+	}
+	waiting := wire.ReportTask{Task: "j-000001/0", Attempt: 5, State: wire.TaskWaiting}
+	l.machines["i-1"].notUntil = l.began + 100*micros.Second
+	if _, err := l.Report(reportOf("i-1", 3, waiting)); err != nil {
+		t.Fatal(err)
+	}
+	l.plannedAt, m.notUntil = 0, 0
+	if a, err = l.Report(reportOf("i-2", 2)); err != nil || len(a.Commands) != 2 || a.Commands[0].Attempt != 5 {
+		t.Errorf("told %v (%v), want the other two under attempt 5", a.Commands, err)
+	}
+}
+
+// fakeFollowers notes what is published.
+type fakeFollowers struct {
+	mu       sync.Mutex
+	entries  []standby.Entry
+	follower string
+	applies  bool
+}
+
+func (f *fakeFollowers) Publish(e standby.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = append(f.entries, e)
+}
+
+func (f *fakeFollowers) Position() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return uint64(len(f.entries))
+}
+
+func (f *fakeFollowers) Furthest(micros.Micros) standby.FollowerState {
+	return standby.FollowerState{Member: f.follower}
+}
+
+func (f *fakeFollowers) Applied(string, uint64) bool { return f.applies }
+
+// TestPublished has tasks start, run, stop and end: a follower's view shows at each step what
+// the leader counts on the machine, before the answer leaves.
+func TestPublished(t *testing.T) {
+	l, _ := newTest(t)
+	p := standby.NewPublisher(token, 1000)
+	l.Followers = p
+	steps := []struct {
+		name   string
+		report *wire.Report
+	}{
+		{"the first", report(11, token, wire.ReportTask{Task: "j-000001/0", Attempt: 5, State: wire.TaskRunning})},
+		{"starts lost", report(12, token, wire.ReportTask{Task: "j-000001/0", Attempt: 5, State: wire.TaskRunning})},
+		{"one is done", report(13, token, wire.ReportTask{Task: "j-000001/0", Attempt: 5, State: wire.TaskExited, Cause: wire.CauseDone},
+			wire.ReportTask{Task: "j-000001/1", Attempt: token<<32 | 3, State: wire.TaskRunning})},
+		{"nothing is left", report(14, token)},
+	}
+	for _, s := range steps {
+		l.plannedAt = 0
+		if _, err := l.Report(s.report); err != nil {
+			t.Fatal(err)
+		}
+		f := standby.NewFollower("host-1")
+		for !f.Progress().Whole || f.Progress().Position < p.Position() {
+			if err := f.Apply(p.Answer(f.Query(token)), micros.Now()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		known := f.View().Machines["i-1"]
+		if !known.Resolved || known.Session != 1 || len(known.Tasks) != len(l.machines["i-1"].tasks) {
+			t.Errorf("%s: the view has %+v, the leader %d tasks", s.name, known, len(l.machines["i-1"].tasks))
+		}
+		for name, a := range l.machines["i-1"].tasks {
+			if known.Tasks[name].Attempt != a.n {
+				t.Errorf("%s: %s: attempt %d, want %d", s.name, name, known.Tasks[name].Attempt, a.n)
+			}
+		}
+	}
+}
+
+// TestHandOver has a leader hand over: from then on it answers nothing, and its last entry
+// says whether all machines were known. It ends within its limit, heard or not.
+func TestHandOver(t *testing.T) {
+	cases := []struct {
+		name     string
+		resolved bool
+		follower string
+		applies  bool
+	}{
+		{"heard", true, "host-1", true},
+		{"not heard in time", true, "host-1", false},
+		{"nobody follows", true, "", false},
+		{"a machine's tasks are not known", false, "host-1", true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			l, _ := newTest(t)
+			f := &fakeFollowers{follower: tc.follower, applies: tc.applies}
+			l.Followers = f
+			l.machines["i-1"].resolved = tc.resolved
+			const limit = 300 * micros.Millisecond
+			begun := time.Now()
+			to, err := l.HandOver(limit)
+			if err != nil || to != tc.follower {
+				t.Errorf("handed over to %q (%v)", to, err)
+			}
+			if took := time.Since(begun); took > 2*limit.Duration() {
+				t.Errorf("it took %v", took)
+			}
+			select {
+			case <-l.lost:
+			default:
+				t.Error("the term goes on")
+			}
+			last := f.entries[len(f.entries)-1].Handover
+			if last == nil || last.To != tc.follower || last.Complete != tc.resolved {
+				t.Errorf("the last entry is %+v", last)
+			}
+			if _, err := l.Report(report(12, token)); !errors.Is(err, ErrNotEntitled) {
+				t.Errorf("a report is answered after the handover: %v", err)
+			}
+			if len(f.entries) > 0 && f.entries[len(f.entries)-1].Handover == nil {
+				t.Error("something was decided after the handover")
+			}
+			if _, err := l.HandOver(limit); !errors.Is(err, ErrNotReady) {
+				t.Errorf("handed over twice: %v", err)
+			}
+		})
+	}
+}
+
+// TestAskOrder has a new leader order the machines that it asks.
+func TestAskOrder(t *testing.T) {
+	for _, urgent := range []bool{false, true} {
+		l, _ := newTest(t)
+		ms := []*machine{{id: "unknown"}, {id: "idle"}, {id: "busy"}, {id: "busiest"}}
+		tasks := func(names ...string) *standby.Machine {
+			m := &standby.Machine{Tasks: map[string]standby.TaskState{}}
+			for _, name := range names {
+				m.Tasks[name] = standby.TaskState{}
+			}
+			return m
+		}
+		ms[1].expected, ms[2].expected, ms[3].expected = tasks(), tasks("a"), tasks("a", "b")
+		want := []string{"busiest", "busy", "unknown", "idle"}
+		if urgent {
+			spec := &wire.Job{ID: "j-000002", Tasks: 1, Priority: wire.PriorityUrgent}
+			l.jobs["j-000002"] = newJob(replica.Job{Spec: spec}, true)
+			want = []string{"unknown", "idle", "busiest", "busy"}
+		}
+		l.askOrder(ms)
+		var got []string
+		for _, m := range ms {
+			got = append(got, m.id)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("urgent work waits: %v: asked %v, want %v", urgent, got, want)
+		}
+	}
+}
--- a/internal/standby/entry.go
+++ b/internal/standby/entry.go
@@ -171,9 +171,11 @@
 // SnapshotPage is a part of a view in the order of machines' names. The pages of a snapshot
 // need not be of one position: the entries since the first page's bring them together.
 type SnapshotPage struct {
-	Machines  []MachineRecord `json:"machines"`
-	Estimates []Estimated     `json:"estimates,omitempty"` // with the last page
-	More      bool            `json:"more"`
+	Machines []MachineRecord `json:"machines"`
+	More     bool            `json:"more"`
+	// With the last page, which has no more.
+	Estimates []Estimated `json:"estimates,omitempty"`
+	Handover  *Handover   `json:"handover,omitempty"`
 }
 
 // MachineRecord is a machine of a snapshot.
--- /dev/null
+++ b/internal/standby/stream_test.go
@@ -0,0 +1,301 @@
+package standby
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+)
+
+// testToken is the term that the tests' leader leads.
+const testToken = 7
+
+func placed(machine, task string, attempt uint64) Entry {
+	return Entry{Placed: &Placed{Machine: machine, Task: task, TaskState: TaskState{Attempt: attempt}}}
+}
+
+func left(machine, task string) Entry { return Entry{Left: &Left{Machine: machine, Task: task}} }
+
+func observed(machine string, session uint64) Entry {
+	return Entry{Observed: &Observed{Machine: machine, MachineState: MachineState{Session: session, Resolved: true}}}
+}
+
+// randomEntry is some decision about few machines, so that decisions meet.
+func randomEntry(r *rand.Rand) Entry {
+	machine, task := fmt.Sprintf("i-%03d", r.IntN(40)), fmt.Sprintf("j-1/%d", r.IntN(30))
+	switch r.IntN(12) {
+	case 0:
+		return observed(machine, 1+r.Uint64N(3))
+	case 1:
+		return Entry{Returning: &Returning{Machine: machine, Why: "test"}}
+	case 2:
+		return Entry{Gone: &Gone{Machine: machine}}
+	case 3:
+		return Entry{Estimated: &Estimated{Class: fmt.Sprintf("c%d", r.IntN(3)), Moments: []float64{r.Float64()}}}
+	case 4, 5, 6, 7:
+		return left(machine, task)
+	}
+	return placed(machine, task, r.Uint64N(100))
+}
+
+// carry sends a message as a stream between nodes does.
+func carry[T any](t *testing.T, message *T) *T {
+	t.Helper()
+	b, err := wire.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := new(T)
+	if err := wire.Unmarshal(b, out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// pull has a follower ask once.
+func pull(t *testing.T, f *Follower, p *Publisher) error {
+	t.Helper()
+	q := f.Query(testToken)
+	return f.Apply(carry(t, p.Answer(carry(t, q))), micros.Now())
+}
+
+// catchUp has a follower ask until nothing is missing.
+func catchUp(t *testing.T, f *Follower, p *Publisher) {
+	t.Helper()
+	for range 1000 {
+		if err := pull(t, f, p); err != nil {
+			t.Fatal(err)
+		}
+		if progress := f.Progress(); progress.Whole && progress.Position == p.Position() {
+			return
+		}
+	}
+	t.Fatalf("the follower does not catch up: %+v", f.Progress())
+}
+
+// sameView compares a follower's view with what the leader published. A machine of which
+// nothing is known is as good as none.
+func sameView(t *testing.T, f *Follower, p *Publisher) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view.Position != p.view.Position || !reflect.DeepEqual(f.view.Machines, p.view.Machines) || !reflect.DeepEqual(f.view.Estimates, p.view.Estimates) {
+		t.Errorf("the view at %d is %+v, want at %d %+v", f.view.Position, f.view.Machines, p.view.Position, p.view.Machines)
+	}
+}
+
+// TestFollow has followers ask while a leader decides: pages get lost, come again, come late
+// and out of order, and the log is short, so that snapshots are taken while decisions go on.
+// Whenever a follower says that nothing is missing, its view is the leader's.
+func TestFollow(t *testing.T) {
+	for seed := range uint64(60) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		p, f := NewPublisher(testToken, 20+r.IntN(200)), NewFollower("host-1")
+		var late []*Page
+		checked := 0
+		for range 400 {
+			for range r.IntN(12) {
+				p.Publish(randomEntry(r))
+			}
+			page := carry(t, p.Answer(f.Query(testToken)))
+			late = append(late, page)
+			switch r.IntN(6) {
+			case 0: // lost
+			case 1: // a late copy, before the present one
+				_ = f.Apply(late[r.IntN(len(late))], micros.Now()) // refused or of no effect
+				_ = f.Apply(page, micros.Now())
+			case 2: // twice
+				_ = f.Apply(page, micros.Now())
+				_ = f.Apply(page, micros.Now())
+			default:
+				_ = f.Apply(page, micros.Now())
+			}
+			if progress := f.Progress(); progress.Whole && progress.Position == p.Position() {
+				checked++
+				sameView(t, f, p)
+			}
+		}
+		catchUp(t, f, p)
+		sameView(t, f, p)
+		if checked < 20 {
+			t.Errorf("seed %d: the follower was up to date only %d times", seed, checked)
+		}
+	}
+}
+
+// TestSnapshotInPages has a follower that is away for longer than the log reaches take a
+// snapshot of 4,100 machines with 100,000 tasks, in pages that each fit a message.
+func TestSnapshotInPages(t *testing.T) {
+	const machines, tasks, messageBytes = 4100, 100_000, 1 << 20
+	p, f := NewPublisher(testToken, 1000), NewFollower("host-1")
+	for i := range machines {
+		p.Publish(observed(fmt.Sprintf("i-%06d", i), 1))
+	}
+	for i := range tasks {
+		p.Publish(placed(fmt.Sprintf("i-%06d", i%machines), fmt.Sprintf("j-%06d/%d", i/100, i%100), uint64(testToken<<32+i)))
+	}
+	pages := 0
+	for !f.Progress().Whole || f.Progress().Position < p.Position() {
+		if pages++; pages > 200 {
+			t.Fatal("the snapshot does not end")
+		}
+		page := p.Answer(f.Query(testToken))
+		if b, err := wire.Marshal(page); err != nil || len(b) > messageBytes {
+			t.Fatalf("a page of %d bytes: %v", len(b), err)
+		}
+		if err := f.Apply(carry(t, page), micros.Now()); err != nil {
+			t.Fatal(err)
+		}
+		if pages < 10 { // decisions go on
+			p.Publish(placed("i-000001", "j-900000/0", uint64(pages)))
+			p.Publish(left("i-004000", fmt.Sprintf("j-%06d/%d", 40, pages)))
+		}
+	}
+	sameView(t, f, p)
+	if progress := f.Progress(); progress.Tasks != p.view.Tasks() || progress.Machines != machines {
+		t.Errorf("%+v", progress)
+	}
+}
+
+// TestRefused has a follower that is up to date get pages that it must not apply: nothing of
+// them shows, each is counted by its kind, and after a snapshot the follower is whole again.
+func TestRefused(t *testing.T) {
+	both := placed("i-1", "j-1/1", 1)
+	both.Gone = &Gone{Machine: "i-1"}
+	cases := []struct {
+		name   string
+		spoil  func(page *Page)
+		want   error
+		rebase bool // a snapshot is taken
+	}{
+		{"a gap of one entry", func(p *Page) { p.From++; p.Latest++ }, ErrGap, true},
+		{"a large gap", func(p *Page) { p.From += 1000; p.Latest += 1000 }, ErrGap, true},
+		{"a lower token", func(p *Page) { p.Token-- }, ErrTerm, false},
+		{"a higher token that nobody told of", func(p *Page) { p.Token++ }, ErrTerm, false},
+		{"another version", func(p *Page) { p.Version++ }, ErrVersion, false},
+		{"an entry that says nothing", func(p *Page) { p.Entries[0] = Entry{} }, ErrMalformed, true},
+		{"an entry that says two things", func(p *Page) { p.Entries[0] = both }, ErrMalformed, true},
+		{"an entry without a machine", func(p *Page) { p.Entries[0] = placed("", "j-1/1", 1) }, ErrMalformed, true},
+		{"entries beyond the newest", func(p *Page) { p.Latest = p.From }, ErrMalformed, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			p, f := NewPublisher(testToken, 100), NewFollower("host-1")
+			p.Publish(placed("i-0", "j-1/0", 1))
+			catchUp(t, f, p)
+			p.Publish(placed("i-1", "j-1/1", 2))
+			page := carry(t, p.Answer(f.Query(testToken)))
+			tc.spoil(page)
+			if err := f.Apply(page, micros.Now()); !errors.Is(err, tc.want) {
+				t.Fatalf("error %v, want %v", err, tc.want)
+			}
+			progress := f.Progress()
+			if progress.Refused[tc.want.Error()] != 1 {
+				t.Errorf("counted %v", progress.Refused)
+			}
+			if progress.Whole == tc.rebase || f.view.Machines["i-1"] != nil {
+				t.Errorf("after the page: %+v, %v", progress, f.view.Machines)
+			}
+			catchUp(t, f, p)
+			sameView(t, f, p)
+		})
+	}
+}
+
+// TestBehind has the leader end while a follower lacks the last entry, while it takes a
+// snapshot, and while it was never heard: only a whole view is of use, and a view that lacks
+// the handover proves nothing.
+func TestBehind(t *testing.T) {
+	handover := Entry{Handover: &Handover{To: "host-1", Complete: true}}
+	cases := []struct {
+		name  string
+		run   func(p *Publisher, f *Follower)
+		view  bool
+		proof bool
+	}{
+		{"all is known", func(p *Publisher, f *Follower) {
+			catchUp(t, f, p)
+			p.Publish(handover)
+			catchUp(t, f, p)
+		}, true, true},
+		// A snapshot that began after the handover did not show it.
+		{"all is known by a snapshot", func(p *Publisher, f *Follower) {
+			for i := range 300 {
+				p.Publish(placed("i-1", fmt.Sprintf("j-1/%d", i), 1))
+			}
+			p.Publish(handover)
+			catchUp(t, f, p)
+		}, true, true},
+		{"the handover is missing", func(p *Publisher, f *Follower) {
+			catchUp(t, f, p)
+			p.Publish(handover)
+		}, true, false},
+		{"handed over without knowing all", func(p *Publisher, f *Follower) {
+			p.Publish(Entry{Handover: &Handover{To: "host-1"}})
+			catchUp(t, f, p)
+		}, true, false},
+		{"in the midst of a snapshot", func(p *Publisher, f *Follower) {
+			for i := range maxPageTasks + 10 {
+				p.Publish(placed(fmt.Sprintf("i-%d", i), "j-1/1", 1))
+			}
+			p.Publish(handover)
+			_ = pull(t, f, p) // the first page
+		}, false, false},
+		{"never heard", func(p *Publisher, _ *Follower) { p.Publish(handover) }, false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			p, f := NewPublisher(testToken, 100), NewFollower("host-1")
+			p.Publish(placed("i-0", "j-1/0", 1))
+			tc.run(p, f)
+			v := f.View()
+			if (v != nil) != tc.view {
+				t.Fatalf("a view: %v, want %v", v != nil, tc.view)
+			}
+			if v == nil {
+				return
+			}
+			if v.Proves(testToken+1) != tc.proof {
+				t.Errorf("it proves: %v", v.Proves(testToken+1))
+			}
+			// Somebody led in between, or the token is the old one.
+			if v.Proves(testToken+2) || v.Proves(testToken) {
+				t.Error("it proves to another term")
+			}
+			if f.View() != nil {
+				t.Error("a view was given twice")
+			}
+		})
+	}
+}
+
+// TestFurthest asks which follower is to lead next.
+func TestFurthest(t *testing.T) {
+	p := NewPublisher(testToken, 100)
+	for i := range 10 {
+		p.Publish(placed("i-0", fmt.Sprintf("j-1/%d", i), 1))
+	}
+	ask := func(q Query) { q.Version, q.Token = Version, testToken; p.Answer(&q) }
+	if f := p.Furthest(micros.Second); f.Member != "" {
+		t.Errorf("%q, and nobody follows", f.Member)
+	}
+	ask(Query{Member: "host-3", Snapshot: true})
+	if f := p.Furthest(micros.Second); f.Member != "" {
+		t.Errorf("%q, which takes a snapshot", f.Member)
+	}
+	ask(Query{Member: "host-1", Position: 4})
+	ask(Query{Member: "host-2", Position: 8})
+	if f := p.Furthest(micros.Second); f.Member != "host-2" {
+		t.Errorf("%q, want host-2", f.Member)
+	}
+	if p.Applied("host-2", 9) || !p.Applied("host-2", 8) || p.Applied("host-3", 0) || p.Applied("host-4", 0) {
+		t.Error("wrong about what was applied")
+	}
+	if f := p.Furthest(0); f.Member != "" {
+		t.Errorf("%q, which has not asked lately", f.Member)
+	}
+}
--- a/internal/standby/view.go
+++ b/internal/standby/view.go
@@ -82,6 +82,7 @@
 		tasks += len(record.Tasks)
 		page.Machines = append(page.Machines, record)
 	}
+	page.Handover = v.Handover
 	for _, class := range slices.Sorted(maps.Keys(v.Estimates)) {
 		page.Estimates = append(page.Estimates, Estimated{class, v.Estimates[class]})
 	}
@@ -97,6 +98,9 @@
 		}
 		v.Machines[record.Name] = m
 	}
+	if page.Handover != nil {
+		v.Handover = page.Handover
+	}
 	for _, e := range page.Estimates {
 		v.Estimates[e.Class] = e.Moments
 	}
--- /dev/null
+++ b/standby_kills_test.go
@@ -0,0 +1,188 @@
+package caperlatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/settings"
+	"caperlatch/internal/wire"
+)
+
+// Sizes of TestKills: five hundred ends of the active controller in all.
+const (
+	killSeeds    = 10
+	killsASeed   = 50
+	killMachines = 300
+)
+
+// TestKills ends the leader at random moments, five hundred times in all, over 300 machines
+// that run arrays and gangs, while users submit, cancel and ask all nodes. Some ends are
+// handovers, some of them broken off by the end of the process or of the node that was
+// named. Under the checker of rules: no job has two final answers or goes back, no task is on
+// two machines, none is forgotten, and all that was accepted ends.
+func TestKills(t *testing.T) {
+	for seed := range uint64(killSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runKills(t, seed) })
+		})
+	}
+}
+
+// killRun is one seed of TestKills.
+type killRun struct {
+	*cluster
+	random *rand.Rand
+	size   int
+
+	mu        sync.Mutex
+	jobs      []string
+	cancelled map[string]bool
+	over      bool
+}
+
+func runKills(t *testing.T, seed uint64) {
+	size := 3 + 2*int(seed%2)
+	c := newStandbyCluster(t, size, func(s *settings.Settings) {
+		s.Params.Workers.ReportS = 2
+	}, testStandby())
+	defer c.close()
+	c.cloud.Most = killMachines
+	c.cloud.RunFor = func(task string) float64 { return float64(4 + 3*(len(task)+int(task[len(task)-1]))%24) }
+	r := &killRun{cluster: c, random: rand.New(rand.NewPCG(seed, 24)), size: size, cancelled: map[string]bool{}}
+	var users sync.WaitGroup
+	// Each has numbers of its own, as all run at the same time.
+	users.Go(func() { r.submitAll(rand.New(rand.NewPCG(seed, 1))) })
+	users.Go(func() { r.ask(rand.New(rand.NewPCG(seed, 2))) })
+	time.Sleep(15 * time.Second)
+	handed := 0
+	for range killsASeed {
+		time.Sleep(time.Duration(r.random.IntN(4000)) * time.Millisecond)
+		token := c.token()
+		if r.endLeader(c.leader()) {
+			handed++
+		}
+		c.ledAfter(token)
+	}
+	r.mu.Lock()
+	r.over = true
+	r.mu.Unlock()
+	users.Wait()
+	for _, id := range r.jobs {
+		want := wire.JobDone
+		if r.cancelled[id] {
+			want = wire.JobCancelled
+		}
+		c.await(id, want, 10*time.Minute)
+	}
+	c.answersAll(r.jobs)
+	c.broken()
+	t.Logf("%d nodes, %d ends of a leader, %d of them handovers, %d jobs, %d starts", size, killsASeed, handed, len(r.jobs), c.cloud.Starts())
+	if handed < killsASeed/10 || c.cloud.Starts() < 5000 {
+		t.Errorf("%d handovers, %d starts", handed, c.cloud.Starts())
+	}
+}
+
+// endLeader ends the leader in one of several ways, and tells whether it handed over first.
+func (r *killRun) endLeader(leader int) (handed bool) {
+	way := r.random.IntN(10)
+	if way < 6 { // a crash
+		r.crash(leader, time.Duration(r.random.IntN(3000))*time.Millisecond)
+		return false
+	}
+	to := ""
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var err error
+		if to, err = r.nodes[leader].HandOver(); err == nil {
+			handed = true
+		}
+	}()
+	switch way {
+	case 6: // it crashes in the midst of handing over
+		time.Sleep(time.Duration(r.random.IntN(400)) * time.Millisecond)
+		r.crash(leader, 100*time.Millisecond)
+		<-done
+	case 7: // the named node ends in the midst of taking over
+		<-done
+		for i, n := range r.nodes {
+			if n.settings.Member == to {
+				time.Sleep(time.Duration(r.random.IntN(500)) * time.Millisecond)
+				r.crash(i, 200*time.Millisecond)
+			}
+		}
+	default:
+		<-done
+	}
+	return handed
+}
+
+// crash ends a node and starts it again after a while.
+func (r *killRun) crash(node int, down time.Duration) {
+	r.kill(node)
+	time.Sleep(down)
+	r.start(node)
+}
+
+// ended tells whether no more work is to come.
+func (r *killRun) ended() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.over
+}
+
+// submitAll gives work until the run is over, and cancels some of it.
+func (r *killRun) submitAll(random *rand.Rand) {
+	for n := 1; !r.ended(); n++ {
+		id := fmt.Sprintf("j-%06d", n)
+		job := testJob(id, 20+random.IntN(200))
+		if n%4 == 0 {
+			job = gangJob(id, 2+random.IntN(4), 2, nil)
+		}
+		r.submitJob(job)
+		r.mu.Lock()
+		r.jobs = append(r.jobs, id)
+		r.mu.Unlock()
+		time.Sleep(time.Duration(random.IntN(5000)) * time.Millisecond)
+		if n%7 == 0 {
+			r.cancelUnlessDone(id, random.IntN(r.size))
+		}
+	}
+}
+
+// cancelUnlessDone repeats a cancellation until it is confirmed or comes too late.
+func (r *killRun) cancelUnlessDone(id string, first int) {
+	for try := range 200 {
+		code, status := r.request(http.MethodPost, (first+try)%r.size, "/v1/jobs/"+id+"/abort", nil)
+		if code == http.StatusOK {
+			r.mu.Lock()
+			r.cancelled[id] = status.Status == wire.JobCancelled
+			r.mu.Unlock()
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	r.t.Errorf("%s could not be cancelled", id)
+}
+
+// ask asks random nodes about random jobs until the run is over.
+func (r *killRun) ask(random *rand.Rand) {
+	for !r.ended() {
+		time.Sleep(200 * time.Millisecond)
+		r.mu.Lock()
+		id := ""
+		if len(r.jobs) > 0 {
+			id = r.jobs[random.IntN(len(r.jobs))]
+		}
+		r.mu.Unlock()
+		if id != "" {
+			r.request(http.MethodGet, random.IntN(r.size), "/v1/jobs/"+id, nil)
+		}
+	}
+}
