--- /dev/null
+++ b/internal/api/standby_test.go
@@ -0,0 +1,36 @@
+package api
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// TestSameMachine asks from which addresses a handover may be asked for.
+func TestSameMachine(t *testing.T) {
+	cases := []struct {
+		name, from, local string
+		want              bool
+	}{
+		{"loopback", "127.0.0.1:50000", "127.0.0.1", true},
+		{"loopback of version 6", "[::1]:50000", "::1", true},
+		{"its own address", "10.0.0.1:50000", "10.0.0.1", true},
+		{"another machine", "10.0.0.2:50000", "10.0.0.1", false},
+		{"no address", "nobody", "10.0.0.1", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			local := &net.TCPAddr{IP: net.ParseIP(tc.local), Port: 8080}
+			ctx := context.WithValue(t.Context(), http.LocalAddrContextKey, local)
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://node/standby/handover", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.RemoteAddr = tc.from
+			if got := sameMachine(r); got != tc.want {
+				t.Errorf("%v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -281,7 +281,7 @@
 		if over {
 			return
 		}
-		ids, err := l.Cloud.Rent(ctx, r)
+		ids, err := l.Cloud.Rent(ctx, r, l.mayDecide)
 		l.mu.Lock()
 		switch {
 		case err == nil:
@@ -382,7 +382,7 @@
 func (l *Leader) returnAll(ctx context.Context, ids []string) {
 	for wait := 500 * micros.Millisecond; ; wait = min(2*wait, 8*micros.Second) {
 		if l.Term.Held() {
-			err := l.Cloud.Return(ctx, ids)
+			err := l.Cloud.Return(ctx, ids, l.Term.Held)
 			if err == nil {
 				break
 			}
--- a/internal/leader/standby.go
+++ b/internal/leader/standby.go
@@ -150,28 +150,46 @@
 //
 // The leader before had made its last answer before it let go of its session, so before this
 // term began: the machine's lease counts from then on, as if this term had answered it.
+//
+// A machine with a task that cannot be counted, as its job is over and kept no description, is
+// left unresolved: the task may still take its team's CPUs.
 func (l *Leader) adoptHandedOver(m *machine, known *standby.Machine) {
+	var attempts []*attempt
 	for name, task := range known.Tasks {
 		if task.Reserved {
 			continue // its start was never sent
 		}
-		id, n, err := parseTask(name)
-		j := l.jobs[id]
-		if j == nil && err == nil {
-			j = l.orphan(id)
-		}
-		if err != nil || j == nil || n >= j.spec.Tasks {
-			continue // of a job that is over: reported, it is stopped
+		j, n := l.jobOf(name)
+		if j == nil {
+			return
 		}
-		l.hold(&attempt{job: j, task: n, n: task.Attempt, machine: m, began: l.began})
-		if j.isGang() && task.Attempt > j.gang.n {
-			j.gang = gang{n: task.Attempt}
+		attempts = append(attempts, &attempt{job: j, task: n, n: task.Attempt, machine: m, began: l.began})
+	}
+	for _, a := range attempts {
+		l.hold(a)
+		if a.job.isGang() && a.n > a.job.gang.n {
+			a.job.gang = gang{n: a.n}
 		}
 	}
 	m.resolved, m.unconfirmed = true, true
 	m.answered = l.began
 }
 
+// jobOf is the job that a task is of, and the task's number; nil if it cannot be counted.
+func (l *Leader) jobOf(name string) (j *job, n int) {
+	id, n, err := parseTask(name)
+	if err != nil {
+		return nil, 0
+	}
+	if j = l.jobs[id]; j == nil {
+		j = l.orphan(id)
+	}
+	if j == nil || n >= j.spec.Tasks {
+		return nil, 0
+	}
+	return j, n
+}
+
 // mustWait tells whether a job must start nothing yet: it may have tasks on machines whose
 // tasks are not known. A gang also waits until all machines have confirmed what a handover
 // told of them, since only their reports tell whether its attempt runs or ends.
