Warm standby: reports wait for the next leader; troubles that meet a take-over

Change: with the standby on, a report that is passed on waits for the next leader, up to 3.5 s of the worker's 4 s, while one is expected.

--- a/cluster_test.go
+++ b/cluster_test.go
@@ -49,8 +49,9 @@
 	stops  []func()
 	lives  []int
 	nodes  []*Node // in their present lives
-	// standby turns the warm standby on.
+	// standby turns the warm standby on, but for the nodes without.
 	standby *settings.Standby
+	without map[int]bool
 }
 
 // nodeSettings are the settings of node i of a cluster.
@@ -155,7 +156,7 @@
 	name := fmt.Sprintf("%s/%d", member, c.lives[i])
 	s := nodeSettings(i, len(c.stops))
 	c.tune(s)
-	n := newNode(s, settings.DefaultTuning(), c.standby, outside{
+	n := newNode(s, settings.DefaultTuning(), c.standbyOf(i), outside{
 		services: c.net.From(name),
 		workers:  c.net.From(name),
 		dial:     func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, member, addr) },
@@ -180,6 +181,14 @@
 	}
 }
 
+// standbyOf is what node i has of the warm standby.
+func (c *cluster) standbyOf(i int) *settings.Standby {
+	if c.without[i] {
+		return nil
+	}
+	return c.standby
+}
+
 // kill ends a node as a crash would: nothing that it sends arrives any more.
 func (c *cluster) kill(i int) { c.stops[i]() }
 
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -48,6 +48,9 @@
 	Explain(ctx context.Context, id string) (leader.Explanation, error)
 	// AwaitHandover waits, for a moment at most, while leadership is being handed over.
 	AwaitHandover(ctx context.Context)
+	// ExpectsLeader tells whether a leader that does not answer now should have a successor
+	// soon, so that reports are kept for it.
+	ExpectsLeader() bool
 	// Standby tells how far the warm standby is.
 	Standby() (StandbyStatus, error)
 	// HandOver hands leadership over, and tells to whom.
@@ -62,6 +65,7 @@
 	Batch    *statestore.Batcher
 	Replica  *replica.Replica
 	Times    *Times
+	Keep     micros.Micros // how long a report that is passed on is kept for its answer
 
 	mu         sync.Mutex
 	redirected map[string]micros.Micros // machines sent to another node, when
--- a/internal/api/report.go
+++ b/internal/api/report.go
@@ -12,11 +12,10 @@
 	"caperlatch/internal/wire"
 )
 
-// Times of relaying: a worker that comes back so soon after it was redirected
-// cannot stay where it was sent; its answer must come well before it gives up.
+// Times of redirecting: a worker that comes back so soon after it was redirected cannot stay
+// where it was sent.
 const (
 	comesBackWithin = 15 * micros.Second
-	relayTimeout    = 2500 * micros.Millisecond
 	// stillHereWithin is how soon after its redirection a report does not show yet that
 	// the worker came back.
 	stillHereWithin = micros.Second
@@ -62,7 +61,7 @@
 	if member == "" || member == h.Settings.Member {
 		return bad(c, http.StatusServiceUnavailable, errNoLeader)
 	}
-	if !h.Node.Relays() {
+	if !h.Node.Relays() && !h.Node.ExpectsLeader() {
 		// A worker that comes back cannot reach the leader either.
 		var report wire.Report
 		if err := wire.Unmarshal(body, &report); err != nil {
@@ -72,7 +71,7 @@
 			return redirect(c, member)
 		}
 	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), relayTimeout.Duration())
+	ctx, cancel := context.WithTimeout(c.Request().Context(), h.Keep.Duration())
 	defer cancel()
 	answer, err := h.Node.Relay(ctx, body)
 	if err != nil {
--- a/internal/standby/stream_test.go
+++ b/internal/standby/stream_test.go
@@ -245,6 +245,16 @@
 			p.Publish(handover)
 			_ = pull(t, f, p) // the first page
 		}, false, false},
+		// The pages are of two positions, and the last one has the handover.
+		{"the entries since a snapshot began are missing", func(p *Publisher, f *Follower) {
+			for i := range maxPageTasks + 10 {
+				p.Publish(placed(fmt.Sprintf("i-%d", i), "j-1/1", 1))
+			}
+			_ = pull(t, f, p) // the first page
+			p.Publish(placed("i-1", "j-1/2", 1))
+			p.Publish(handover)
+			_ = pull(t, f, p) // the last page
+		}, false, false},
 		{"never heard", func(p *Publisher, _ *Follower) { p.Publish(handover) }, false, false},
 	}
 	for _, tc := range cases {
--- a/node.go
+++ b/node.go
@@ -160,6 +160,7 @@
 		Batch:    statestore.NewBatcher(n.store),
 		Replica:  n.replica,
 		Times:    n.times,
+		Keep:     n.keepReports(),
 	})
 }
 
@@ -189,6 +190,9 @@
 
 // Relay asks the leader for its answer to a report.
 func (n *Node) Relay(ctx context.Context, report wire.Raw) (wire.Raw, error) {
+	if n.standby != nil {
+		return n.standby.relay(ctx, report)
+	}
 	c := n.peers.Client(n.LeaderMember())
 	if c == nil {
 		return nil, errNoLeader
--- a/standby.go
+++ b/standby.go
@@ -11,8 +11,10 @@
 	"caperlatch/internal/leader"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/peer"
+	"caperlatch/internal/replica"
 	"caperlatch/internal/settings"
 	"caperlatch/internal/standby"
+	"caperlatch/internal/wire"
 )
 
 // standbyNode is a node's part in the warm standby: it follows whoever leads, and publishes
@@ -29,6 +31,9 @@
 	handedAt  micros.Micros // when this node last handed over, 0 if it never did
 }
 
+// errNotEntitled is what a leader that may not answer says.
+var errNotEntitled = leader.ErrNotEntitled
+
 // Times of letting others lead first.
 const (
 	// yieldToNamed is for how long the nodes that a handover does not name wait.
@@ -203,8 +208,13 @@
 // awaitHandover waits while leadership is being handed over, so that a worker's report meets
 // the next leader: refused, the worker would come back a second later.
 func (s *standbyNode) awaitHandover(ctx context.Context) {
-	for until := micros.Now() + handoverWait; micros.Now() < until && s.between() && ctx.Err() == nil; {
-		micros.Pause(ctx, endPoll)
+	ctx, cancel := context.WithTimeout(ctx, handoverWait.Duration())
+	defer cancel()
+	for changed := s.node.replica.Changed(); s.between() && ctx.Err() == nil; changed = s.node.replica.Changed() {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
 	}
 }
 
@@ -227,6 +237,80 @@
 	}
 }
 
+// Times of passing reports on, of the 4 s that a worker waits for its answer.
+const (
+	// keepReport is for how long a report is kept for its answer.
+	keepReport = 2500 * micros.Millisecond
+	// keepForNext is for how long with a standby, where it may wait for the next leader.
+	keepForNext = 3500 * micros.Millisecond
+	// expectWithin is for how long after a leader was last heard a next one is expected.
+	expectWithin = 5 * micros.Second
+	// relayAgain is between two tries to have a report answered.
+	relayAgain = 50 * micros.Millisecond
+)
+
+// keepReports is for how long reports that are passed on are kept for their answers.
+func (n *Node) keepReports() micros.Micros {
+	if n.standby == nil {
+		return keepReport
+	}
+	return keepForNext
+}
+
+// ExpectsLeader tells whether a leader that does not answer now should have a successor soon.
+func (n *Node) ExpectsLeader() bool {
+	return n.standby != nil && n.standby.expectsLeader()
+}
+
+func (s *standbyNode) expectsLeader() bool {
+	heard := s.follower.HeardAt()
+	return heard != 0 && micros.Now()-heard < expectWithin
+}
+
+// relay has the leader answer a report, and if that one ends or stands still, the next one.
+// The worker waits for one answer to its one report, and gets the one that is given here: what
+// the leader before may still answer goes nowhere. A worker that was refused instead came
+// back a second later, and one whose report was with a leader that stood still after 2.5 s.
+func (s *standbyNode) relay(ctx context.Context, report wire.Raw) (wire.Raw, error) {
+	first := s.node.election.Highest().Token
+	for {
+		leader := s.node.election.Highest()
+		answer, err := s.relayTo(ctx, leader, report)
+		if err == nil || ctx.Err() != nil {
+			return answer, err
+		}
+		// A leader that has just begun refuses until it has read what is stored.
+		refused := errors.Is(err, peer.ErrRefused) || errors.Is(err, errNotEntitled)
+		if refused && leader.Token == first || !s.expectsLeader() && leader.Token == first {
+			return nil, err
+		}
+		micros.Pause(ctx, relayAgain)
+	}
+}
+
+// relayTo has one leader answer a report, and gives up once a later one is known.
+func (s *standbyNode) relayTo(ctx context.Context, leader replica.Leader, report wire.Raw) (wire.Raw, error) {
+	if leader.Member == s.node.settings.Member {
+		return s.node.Relayed(report)
+	}
+	client := s.node.peers.Client(leader.Member)
+	if client == nil {
+		return nil, errNoLeader
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil && s.node.election.Highest().Token <= leader.Token {
+			select {
+			case <-ctx.Done():
+			case <-s.node.replica.Changed():
+			}
+		}
+		cancel()
+	}()
+	return client.Relay(ctx, report)
+}
+
 // handoverWait is for how long a worker's report is kept for the next leader at most. Its
 // worker waits for 4 s, of which passing the report on may take 2.5 s.
 const handoverWait = 1200 * micros.Millisecond
--- /dev/null
+++ b/standby_meetings_test.go
@@ -0,0 +1,229 @@
+package caperlatch
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// handOver has the leader hand over, and tells to whom.
+func (c *cluster) handOver() string {
+	c.t.Helper()
+	to, err := c.nodes[c.leader()].HandOver()
+	if err != nil {
+		c.t.Errorf("handover: %v", err)
+	}
+	return to
+}
+
+// indexOf is the index of a member; -1 if there is none.
+func (c *cluster) indexOf(member string) int {
+	for i, n := range c.nodes {
+		if n.settings.Member == member {
+			return i
+		}
+	}
+	return -1
+}
+
+// refuseState has the state service refuse a node, or all if it is negative.
+func refuseState(node int) func(string, *http.Request) standin.Fault {
+	return func(from string, r *http.Request) standin.Fault {
+		if isState(r) && (node < 0 || fromNode(from, node)) {
+			return standin.Refused
+		}
+		return standin.Pass
+	}
+}
+
+// deafMachines loses all answers and commands to these machines; what they send arrives.
+func deafMachines(ids map[string]bool) func(string, *http.Request) standin.Fault {
+	return func(from string, r *http.Request) standin.Fault {
+		switch {
+		case ids[machineOf(from)]:
+			return standin.LostAnswer
+		case ids[machineOf(r.URL.Host)]:
+			return standin.LostRequest
+		}
+		return standin.Pass
+	}
+}
+
+// TestStandbyMeetings has troubles meet a take-over of nodes with a standby, while an array,
+// a gang and a cancelled job are on machines. Whatever happens, no rule is broken, and all
+// jobs end once the troubles are over.
+func TestStandbyMeetings(t *testing.T) {
+	cases := []struct {
+		name    string
+		nodes   int
+		without map[int]bool // nodes that run without a standby, as earlier versions do
+		trouble func(c *cluster)
+	}{
+		{"the named node ends as it confirms", 3, nil, func(c *cluster) {
+			to := c.handOver()
+			c.back(c.indexOf(to))
+		}},
+		{"the named node ends as it adopts", 3, nil, func(c *cluster) {
+			token := c.token()
+			to := c.handOver()
+			c.ledAfter(token)
+			c.back(c.indexOf(to))
+		}},
+		{"followers that have just begun, as the leader ends", 3, nil, func(c *cluster) {
+			leader := c.leader()
+			c.back((leader+1)%3, (leader+2)%3)
+			time.Sleep(1600 * time.Millisecond)
+			c.kill(leader)
+			time.Sleep(time.Second)
+			c.start(leader)
+		}},
+		{"handed back and forth", 3, nil, func(c *cluster) {
+			for range 6 {
+				token := c.token()
+				c.handOver()
+				c.ledAfter(token)
+				time.Sleep(300 * time.Millisecond)
+			}
+		}},
+		{"the state service refuses the leader that hands over", 3, nil, func(c *cluster) {
+			c.setFault(refuseState(c.leader()))
+			c.handOver()
+			time.Sleep(5 * time.Second)
+			c.setFault(nil)
+		}},
+		{"the state service is down for all during a handover", 3, nil, func(c *cluster) {
+			time.AfterFunc(100*time.Millisecond, func() { c.setFault(refuseState(-1)) })
+			c.handOver()
+			time.Sleep(10 * time.Second)
+			c.setFault(nil)
+		}},
+		{"refused for the leader alone, then down for all", 5, nil, func(c *cluster) {
+			c.setFault(refuseState(c.leader()))
+			time.Sleep(2 * time.Second)
+			c.setFault(refuseState(-1))
+			time.Sleep(12 * time.Second)
+			c.setFault(nil)
+		}},
+		{"machines do not hear the next leader", 3, nil, func(c *cluster) {
+			deaf := map[string]bool{}
+			for _, w := range c.holders("j-000001")[:2] {
+				deaf[w.ID] = true
+			}
+			c.setFault(deafMachines(deaf))
+			c.handOver()
+			time.Sleep(20 * time.Second)
+			c.setFault(nil)
+		}},
+		{"machines reach nobody for longer than a lease", 3, nil, func(c *cluster) {
+			away := map[string]bool{}
+			for _, w := range c.holders("j-000001")[:2] {
+				away[w.ID] = true
+			}
+			var cut tally
+			c.setFault(cutMachines(away, &cut))
+			c.handOver()
+			time.Sleep(20 * time.Second)
+			c.setFault(nil)
+		}},
+		{"starts are on their way", 3, nil, func(c *cluster) {
+			// Answers to reports are lost from the handover on, and those with starts before.
+			c.setFault(func(from string, r *http.Request) standin.Fault {
+				if machineOf(from) != "" && strings.HasSuffix(r.URL.Path, "/hello") {
+					return standin.LostAnswer
+				}
+				return standin.Pass
+			})
+			c.submit("j-000007", 8)
+			time.Sleep(700 * time.Millisecond)
+			c.handOver()
+			time.Sleep(2 * time.Second)
+			c.setFault(nil)
+		}},
+		{"one of five is left", 5, nil, func(c *cluster) {
+			leader := c.leader()
+			for i := range c.nodes {
+				if i != leader && i != (leader+1)%5 {
+					c.kill(i)
+				}
+			}
+			c.kill(leader)
+			time.Sleep(15 * time.Second)
+			for i := range c.nodes {
+				if i != (leader+1)%5 {
+					c.start(i)
+				}
+			}
+		}},
+		{"the leader has no standby, the others do", 3, map[int]bool{0: true}, func(c *cluster) {
+			c.leadBy(0)
+			c.back(0)
+		}},
+		{"the others have no standby", 3, map[int]bool{1: true, 2: true}, func(c *cluster) {
+			c.leadBy(0)
+			c.handOver()
+		}},
+		{"the leader is cut from the nodes as it hands over", 3, nil, func(c *cluster) {
+			host := fmt.Sprintf("host-%d", c.leader())
+			c.pipes.Cut(func(from, to string) bool { return from == host || to == host })
+			c.handOver()
+			time.Sleep(5 * time.Second)
+			c.pipes.Cut(func(string, string) bool { return false })
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newStandbyCluster(t, tc.nodes, noTuning, testStandby())
+				defer c.close()
+				c.without = tc.without
+				for i := range tc.without {
+					c.back(i)
+				}
+				c.cloud.RunFor = func(string) float64 { return 12 }
+				c.submitJob(testJob("j-000001", 24))
+				c.submitJob(gangJob("j-000002", 3, 2, nil))
+				c.submitJob(testJob("j-000003", 4))
+				for range 120 {
+					if c.running("j-000001") >= 8 && c.running("j-000002") == 3 {
+						break
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(500 * time.Millisecond)
+				time.AfterFunc(600*time.Millisecond, func() { c.cancelJob("j-000003", 1) })
+				token := c.token()
+				tc.trouble(c)
+				c.submitJob(testJob("j-000004", 4))
+				for _, id := range []string{"j-000001", "j-000002", "j-000004"} {
+					c.await(id, wire.JobDone, 3*time.Minute)
+				}
+				c.answersAll([]string{"j-000001", "j-000002", "j-000003", "j-000004"})
+				if c.token() == token {
+					t.Error("nobody else has led")
+				}
+				c.broken()
+			})
+		})
+	}
+}
+
+// leadBy has a node lead, by ending the others for a while.
+func (c *cluster) leadBy(node int) {
+	c.t.Helper()
+	for try := 0; c.leader() != node; try++ {
+		if try == 20 {
+			c.t.Fatalf("node %d does not lead", node)
+		}
+		leader, token := c.leader(), c.token()
+		c.kill(leader)
+		c.ledAfter(token)
+		c.start(leader)
+		time.Sleep(2 * time.Second)
+	}
+}
--- a/takeover_test.go
+++ b/takeover_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"caperlatch/internal/replica"
+	"caperlatch/internal/settings"
 	"caperlatch/internal/standin"
 	"caperlatch/internal/wire"
 )
@@ -22,10 +23,14 @@
 	cases := []struct {
 		name string
 		over func(c *cluster) // ends the leader
+		// Of a handover, which needs the standby and takes less time than the others.
+		standby *settings.Standby
+		later   time.Duration
 	}{
-		{"the leader crashes", func(c *cluster) { c.kill(c.leader()) }},
-		{"the leader restarts", func(c *cluster) { c.back(c.leader()) }},
-		{"the leader loses the state service", func(c *cluster) {
+		{name: "the leader hands over", over: func(c *cluster) { c.handOver() }, standby: testStandby(), later: 1500 * time.Millisecond},
+		{name: "the leader crashes", over: func(c *cluster) { c.kill(c.leader()) }},
+		{name: "the leader restarts", over: func(c *cluster) { c.back(c.leader()) }},
+		{name: "the leader loses the state service", over: func(c *cluster) {
 			i := c.leader()
 			c.setFault(func(from string, r *http.Request) standin.Fault {
 				if fromNode(from, i) && isState(r) {
@@ -34,7 +39,7 @@
 				return standin.Pass
 			})
 		}},
-		{"the leader loses the state service and its peers", func(c *cluster) {
+		{name: "the leader loses the state service and its peers", over: func(c *cluster) {
 			i := c.leader()
 			host := fmt.Sprintf("host-%d", i)
 			c.pipes.Cut(func(from, to string) bool { return from == host || to == host })
@@ -49,7 +54,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newClusterOf(t, 5)
+				c := newStandbyCluster(t, 5, noTuning, tc.standby)
 				defer c.close()
 				c.cloud.RunFor = func(string) float64 { return 300 }
 				const jobs = 12
@@ -67,7 +72,7 @@
 					}
 				}
 				led, token := c.leader(), c.token()
-				time.AfterFunc(400*time.Millisecond, func() { tc.over(c) })
+				time.AfterFunc(400*time.Millisecond+tc.later, func() { tc.over(c) })
 				before, after := 0, 0 // the next leader led
 				for i, id := range ids {
 					time.Sleep(150 * time.Millisecond)
