Leader: asking machines in short steps; the address is read under the lock

Need: askLoop and ask were long, and a call read a machine's address after the lock was let go, while a report may change it.

Change: steps of their own, a typed target taken under the lock. No other behaviour.

Measured: go test ./internal/leader, TestFleet, TestKills and the standby's tests of clusters pass.

--- a/internal/leader/ask.go
+++ b/internal/leader/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -47,94 +48,140 @@
 // that token was so after the worker had heard of this term, so no start of an earlier
 // one can follow; and this term starts nothing before it knows a machine's tasks.
 func (l *Leader) askLoop(ctx context.Context) {
+	machines := l.machinesToAsk()
+	if len(machines) == 0 {
+		return
+	}
+	l.askAll(ctx, machines)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slog.Info("asked for tasks", "machines", len(machines), "unresolved", l.unresolved(), "took", (micros.Now() - l.began).Duration())
+}
+
+// machinesToAsk lists the machines whose tasks they have not told this term, in the order in
+// which they are to be asked, and counts them by zone.
+func (l *Leader) machinesToAsk() (machines []*machine) {
 	l.mu.Lock()
-	var ms []*machine
+	defer l.mu.Unlock()
 	for _, m := range l.order {
-		if (!m.resolved || m.unconfirmed) && m.address != "" {
-			ms = append(ms, m)
-			a := l.zoneAnswers[m.kind.Zone]
-			a.asked++
-			l.zoneAnswers[m.kind.Zone] = a
+		if m.confirmed() || m.address == "" {
+			continue
 		}
+		machines = append(machines, m)
+		zone := l.zoneAnswers[m.kind.Zone]
+		zone.asked++
+		l.zoneAnswers[m.kind.Zone] = zone
 	}
 	if l.Expected != nil {
-		l.askOrder(ms)
-	}
-	l.mu.Unlock()
-	type ask struct {
-		m  *machine
-		at micros.Micros // not before
+		l.askOrder(machines)
 	}
+	return machines
+}
+
+// dueAsk is a machine that is to be asked, not before an instant.
+type dueAsk struct {
+	machine *machine
+	at      micros.Micros
+}
+
+// askAll asks machines, some at a time, each again and again until that is no longer needed.
+func (l *Leader) askAll(ctx context.Context, machines []*machine) {
 	var open sync.WaitGroup
-	open.Add(len(ms))
-	queue := make(chan ask, len(ms))
-	for _, m := range ms {
-		queue <- ask{m, 0}
+	open.Add(len(machines))
+	queue := make(chan dueAsk, len(machines))
+	for _, m := range machines {
+		queue <- dueAsk{m, 0}
 	}
-	for range min(len(ms), cap(l.calls)) {
+	for range min(len(machines), cap(l.calls)) {
 		go func() {
-			for a := range queue {
-				if now := micros.Now(); now < a.at {
-					micros.Pause(ctx, a.at-now)
+			for due := range queue {
+				if now := micros.Now(); now < due.at {
+					micros.Pause(ctx, due.at-now)
 				}
-				if ctx.Err() != nil || l.ask(ctx, a.m) {
+				if ctx.Err() != nil || l.ask(ctx, due.machine) {
 					open.Done()
 				} else {
-					queue <- ask{a.m, micros.Now() + askPause}
+					queue <- dueAsk{due.machine, micros.Now() + askPause}
 				}
 			}
 		}()
 	}
 	open.Wait()
 	close(queue)
-	if len(ms) > 0 {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		slog.Info("asked for tasks", "machines", len(ms), "unresolved", l.unresolved(), "took", (micros.Now() - l.began).Duration())
-	}
 }
 
 // ask asks a machine for its tasks, and tells whether that is no longer needed.
 func (l *Leader) ask(ctx context.Context, m *machine) bool {
 	// A worker that lost its lease is in a session that only its answer tells.
 	for range 2 {
-		l.mu.Lock()
-		over := m.resolved && !m.unconfirmed || m.leaving || l.machines[m.id] != m || l.superseded || l.handing
-		body := wire.DirectCommands{Token: l.Token, Session: m.probableSession(), Commands: []wire.Command{}}
-		l.mu.Unlock()
-		if over {
+		to, needed := l.askTarget(m)
+		if !needed {
 			return true
 		}
 		if !l.Term.Sure() {
 			return false
 		}
-		l.calls <- struct{}{}
-		callCtx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
-		_, answer, err := wire.Exchange(callCtx, l.Workers, http.MethodPost, "http://"+m.address+"/commands", body)
-		cancel()
-		<-l.calls
-		var r wire.Report
-		if err == nil {
-			err = wire.Unmarshal(answer, &r)
-		}
+		report, err := l.askOnce(ctx, to)
 		l.mu.Lock()
-		if err != nil || r.Machine != m.id {
+		if err != nil {
 			m.asks++
 			l.mu.Unlock()
 			slog.Debug("asking for tasks", "machine", m.id, "error", err)
 			return false
 		}
-		l.answeredAsk(m, &r, micros.Now())
+		l.answeredAsk(m, report, micros.Now())
 		l.mu.Unlock()
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return m.resolved && !m.unconfirmed
+	return m.confirmed()
+}
+
+// askTarget is where a machine is asked, as it was known when the call began.
+type askTarget struct {
+	machine, address string
+	session          uint64
+}
+
+// askTarget is where a machine is to be asked, if it still needs to be.
+func (l *Leader) askTarget(m *machine) (to askTarget, needed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	needed = !m.confirmed() && !m.leaving && l.machines[m.id] == m && !l.superseded && !l.handing
+	return askTarget{m.id, m.address, m.probableSession()}, needed
 }
 
+// errOtherMachine says that another machine answers at a machine's address.
+var errOtherMachine = errors.New("another machine answers")
+
+// askOnce sends a machine this term's token without commands, and takes its report.
+func (l *Leader) askOnce(ctx context.Context, to askTarget) (*wire.Report, error) {
+	l.calls <- struct{}{}
+	defer func() { <-l.calls }()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	body := wire.DirectCommands{Token: l.Token, Session: to.session, Commands: []wire.Command{}}
+	_, answer, err := wire.Exchange(ctx, l.Workers, http.MethodPost, "http://"+to.address+"/commands", body)
+	if err != nil {
+		return nil, err
+	}
+	var report wire.Report
+	if err := wire.Unmarshal(answer, &report); err != nil {
+		return nil, err
+	}
+	if report.Machine != to.machine {
+		return nil, errOtherMachine
+	}
+	return &report, nil
+}
+
+// confirmed tells whether the machine itself has told this term its tasks, or cannot have
+// any of an earlier one.
+func (m *machine) confirmed() bool { return m.resolved && !m.unconfirmed }
+
 // answeredAsk takes a machine's tasks from its answer, unless a report came first.
 func (l *Leader) answeredAsk(m *machine, r *wire.Report, now micros.Micros) {
-	if m.resolved && !m.unconfirmed || l.machines[m.id] != m || l.superseded || r.Session < m.session {
+	if m.confirmed() || l.machines[m.id] != m || l.superseded || r.Session < m.session {
 		return
 	}
 	m.session = r.Session
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -139,7 +139,7 @@
 // carries this term's token, so the worker made it after it had accepted an
 // answer of this term: starts of earlier terms can no longer be executed.
 func (l *Leader) reconcile(m *machine, r *wire.Report, now micros.Micros) {
-	confirmed := m.resolved && !m.unconfirmed
+	confirmed := m.confirmed()
 	if !confirmed {
 		m.resolved, m.unconfirmed = true, false
 		l.replan = true
--- a/internal/leader/standby.go
+++ b/internal/leader/standby.go
@@ -76,7 +76,7 @@
 
 // publishMachine tells what has changed of a machine besides its tasks.
 func (l *Leader) publishMachine(m *machine) {
-	state := standby.MachineState{Session: m.session, Resolved: m.resolved && !m.unconfirmed}
+	state := standby.MachineState{Session: m.session, Resolved: m.confirmed()}
 	if l.Followers == nil || m.published == state {
 		return
 	}
