--- a/internal/leader/standby_test.go
+++ b/internal/leader/standby_test.go
@@ -242,6 +242,41 @@
 	}
 }
 
+// TestPublishedReserved has a gang get its places: they are published as reserved, and as
+// started with the answer that carries the starts. A place that was still published as
+// reserved then would be taken for a start that was never sent.
+func TestPublishedReserved(t *testing.T) {
+	l, _ := newTest(t)
+	p := standby.NewPublisher(token, 1000)
+	l.Followers = p
+	l.jobs["j-000001"].spec.Shape = wire.ShapeGang
+	m := l.machines["i-1"]
+	m.resolved = true
+	view := func() map[string]standby.TaskState {
+		f := standby.NewFollower("host-1")
+		if err := f.Apply(p.Answer(f.Query(token)), micros.Now()); err != nil {
+			t.Fatal(err)
+		}
+		return f.View().Machines["i-1"].Tasks
+	}
+	l.plan(micros.Now())
+	l.planStarts(m, l.jobs["j-000001"], 3, micros.Now())
+	for task, state := range view() {
+		if !state.Reserved {
+			t.Errorf("%s is published as started before any answer", task)
+		}
+	}
+	answer, err := l.Report(report(11, token))
+	if err != nil || len(answer.Commands) != 3 {
+		t.Fatalf("told %v (%v)", verbs(answer), err)
+	}
+	for task, state := range view() {
+		if state.Reserved {
+			t.Errorf("%s is published as reserved after its start was sent", task)
+		}
+	}
+}
+
 // TestHandOver has a leader hand over: from then on it answers nothing, and its last entry
 // says whether all machines were known. It ends within its limit, heard or not.
 func TestHandOver(t *testing.T) {
