--- /dev/null
+++ b/failover_cost_test.go
@@ -0,0 +1,137 @@
+package caperlatch
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"caperlatch/internal/api"
+	"caperlatch/internal/failover"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
+)
+
+// nodeCost is what a node's process took over some seconds, and how far it followed.
+type nodeCost struct {
+	mode       failover.Mode
+	leads      bool
+	share      float64 // of a core
+	megabytes  float64 // resident
+	lagEntries uint64
+	lag        micros.Micros // negative: it does not follow
+}
+
+// costOver is over how long a process's use of the processor is measured.
+const costOver = 3 * time.Second
+
+// sampleCost measures all nodes of a cluster that nothing happens to.
+func (f *failoverRun) sampleCost(c *processes, mode failover.Mode) {
+	leader := c.leader()
+	before := make([]float64, len(c.commands))
+	for i, cmd := range c.commands {
+		before[i] = processorSeconds(f.t, cmd.Process.Pid)
+	}
+	time.Sleep(costOver)
+	for i, cmd := range c.commands {
+		cost := nodeCost{
+			mode:      mode,
+			leads:     i == leader,
+			share:     (processorSeconds(f.t, cmd.Process.Pid) - before[i]) / costOver.Seconds(),
+			megabytes: residentMegabytes(f.t, cmd.Process.Pid),
+			lag:       failover.Missing,
+		}
+		if status, ok := standbyStatus(c.addrs[i][0]); ok && status.Progress != nil && status.Progress.LagS >= 0 {
+			cost.lagEntries, cost.lag = status.Progress.LagEntries, micros.FromSeconds(status.Progress.LagS)
+		}
+		f.costs = append(f.costs, cost)
+	}
+}
+
+// standbyStatus asks a node how far its standby is.
+func standbyStatus(address string) (status api.StandbyStatus, ok bool) {
+	resp, err := http.Get("http://" + address + "/standby")
+	if err != nil {
+		return status, false
+	}
+	defer resp.Body.Close()
+	body, err := wire.ReadBody(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return status, false
+	}
+	return status, wire.Unmarshal(body, &status) == nil
+}
+
+// Fields of /proc/PID/stat after the process's name, which may have spaces, and its unit.
+const (
+	userTicksField   = 11
+	systemTicksField = 12
+	ticksPerSecond   = 100
+)
+
+// processorSeconds is how long a process has run so far.
+func processorSeconds(t *testing.T, pid int) float64 {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
+	ticks := 0
+	for _, field := range []int{userTicksField, systemTicksField} {
+		n, err := strconv.Atoi(fields[field])
+		if err != nil {
+			t.Fatal(err)
+		}
+		ticks += n
+	}
+	return float64(ticks) / ticksPerSecond
+}
+
+// residentMegabytes is a process's resident memory.
+func residentMegabytes(t *testing.T, pid int) float64 {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(b)) {
+		var kilobytes float64
+		if _, err := fmt.Sscanf(line, "VmRSS: %f kB", &kilobytes); err == nil {
+			return kilobytes / 1024
+		}
+	}
+	t.Fatal("no VmRSS")
+	return 0
+}
+
+// reportCosts logs what nodes took, by mode and part.
+func reportCosts(t *testing.T, costs []nodeCost) {
+	t.Helper()
+	for _, mode := range []failover.Mode{failover.Cold, failover.Warm} {
+		for _, leads := range []bool{true, false} {
+			var share, megabytes, n float64
+			var lags []micros.Micros
+			var most uint64
+			for _, c := range costs {
+				if c.mode != mode || c.leads != leads {
+					continue
+				}
+				n++
+				share += c.share
+				megabytes = max(megabytes, c.megabytes)
+				lags = append(lags, c.lag)
+				most = max(most, c.lagEntries)
+			}
+			if n == 0 {
+				continue
+			}
+			lag := failover.Summarize(lags)
+			t.Logf("cost %-4s leads %-5v: %3.0f samples, %.1f%% of a core on average, %.0f MB at most; lag median %.3f, 99%% %.3f s, %d entries at most (%d do not follow)",
+				mode, leads, n, 100*share/n, megabytes, lag.Median.Seconds(), lag.P99.Seconds(), most, lag.Missing)
+		}
+	}
+}
