Commands that ask a node share their form; SIGTERM ends at once where nothing is handed over

Need: four commands stood as the same lines; a leader that was still taking over waited 2 s at SIGTERM for a session that it had not let go.

--- a/cmd/caperlatch/explain.go
+++ b/cmd/caperlatch/explain.go
@@ -16,22 +16,15 @@
 
 // explainCommand asks a node about a job.
 func explainCommand() *cobra.Command {
-	var node string
-	cmd := &cobra.Command{
-		Use:   "explain JOB",
-		Short: "Say why a job waits, was stopped or ended",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			e, err := askExplanation(cmd.Context(), node, args[0])
-			if err != nil {
-				return err
-			}
-			printExplanation(cmd.OutOrStdout(), e)
-			return nil
-		},
+	run := func(cmd *cobra.Command, node string, args []string) error {
+		e, err := askExplanation(cmd.Context(), node, args[0])
+		if err != nil {
+			return err
+		}
+		printExplanation(cmd.OutOrStdout(), e)
+		return nil
 	}
-	addNodeFlag(cmd, &node)
-	return cmd
+	return nodeCommand("explain JOB", "Say why a job waits, was stopped or ended", cobra.ExactArgs(1), run)
 }
 
 // askExplanation asks a node about a job; any answer but an explanation is an error.
--- a/cmd/caperlatch/get.go
+++ b/cmd/caperlatch/get.go
@@ -17,9 +17,17 @@
 	maxAnswer = 1 << 20
 )
 
-// addNodeFlag lets the user say which node a command asks.
-func addNodeFlag(cmd *cobra.Command, node *string) {
-	cmd.Flags().StringVar(node, "node", "127.0.0.1:8080", "address of any node (its client_listen)")
+// nodeCommand is a command that asks a node, which the user may name.
+func nodeCommand(use, short string, args cobra.PositionalArgs, run func(cmd *cobra.Command, node string, args []string) error) *cobra.Command {
+	var node string
+	cmd := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  args,
+		RunE:  func(cmd *cobra.Command, args []string) error { return run(cmd, node, args) },
+	}
+	cmd.Flags().StringVar(&node, "node", "127.0.0.1:8080", "address of any node (its client_listen)")
+	return cmd
 }
 
 // get asks a running node.
--- a/cmd/caperlatch/standby.go
+++ b/cmd/caperlatch/standby.go
@@ -37,45 +37,31 @@
 
 // standbyCommand asks a node how far the warm standby is.
 func standbyCommand() *cobra.Command {
-	var node string
-	cmd := &cobra.Command{
-		Use:   "standby",
-		Short: "Say who leads, how far the others follow, and how the last take-over went",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var status api.StandbyStatus
-			if err := ask(cmd.Context(), http.MethodGet, node, "/standby", &status); err != nil {
-				return err
-			}
-			printStandby(cmd.OutOrStdout(), &status)
-			return nil
-		},
+	run := func(cmd *cobra.Command, node string, _ []string) error {
+		var status api.StandbyStatus
+		if err := ask(cmd.Context(), http.MethodGet, node, "/standby", &status); err != nil {
+			return err
+		}
+		printStandby(cmd.OutOrStdout(), &status)
+		return nil
 	}
-	addNodeFlag(cmd, &node)
-	return cmd
+	return nodeCommand("standby", "Say who leads, how far the others follow, and how the last take-over went", cobra.NoArgs, run)
 }
 
 // handoverCommand has a leader hand over.
 func handoverCommand() *cobra.Command {
-	var node string
-	cmd := &cobra.Command{
-		Use:   "handover",
-		Short: "Have the leader on this machine hand over to the standby that is furthest",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var done api.HandedOver
-			if err := ask(cmd.Context(), http.MethodPost, node, "/standby/handover", &done); err != nil {
-				return err
-			}
-			if done.To == "" {
-				done.To = "any node, as none follows closely"
-			}
-			fmt.Fprintln(cmd.OutOrStdout(), "handed over to", done.To)
-			return nil
-		},
+	run := func(cmd *cobra.Command, node string, _ []string) error {
+		var done api.HandedOver
+		if err := ask(cmd.Context(), http.MethodPost, node, "/standby/handover", &done); err != nil {
+			return err
+		}
+		if done.To == "" {
+			done.To = "any node, as none follows closely"
+		}
+		fmt.Fprintln(cmd.OutOrStdout(), "handed over to", done.To)
+		return nil
 	}
-	addNodeFlag(cmd, &node)
-	return cmd
+	return nodeCommand("handover", "Have the leader on this machine hand over to the standby that is furthest", cobra.NoArgs, run)
 }
 
 // ask sends a request to a node and decodes its answer; any other status is an error.
--- a/cmd/caperlatch/versions.go
+++ b/cmd/caperlatch/versions.go
@@ -14,22 +14,15 @@
 
 // versionsCommand asks a node which versions serve.
 func versionsCommand() *cobra.Command {
-	var node string
-	cmd := &cobra.Command{
-		Use:   "versions",
-		Short: "Say which nodes serve with which version",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ready, v, err := askVersions(cmd.Context(), node)
-			if err != nil {
-				return err
-			}
-			printVersions(cmd.OutOrStdout(), node, ready, v)
-			return nil
-		},
+	run := func(cmd *cobra.Command, node string, _ []string) error {
+		ready, v, err := askVersions(cmd.Context(), node)
+		if err != nil {
+			return err
+		}
+		printVersions(cmd.OutOrStdout(), node, ready, v)
+		return nil
 	}
-	addNodeFlag(cmd, &node)
-	return cmd
+	return nodeCommand("versions", "Say which nodes serve with which version", cobra.NoArgs, run)
 }
 
 // askVersions asks a node; one of version 0 does not tell any.
--- a/internal/standby/bench_test.go
+++ b/internal/standby/bench_test.go
@@ -27,25 +27,28 @@
 	}
 }
 
-// BenchmarkPull has a follower take 100 entries a time, with their encoding both ways.
+// exchange has a follower ask once, with the encoding both ways, and tells the answer's size.
+func exchange(b *testing.B, f *Follower, p *Publisher) (size int) {
+	b.Helper()
+	body, err := wire.Marshal(p.Answer(f.Query(testToken)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	var page Page
+	if err := wire.Unmarshal(body, &page); err != nil {
+		b.Fatal(err)
+	}
+	if err := f.Apply(&page, micros.Now()); err != nil {
+		b.Fatal(err)
+	}
+	return len(body)
+}
+
+// BenchmarkPull has a follower take 100 entries a time.
 func BenchmarkPull(b *testing.B) {
 	p, f := benchFleet(), NewFollower("host-1")
-	step := func() (size int) {
-		body, err := wire.Marshal(p.Answer(f.Query(testToken)))
-		if err != nil {
-			b.Fatal(err)
-		}
-		var page Page
-		if err := wire.Unmarshal(body, &page); err != nil {
-			b.Fatal(err)
-		}
-		if err := f.Apply(&page, micros.Now()); err != nil {
-			b.Fatal(err)
-		}
-		return len(body)
-	}
 	for !f.Progress().Whole || f.Progress().LagEntries > 0 {
-		step()
+		exchange(b, f, p)
 	}
 	size, i := 0, 0
 	b.ReportAllocs()
@@ -54,34 +57,20 @@
 			i++
 			p.Publish(placed(fmt.Sprintf("i-%06d", i%4100), fmt.Sprintf("j-%06d/%d", i/100%1000, i%100), uint64(i)))
 		}
-		size += step()
+		size += exchange(b, f, p)
 	}
 	b.ReportMetric(float64(size)/float64(i), "bytes/entry")
 }
 
-// BenchmarkSnapshot has a follower take a whole snapshot, with its encoding both ways.
+// BenchmarkSnapshot has a follower take a whole snapshot.
 func BenchmarkSnapshot(b *testing.B) {
 	p := benchFleet()
 	size, n := 0, 0
 	b.ReportAllocs()
 	for b.Loop() {
 		f := NewFollower("host-1")
-		for {
-			body, err := wire.Marshal(p.Answer(f.Query(testToken)))
-			if err != nil {
-				b.Fatal(err)
-			}
-			var page Page
-			if err := wire.Unmarshal(body, &page); err != nil {
-				b.Fatal(err)
-			}
-			if err := f.Apply(&page, micros.Now()); err != nil {
-				b.Fatal(err)
-			}
-			size += len(body)
-			if progress := f.Progress(); progress.Whole {
-				break
-			}
+		for !f.Progress().Whole {
+			size += exchange(b, f, p)
 		}
 		n++
 	}
--- a/standby.go
+++ b/standby.go
@@ -323,10 +323,11 @@
 // HandOverAtEnd hands over, if this node leads, and waits until its session is let go of.
 func (n *Node) HandOverAtEnd() {
 	to, err := n.HandOver()
-	if errors.Is(err, errNotLeading) || errors.Is(err, api.ErrStandbyOff) {
+	if err != nil {
+		slog.Info("ending without a handover", "why", err)
 		return
 	}
-	slog.Info("ending", "handed_to", to, "error", err)
+	slog.Info("ending", "handed_to", to)
 	for until := micros.Now() + yieldAfterHandover; micros.Now() < until && !n.released(); {
 		endPoll.Sleep()
 	}
