After a crash a job bound to a zone does not wait for another that is cut off

Need: every job that may have begun waited for each machine whose tasks are not known, also for those that it may not be on.

Without the standby nothing changes.

--- a/internal/leader/backlog.go
+++ b/internal/leader/backlog.go
@@ -87,7 +87,7 @@
 // countWaiting counts the tasks that wait for machines, in the order of their submission.
 func (l *Leader) countWaiting(d *demandCount, now micros.Micros) {
 	wall := micros.Wall()
-	teams, _ := l.teamUse()
+	teams := l.teamUse()
 	jobs := slices.SortedFunc(maps.Values(l.jobs), func(a, b *job) int {
 		return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.spec.ID, b.spec.ID))
 	})
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -122,9 +122,9 @@
 
 func (l *Leader) whyWaiting(j *job) (why []string) {
 	now := micros.Now()
-	teams, unresolved := l.teamUse()
-	if l.mustWait(j, unresolved) {
-		why = append(why, fmt.Sprintf("%d machines' tasks are not known yet after the take-over", unresolved+l.unconfirmed()))
+	teams := l.teamUse()
+	if u := l.unknownTasks(); l.mustWait(j, u) {
+		why = append(why, fmt.Sprintf("%d machines' tasks are not known yet after the take-over", u.machines+l.unconfirmed()))
 	}
 	if f := j.failing(now); f != "" && !j.good() {
 		why = append(why, f)
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -331,7 +331,7 @@
 	if !l.ready {
 		return
 	}
-	unresolved := l.unresolved()
+	unresolved := l.unknownTasks()
 	for _, j := range l.gangs() {
 		if j.ndone > 0 {
 			continue
@@ -504,9 +504,9 @@
 // than the work alone would. One that has begun to start needs room now: its other tasks
 // hold theirs in vain until it comes.
 func (l *Leader) rentForGangs(now micros.Micros) {
-	teams, unresolved := l.teamUse()
+	teams, unresolved := l.teamUse(), l.unknownTasks()
 	for _, j := range l.gangs() {
-		if j.old && unresolved > 0 || !l.Term.Sure() {
+		if l.mustWait(j, unresolved) || !l.Term.Sure() {
 			continue
 		}
 		want := j.ready(now)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -416,11 +416,11 @@
 // TestTeamUse counts what machines with unknown tasks could hold.
 func TestTeamUse(t *testing.T) {
 	l, _ := newTest(t)
-	if teams, unresolved := l.teamUse(); unresolved != 1 || teams["blue"].Used.CPU != 4000 {
+	if teams, unresolved := l.teamUse(), l.unknownTasks().machines; unresolved != 1 || teams["blue"].Used.CPU != 4000 {
 		t.Errorf("unresolved %d, used %+v, want all 4 CPUs of the one machine", unresolved, teams["blue"].Used)
 	}
 	l.machines["i-1"].resolved = true
-	if teams, _ := l.teamUse(); teams["blue"].Used.CPU != 0 {
+	if teams := l.teamUse(); teams["blue"].Used.CPU != 0 {
 		t.Errorf("used %+v with nothing running", teams["blue"].Used)
 	}
 }
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -215,7 +215,8 @@
 // newQueue lists the jobs that may start tasks now. A job that an earlier term
 // may have started waits until no machine's tasks are unknown.
 func (l *Leader) newQueue(now micros.Micros) queue {
-	teams, unresolved := l.teamUse()
+	teams := l.teamUse()
+	unresolved := l.unknownTasks()
 	covered := l.covered()
 	wall := micros.Wall()
 	var entries []queueEntry
@@ -415,16 +416,14 @@
 
 // teamUse counts what each team's tasks may be using at worst: what is known
 // to be on machines and all that machines with unknown tasks could hold.
-func (l *Leader) teamUse() (map[string]*placement.Team, int) {
+func (l *Leader) teamUse() map[string]*placement.Team {
 	teams := make(map[string]*placement.Team, len(l.teams))
 	for name, t := range l.teams {
 		teams[name] = &placement.Team{Used: l.used[name], Limit: placement.Resources{CPU: floor(t.CPUsMax), GPU: floor(t.GPUsMax)}}
 	}
-	unresolved := 0
 	l.hidden = placement.Resources{}
 	for _, m := range l.order {
 		if !m.resolved {
-			unresolved++
 			if t := l.types[m.kind.Type]; t != nil {
 				l.hidden = l.hidden.Plus(t.capacity, 1)
 			}
@@ -435,7 +434,7 @@
 		// these machines could hold counts for every team.
 		t.Used = t.Used.Plus(l.hidden, 1)
 	}
-	return teams, unresolved
+	return teams
 }
 
 // placementMachine is a machine as placement sees it.
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -454,7 +454,7 @@
 // not whom they serve, and such a job would starve beside idle ones.
 func (l *Leader) rentSpecial(now micros.Micros) {
 	wall := micros.Wall()
-	teams, unresolved := l.teamUse()
+	teams, unresolved := l.teamUse(), l.unknownTasks()
 	type count struct{ all, coming int }
 	kinds := map[offer]count{}
 	for _, m := range l.order {
@@ -466,7 +466,7 @@
 		kinds[m.kind] = n
 	}
 	for _, j := range l.jobs {
-		if j.old && unresolved > 0 || teams[j.spec.Team].Room(j.need, 1) == 0 {
+		if l.mustWait(j, unresolved) || teams[j.spec.Team].Room(j.need, 1) == 0 {
 			continue // not for want of machines
 		}
 		if j.ready(now) <= 0 || now-j.seen < specialWait || wall-j.lastStart < specialWait {
--- a/internal/leader/standby.go
+++ b/internal/leader/standby.go
@@ -10,6 +10,7 @@
 	"caperlatch/internal/micros"
 	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
+	"caperlatch/placement"
 )
 
 // Followers are the nodes that keep a view of what this term decides.
@@ -190,11 +191,44 @@
 	return j, n
 }
 
+// unknown tells of which machines the tasks are not known.
+type unknown struct {
+	machines int
+	kinds    []offer // of these, each once
+}
+
+// unknownTasks tells of which machines the tasks are not known now.
+func (l *Leader) unknownTasks() (u unknown) {
+	for _, m := range l.order {
+		if m.resolved {
+			continue
+		}
+		u.machines++
+		if !slices.Contains(u.kinds, m.kind) {
+			u.kinds = append(u.kinds, m.kind)
+		}
+	}
+	return u
+}
+
 // mustWait tells whether a job must start nothing yet: it may have tasks on machines whose
-// tasks are not known. A gang also waits until all machines have confirmed what a handover
+// tasks are not known. Every leader of any version starts a task only on a machine whose type,
+// zone and kind its job allows, so machines of other kinds have none of it; that is made use of
+// with the standby on. A gang also waits until all machines have confirmed what a handover
 // told of them, since only their reports tell whether its attempt runs or ends.
-func (l *Leader) mustWait(j *job, unresolved int) bool {
-	return j.old && (unresolved > 0 || j.isGang() && l.unconfirmed() > 0)
+func (l *Leader) mustWait(j *job, u unknown) bool {
+	switch {
+	case !j.old:
+		return false
+	case j.isGang() && l.unconfirmed() > 0:
+		return true
+	case l.Followers == nil:
+		return u.machines > 0
+	}
+	probe := placement.Job{Types: j.spec.Types, Zone: j.spec.Zone, Spot: j.spec.Spot}
+	return slices.ContainsFunc(u.kinds, func(kind offer) bool {
+		return placement.Allowed(&probe, kind.Type, kind.Zone, kind.Spot)
+	})
 }
 
 // unconfirmed counts the machines whose tasks are known by a handover alone.
--- a/internal/leader/standby_test.go
+++ b/internal/leader/standby_test.go
@@ -177,6 +177,41 @@
 	}
 }
 
+// TestMustWait asks which old jobs wait for a machine whose tasks are not known. With the
+// standby, those need not that may not be on a machine of its kind.
+func TestMustWait(t *testing.T) {
+	cases := []struct {
+		name        string
+		edit        func(j *job)
+		cold, warm  bool // it waits
+		allResolved bool
+	}{
+		{"any machine will do", func(*job) {}, true, true, false},
+		{"it is new", func(j *job) { j.old = false }, false, false, false},
+		{"no machine is unknown", func(*job) {}, false, false, true},
+		{"it may be there", func(j *job) { j.spec.Zone, j.spec.Types = "a", []string{"m4", "m8"} }, true, true, false},
+		{"only in another zone", func(j *job) { j.spec.Zone = "b" }, true, false, false},
+		{"only on another type", func(j *job) { j.spec.Types = []string{"m8"} }, true, false, false},
+		{"only on ordinary machines", func(j *job) { j.spec.Spot = false }, true, false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			l, _ := newTest(t)
+			m := l.machines["i-1"]
+			m.kind.Spot, m.resolved = true, tc.allResolved
+			j := l.jobs["j-000001"]
+			tc.edit(j)
+			if got := l.mustWait(j, l.unknownTasks()); got != tc.cold {
+				t.Errorf("without the standby it waits: %v", got)
+			}
+			l.Followers = &fakeFollowers{}
+			if got := l.mustWait(j, l.unknownTasks()); got != tc.warm {
+				t.Errorf("with the standby it waits: %v", got)
+			}
+		})
+	}
+}
+
 // fakeFollowers notes what is published.
 type fakeFollowers struct {
 	mu       sync.Mutex
--- a/standby_test.go
+++ b/standby_test.go
@@ -117,6 +117,61 @@
 	}
 }
 
+// TestCrashInCutZone crashes the leader while a zone is cut off. An array that is bound to the
+// other zone has no task in the zone that is cut: with the standby it goes on at once, and an
+// array that may be anywhere waits for the lease, as ever.
+func TestCrashInCutZone(t *testing.T) {
+	for _, standby := range []*settings.Standby{nil, testStandby()} {
+		t.Run(fmt.Sprintf("standby %v", standby != nil), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newStandbyCluster(t, 3, func(s *settings.Settings) { s.Params.Zones = []string{"a", "b"} }, standby)
+				defer c.close()
+				c.cloud.Zones = []string{"a", "b"}
+				c.rules.Offers[0].Zones = c.cloud.Zones
+				c.cloud.RunFor = func(string) float64 { return 1 }
+				bound, free := testJob("j-000001", 20000), testJob("j-000002", 20000)
+				bound["hall"] = "a"
+				other := testJob("j-000003", 2000) // has machines in the zone that is cut
+				other["hall"] = "b"
+				c.submitJob(other)
+				free["vcpus"] = 3.0 // leaves room for a task of the other on each machine
+				c.submitJob(free)
+				c.submitJob(bound)
+				for i := 0; c.cloud.StartsOf("j-000001") < 40 || c.cloud.StartsOf("j-000002") < 40 || c.cloud.StartsOf("j-000003") < 40; i++ {
+					if i == 200 {
+						t.Fatalf("%d and %d tasks started", c.cloud.StartsOf("j-000001"), c.cloud.StartsOf("j-000002"))
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				away := map[string]bool{}
+				for _, w := range c.cloud.Workers() {
+					if w.Zone() == "b" {
+						away[w.ID] = true
+					}
+				}
+				var cut tally
+				c.setFault(cutMachines(away, &cut))
+				token := c.token()
+				c.kill(c.leader())
+				c.ledAfter(token)
+				before := [2]int{c.cloud.StartsOf("j-000001"), c.cloud.StartsOf("j-000002")}
+				time.Sleep(4 * time.Second)
+				if got := c.cloud.StartsOf("j-000001") > before[0]; got != (standby != nil) {
+					t.Errorf("the bound array goes on within 4 s: %v", got)
+				}
+				if c.cloud.StartsOf("j-000002") > before[1] {
+					t.Error("the other array goes on while its tasks may run unseen")
+				}
+				if len(away) == 0 || len(away) == len(c.cloud.Workers()) {
+					t.Errorf("%d of %d machines are cut off", len(away), len(c.cloud.Workers()))
+				}
+				c.setFault(nil)
+				c.broken()
+			})
+		})
+	}
+}
+
 // TestHandoverUnderWork hands leadership on again and again, while work comes, runs, ends and
 // is cancelled: each time the named node leads within a second, and no rule is broken.
 func TestHandoverUnderWork(t *testing.T) {
