Upgrades from the landing before the standby; a return is repeated for the term before alone

Need: the last landing and this one run side by side. A view of an older term may name a machine as being returned that a leader in between used.

Change: what stores and says is captured and read in all tests of old versions; the rolling upgrade from it has the standby on in the new processes. Returns are repeated only for the term just before.

--- a/failover_process_test.go
+++ b/failover_process_test.go
@@ -97,17 +97,18 @@
 	costs    []nodeCost
 }
 
-// modeRuns is how many changes are measured before the standby is switched on or off.
+// modeRuns is how many changes are measured at most before the standby is switched on or off.
 const modeRuns = 15
 
 // measure measures changes of leader, with the standby off and on in turn.
 func (f *failoverRun) measure(run string, changes int) (history []failover.Change) {
+	inTurn := min(modeRuns, max(1, changes/2))
 	for len(history) < changes {
 		mode := failover.Cold
-		if len(history)/modeRuns%2 == 1 {
+		if len(history)/inTurn%2 == 1 {
 			mode = failover.Warm
 		}
-		part := f.measureMode(mode, min(modeRuns, changes-len(history)))
+		part := f.measureMode(mode, min(inTurn, changes-len(history)))
 		for i := range part {
 			part[i].Run, part[i].Number = run, int64(len(history)+i+1)
 		}
--- a/internal/leader/oldversions_test.go
+++ b/internal/leader/oldversions_test.go
@@ -126,6 +126,7 @@
 	{"3a714ab", v3a714abLayouts},
 	// It stores gangs as all other jobs, and divided lists as all other lists.
 	{"5fd93d5", v3a714abLayouts},
+	{"1f14824", v3a714abLayouts}, // the last without a standby
 }
 
 // of finds the layout of a key.
--- a/internal/leader/standby.go
+++ b/internal/leader/standby.go
@@ -116,8 +116,9 @@
 		if l.handedOver && known.Resolved && !m.resolved {
 			l.adoptHandedOver(m, known)
 		}
-		if known.Returning && l.Term.Held() {
-			// A return is never taken back; the term before may not have had its answer.
+		if known.Returning && v.Token+1 == l.Token && l.Term.Held() {
+			// A return is never taken back; the term before may not have had its answer. A
+			// leader in between may have used the machine, not knowing of it.
 			l.giveUp(m, "an earlier leader was returning it")
 		}
 	}
--- a/internal/leader/standby_test.go
+++ b/internal/leader/standby_test.go
@@ -87,6 +87,36 @@
 	}
 }
 
+// TestReturnsGoOn has a leader begin with a view in which a machine was being returned: it
+// is returned again, unless another leader may have used it since. One that the term before
+// had dropped after a complete handover is returned as well.
+func TestReturnsGoOn(t *testing.T) {
+	cases := []struct {
+		name string
+		edit func(v *standby.View)
+		want []string
+	}{
+		{"being returned", func(v *standby.View) { v.Machines["i-1"].Returning = true }, []string{"i-1"}},
+		{"after a crash", func(v *standby.View) { v.Machines["i-1"].Returning, v.Handover = true, nil }, []string{"i-1"}},
+		{"another term led in between", func(v *standby.View) { v.Machines["i-1"].Returning = true; v.Token-- }, nil},
+		{"not being returned", func(*standby.View) {}, nil},
+		{"dropped", func(v *standby.View) { delete(v.Machines, "i-1") }, []string{"i-1"}},
+		{"not known after a crash", func(v *standby.View) { delete(v.Machines, "i-1"); v.Handover = nil }, nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			l, _ := newTest(t)
+			v := handedView()
+			tc.edit(v)
+			l.Expected = v
+			l.useExpected()
+			if !slices.Equal(l.toReturn, tc.want) {
+				t.Errorf("to be returned: %v, want %v", l.toReturn, tc.want)
+			}
+		})
+	}
+}
+
 // TestHandedOverLease has the machine that a handover told of stay silent: its task starts
 // elsewhere only once the lease is over that the leader before may have renewed until this
 // term began.
--- a/internal/peer/oldversions_test.go
+++ b/internal/peer/oldversions_test.go
@@ -136,6 +136,9 @@
 	// used before.
 	{"5fd93d5", 1, true,
 		reflect.TypeFor[v3a714abRequest](), reflect.TypeFor[v5fd93d5Response](), reflect.TypeFor[v3a714abReport](), reflect.TypeFor[v3a714abAnswer]()},
+	// The last without a standby.
+	{"1f14824", 1, true,
+		reflect.TypeFor[v3a714abRequest](), reflect.TypeFor[v5fd93d5Response](), reflect.TypeFor[v3a714abReport](), reflect.TypeFor[v3a714abAnswer]()},
 }
 
 // messages are those captured from the version (testdata/versions/capture), by name.
--- a/rolling_test.go
+++ b/rolling_test.go
@@ -43,7 +43,7 @@
 			old := filepath.Join(t.TempDir(), "old")
 			shell(t, `mkdir "$1.src"; git archive "$2" | tar -x -C "$1.src"; cd "$1.src"
 				go build -ldflags=-linkmode=external -o "$1" ./cmd/caperlatch`, old, v.commit(t))
-			rollOut(t, old, now, v.gangs)
+			rollOut(t, old, now, v)
 		})
 	}
 }
@@ -57,8 +57,9 @@
 }
 
 // rollOut upgrades three nodes from the old program to the one of now.
-func rollOut(t *testing.T, old, now string, gangs bool) {
-	r := &rollout{processes: newProcesses(t, 3, t.TempDir()), begun: time.Now(), gangs: gangs, ends: map[string]string{},
+func rollOut(t *testing.T, old, now string, v oldVersion) {
+	gangs := v.gangs
+	r := &rollout{processes: newProcesses(t, 3, t.TempDir()), begun: time.Now(), gangs: gangs, standby: v.standby, ends: map[string]string{},
 		programs: make([]string, 3), accepted: map[string]int{}}
 	defer r.end()
 	for i := range r.stops {
@@ -117,6 +118,7 @@
 	*processes
 	begun    time.Time
 	gangs    bool // all that serve know gangs
+	standby  bool // new processes have the warm standby on
 	programs []string
 	jobs     []map[string]any
 	ends     map[string]string // the state that each job must end in
@@ -125,7 +127,10 @@
 
 // begin begins a life of a node with a program.
 func (r *rollout) begin(i int, program string) {
-	r.programs[i] = program
+	r.programs[i], r.args = program, nil
+	if r.standby && filepath.Base(program) == "now" {
+		r.args = []string{"--standby", "deploy/standby.xml"}
+	}
 	r.run(i, program)
 }
 
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -19,9 +19,11 @@
 type oldVersion struct {
 	name  string // first digits of its commit, and its directory in testdata/versions
 	gangs bool   // it runs gangs
+	// standby: an upgrade from it is tried with the warm standby on in the new processes.
+	standby bool
 }
 
-var oldVersions = []oldVersion{{"3a714ab", false}, {"5fd93d5", true}}
+var oldVersions = []oldVersion{{"3a714ab", false, false}, {"5fd93d5", true, false}, {"1f14824", true, true}}
 
 func (v oldVersion) path(file string) string {
 	return filepath.Join("testdata", "versions", v.name, file)
