--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -189,51 +189,75 @@
 
 // watchMachines acts on silence, notices and stops that take too long.
 func (l *Leader) watchMachines(now micros.Micros) {
-	w := l.Settings.Params.Workers
 	mass := l.massSilence(now)
 	l.watchBoots(now)
 	l.probeBoots(now)
 	l.unresolvedMachines = l.unresolved()
 	for _, m := range slices.Clone(l.order) {
-		over := now > l.leaseOver(m)
-		if over && (len(m.tasks) > 0 || !m.resolved) {
-			l.tallies.add(fmt.Sprintf("lease ended, tasks lost: %t", len(m.tasks) > 0), m.id)
-			l.lose(m, "its lease ended")
-		}
-		if !over || !m.up {
-			m.expired = 0
-		} else if m.expired == 0 {
-			m.expired = now
-		}
-		switch {
-		case m.leaving:
-		case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!mass || m.expired != 0 && now-m.expired > l.lease):
-			l.giveUp(m, "silent")
-		case m.up && l.taken(m, now):
-			l.giveUp(m, "silent and no longer listed")
-		case m.notReceiving >= notReceivingAfter && now-m.notReceivingSince > l.silentLimit(m) && (!mass || over):
-			l.giveUp(m, "it hears nothing")
-		case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*w.Report():
-			l.lateBoots.add(false)
-			l.giveUp(m, "did not boot")
-		case m.draining != "" && len(m.tasks) == 0 && m.resolved:
-			l.giveUp(m, m.draining)
-		case m.draining == faulty && now-m.faultyAt > 3*w.Report():
-			// What still runs there had time to save and would fail as well. A
-			// next leader would have to find the fault anew.
-			l.giveUp(m, m.draining)
+		over := l.watchLease(m, now)
+		if why := l.whyReturn(m, mass, over, now); why != "" {
+			l.giveUp(m, why)
 		}
-		if m.stopping == 0 {
-			continue
+		if !m.leaving && l.disobeys(m, now) {
+			l.giveUp(m, "a cancelled task does not stop")
 		}
-		for _, a := range m.tasks {
-			// A stop that is not obeyed well before cancel_s ends with the
-			// machine's return.
-			if a.stopped != 0 && a.job.over && now-a.stopped > (w.Cancel()-w.Lease())/2 && !m.leaving {
-				l.giveUp(m, "a cancelled task does not stop")
-			}
+	}
+}
+
+// watchLease takes the tasks off a machine whose lease is over, and tells whether it is.
+func (l *Leader) watchLease(m *machine, now micros.Micros) (over bool) {
+	over = now > l.leaseOver(m)
+	if over && (len(m.tasks) > 0 || !m.resolved) {
+		l.tallies.add(fmt.Sprintf("lease ended, tasks lost: %t", len(m.tasks) > 0), m.id)
+		l.lose(m, "its lease ended")
+	}
+	if !over || !m.up {
+		m.expired = 0
+	} else if m.expired == 0 {
+		m.expired = now
+	}
+	return over
+}
+
+// whyReturn is why a machine should be returned to the cloud, empty if it should not. mass
+// says that many are silent at once, over that this one's lease is over.
+func (l *Leader) whyReturn(m *machine, mass, over bool, now micros.Micros) string {
+	report := l.Settings.Params.Workers.Report()
+	switch {
+	case m.leaving:
+	case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!mass || m.expired != 0 && now-m.expired > l.lease):
+		return "silent"
+	case m.up && l.taken(m, now):
+		return "silent and no longer listed"
+	case m.notReceiving >= notReceivingAfter && now-m.notReceivingSince > l.silentLimit(m) && (!mass || over):
+		return "it hears nothing"
+	case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*report:
+		l.lateBoots.add(false)
+		return "did not boot"
+	case m.draining != "" && len(m.tasks) == 0 && m.resolved:
+		return m.draining
+	case m.draining == faulty && now-m.faultyAt > 3*report:
+		// What still runs there had time to save and would fail as well. A next leader
+		// would have to find the fault anew.
+		return m.draining
+	}
+	return ""
+}
+
+// disobeys tells whether a machine has not stopped a task of a job that is over. It is
+// returned well before cancel_s.
+func (l *Leader) disobeys(m *machine, now micros.Micros) bool {
+	if m.stopping == 0 {
+		return false
+	}
+	w := l.Settings.Params.Workers
+	limit := (w.Cancel() - w.Lease()) / 2
+	for _, a := range m.tasks {
+		if a.stopped != 0 && a.job.over && now-a.stopped > limit {
+			return true
 		}
 	}
+	return false
 }
 
 // hold counts a task as being on its machine.
