Leader: explain in named steps; an unconfirmed task says so

Need: Explain had 45 lines; after a handover a task was shown as a start just sent.

Measured: go test ./internal/leader and the tests of explain pass.

--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -73,15 +73,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := Explanation{Job: id, By: l.Settings.Member}
-	for _, s := range l.lastStops {
-		if job, _, err := parseTask(s.Task); err == nil && job == id {
-			e.Stops = append(e.Stops, s)
-		}
-	}
-	if more := len(e.Stops) - shownNotes; more > 0 {
-		e.Notes = append(e.Notes, fmt.Sprintf("%d earlier stops are not shown", more))
-		e.Stops = e.Stops[more:]
-	}
+	l.explainStops(&e)
 	if !l.ready {
 		e.Notes = append(e.Notes, l.Settings.Member+" is taking over and has not read what is stored yet")
 	}
@@ -90,25 +82,7 @@
 		return e, len(e.Stops) > 0
 	}
 	e.Tasks, e.Done, e.Running, e.Waiting = j.spec.Tasks, j.ndone, j.running, j.waiting()
-	for _, t := range slices.Sorted(maps.Keys(j.on)) {
-		if len(e.On) == shownNotes {
-			e.Notes = append(e.Notes, fmt.Sprintf("%d more tasks are on machines", len(j.on)-shownNotes))
-			break
-		}
-		a := j.on[t]
-		n := TaskNote{Task: taskName(id, t), Attempt: a.n, Machine: a.machine.id, State: a.state, Since: micros.Wall() - (micros.Now() - max(a.began, a.running))}
-		switch {
-		case a.stopped != 0:
-			n.State = "being stopped: " + a.why
-		case a.reserved:
-			n.State = "its place is reserved, the start goes with its machine's next report"
-		case a.state == wire.TaskWaiting:
-			n.State = "waiting for the other tasks of its gang"
-		case n.State == "":
-			n.State = "start sent"
-		}
-		e.On = append(e.On, n)
-	}
+	explainTasks(&e, j)
 	if e.Waiting > 0 {
 		e.Why = l.whyWaiting(j)
 	} else if f := j.failing(micros.Now()); f != "" {
@@ -120,6 +94,54 @@
 	return e, true
 }
 
+// explainStops adds the latest stops of a job's tasks.
+func (l *Leader) explainStops(e *Explanation) {
+	for _, s := range l.lastStops {
+		if job, _, err := parseTask(s.Task); err == nil && job == e.Job {
+			e.Stops = append(e.Stops, s)
+		}
+	}
+	if more := len(e.Stops) - shownNotes; more > 0 {
+		e.Notes = append(e.Notes, fmt.Sprintf("%d earlier stops are not shown", more))
+		e.Stops = e.Stops[more:]
+	}
+}
+
+// explainTasks adds where a job's tasks are.
+func explainTasks(e *Explanation, j *job) {
+	for _, t := range slices.Sorted(maps.Keys(j.on)) {
+		if len(e.On) == shownNotes {
+			e.Notes = append(e.Notes, fmt.Sprintf("%d more tasks are on machines", len(j.on)-shownNotes))
+			return
+		}
+		a := j.on[t]
+		e.On = append(e.On, TaskNote{
+			Task:    taskName(j.spec.ID, t),
+			Attempt: a.n,
+			Machine: a.machine.id,
+			State:   explainState(a),
+			Since:   micros.Wall() - (micros.Now() - max(a.began, a.running)),
+		})
+	}
+}
+
+// explainState says what an attempt does.
+func explainState(a *attempt) string {
+	switch {
+	case a.stopped != 0:
+		return "being stopped: " + a.why
+	case a.reserved:
+		return "its place is reserved, the start goes with its machine's next report"
+	case a.machine.unconfirmed:
+		return "on its machine as the leader before said, which the machine has not confirmed yet"
+	case a.state == wire.TaskWaiting:
+		return "waiting for the other tasks of its gang"
+	case a.state == "":
+		return "start sent"
+	}
+	return a.state
+}
+
 func (l *Leader) whyWaiting(j *job) (why []string) {
 	now := micros.Now()
 	teams := l.teamUse()
