--- a/failover_process_test.go
+++ b/failover_process_test.go
@@ -267,7 +267,8 @@
 			mu.Unlock()
 			job := testJob(id, 1)
 			job["rank"], job["vcpus"] = "urgent", 1.0
-			c.request(http.MethodPost, n%3, "/v1/jobs", job)
+			// A node that stands still must not hold up the next submission.
+			submitting.Go(func() { c.request(http.MethodPost, n%3, "/v1/jobs", job) })
 			select {
 			case <-stop:
 				return
--- a/node.go
+++ b/node.go
@@ -45,6 +45,7 @@
 
 	mu       sync.Mutex
 	leading  *leader.Leader
+	suspects bool              // that the leader is about to change
 	counts   map[string][2]int // as the leader last told
 	countsAt micros.Micros
 }
@@ -243,10 +244,19 @@
 
 // setLeading notes that this node leads, or with nil that it no longer does.
 func (n *Node) setLeading(l *leader.Leader) {
-	n.replica.SetEager(l != nil)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leading = l
+	n.replica.SetEager(l != nil || n.suspects)
+}
+
+// setSuspects notes whether this node expects the leader to change. It then follows the
+// state service as closely as a leader does.
+func (n *Node) setSuspects(suspects bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.suspects = suspects
+	n.replica.SetEager(n.leading != nil || suspects)
 }
 
 // Leading is this node's leader if it leads, else nil.
--- a/standby.go
+++ b/standby.go
@@ -31,9 +31,6 @@
 	handedAt  micros.Micros // when this node last handed over, 0 if it never did
 }
 
-// errNotEntitled is what a leader that may not answer says.
-var errNotEntitled = leader.ErrNotEntitled
-
 // Times of letting others lead first.
 const (
 	// yieldToNamed is for how long the nodes that a handover does not name wait.
@@ -96,7 +93,7 @@
 	s.others = page.Followers
 	s.mu.Unlock()
 	if _, handed := s.follower.HandedTo(); handed {
-		s.node.replica.SetEager(true) // its session ends within moments
+		s.node.setSuspects(true) // its session ends within moments
 		return false
 	}
 	s.trust()
@@ -108,16 +105,14 @@
 func (s *standbyNode) suspect() {
 	if heard := s.follower.HeardAt(); heard != 0 && micros.Now()-heard > s.settings.Suspect {
 		s.takeover.Suspect()
-		s.node.replica.SetEager(true)
+		s.node.setSuspects(true)
 	}
 }
 
 // trust notes that a leader answers.
 func (s *standbyNode) trust() {
 	s.takeover.Trust()
-	if s.node.Leading() == nil {
-		s.node.replica.SetEager(false)
-	}
+	s.node.setSuspects(false)
 }
 
 // yield is for how long this node lets others go first when nobody leads.
@@ -276,14 +271,14 @@
 func (s *standbyNode) relay(ctx context.Context, report wire.Raw) (wire.Raw, error) {
 	first := s.node.election.Highest().Token
 	for {
-		leader := s.node.election.Highest()
-		answer, err := s.relayTo(ctx, leader, report)
+		now := s.node.election.Highest()
+		answer, err := s.relayTo(ctx, now, report)
 		if err == nil || ctx.Err() != nil {
 			return answer, err
 		}
 		// A leader that has just begun refuses until it has read what is stored.
-		refused := errors.Is(err, peer.ErrRefused) || errors.Is(err, errNotEntitled)
-		if refused && leader.Token == first || !s.expectsLeader() && leader.Token == first {
+		refused := errors.Is(err, peer.ErrRefused) || errors.Is(err, leader.ErrNotEntitled)
+		if now.Token == first && (refused || !s.expectsLeader()) {
 			return nil, err
 		}
 		micros.Pause(ctx, relayAgain)
