--- a/ci_test.go
+++ b/ci_test.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// TestCIChecks runs the checks of KNOWN-RED.txt and of the production version in a
-// repository of their own.
+// TestCIChecks runs the checks of KNOWN-RED.txt, of the production version and of large files
+// in a repository of their own.
 func TestCIChecks(t *testing.T) {
 	dir := t.TempDir()
 	git := func(args ...string) string {
@@ -32,7 +32,7 @@
 			t.Fatal(err)
 		}
 	}
-	for _, script := range []string{".ci/known-red", ".ci/production"} {
+	for _, script := range []string{".ci/known-red", ".ci/production", ".ci/large-files"} {
 		b, err := os.ReadFile(script)
 		if err != nil {
 			t.Fatal(err)
@@ -53,6 +53,13 @@
 	aside := git("rev-parse", "HEAD")
 	git("checkout", "-q", "-")
 
+	large := strings.Repeat("x", 1<<20+1)
+	write("journal/old.json", large)
+	write("sub/testdata/old.bin", large)
+	write("grows.bin", "x")
+	git("add", "-A")
+	git("commit", "-qm", "files that may be large")
+
 	cases := []struct {
 		name, script, file, text string
 		ok                       bool
@@ -73,6 +80,10 @@
 		{"an empty one", "production", "deploy/service.toml", "production = \"\"\n", false, ""},
 		{"no commit", "production", "deploy/service.toml", "production = \"" + strings.Repeat("0", 40) + "\"\n", false, ""},
 		{"of another branch", "production", "deploy/service.toml", "production = \"" + aside + "\"\n", false, ""},
+		{"small files, and large ones where they may be", "large-files", "", "", true, ""},
+		{"a large tracked file", "large-files", "grows.bin", large, false, ""},
+		{"one of just the limit", "large-files", "grows.bin", large[1:], true, ""},
+		{"a large one that is not tracked", "large-files", "untracked.bin", large, true, ""},
 		{"without a deploy file", "production", "deploy/service.toml", "production = \"" + bare + "\"\n", false, ""},
 	}
 	for _, c := range cases {
