--- a/cluster_test.go
+++ b/cluster_test.go
@@ -49,9 +49,9 @@
 	stops  []func()
 	lives  []int
 	nodes  []*Node // in their present lives
-	// standby turns the warm standby on, but for the nodes without.
-	standby *settings.Standby
-	without map[int]bool
+	// features are those of all nodes but the ones without.
+	features settings.Features
+	without  map[int]bool
 }
 
 // nodeSettings are the settings of node i of a cluster.
@@ -95,17 +95,22 @@
 
 // newStandbyCluster starts a cluster with a warm standby, or without if it has no settings.
 func newStandbyCluster(t *testing.T, size int, tune func(*settings.Settings), standby *settings.Standby) *cluster {
+	return newFeaturesCluster(t, size, tune, settings.Features{Standby: standby})
+}
+
+// newFeaturesCluster starts a cluster with optional parts.
+func newFeaturesCluster(t *testing.T, size int, tune func(*settings.Settings), features settings.Features) *cluster {
 	c := &cluster{
-		t:       t,
-		tune:    tune,
-		standby: standby,
-		nodes:   make([]*Node, size),
-		net:     standin.NewNet(),
-		pipes:   standin.NewPipes(),
-		state:   standin.NewState(),
-		dead:    map[string]bool{},
-		stops:   make([]func(), size),
-		lives:   make([]int, size),
+		t:        t,
+		tune:     tune,
+		features: features,
+		nodes:    make([]*Node, size),
+		net:      standin.NewNet(),
+		pipes:    standin.NewPipes(),
+		state:    standin.NewState(),
+		dead:     map[string]bool{},
+		stops:    make([]func(), size),
+		lives:    make([]int, size),
 	}
 	c.net.SetFault(c.faultOf)
 	nodes := make([]string, size)
@@ -156,7 +161,7 @@
 	name := fmt.Sprintf("%s/%d", member, c.lives[i])
 	s := nodeSettings(i, len(c.stops))
 	c.tune(s)
-	n := newNode(s, settings.DefaultTuning(), c.standbyOf(i), outside{
+	n := newNode(s, settings.DefaultTuning(), c.featuresOf(i), outside{
 		services: c.net.From(name),
 		workers:  c.net.From(name),
 		dial:     func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, member, addr) },
@@ -181,12 +186,12 @@
 	}
 }
 
-// standbyOf is what node i has of the warm standby.
-func (c *cluster) standbyOf(i int) *settings.Standby {
+// featuresOf is what node i has of optional parts.
+func (c *cluster) featuresOf(i int) settings.Features {
 	if c.without[i] {
-		return nil
+		return settings.Features{}
 	}
-	return c.standby
+	return c.features
 }
 
 // kill ends a node as a crash would: nothing that it sends arrives any more.
@@ -267,7 +272,7 @@
 
 // ofLeader tells whether only the leader may write a key.
 func ofLeader(key string) bool {
-	if key == replica.StaffingKey || key == replica.CatalogKey {
+	if key == replica.StaffingKey || key == replica.CatalogKey || key == replica.ZonesKey {
 		return true
 	}
 	prefixes := []string{replica.ProgressPrefix, replica.BookingPrefix, replica.UpPrefix}
--- a/cmd/caperlatch/main.go
+++ b/cmd/caperlatch/main.go
@@ -28,8 +28,9 @@
 
 // rootCommand is the program with all its commands; without one it runs a node.
 func rootCommand() *cobra.Command {
-	var config, standbyFile string
-	run := func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), config, standbyFile) }
+	var config string
+	var files featureFiles
+	run := func(cmd *cobra.Command, _ []string) error { return runNode(cmd.Context(), config, files) }
 	root := &cobra.Command{
 		Use:           "caperlatch",
 		Short:         "A cluster scheduler that rents its machines",
@@ -46,16 +47,16 @@
 	}
 	for _, cmd := range []*cobra.Command{root, runCmd} {
 		cmd.Flags().StringVar(&config, "config", "", "settings file (TOML)")
-		addStandbyFlag(cmd, &standbyFile)
+		files.addFlags(cmd)
 	}
 	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionsCommand(), versionCommand(),
-		standbyCommand(), handoverCommand())
+		standbyCommand(), handoverCommand(), zonesCommand())
 	return root
 }
 
-// runNode runs a node with the settings in a file until ctx ends; with a warm standby if
-// there is a file of its settings.
-func runNode(ctx context.Context, config, standbyFile string) error {
+// runNode runs a node with the settings in a file until ctx ends, with the optional parts
+// that files turn on.
+func runNode(ctx context.Context, config string, files featureFiles) error {
 	if config == "" {
 		return fmt.Errorf("--config is missing")
 	}
@@ -71,14 +72,15 @@
 	if ctx == nil {
 		ctx = context.Background()
 	}
-	if standbyFile == "" {
-		return caperlatch.NewNode(s, t, nil).Run(ctx)
-	}
-	b, err := settings.ReadStandby(standbyFile)
+	features, err := files.read(s)
 	if err != nil {
 		return err
 	}
-	return runUntilTerminated(ctx, caperlatch.NewNode(s, t, b))
+	node := caperlatch.NewNode(s, t, features)
+	if features.Standby == nil {
+		return node.Run(ctx)
+	}
+	return runUntilTerminated(ctx, node)
 }
 
 // setLogLevel logs to standard error as much as LOG_LEVEL says.
@@ -95,10 +97,10 @@
 
 // checkCommand checks settings without running anything.
 func checkCommand() *cobra.Command {
-	var standbyFile string
+	var files featureFiles
 	cmd := &cobra.Command{
 		Use:   "check FILE",
-		Short: "Check a settings file, and the tuning and standby files, if they are named",
+		Short: "Check a settings file, and those of tuning and of optional parts, if they are named",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := settings.Read(args[0])
@@ -108,16 +110,14 @@
 			if _, err := settings.ReadTuning(); err != nil {
 				return err
 			}
-			if standbyFile != "" {
-				if _, err := settings.ReadStandby(standbyFile); err != nil {
-					return err
-				}
+			if _, err := files.read(s); err != nil {
+				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "ok: member %s of %d nodes, %d teams\n", s.Member, len(s.Peers)+1, len(s.Params.Teams))
 			return nil
 		},
 	}
-	addStandbyFlag(cmd, &standbyFile)
+	files.addFlags(cmd)
 	return cmd
 }
 
--- a/cmd/caperlatch/standby.go
+++ b/cmd/caperlatch/standby.go
@@ -16,11 +16,6 @@
 	"caperlatch/internal/wire"
 )
 
-// addStandbyFlag lets the operator turn the warm standby on.
-func addStandbyFlag(cmd *cobra.Command, file *string) {
-	cmd.Flags().StringVar(file, "standby", "", "settings of the warm standby (XML); without it, it is off")
-}
-
 // runUntilTerminated runs a node that hands over when it is told to end by SIGTERM.
 func runUntilTerminated(ctx context.Context, n *caperlatch.Node) error {
 	terminated, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
--- /dev/null
+++ b/cmd/caperlatch/zones.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"caperlatch/internal/api"
+	"caperlatch/internal/zone"
+)
+
+// zonesCommand asks a node what the leader thinks of the zones.
+func zonesCommand() *cobra.Command {
+	run := func(cmd *cobra.Command, node string, _ []string) error {
+		var status api.ZonesStatus
+		if err := ask(cmd.Context(), http.MethodGet, node, "/zones", &status); err != nil {
+			return err
+		}
+		printZones(cmd.OutOrStdout(), &status)
+		return nil
+	}
+	return nodeCommand("zones", "Say which zones are lost or returning, why, and where their work is", cobra.NoArgs, run)
+}
+
+// printZones writes the state of all zones for people.
+func printZones(w io.Writer, s *api.ZonesStatus) {
+	fmt.Fprintf(w, "as %s sees them:\n", s.Leader)
+	for i := range s.Zones {
+		printZone(w, &s.Zones[i])
+	}
+}
+
+// printZone writes the state of a zone.
+func printZone(w io.Writer, z *zone.Status) {
+	fmt.Fprintf(w, "%s: %s", z.Zone, z.State)
+	if z.Steps > 0 {
+		fmt.Fprintf(w, ", step %d of %d", z.Step, z.Steps)
+	}
+	if z.SinceS > 0 {
+		fmt.Fprintf(w, " for %.0f s", z.SinceS)
+	}
+	fmt.Fprintf(w, ": %s\n", z.Reason)
+	e := z.Evidence
+	fmt.Fprintf(w, "  machines: %d up, %d late, %d silent, %d deaf, %d vanished, %d failing, %d heard anew\n",
+		e.Up, e.Late, e.Silent, e.Deaf, e.Vanished, e.Failing, e.Back)
+	if z.HoldS > 0 {
+		fmt.Fprintf(w, "  held down for %.0f s more\n", z.HoldS)
+	}
+	if z.Flaps > 0 {
+		fmt.Fprintf(w, "  losses not forgotten: %d\n", z.Flaps)
+	}
+	if z.OpenPart < 1 || z.Work.Replaced > 0 {
+		fmt.Fprintf(w, "  %.0f%% open, %d machines closed, %d being replaced elsewhere\n", 100*z.OpenPart, z.Work.Closed, z.Work.Replaced)
+	}
+	for _, c := range []struct {
+		what  string
+		tasks map[string]int
+	}{{"lost with the zone", z.Work.Displaced}, {"begun again elsewhere", z.Work.Moved}, {"begun again in it", z.Work.Restarted}} {
+		if len(c.tasks) > 0 {
+			fmt.Fprintf(w, "  %s: %s\n", c.what, byClass(c.tasks))
+		}
+	}
+	if z.Work.Machines > 0 {
+		fmt.Fprintf(w, "  %d tasks on %d machines wait for the ends of their leases, in %.0f to %.0f s\n",
+			z.Work.Tasks, z.Work.Machines, z.Work.NextEndS, z.Work.LastEndS)
+	}
+}
+
+// byClass lists counts of tasks.
+func byClass(tasks map[string]int) string {
+	var parts []string
+	for _, class := range slices.Sorted(maps.Keys(tasks)) {
+		parts = append(parts, fmt.Sprintf("%s %d", class, tasks[class]))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -24,6 +24,7 @@
 	"caperlatch/internal/settings"
 	"caperlatch/internal/statestore"
 	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
 )
 
 // Node is what the handlers ask of the node they run on.
@@ -53,6 +54,8 @@
 	ExpectsLeader() bool
 	// Standby tells how far the warm standby is.
 	Standby() (StandbyStatus, error)
+	// Zones tells what the leader thinks of the zones.
+	Zones(ctx context.Context) ([]zone.Status, error)
 	// HandOver hands leadership over, and tells to whom.
 	HandOver() (to string, err error)
 }
@@ -87,6 +90,7 @@
 	e.GET("/ready", h.ready)
 	e.GET("/standby", h.standby)
 	e.POST("/standby/handover", h.handOver)
+	e.GET("/zones", h.zones)
 	e.POST("/hello", h.report)
 	return e
 }
--- a/internal/leader/ask_test.go
+++ b/internal/leader/ask_test.go
@@ -11,6 +11,7 @@
 
 	"caperlatch/internal/micros"
 	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
 )
 
 // workers answers calls to workers' addresses.
@@ -172,9 +173,11 @@
 				m.reported = now - 50*micros.Second
 			}
 		}
-		l.massSilence(now)
-		if l.cutOff["a"] != s.cut {
-			t.Errorf("%s: cut off %v, want %v", s.name, l.cutOff["a"], s.cut)
+		l.watchZones(now)
+		// All of the only zone is most of the network, too.
+		want := zone.Decision{Rent: !s.cut, Reachable: !s.cut, KeepSilent: s.cut, Open: 1}
+		if got := l.zones.Decide("a"); got != want {
+			t.Errorf("%s: %+v, want %+v", s.name, got, want)
 		}
 	}
 }
--- a/internal/leader/backlog.go
+++ b/internal/leader/backlog.go
@@ -28,14 +28,18 @@
 	unknown   float64            // CPUs of machines whose tasks are not known
 	boot      float64            // seconds, of the type that boots soonest
 	planned   map[*job]int       // tasks that have a place
+	displaced map[*job]int       // tasks on machines that are to be replaced in other zones
 }
 
 // waitingNeed is how many machines beyond the fleet the waiting tasks need to be in time,
 // by type. What may be ordinary machines leaves out the patient jobs, and what best-effort
 // tasks hold, since they give it back.
-func (l *Leader) waitingNeed(now micros.Micros) map[string]typeNeed {
-	d := &demandCount{work: map[string]float64{}, boot: math.Inf(1), planned: map[*job]int{}}
-	l.countMachines(d, now)
+//
+// Work on machines that are to be replaced in other zones is offered to these: it counts as
+// waiting, and what held it not as supply.
+func (l *Leader) waitingNeed(replaced map[*machine]bool, now micros.Micros) map[string]typeNeed {
+	d := &demandCount{work: map[string]float64{}, boot: math.Inf(1), planned: map[*job]int{}, displaced: map[*job]int{}}
+	l.countMachines(d, replaced, now)
 	l.countWaiting(d, now)
 	need := map[string]typeNeed{}
 	if d.total == 0 {
@@ -56,12 +60,18 @@
 }
 
 // countMachines counts what there is, and what runs on it.
-func (l *Leader) countMachines(d *demandCount, now micros.Micros) {
+func (l *Leader) countMachines(d *demandCount, replaced map[*machine]bool, now micros.Micros) {
 	for _, m := range l.machines {
 		t := l.types[m.kind.Type]
 		if t == nil || m.leaving || m.draining != "" || l.overdue(m, now) {
 			continue
 		}
+		if replaced[m] {
+			for _, a := range m.tasks {
+				d.displaced[a.job]++
+			}
+			continue
+		}
 		d.supply += t.CPUs
 		if !m.resolved {
 			d.unknown += t.CPUs
@@ -92,8 +102,11 @@
 		return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.spec.ID, b.spec.ID))
 	})
 	for _, j := range jobs {
-		n := j.ready(now) - d.planned[j]
 		t := l.typeFor(j, now)
+		if n := d.displaced[j]; n > 0 && t != nil {
+			l.countJob(d, j, t, n, wall) // its team's limit has them already
+		}
+		n := j.ready(now) - d.planned[j]
 		if n <= 0 || t == nil {
 			continue
 		}
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -88,6 +88,7 @@
 	} else if f := j.failing(micros.Now()); f != "" {
 		e.Why = append(e.Why, f)
 	}
+	e.Why = append(e.Why, l.whyZones(j)...)
 	if _, finishing := l.finals[id]; finishing {
 		e.Why = append(e.Why, "all its tasks are done, which is not stored yet")
 	}
@@ -180,7 +181,7 @@
 	}
 	machines, _ := l.placeable(now, placement.Resources{})
 	for i := range machines {
-		if machines[i].Free.Fits(j.need) {
+		if machines[i].Free.Fits(j.need) && !machines[i].Closed {
 			if j.isGang() {
 				return append(why, "there is room for single tasks, not for the whole gang where it may run")
 			}
--- a/internal/leader/flush.go
+++ b/internal/leader/flush.go
@@ -198,18 +198,18 @@
 // that still names them only makes a next leader careful. When that came before the
 // ends, nobody was told of a finished job for a minute while a fleet went home.
 func (l *Leader) urgency(key string) int {
-	for i, prefix := range []string{replica.JobPrefix, replica.UpPrefix, replica.StaffingKey, replica.BookingPrefix} {
+	for i, prefix := range []string{replica.JobPrefix, replica.UpPrefix, replica.ZonesKey, replica.StaffingKey, replica.BookingPrefix} {
 		if strings.HasPrefix(key, prefix) && l.dirty[key] {
 			return i
 		}
 	}
 	switch {
 	case !l.dirty[key]:
-		return 4
-	case strings.HasPrefix(key, replica.ProgressPrefix):
 		return 5
+	case strings.HasPrefix(key, replica.ProgressPrefix):
+		return 6
 	}
-	return 6
+	return 7
 }
 
 // sweep has keys removed that belong to nothing any more: a booking or a job's progress
@@ -250,6 +250,9 @@
 	if strings.HasPrefix(key, replica.ProgressPrefix) {
 		return l.buildProgress(w)
 	}
+	if key == replica.ZonesKey {
+		return l.buildZones(w)
+	}
 	if key == replica.StaffingKey {
 		w.value = l.staffingRecord()
 		return w, true
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -252,8 +252,8 @@
 	}
 	for _, a := range j.on {
 		m := a.machine
-		if m.leaving || m.notReceiving > 0 || m.address == "" || l.cutOff[m.kind.Zone] ||
-			l.silentFor(m, now) > l.report+l.report/4+micros.Second {
+		if m.leaving || m.notReceiving > 0 || m.address == "" || !l.zones.Decide(m.kind.Zone).Reachable ||
+			l.lateReport(m, now) {
 			return false
 		}
 	}
@@ -537,7 +537,7 @@
 				best = offer{}
 				break // its answer comes first
 			}
-			if st := l.offers[o]; st != nil && now < st.until || l.cutOff[o.Zone] || most(o.Zone) <= inZone[o.Zone] {
+			if st := l.offers[o]; st != nil && now < st.until || !l.zones.Decide(o.Zone).Rent || most(o.Zone) <= inZone[o.Zone] {
 				continue
 			}
 			if best.Type == "" || j.spec.OneZone && inZone[o.Zone] > inZone[best.Zone] {
--- a/internal/leader/gang_stop_test.go
+++ b/internal/leader/gang_stop_test.go
@@ -8,6 +8,7 @@
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
 	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
 )
 
 // TestGangStop has a running gang stopped for other work while its machines are in several
@@ -22,7 +23,9 @@
 		{"one is silent", func(l *Leader, m *machine) { m.reported = micros.Now() - 10*micros.Second; l.began = m.reported }, 0},
 		{"one hears nothing", func(_ *Leader, m *machine) { m.notReceiving = 1 }, 0},
 		{"one is being returned", func(_ *Leader, m *machine) { m.leaving = true }, 0},
-		{"one is in a zone that is cut off", func(l *Leader, _ *machine) { l.cutOff["a"] = true }, 0},
+		{"one is in a zone that is cut off", func(l *Leader, _ *machine) {
+			l.zones.Observe(micros.Now(), zone.Observation{Zones: map[string]zone.Evidence{"a": {Up: 4, Silent: 3}}})
+		}, 0},
 		{"its leader is in doubt", func(l *Leader, _ *machine) { l.Term.(*fakeTerm).sure = false }, 0},
 	} {
 		l := newGangTest(t, false)
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -29,6 +29,7 @@
 	ndone          int
 	on             map[int]*attempt // tasks that may be on a machine
 	zones          map[string]int   // of these
+	displaced      map[int]*machine // tasks that were lost with a zone, and where; see noteMoved
 	protectedTasks int              // of these, see attempt.protected
 	running        int              // of these, seen running
 	returned       []int            // tasks to start again
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -21,6 +21,7 @@
 	"caperlatch/internal/standby"
 	"caperlatch/internal/statestore"
 	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
 	"caperlatch/placement"
 	"caperlatch/staffing"
 )
@@ -50,6 +51,11 @@
 	Followers Followers
 	Progress  Progress
 	Expected  *standby.View // of the term before, if one was followed
+	// Zones decides on zones; nil: the default policy.
+	Zones zone.Policy
+	// Isolated tells whether this node hears neither the state service nor most of its peers;
+	// nil: it is not known.
+	Isolated func() bool
 }
 
 // Leader acts for one term. Its mu guards all that changes after New, except
@@ -80,6 +86,7 @@
 	flushState
 	workerCalls
 	standbyState
+	zoneState
 
 	// What is shown to users and written to the log.
 	counts    map[string][2]int // see AllCounts
@@ -113,7 +120,6 @@
 	offers             map[offer]*offerState
 	unresolvedMachines int // machines whose tasks are not known, as of the last look
 	lateBoots          boots
-	cutOff             map[string]bool // zones in which most machines are silent
 }
 
 // catalogState is the catalog, with the staffing of its types.
@@ -201,7 +207,6 @@
 			unbooked: map[string]micros.Micros{},
 			gone:     map[string]bool{},
 			offers:   map[offer]*offerState{},
-			cutOff:   map[string]bool{},
 		},
 		catalogState: catalogState{
 			types: map[string]*machineType{},
@@ -222,6 +227,7 @@
 			zoneAnswers: map[string]answers{},
 		},
 	}
+	l.zoneState = newZoneState(c.Zones)
 	for _, t := range c.Settings.Params.Teams {
 		l.teams[t.Name] = t
 	}
@@ -418,6 +424,7 @@
 	if err := l.restoreStaffing(now); err != nil {
 		return err
 	}
+	l.restoreZones(now)
 	l.useExpected()
 	l.stepReserves(now)
 	l.ready = true
--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"log/slog"
 	"slices"
 
 	"caperlatch/internal/micros"
@@ -65,6 +64,7 @@
 	expected          *standby.Machine     // what the term before was seen to know of it
 	unconfirmed       bool                 // its tasks are known by a handover, and not by itself
 	published         standby.MachineState // to the followers
+	inZone            zoneMembership
 }
 
 func (l *Leader) addMachine(id string, b *booking, now micros.Micros) *machine {
@@ -141,7 +141,7 @@
 // silent, and was listed before and is so no longer. That proves nothing, as lists
 // lag; but it is a reason to return it now, which does.
 func (l *Leader) taken(m *machine, now micros.Micros) bool {
-	return m.listed && m.missing >= 2 && l.silentFor(m, now) > l.report+l.report/4+micros.Second
+	return m.listed && m.missing >= 2 && l.lateReport(m, now)
 }
 
 // silentFor is how long a machine has not been heard of in this term.
@@ -149,53 +149,15 @@
 	return now - max(m.reported, l.began)
 }
 
-// massSilence tells whether so many machines are silent that the network is
-// more likely at fault than they are. They are kept as long as their leases
-// last, and as long again: a network comes back sooner than a fleet boots. It also
-// notes the zones that are cut off: what is rented there would come up unheard.
-func (l *Leader) massSilence(now micros.Micros) bool {
-	type count struct{ silent, up int }
-	var all count
-	zones := map[string]count{}
-	for _, m := range l.order {
-		if m.up && !m.leaving {
-			n := zones[m.kind.Zone]
-			n.up++
-			if l.silentFor(m, now) > 2*l.report+micros.Second || m.notReceiving >= notReceivingAfter {
-				n.silent++
-				all.silent++
-			}
-			all.up++
-			zones[m.kind.Zone] = n
-		}
-	}
-	for zone := range l.cutOff {
-		// All its machines may have been returned meanwhile. Then none is left that
-		// could be heard again, and a zone that stayed cut off for it got no others for
-		// as long as the term lasted.
-		if _, some := zones[zone]; !some {
-			zones[zone] = count{}
-		}
-	}
-	for zone, n := range zones {
-		cut := n.silent >= 3 && 2*n.silent > n.up
-		if cut != l.cutOff[zone] {
-			slog.Info("zone", "zone", zone, "cut_off", cut, "silent", n.silent, "machines", n.up)
-		}
-		l.cutOff[zone] = cut
-	}
-	return all.silent >= 3 && 3*all.silent > all.up
-}
-
 // watchMachines acts on silence, notices and stops that take too long.
 func (l *Leader) watchMachines(now micros.Micros) {
-	mass := l.massSilence(now)
+	l.watchZones(now)
 	l.watchBoots(now)
 	l.probeBoots(now)
 	l.unresolvedMachines = l.unresolved()
 	for _, m := range slices.Clone(l.order) {
 		over := l.watchLease(m, now)
-		if why := l.whyReturn(m, mass, over, now); why != "" {
+		if why := l.whyReturn(m, over, now); why != "" {
 			l.giveUp(m, why)
 		}
 		if !m.leaving && l.disobeys(m, now) {
@@ -219,17 +181,19 @@
 	return over
 }
 
-// whyReturn is why a machine should be returned to the cloud, empty if it should not. mass
-// says that many are silent at once, over that this one's lease is over.
-func (l *Leader) whyReturn(m *machine, mass, over bool, now micros.Micros) string {
+// whyReturn is why a machine should be returned to the cloud, empty if it should not; over
+// says that its lease is. Where many are silent at once the network is more likely at fault
+// than they are: they are kept as long as their leases last, and as long again.
+func (l *Leader) whyReturn(m *machine, over bool, now micros.Micros) string {
 	report := l.Settings.Params.Workers.Report()
+	keep := l.zones.Decide(m.kind.Zone).KeepSilent
 	switch {
 	case m.leaving:
-	case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!mass || m.expired != 0 && now-m.expired > l.lease):
+	case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!keep || m.expired != 0 && now-m.expired > l.lease):
 		return "silent"
 	case m.up && l.taken(m, now):
 		return "silent and no longer listed"
-	case m.notReceiving >= notReceivingAfter && now-m.notReceivingSince > l.silentLimit(m) && (!mass || over):
+	case m.notReceiving >= notReceivingAfter && now-m.notReceivingSince > l.silentLimit(m) && (!keep || over):
 		return "it hears nothing"
 	case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*report:
 		l.lateBoots.add(false)
@@ -266,6 +230,7 @@
 	if other := a.job.on[a.task]; other != nil {
 		a.job.zones[other.machine.kind.Zone]--
 	}
+	l.noteMoved(a)
 	a.job.on[a.task] = a
 	a.job.zones[a.machine.kind.Zone]++
 	a.machine.free = a.machine.free.Plus(a.job.need, -1)
@@ -319,6 +284,7 @@
 		why = a.why
 	}
 	if !a.job.over && !a.job.done.has(a.task) {
+		l.noteDisplaced(a)
 		l.note(a, why)
 		l.replan = true // it waits again
 	}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -68,7 +68,7 @@
 func hasSpareRoom(machines []placement.Machine, ms []*machine, waiting []*placement.Job) bool {
 	room, need := int64(0), int64(0)
 	for i, m := range ms {
-		if !m.surplus {
+		if !m.surplus && !m.inZone.closed {
 			room += machines[i].Free.CPU
 		}
 	}
@@ -259,6 +259,8 @@
 		Team:     s.Team,
 		Image:    j.image,
 		Priority: j.priority,
+		Band:     l.band(j),
+		Bound:    l.boundTo(j),
 		Covered:  covered,
 		Need:     j.need,
 		Waiting:  n,
@@ -315,7 +317,7 @@
 func (l *Leader) openCPUs(now micros.Micros) float64 {
 	cpus := 0.0
 	for _, m := range l.order {
-		if m.open(now) {
+		if m.open(now) && !m.inZone.closed {
 			cpus += l.types[m.kind.Type].CPUs
 		}
 	}
@@ -466,6 +468,7 @@
 		p.GatheredFor = k.view
 	}
 	p.WholeOnly = m.reserve != nil
+	p.Closed = m.inZone.closed
 	return p
 }
 
--- a/internal/leader/report.go
+++ b/internal/leader/report.go
@@ -94,6 +94,7 @@
 // recordReport notes what a report tells besides the tasks.
 func (l *Leader) recordReport(m *machine, r *wire.Report, now micros.Micros) {
 	m.session, m.seq, m.address = r.Session, r.Seq, r.Address
+	l.checkZone(m, r)
 	m.reported = now
 	m.answered = now
 	m.recallAt = 0
@@ -120,6 +121,7 @@
 	}
 	m.told = true
 	if m.current {
+		l.heardAnew(m, now)
 		l.reconcile(m, r, now)
 	} else {
 		// The answer may renew the machine's lease, whatever is thought of the report.
@@ -224,6 +226,9 @@
 		m.clears = append(m.clears, clearCommand(t))
 		return
 	}
+	if a != nil && a.n == t.Attempt && a.state == "" && a.sentAt != 0 {
+		l.zoneCounters(m).started++
+	}
 	id, task, err := parseTask(t.Task)
 	j := l.jobs[id]
 	if a != nil {
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -152,8 +152,9 @@
 	if !l.ready {
 		return
 	}
-	supply := l.countSupply(now)
-	demand := l.waitingNeed(now)
+	replaced := l.replacedMachines(now)
+	supply := l.countSupply(replaced, now)
+	demand := l.waitingNeed(replaced, now)
 	types := l.byPrice()
 	l.raiseMeans()
 	l.stepModel(types, now)
@@ -182,11 +183,12 @@
 	busy int // that are in use or reserved
 }
 
-// countSupply counts the machines that can be counted on, by type.
-func (l *Leader) countSupply(now micros.Micros) map[string]typeSupply {
+// countSupply counts the machines that can be counted on, by type; not those that are to be
+// replaced in other zones.
+func (l *Leader) countSupply(replaced map[*machine]bool, now micros.Micros) map[string]typeSupply {
 	supply := map[string]typeSupply{}
 	for _, m := range l.machines {
-		if m.leaving || m.draining != "" || l.overdue(m, now) {
+		if m.leaving || m.draining != "" || l.overdue(m, now) || replaced[m] {
 			continue
 		}
 		s := supply[m.kind.Type]
@@ -416,7 +418,7 @@
 		switch {
 		case l.pending(o):
 			return n // its answer comes first
-		case l.cutOff[zone]:
+		case !l.zones.Decide(zone).Rent:
 		case s == nil || now >= s.until:
 			open = append(open, o)
 		}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -15,6 +15,7 @@
 	"caperlatch/internal/replica"
 	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
 )
 
 // Request asks a peer one of these things.
@@ -26,6 +27,8 @@
 	// Standby asks a leader what it has decided. One of a version before this one ignores
 	// the field, and its answer says nothing.
 	Standby *standby.Query `json:"standby,omitempty"`
+	// Zones asks a leader what it thinks of the zones; ignored by versions before this one.
+	Zones bool `json:"zones,omitempty"`
 }
 
 // Probe tells a peer of its sender and asks for its state.
@@ -61,6 +64,7 @@
 	Relay   []Relayed           `json:"relay,omitempty"`
 	Explain *leader.Explanation `json:"explain,omitempty"`
 	Standby *standby.Page       `json:"standby,omitempty"`
+	Zones   []zone.Status       `json:"zones,omitempty"`
 	Error   string              `json:"error,omitempty"`
 }
 
--- a/internal/peer/oldversions_test.go
+++ b/internal/peer/oldversions_test.go
@@ -11,6 +11,7 @@
 	"caperlatch/internal/replica"
 	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
 )
 
 // The messages between nodes, and those of workers that nodes pass on, as earlier versions
@@ -286,7 +287,7 @@
 		}
 	case reflect.Struct:
 		switch v.Interface().(type) {
-		case leader.Explanation, replica.Job, standby.Query, standby.Page:
+		case leader.Explanation, replica.Job, standby.Query, standby.Page, zone.Status:
 			return // only shown; as it is stored; not known to any earlier version
 		}
 		for i := range v.NumField() {
@@ -305,10 +306,11 @@
 	answer.Commands = append(answer.Commands, wire.Command{Verb: wire.VerbStop, Task: "j-000377/1", Attempt: 1, GraceS: &grace})
 	report.Tasks[1].Saved = true
 	request := Request{ID: 7, Probe: capturedProbe(), Relay: []wire.Raw{raw(t, report)}, Explain: "j-000412",
-		Standby: &standby.Query{Version: standby.Version, Member: "host-2", Token: 41, Position: 7}}
+		Standby: &standby.Query{Version: standby.Version, Member: "host-2", Token: 41, Position: 7}, Zones: true}
 	response := Response{ID: 7, State: capturedState(Version), Relay: []Relayed{{Answer: raw(t, answer)}, {Error: "not entitled"}}, Error: "not leading",
 		Explain: &leader.Explanation{Job: "j-000412", By: "host-1", Tasks: 16, Why: []string{"no room"}},
-		Standby: &standby.Page{Version: standby.Version, Token: 41, Latest: 9, Entries: []standby.Entry{{Gone: &standby.Gone{Machine: "i-000231"}}}}}
+		Standby: &standby.Page{Version: standby.Version, Token: 41, Latest: 9, Entries: []standby.Entry{{Gone: &standby.Gone{Machine: "i-000231"}}}},
+		Zones:   []zone.Status{{Zone: "a", Flaps: 1}}}
 	set := map[string]bool{}
 	for _, message := range []any{request, response, report, answer} {
 		noteFields(reflect.ValueOf(message), set)
@@ -320,14 +322,14 @@
 	}
 	for _, v := range oldVersions {
 		t.Run(v.name, func(t *testing.T) {
-			// Earlier versions neither follow a leader nor publish: they ignore both.
+			// Earlier versions neither follow a leader nor publish, nor tell of zones: they ignore all.
 			wantRequest := request
-			wantRequest.Standby = nil
+			wantRequest.Standby, wantRequest.Zones = nil, false
 			if got := read[Request](t, resaid(t, raw(t, request), v.request)); !reflect.DeepEqual(got, wantRequest) {
 				t.Errorf("request: %+v, want %+v", got, wantRequest)
 			}
 			want := response
-			want.Standby = nil
+			want.Standby, want.Zones = nil, nil
 			if v.version == 0 {
 				want.State = capturedState(0) // it knows no versions, and does not pass them on
 			}
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -9,6 +9,7 @@
 	"caperlatch/internal/leader"
 	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
 )
 
 // fullAnswers answers each report with as many orders as a worker takes.
@@ -27,6 +28,8 @@
 
 func (*fullAnswers) Followed(*standby.Query) *standby.Page { return nil }
 
+func (*fullAnswers) ZonesTold() ([]zone.Status, error) { return nil, nil }
+
 // TestRelayMuch has a follower pass on the reports of a fleet that waits to be filled.
 // The answers to all of them do not fit one message: those that do must arrive, and
 // the leader must not have seen the reports whose answers do not.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,7 @@
 	"caperlatch/internal/micros"
 	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
 )
 
 // Times of serving.
@@ -30,6 +31,8 @@
 	Explained(job string) (leader.Explanation, error)
 	// Followed tells a follower what the leader here has decided; nil if none publishes.
 	Followed(q *standby.Query) *standby.Page
+	// ZonesTold tells a peer what the leader here thinks of the zones.
+	ZonesTold() ([]zone.Status, error)
 }
 
 // Serve answers requests on connections of l until ctx ends.
@@ -110,12 +113,21 @@
 		answer.Relay = relayed(q.Relay, h)
 	case q.Standby != nil:
 		answer.Standby = h.Followed(q.Standby)
+	case q.Zones:
+		zones, err := h.ZonesTold()
+		answer.Zones = zones
+		answer.fail(err)
 	case q.Explain != "":
 		explanation, err := h.Explained(q.Explain)
 		answer.Explain = &explanation
-		if err != nil {
-			answer.Error = err.Error()
-		}
+		answer.fail(err)
 	}
 	return answer
 }
+
+// fail has the answer say what went wrong, if anything did.
+func (r *Response) fail(err error) {
+	if err != nil {
+		r.Error = err.Error()
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -29,6 +29,7 @@
 	TokenKey       = "c/token"
 	CatalogKey     = "c/catalog"
 	StaffingKey    = "c/staffing"
+	ZonesKey       = "c/zones"
 	JobPrefix      = "c/j/"
 	ProgressPrefix = "c/p/"
 	BookingPrefix  = "c/b/"
--- a/internal/settings/elements.go
+++ b/internal/settings/elements.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"caperlatch/internal/micros"
 )
@@ -15,21 +16,32 @@
 // field checks a value and keeps it.
 type field func(name string, v float64)
 
-// elementParser reads an operators' file: a section of elements that hold numbers, within
-// the root element.
+// section is an element that holds others, by their names.
+type section struct {
+	numbers  map[string]field     // each once
+	repeated map[string]field     // each any number of times
+	names    map[string]*[]string // the same, that hold names
+}
+
+// elementParser reads an operators' file: sections within the root element.
 type elementParser struct {
-	decoder *xml.Decoder
-	checker checker
-	section string
-	fields  map[string]field // by element
-	read    map[string]bool  // fields that have been read
-	open    int              // how many elements are open
-	entered bool             // the section has been seen
+	decoder  *xml.Decoder
+	checker  checker
+	sections map[string]section
+	present  string          // section that is open
+	read     map[string]bool // elements that may stand once and have been read, by section
+	open     int             // how many elements are open
+	entered  map[string]bool // sections that have been seen
 }
 
-// newElementParser is a parser of the section in r, whose fields are still to be set.
-func newElementParser(r io.Reader, section string) *elementParser {
-	return &elementParser{decoder: xml.NewDecoder(r), section: section, read: map[string]bool{}}
+// newElementParser is a parser of r whose sections are still to be set.
+func newElementParser(r io.Reader) *elementParser {
+	return &elementParser{
+		decoder:  xml.NewDecoder(r),
+		sections: map[string]section{},
+		read:     map[string]bool{},
+		entered:  map[string]bool{},
+	}
 }
 
 // number keeps a value without a unit, which may be at most so much.
@@ -57,6 +69,14 @@
 	}
 }
 
+// percent keeps a share that is given in percent.
+func (p *elementParser) percent(to *float64) field {
+	return func(name string, v float64) {
+		p.within(name, v, 0, 100)
+		*to = v / 100
+	}
+}
+
 // milliseconds keeps a time within bounds.
 func (p *elementParser) milliseconds(to *micros.Micros, least, most float64) field {
 	return func(name string, v float64) {
@@ -95,23 +115,53 @@
 // begin reads an element that holds a value, or enters one that holds others.
 func (p *elementParser) begin(element *xml.StartElement) error {
 	name := element.Name.Local
-	keep := p.fields[name]
+	_, known := p.sections[name]
 	switch {
 	case p.open == 0 && name == rootElement:
 		p.open++
 		return nil
-	case p.open == 1 && name == p.section:
+	case p.open == 1 && known && !p.entered[name]:
 		p.open++
-		p.entered = true
-		return nil
-	case p.open == 2 && keep != nil && !p.read[name]:
-		p.read[name] = true
-		var v float64
-		if err := p.decoder.DecodeElement(&v, element); err != nil {
-			return fmt.Errorf("%s: %w", name, err)
-		}
-		keep(name, v)
+		p.present, p.entered[name] = name, true
 		return nil
+	case p.open == 2:
+		return p.value(element)
 	}
-	return fmt.Errorf("element %s is unknown here", name)
+	return unknownElement(name)
 }
+
+// value reads an element of the present section.
+func (p *elementParser) value(element *xml.StartElement) error {
+	name, in := element.Name.Local, p.sections[p.present]
+	if list := in.names[name]; list != nil {
+		return p.name(element, list)
+	}
+	keep := in.repeated[name]
+	if once := p.present + "/" + name; keep == nil && !p.read[once] {
+		keep, p.read[once] = in.numbers[name], true
+	}
+	if keep == nil {
+		return unknownElement(name)
+	}
+	var v float64
+	if err := p.decoder.DecodeElement(&v, element); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	keep(name, v)
+	return nil
+}
+
+// name reads an element that holds a name.
+func (p *elementParser) name(element *xml.StartElement, list *[]string) error {
+	var v string
+	if err := p.decoder.DecodeElement(&v, element); err != nil {
+		return fmt.Errorf("%s: %w", element.Name.Local, err)
+	}
+	v = strings.TrimSpace(v)
+	p.checker.text(element.Name.Local, v)
+	*list = append(*list, v)
+	return nil
+}
+
+// unknownElement says that an element must not stand where it does.
+func unknownElement(name string) error { return fmt.Errorf("element %s is unknown here", name) }
--- /dev/null
+++ b/internal/settings/features.go
@@ -0,0 +1,61 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"caperlatch/internal/zone"
+)
+
+// Features holds the settings of the optional parts; nil where one is off.
+type Features struct {
+	Standby *Standby
+	Zones   *zone.Config
+}
+
+// ErrStandbyTwice says that the standby is turned on in two files.
+var ErrStandbyTwice = errors.New("standby is turned on by both files, one is enough")
+
+// ReadFeatures reads the file at path for a deployment.
+func ReadFeatures(path string, p *Params) (Features, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Features{}, fmt.Errorf("features: %w", err)
+	}
+	defer f.Close()
+	return ParseFeatures(f, p)
+}
+
+// ParseFeatures reads
+//
+//	<caperlatch><standby>...</standby><zones>...</zones></caperlatch>
+//
+// where each section turns a part on and may be left out, but not both.
+func ParseFeatures(r io.Reader, p *Params) (Features, error) {
+	standby, zones := defaultStandby(), zone.DefaultConfig(p.Workers.Report())
+	parser := newElementParser(r)
+	parser.sections[standbySection] = standbyFields(parser, &standby)
+	parser.sections[zonesSection] = zonesFields(parser, &zones)
+	if err := parser.parse(); err != nil {
+		return Features{}, fmt.Errorf("features: %w", err)
+	}
+	var out Features
+	if parser.entered[standbySection] {
+		if err := standby.check(); err != nil {
+			return Features{}, fmt.Errorf("features: %w", err)
+		}
+		out.Standby = &standby
+	}
+	if parser.entered[zonesSection] {
+		if err := checkZones(&zones, p); err != nil {
+			return Features{}, fmt.Errorf("features: %w", err)
+		}
+		out.Zones = &zones
+	}
+	if len(parser.entered) == 0 {
+		return Features{}, errors.New("features: the file turns nothing on: element standby or zones is missing")
+	}
+	return out, nil
+}
--- a/internal/settings/standby.go
+++ b/internal/settings/standby.go
@@ -48,22 +48,35 @@
 // where every element within standby may be left out and no other may stand.
 func ParseStandby(r io.Reader) (*Standby, error) {
 	s := defaultStandby()
-	p := newElementParser(r, standbySection)
-	p.fields = map[string]field{
-		"pull_ms":     p.milliseconds(&s.Pull, 20, 5_000),
-		"suspect_ms":  p.milliseconds(&s.Suspect, 100, 60_000),
-		"log_entries": p.count(&s.LogEntries, 1_000, 1_000_000),
-		"handover_ms": p.milliseconds(&s.Handover, 200, 10_000),
-	}
+	p := newElementParser(r)
+	p.sections[standbySection] = standbyFields(p, &s)
 	err := p.parse()
-	if err == nil && !p.entered {
+	if err == nil && !p.entered[standbySection] {
 		err = errors.New("element standby is missing")
 	}
-	if err == nil && s.Suspect <= s.Pull {
-		err = errors.New("suspect_ms must be over pull_ms")
+	if err == nil {
+		err = s.check()
 	}
 	if err != nil {
 		return nil, fmt.Errorf("standby: %w", err)
 	}
 	return &s, nil
 }
+
+// standbyFields are the elements of the section.
+func standbyFields(p *elementParser, s *Standby) section {
+	return section{numbers: map[string]field{
+		"pull_ms":     p.milliseconds(&s.Pull, 20, 5_000),
+		"suspect_ms":  p.milliseconds(&s.Suspect, 100, 60_000),
+		"log_entries": p.count(&s.LogEntries, 1_000, 1_000_000),
+		"handover_ms": p.milliseconds(&s.Handover, 200, 10_000),
+	}}
+}
+
+// check checks the settings against each other.
+func (s *Standby) check() error {
+	if s.Suspect <= s.Pull {
+		return errors.New("suspect_ms must be over pull_ms")
+	}
+	return nil
+}
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -61,13 +61,13 @@
 // where every element may be left out and no other may stand.
 func ParseTuning(r io.Reader) (Tuning, error) {
 	tuning := DefaultTuning()
-	p := newElementParser(r, tuningSection)
-	p.fields = map[string]field{
+	p := newElementParser(r)
+	p.sections[tuningSection] = section{numbers: map[string]field{
 		"z":        p.number(&tuning.Z, maxZ),
 		"review_s": p.seconds(&tuning.ReviewInterval, maxSeconds),
 		"window_s": p.seconds(&tuning.Window, maxSeconds),
 		"record_s": p.seconds(&tuning.RecordInterval, maxSeconds),
-	}
+	}}
 	if err := p.parse(); err != nil {
 		return Tuning{}, fmt.Errorf("tuning: %w", err)
 	}
--- /dev/null
+++ b/internal/zone/lifecycle.go
@@ -0,0 +1,150 @@
+package zone
+
+import "caperlatch/internal/micros"
+
+// Times of a step of a return, in multiples of the least.
+const (
+	stepUntried = 2 // after which a step is held, if no start was sent there
+	stepFailed  = 8 // after which starts that were sent and not seen have failed
+)
+
+// lifecycle is the state of one zone and what its next transition depends on.
+type lifecycle struct {
+	state  State
+	reason Reason
+	since  micros.Micros // of state and step
+	step   int           // of a return, from 0
+	flaps  int           // losses that are not forgotten
+	calm   micros.Micros // since when it has been healthy
+	until  micros.Micros // end of a hold-down
+
+	lossSince       micros.Micros // since when the evidence speaks for a loss, 0 if it does not
+	observerAtFault bool
+	// The counters as the step began.
+	relapses, sent, started int
+}
+
+// next is the only transition function: the lifecycle after one observation.
+func (z lifecycle) next(c *Config, e Evidence, observerAtFault bool, now micros.Micros) lifecycle {
+	z.observerAtFault = observerAtFault
+	z = z.timeLoss(c, e, now)
+	switch z.state {
+	case Suspected:
+		return z.whileSuspected(c, e, now)
+	case Lost:
+		return z.whileLost(c, e, now)
+	case HeldDown:
+		return z.whileHeldDown(c, e, now)
+	case Returning:
+		return z.whileReturning(c, e, now)
+	}
+	if c.suspicious(e) {
+		return z.to(Suspected, ReasonLate, e, now)
+	}
+	return z
+}
+
+// timeLoss notes since when the evidence speaks for a loss.
+func (z lifecycle) timeLoss(c *Config, e Evidence, now micros.Micros) lifecycle {
+	switch {
+	case !c.lost(e):
+		z.lossSince = 0
+	case z.lossSince == 0:
+		z.lossSince = now
+	}
+	return z
+}
+
+// confirmed tells whether the evidence has spoken for a loss for long enough, and the
+// observer can be trusted.
+func (z lifecycle) confirmed(c *Config, now micros.Micros) bool {
+	return z.lossSince != 0 && now-z.lossSince >= c.Confirm && !z.observerAtFault
+}
+
+func (z lifecycle) whileSuspected(c *Config, e Evidence, now micros.Micros) lifecycle {
+	switch {
+	case c.clear(e):
+		return z.to(Healthy, ReasonWell, e, now)
+	case z.confirmed(c, now):
+		return z.lose(c, e, now)
+	case z.observerAtFault && z.lossSince != 0:
+		z.reason = ReasonObserver
+	}
+	return z
+}
+
+func (z lifecycle) whileLost(c *Config, e Evidence, now micros.Micros) lifecycle {
+	reason := ReasonHeard
+	switch {
+	case e.Up == 0:
+		reason = ReasonEmpty
+	case !c.heard(e) || c.lost(e):
+		return z
+	}
+	z = z.to(HeldDown, reason, e, now)
+	z.until = now + c.holdDown(z.flaps)
+	return z
+}
+
+func (z lifecycle) whileHeldDown(c *Config, e Evidence, now micros.Micros) lifecycle {
+	switch {
+	case z.confirmed(c, now):
+		return z.lose(c, e, now)
+	case now >= z.until && (c.heard(e) || e.Up == 0):
+		return z.toStep(0, ReasonHeldOut, e, now)
+	}
+	return z
+}
+
+func (z lifecycle) whileReturning(c *Config, e Evidence, now micros.Micros) lifecycle {
+	held := now - z.since
+	tried, seen := e.Sent > z.sent, e.Started > z.started
+	switch {
+	case z.confirmed(c, now):
+		return z.lose(c, e, now)
+	case float64(e.Relapses-z.relapses) > c.Relapse*float64(e.Up):
+		return z.back(c, ReasonRelapse, e, now)
+	case tried && !seen && held >= stepFailed*c.StepHold:
+		return z.back(c, ReasonStartsFailed, e, now)
+	case held < c.StepHold || tried && !seen || !tried && held < stepUntried*c.StepHold:
+		return z
+	case z.step+1 < len(c.Steps):
+		return z.toStep(z.step+1, ReasonStepHeld, e, now)
+	}
+	z = z.to(Healthy, ReasonAllOpen, e, now)
+	z.calm = now
+	return z
+}
+
+// back undoes a step that failed. Before the first one is a hold-down.
+func (z lifecycle) back(c *Config, reason Reason, e Evidence, now micros.Micros) lifecycle {
+	if z.step > 0 {
+		return z.toStep(z.step-1, reason, e, now)
+	}
+	z = z.to(HeldDown, reason, e, now)
+	z.until = now + c.holdDown(z.flaps)
+	return z
+}
+
+// lose is the verdict. A loss soon after another is a flap; calm has made some forgotten.
+func (z lifecycle) lose(c *Config, e Evidence, now micros.Micros) lifecycle {
+	if z.state == Suspected && z.calm != 0 {
+		z.flaps -= min(z.flaps, int((now-z.calm)/c.Calm))
+	}
+	z.flaps++
+	return z.to(Lost, ReasonSilent, e, now)
+}
+
+// to enters a state.
+func (z lifecycle) to(s State, reason Reason, e Evidence, now micros.Micros) lifecycle {
+	z.state, z.reason, z.since, z.step = s, reason, now, 0
+	z.relapses, z.sent, z.started = e.Relapses, e.Sent, e.Started
+	return z
+}
+
+// toStep enters a step of a return.
+func (z lifecycle) toStep(step int, reason Reason, e Evidence, now micros.Micros) lifecycle {
+	z = z.to(Returning, reason, e, now)
+	z.step = step
+	return z
+}
--- a/node.go
+++ b/node.go
@@ -40,6 +40,7 @@
 	peers    *peer.Peers
 	outside  outside
 	times    *api.Times
+	features settings.Features
 
 	standby *standbyNode // nil: off
 
@@ -70,10 +71,10 @@
 	errNoExplanation = errors.New("no explanation in the answer")
 )
 
-// NewNode makes a node from checked settings; without those of the standby it is off.
-func NewNode(s *settings.Settings, t settings.Tuning, b *settings.Standby) *Node {
+// NewNode makes a node from checked settings; what has none in features is off.
+func NewNode(s *settings.Settings, t settings.Tuning, features settings.Features) *Node {
 	var dialer net.Dialer
-	return newNode(s, t, b, outside{
+	return newNode(s, t, features, outside{
 		services: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true},
 		workers:  &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 		dial:     func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
@@ -82,8 +83,8 @@
 }
 
 // newNode makes a node that reaches everything around it through o.
-func newNode(s *settings.Settings, t settings.Tuning, b *settings.Standby, o outside) *Node {
-	n := &Node{settings: s, tuning: t, outside: o, times: api.NewTimes()}
+func newNode(s *settings.Settings, t settings.Tuning, features settings.Features, o outside) *Node {
+	n := &Node{settings: s, tuning: t, features: features, outside: o, times: api.NewTimes()}
 	n.store = statestore.New(s.External.State, s.Params.State, o.services)
 	n.cloud = cloud.New(s.External.Cloud, s.Params.Cloud, o.services)
 	n.replica = replica.New(n.store)
@@ -100,8 +101,8 @@
 		Abstention: peer.PromiseLife,
 		Lead:       n.lead,
 	}
-	if b != nil {
-		n.standby = newStandbyNode(n, b)
+	if features.Standby != nil {
+		n.standby = newStandbyNode(n, features.Standby)
 		config.Campaigning = n.standby.takeover.Campaign
 		config.Yield = n.standby.yield
 	}
@@ -231,6 +232,8 @@
 		Token:    t.Token,
 		Stamp:    t.Stamp,
 		Workers:  &http.Client{Transport: n.outside.workers},
+		Zones:    n.newZonePolicy(),
+		Isolated: n.isolated,
 	}
 	if n.standby != nil {
 		n.standby.beginTerm(t, &config)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -67,6 +67,7 @@
 	Ending          []Ending      // when what is on it should end by itself
 	GatheredFor     *Job          // its room is gathered for this one; nil: for nobody
 	WholeOnly       bool          // only whole jobs may start on it
+	Closed          bool          // to work that is not bound to its zone
 }
 
 // Victim is a running task.
@@ -87,6 +88,8 @@
 	ID, Team        string
 	Image           int
 	Priority        int
+	Band            int             // in the order in which work leaves a lost zone; 0 for all without one
+	Bound           string          // the only zone that it can run in now, empty if there are others
 	Aged            bool            // has waited for its first start so long that it goes before all others
 	Covered         bool            // within its team's guarantee
 	Due             micros.Micros   // latest good start of its last task
@@ -125,8 +128,8 @@
 	For     string // job that needs the room
 }
 
-// Less is the queue's order: what has waited too long to begin, guarantees, then
-// priorities, then what can still be in time, and of that what is due first.
+// Less is the queue's order: what has waited too long to begin, the bands while a zone is
+// lost, guarantees, then priorities, then what can still be in time, and of that what is due first.
 func Less(a, b *Job) int {
 	return cmp.Or(claim(a, b), cmp.Compare(a.Due, b.Due), cmp.Compare(a.ID, b.ID))
 }
@@ -135,11 +138,18 @@
 func claim(a, b *Job) int {
 	return cmp.Or(
 		cmp.Compare(rank(a.Aged), rank(b.Aged)),
-		cmp.Compare(rank(a.Covered), rank(b.Covered)),
-		cmp.Compare(b.Priority, a.Priority),
+		standing(a, b),
 		cmp.Compare(rank(!a.Late), rank(!b.Late)))
 }
 
+// standing compares what a job is entitled to, however long it waits and whatever is due.
+func standing(a, b *Job) int {
+	return cmp.Or(
+		cmp.Compare(a.Band, b.Band),
+		cmp.Compare(rank(a.Covered), rank(b.Covered)),
+		cmp.Compare(b.Priority, a.Priority))
+}
+
 // SetAside marks as late the jobs that too much work keeps from being in time,
 // as few as possible: going through the queue, whenever the work so far would
 // take a job past its due time, the job with the most work of the same claim is
@@ -162,7 +172,7 @@
 		if j.Aged {
 			continue
 		}
-		if i > 0 && (j.Covered != order[i-1].Covered || j.Priority != order[i-1].Priority) {
+		if i > 0 && standing(j, order[i-1]) != 0 {
 			if strained {
 				shortestFirst(order[:i], order[i-1], cpus, now)
 			}
@@ -197,14 +207,14 @@
 	}
 }
 
-// shortestFirst gives the jobs of like's guarantee and priority due times in the order
+// shortestFirst gives the jobs of like's standing due times in the order
 // of their work, as there is too much of it. By their own due times each would start
 // just before it is due, and the first surprise, a longer run or a lost machine, would
 // make all of them late; done in this order the most are out of the way by then.
 func shortestFirst(jobs []*Job, like *Job, cpus float64, now micros.Micros) {
 	var same []*Job
 	for _, j := range jobs {
-		if !j.Aged && j.Covered == like.Covered && j.Priority == like.Priority {
+		if !j.Aged && standing(j, like) == 0 {
 			same = append(same, j)
 		}
 	}
@@ -238,7 +248,7 @@
 	if m.GatheredFor != nil && m.GatheredFor.ID != j.ID && claim(j, m.GatheredFor) >= 0 {
 		return false
 	}
-	if m.WholeOnly && !j.Whole {
+	if m.WholeOnly && !j.Whole || m.Closed && j.Bound != m.Zone {
 		return false
 	}
 	return Allowed(j, m.Type, m.Zone, m.Spot) && !(j.Patient && m.ClosedToPatient)
--- /dev/null
+++ b/zones.go
@@ -0,0 +1,60 @@
+package caperlatch
+
+import (
+	"context"
+
+	"caperlatch/internal/api"
+	"caperlatch/internal/peer"
+	"caperlatch/internal/zone"
+)
+
+// newZonePolicy is the policy on zones of a new term.
+func (n *Node) newZonePolicy() zone.Policy {
+	if n.features.Zones == nil {
+		return zone.NewThreshold()
+	}
+	return zone.NewManager(*n.features.Zones)
+}
+
+// isolated tells whether this node hears neither the state service nor most of its peers. What
+// it sees of zones then says more of itself.
+func (n *Node) isolated() bool {
+	if n.store.SinceHeard() < peer.HeardWithin {
+		return false
+	}
+	reachable := 0
+	for _, p := range n.settings.Peers {
+		if n.peers.Reachable(p.Member) {
+			reachable++
+		}
+	}
+	return 2*reachable < len(n.settings.Peers)
+}
+
+// Zones tells what the leader thinks of the zones.
+func (n *Node) Zones(ctx context.Context) ([]zone.Status, error) {
+	if n.Leading() != nil {
+		return n.ZonesTold()
+	}
+	answer, err := n.askLeader(ctx, peer.Request{Zones: true})
+	switch {
+	case err != nil:
+		return nil, err
+	case answer.Zones == nil:
+		return nil, api.ErrZonesOff // also by a version before this one, which says nothing
+	}
+	return answer.Zones, nil
+}
+
+// ZonesTold tells a peer what the leader here thinks of the zones.
+func (n *Node) ZonesTold() ([]zone.Status, error) {
+	l := n.Leading()
+	if l == nil {
+		return nil, errNotLeading
+	}
+	all := l.ZoneStatus()
+	if all == nil {
+		return nil, api.ErrZonesOff
+	}
+	return all, nil
+}
