--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -537,7 +537,7 @@
 				best = offer{}
 				break // its answer comes first
 			}
-			if st := l.offers[o]; st != nil && now < st.until || !l.zones.Decide(o.Zone).Rent || most(o.Zone) <= inZone[o.Zone] {
+			if st := l.offers[o]; st != nil && now < st.until || !l.mayRentForGang(o.Zone) || most(o.Zone) <= inZone[o.Zone] {
 				continue
 			}
 			if best.Type == "" || j.spec.OneZone && inZone[o.Zone] > inZone[best.Zone] {
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -433,7 +433,7 @@
 	booked := 0
 	for i, o := range open {
 		left := n - booked
-		count := (left + len(open) - i - 1) / (len(open) - i)
+		count := min((left+len(open)-i-1)/(len(open)-i), l.mayRent(o.Zone))
 		for k := 0; count > 0 && k < maxBookings; k++ {
 			l.book(o, count)
 			part := min(count, cloud.MaxRent)
--- a/internal/leader/zones.go
+++ b/internal/leader/zones.go
@@ -15,6 +15,7 @@
 // zoneState is the policy on zones, and what its decisions come to.
 type zoneState struct {
 	zones    zone.Policy
+	managed  bool // the policy closes machines, and has something to store
 	counters map[string]*zoneCounters
 	closed   bool // some machines are closed to work that is not bound to their zone
 	replaces bool // some machines are to be replaced in other zones
@@ -30,8 +31,10 @@
 // zoneMembership is a machine's part in the return of its zone.
 type zoneMembership struct {
 	heardAt micros.Micros // first report since the zone was lost, or the machine fell silent
-	back    bool          // a second one has followed
-	closed  bool          // to work that is not bound to the zone
+	session uint64        // and what the last report before that was
+	seq     uint64
+	back    bool // it is heard anew for certain
+	closed  bool // to work that is not bound to the zone
 }
 
 // newZoneState begins a term with a policy, the default one if there is none.
@@ -39,7 +42,8 @@
 	if p == nil {
 		p = zone.NewThreshold()
 	}
-	return zoneState{zones: p, counters: map[string]*zoneCounters{}}
+	managed := p.Record(0, 0) != nil
+	return zoneState{zones: p, managed: managed, counters: map[string]*zoneCounters{}}
 }
 
 // zoneCounters are those of a machine's zone.
@@ -62,7 +66,7 @@
 		slog.Error("zones", "stored", err)
 		return
 	}
-	if stamp != 0 {
+	if stamp != 0 && l.managed {
 		l.zones.Restore(&r, now, micros.Wall())
 		l.applyZones()
 	}
@@ -89,13 +93,14 @@
 	for _, t := range changes {
 		l.zoneChanged(t)
 	}
-	if len(changes) > 0 && l.zones.Record(now, micros.Wall()) != nil {
+	if !l.managed {
+		return
+	}
+	l.applyZones()
+	if len(changes) > 0 {
 		l.dirty[replica.ZonesKey] = true
 		l.wakeFlush()
 	}
-	if len(changes) > 0 || l.closed {
-		l.applyZones()
-	}
 }
 
 // zoneChanged tells of a transition. A loss makes what was heard before no evidence of a
@@ -109,7 +114,7 @@
 	}
 	for _, m := range l.order {
 		if m.kind.Zone == t.Zone {
-			m.inZone.heardAt, m.inZone.back = 0, false
+			m.forgetHeard()
 		}
 	}
 }
@@ -159,7 +164,7 @@
 	if m.inZone.back {
 		l.zoneCounters(m).relapses++
 	}
-	m.inZone.heardAt, m.inZone.back = 0, false
+	m.forgetHeard()
 }
 
 // lateReport tells whether a machine's report is overdue.
@@ -167,19 +172,29 @@
 	return l.silentFor(m, now) > l.report+l.report/4+micros.Second
 }
 
-// heardAnew notes a report that its worker made in this term. Reports that the network held
-// back during a cut arrive together once it is over, so only a second one half a report time
-// later shows that the machine is heard now.
+// heardAnew notes a report that its worker made in this term. A single one that was on its way
+// when the zone was cut, and was held back, is no evidence of a return. A later session is, and
+// a report that skips a number: its worker has given up the one between, so made it in the cut
+// or after, and what is held back arrives when the cut ends. So is a second report half a report
+// time later.
 func (l *Leader) heardAnew(m *machine, now micros.Micros) {
+	z := &m.inZone
 	switch {
-	case m.inZone.back || m.notReceiving >= notReceivingAfter:
-	case m.inZone.heardAt == 0:
-		m.inZone.heardAt = now
-	case now-m.inZone.heardAt >= l.report/2:
-		m.inZone.back = true
+	case z.back || m.notReceiving >= notReceivingAfter:
+	case z.session != 0 && (m.session > z.session || m.seq > z.seq+1):
+		z.back = true
+	case z.heardAt == 0:
+		z.heardAt = now
+	case now-z.heardAt >= l.report/2:
+		z.back = true
 	}
 }
 
+// forgetHeard forgets that a machine was heard. What it reported last is no news later.
+func (m *machine) forgetHeard() {
+	m.inZone = zoneMembership{session: m.session, seq: m.seq, closed: m.inZone.closed}
+}
+
 // applyZones closes and opens machines as the policy decides. Of a returning zone the first
 // that are heard again open; what runs on a closed one runs on.
 func (l *Leader) applyZones() {
@@ -255,6 +270,32 @@
 	return picked
 }
 
+// mayRent is how many machines may be rented in a zone that is not suspected or lost: few as
+// long as none is heard in one that returns.
+func (l *Leader) mayRent(name string) int {
+	most := l.zones.Decide(name).RentMost
+	if most == 0 {
+		return math.MaxInt
+	}
+	for _, m := range l.order {
+		if m.kind.Zone == name && !m.leaving {
+			most--
+		}
+	}
+	for _, b := range l.bookings {
+		if b.Zone == name && !b.Answered {
+			most -= b.Count
+		}
+	}
+	return max(0, most)
+}
+
+// mayRentForGang tells whether machines may be rented for a gang in a zone. It needs them all.
+func (l *Leader) mayRentForGang(name string) bool {
+	d := l.zones.Decide(name)
+	return d.Rent && d.RentMost == 0
+}
+
 // band is a job's place in the order in which work leaves a lost zone.
 func (l *Leader) band(j *job) int {
 	return l.zones.Band(j.spec.Class, j.priority >= wire.PriorityRank(wire.PriorityUrgent))
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -21,6 +21,8 @@
 	Zones   []string                        // nil: one, a
 	FetchS  float64                         // how long a machine fetches an image
 	Most    int                             // machines that it has, 0: any number
+	MostIn  map[string]int                  // the same by zone; a zone without: any number
+	Watch   func(TaskEvent)                 // is told what tasks do, in order; nil: nobody is
 	// Serve has a worker's handler served somewhere and returns its address; nil: Net.
 	Serve func(h http.Handler) (address string)
 
@@ -34,12 +36,45 @@
 	starts   int
 	startsOf map[string]int // by job
 	rented   int
+	zoneOf   map[string]string // of every machine that there ever was
+}
+
+// TaskEvent is a task that began on a machine, or left it.
+type TaskEvent struct {
+	Task, Machine, Zone string
+	Began, Done         bool
+}
+
+// tell shows an event to who watches; the caller holds the lock.
+func (c *Cloud) tell(task, machine string, began, done bool) {
+	if c.Watch != nil {
+		c.Watch(TaskEvent{Task: task, Machine: machine, Zone: c.zoneOf[machine], Began: began, Done: done})
+	}
+}
+
+// ZoneOf is where a machine is or was, empty if there never was one.
+func (c *Cloud) ZoneOf(machine string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.zoneOf[machine]
+}
+
+// full tells whether a zone has no machines left; the caller holds the lock.
+func (c *Cloud) full(zone string) bool {
+	n := 0
+	for _, w := range c.machines {
+		if w.Zone() == zone {
+			n++
+		}
+	}
+	most, limited := c.MostIn[zone]
+	return limited && n >= most || c.Most > 0 && len(c.machines) >= c.Most
 }
 
 // NewCloud makes a cloud without machines.
 func NewCloud(n *Net, rules *Rules, nodes []string, reportS, leaseS float64, runFor func(string) float64) *Cloud {
 	return &Cloud{Net: n, Rules: rules, Nodes: nodes, RunFor: runFor, ReportS: reportS, LeaseS: leaseS,
-		gangs: newGangs(), bookings: map[string][]string{}, machines: map[string]*Worker{}, sites: map[string]string{}, startsOf: map[string]int{}}
+		gangs: newGangs(), bookings: map[string][]string{}, machines: map[string]*Worker{}, sites: map[string]string{}, startsOf: map[string]int{}, zoneOf: map[string]string{}}
 }
 
 // Catalog is what this cloud offers.
@@ -74,15 +109,16 @@
 			return
 		}
 		ids, known := c.bookings[q.Request]
-		if !known && c.Most > 0 && len(c.machines) >= c.Most {
+		if !known && c.full(q.Zone) {
 			send(w, http.StatusServiceUnavailable, wire.ErrorBody{Error: "no capacity"})
 			return
 		}
-		for i := 0; i < q.Count && !known && (c.Most == 0 || len(c.machines) < c.Most); i++ {
+		for i := 0; i < q.Count && !known && !c.full(q.Zone); i++ {
 			id := fmt.Sprintf("i-%06d", c.next)
 			c.next++
 			c.rented++
 			ids = append(ids, id)
+			c.zoneOf[id] = q.Zone
 			c.Rules.Rented(id, q)
 			wk := newWorker(c, id, q)
 			c.machines[id] = wk
@@ -115,6 +151,7 @@
 		if m == id {
 			delete(c.sites, task)
 			c.Rules.Left(task, id, false)
+			c.tell(task, id, false, false)
 		}
 	}
 }
@@ -127,6 +164,7 @@
 	c.startsOf[id]++
 	c.Rules.Started(task, machine)
 	c.sites[task] = machine
+	c.tell(task, machine, true, false)
 }
 
 func (c *Cloud) left(task, machine string, done bool) {
@@ -135,6 +173,7 @@
 	if c.sites[task] == machine {
 		delete(c.sites, task)
 		c.Rules.Left(task, machine, done)
+		c.tell(task, machine, false, done)
 	}
 }
 
--- a/internal/zone/config.go
+++ b/internal/zone/config.go
@@ -21,6 +21,7 @@
 	Relapse  float64       // share of machines that may fall silent anew in a step
 	Steps    []float64     // shares of a returning zone's machines that are open, rising to 1
 	StepHold micros.Micros // the least time of a step
+	Report   micros.Micros // the workers' time between reports
 
 	HoldDown    micros.Micros // of the first loss; it doubles with each flap
 	MaxHoldDown micros.Micros
@@ -30,8 +31,8 @@
 }
 
 // DefaultConfig is what holds for the settings that are left out, where workers report so
-// often. The hold-down at its longest, the steps and the evidence of a return stay under 90 s
-// at a report time of 8 s: no work that fits waits longer for a machine that is heard.
+// often. The hold-down at its longest and the steps stay well under 90 s: no work that fits
+// waits for so long while a machine that is heard has room.
 func DefaultConfig(report micros.Micros) Config {
 	return Config{
 		Suspect:     0.4,
@@ -41,8 +42,9 @@
 		Least:       3,
 		Relapse:     0.05,
 		Steps:       []float64{0.10, 0.25, 0.50, 1},
-		StepHold:    report,
-		HoldDown:    5 * micros.Second,
+		StepHold:    min(2*micros.Second, report),
+		Report:      report,
+		HoldDown:    2 * micros.Second,
 		MaxHoldDown: 30 * micros.Second,
 		Calm:        300 * micros.Second,
 		Replace:     0.5,
--- a/internal/zone/lifecycle.go
+++ b/internal/zone/lifecycle.go
@@ -2,10 +2,11 @@
 
 import "caperlatch/internal/micros"
 
-// Times of a step of a return, in multiples of the least.
+// Times of a step of a return.
 const (
-	stepUntried = 2 // after which a step is held, if no start was sent there
-	stepFailed  = 8 // after which starts that were sent and not seen have failed
+	stepUntried   = 2 // least times, after which a step is held if no start was sent there
+	stepFailed    = 8 // least times, after which starts that were sent and not seen have failed,
+	failedReports = 4 // but no sooner than so many reports
 )
 
 // lifecycle is the state of one zone and what its next transition depends on.
@@ -97,6 +98,10 @@
 }
 
 func (z lifecycle) whileReturning(c *Config, e Evidence, now micros.Micros) lifecycle {
+	if e.Up == 0 {
+		z.since = now // nothing can be tried before a machine comes up there
+		return z
+	}
 	held := now - z.since
 	tried, seen := e.Sent > z.sent, e.Started > z.started
 	switch {
@@ -104,7 +109,7 @@
 		return z.lose(c, e, now)
 	case float64(e.Relapses-z.relapses) > c.Relapse*float64(e.Up):
 		return z.back(c, ReasonRelapse, e, now)
-	case tried && !seen && held >= stepFailed*c.StepHold:
+	case tried && !seen && held >= max(stepFailed*c.StepHold, failedReports*c.Report):
 		return z.back(c, ReasonStartsFailed, e, now)
 	case held < c.StepHold || tried && !seen || !tried && held < stepUntried*c.StepHold:
 		return z
--- a/internal/zone/manager.go
+++ b/internal/zone/manager.go
@@ -75,6 +75,10 @@
 	return slices.Compact(all)
 }
 
+// rentFrom is the share of a returning zone's machines from which on more are rented there.
+// Sooner, a zone that flaps would have the same loss replaced twice: elsewhere, and in itself.
+const rentFrom = 0.5
+
 // Decide implements Policy.
 func (m *Manager) Decide(name string) Decision {
 	z := m.zones[name]
@@ -91,6 +95,10 @@
 		d.Rent, d.Open, d.Replace = false, 0, m.config.Replace
 	case Returning:
 		d.Open, d.Replace = m.config.Steps[z.step], m.config.Replace
+		d.Rent = d.Open >= rentFrom
+		if m.evidence[name].Up == 0 {
+			d.Rent, d.RentMost = true, m.config.Least // to hear whether the zone is back
+		}
 	}
 	return d
 }
--- a/internal/zone/record.go
+++ b/internal/zone/record.go
@@ -25,7 +25,7 @@
 
 // oldest is how old a stored state may be to go on from. By then a zone has long been lost
 // anew, or been heard without this policy.
-const oldest = 3600 * micros.Second
+const oldest = 24 * 3600 * micros.Second
 
 // Record implements Policy.
 func (m *Manager) Record(now, wall micros.Micros) *Record {
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -83,6 +83,7 @@
 // Decision is what holds for one zone.
 type Decision struct {
 	Rent       bool    // machines may be rented there
+	RentMost   int     // as long as none is heard there, 0: any number
 	Reachable  bool    // orders can be expected to arrive
 	KeepSilent bool    // silent machines are kept for as long as their leases last, and again
 	Open       float64 // share of its machines that may start work which could run elsewhere
