--- a/zones_test.go
+++ b/zones_test.go
@@ -30,7 +30,7 @@
 const (
 	mostPause     = 30 * time.Second // of urgent work
 	orderPart     = 5                // a routine start in so many scans is borne while scans wait
-	leastMeasured = 60             // starts, for an order to be judged
+	leastMeasured = 60               // starts, for an order to be judged
 )
 
 var (
