--- /dev/null
+++ b/cmd/caperlatch/zones_test.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"caperlatch/internal/api"
+	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
+)
+
+// TestZonesCommand has the command tell what a node answers.
+func TestZonesCommand(t *testing.T) {
+	returning := zone.Status{
+		Zone: "b", State: "returning", Reason: zone.ReasonStepHeld, SinceS: 4, Step: 2, Steps: 4, OpenPart: 0.25, Flaps: 1,
+		Evidence: zone.Evidence{Up: 40, Silent: 2, Back: 38},
+		Work: zone.Work{Displaced: map[string]int{"scan": 30, "news": 4}, Moved: map[string]int{"scan": 20}, Machines: 2, Tasks: 8, NextEndS: 1, LastEndS: 9,
+			Closed: 30, Replaced: 15},
+	}
+	cases := []struct {
+		name   string
+		status int
+		body   any
+		says   []string
+		wrong  string
+	}{
+		{"all well", 200, api.ZonesStatus{Leader: "host-1", Zones: []zone.Status{{Zone: "a", State: "healthy", Reason: zone.ReasonWell, OpenPart: 1}}},
+			[]string{"as host-1 sees them", "a: healthy: its machines are heard"}, ""},
+		{"one returns", 200, api.ZonesStatus{Leader: "host-1", Zones: []zone.Status{returning}},
+			[]string{"b: returning, step 2 of 4 for 4 s: starts succeed there", "40 up, 0 late, 2 silent", "losses not forgotten: 1", "25% open, 30 machines closed, 15 being replaced elsewhere",
+				"lost with the zone: news 4, scan 30", "begun again elsewhere: scan 20", "8 tasks on 2 machines wait for the ends of their leases, in 1 to 9 s"}, ""},
+		{"one is held down", 200, api.ZonesStatus{Zones: []zone.Status{{Zone: "b", State: "held down", HoldS: 3}}}, []string{"held down for 3 s more"}, ""},
+		{"off", 404, wire.ErrorBody{Error: api.ErrZonesOff.Error()}, nil, "the policy on zones is off"},
+		{"nobody leads", 503, wire.ErrorBody{Error: "no leader known"}, nil, "no leader known"},
+		{"a version without it", 404, nil, nil, "404 Not Found"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/zones" {
+					t.Errorf("%s was asked", r.URL.Path)
+				}
+				b, err := wire.Marshal(c.body)
+				if err != nil {
+					t.Error(err)
+				}
+				w.WriteHeader(c.status)
+				if _, err := w.Write(b); err != nil {
+					t.Error(err)
+				}
+			}))
+			defer server.Close()
+			out, err := execute("zones", "--node", strings.TrimPrefix(server.URL, "http://"))
+			if c.wrong != "" {
+				if err == nil || !strings.Contains(err.Error(), c.wrong) {
+					t.Fatalf("error %v, want %q", err, c.wrong)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, want := range c.says {
+				if !strings.Contains(out, want) {
+					t.Errorf("it does not say %q:\n%s", want, out)
+				}
+			}
+		})
+	}
+}
+
+// execute runs a command of the program and returns what it prints.
+func execute(args ...string) (string, error) {
+	root := rootCommand()
+	var out bytes.Buffer
+	root.SetOut(&out)
+	root.SetArgs(args)
+	err := root.Execute()
+	return out.String(), err
+}
+
+// TestFeatureFiles has the files of optional parts be checked with the settings, before
+// anything starts.
+func TestFeatureFiles(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	config := write("settings.toml", `member = "host-0"
+client_listen = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+[external]
+cloud = "127.0.0.1:8082"
+state = "127.0.0.1:8083"
+[params]
+zones = ["a", "b"]
+teams = [{name = "blue"}]
+workers = {report_s = 8.0, lease_s = 45.0, cancel_s = 75.0}
+state = {rps = 100.0, write_rps = 30.0, value_kb = 4.0, txn_ops = 8}
+cloud = {rps = 8.0, list_lag_s = 3.0}
+limits = {cpu = 1.0, mem_mb = 300.0, max_sockets = 1000}
+`)
+	both := write("both.xml", "<caperlatch><standby/><zones/></caperlatch>")
+	cases := []struct {
+		name  string
+		args  []string
+		wrong string
+	}{
+		{"none", nil, ""},
+		{"zones", []string{"--features", "../../deploy/zones.xml"}, ""},
+		{"the standby by either", []string{"--standby", "../../deploy/standby.xml"}, ""},
+		{"the standby by its own, zones by the other", []string{"--features", "../../deploy/zones.xml", "--standby", "../../deploy/standby.xml"}, ""},
+		{"the standby by both", []string{"--features", both, "--standby", "../../deploy/standby.xml"}, "both files"},
+		{"an unknown zone", []string{"--features", write("zone.xml", "<caperlatch><zones><exempt>c</exempt></zones></caperlatch>")}, "there is no zone c"},
+		{"no file", []string{"--features", filepath.Join(dir, "none.xml")}, "none.xml"},
+	}
+	for _, c := range cases {
+		out, err := execute(append([]string{"check", config}, c.args...)...)
+		if c.wrong == "" && (err != nil || !strings.Contains(out, "ok: member host-0")) || c.wrong != "" && (err == nil || !strings.Contains(err.Error(), c.wrong)) {
+			t.Errorf("%s: %q, %v; want error %q", c.name, out, err, c.wrong)
+		}
+	}
+}
