--- a/internal/leader/oldversions_test.go
+++ b/internal/leader/oldversions_test.go
@@ -127,6 +127,7 @@
 	// It stores gangs as all other jobs, and divided lists as all other lists.
 	{"5fd93d5", v3a714abLayouts},
 	{"1f14824", v3a714abLayouts}, // the last without a standby
+	{"d052fb0", v3a714abLayouts}, // the last without a policy on zones
 }
 
 // of finds the layout of a key.
--- a/internal/leader/zones.go
+++ b/internal/leader/zones.go
@@ -176,12 +176,13 @@
 // when the zone was cut, and was held back, is no evidence of a return. A later session is, and
 // a report that skips a number: its worker has given up the one between, so made it in the cut
 // or after, and what is held back arrives when the cut ends. So is a second report half a report
-// time later.
+// time later, and the first of a machine that was not heard in this term: its worker has had an
+// answer of this term.
 func (l *Leader) heardAnew(m *machine, now micros.Micros) {
 	z := &m.inZone
 	switch {
 	case z.back || m.notReceiving >= notReceivingAfter:
-	case z.session != 0 && (m.session > z.session || m.seq > z.seq+1):
+	case z.session == 0 || m.session > z.session || m.seq > z.seq+1:
 		z.back = true
 	case z.heardAt == 0:
 		z.heardAt = now
--- a/internal/peer/oldversions_test.go
+++ b/internal/peer/oldversions_test.go
@@ -81,6 +81,22 @@
 		Explain *v3a714abExplanation `json:"explain,omitempty"`
 		Error   string               `json:"error,omitempty"`
 	}
+	// What the warm standby says is kept as it is: it has a version of its own.
+	vd052fb0Request struct {
+		ID      uint64         `json:"id"`
+		Probe   *v3a714abProbe `json:"probe,omitempty"`
+		Relay   []wire.Raw     `json:"relay,omitempty"`
+		Explain string         `json:"explain,omitempty"`
+		Standby wire.Raw       `json:"standby,omitempty"`
+	}
+	vd052fb0Response struct {
+		ID      uint64               `json:"id"`
+		State   *v5fd93d5State       `json:"state,omitempty"`
+		Relay   []v3a714abRelayed    `json:"relay,omitempty"`
+		Explain *v3a714abExplanation `json:"explain,omitempty"`
+		Standby wire.Raw             `json:"standby,omitempty"`
+		Error   string               `json:"error,omitempty"`
+	}
 	v3a714abRelayed struct {
 		Answer wire.Raw `json:"answer,omitempty"`
 		Error  string   `json:"error,omitempty"`
@@ -126,20 +142,24 @@
 	name    string // its directory in testdata/versions
 	version int    // that it says it speaks
 	gangs   bool   // it runs gangs
+	standby bool   // it has the warm standby
 	// Its layouts.
 	request, response, report, answer reflect.Type
 }
 
 var oldVersions = []oldVersion{
-	{"3a714ab", 0, false,
+	{"3a714ab", 0, false, false,
 		reflect.TypeFor[v3a714abRequest](), reflect.TypeFor[v3a714abResponse](), reflect.TypeFor[v3a714abReport](), reflect.TypeFor[v3a714abAnswer]()},
 	// Gangs have no fields of their own: their states and causes are words that were not
 	// used before.
-	{"5fd93d5", 1, true,
+	{"5fd93d5", 1, true, false,
 		reflect.TypeFor[v3a714abRequest](), reflect.TypeFor[v5fd93d5Response](), reflect.TypeFor[v3a714abReport](), reflect.TypeFor[v3a714abAnswer]()},
 	// The last without a standby.
-	{"1f14824", 1, true,
+	{"1f14824", 1, true, false,
 		reflect.TypeFor[v3a714abRequest](), reflect.TypeFor[v5fd93d5Response](), reflect.TypeFor[v3a714abReport](), reflect.TypeFor[v3a714abAnswer]()},
+	// The last without a policy on zones.
+	{"d052fb0", 1, true, true,
+		reflect.TypeFor[vd052fb0Request](), reflect.TypeFor[vd052fb0Response](), reflect.TypeFor[v3a714abReport](), reflect.TypeFor[v3a714abAnswer]()},
 }
 
 // messages are those captured from the version (testdata/versions/capture), by name.
@@ -322,14 +342,21 @@
 	}
 	for _, v := range oldVersions {
 		t.Run(v.name, func(t *testing.T) {
-			// Earlier versions neither follow a leader nor publish, nor tell of zones: they ignore all.
+			// Earlier versions tell nothing of zones, and most neither follow a leader nor publish:
+			// they ignore these.
 			wantRequest := request
-			wantRequest.Standby, wantRequest.Zones = nil, false
+			wantRequest.Zones = false
+			if !v.standby {
+				wantRequest.Standby = nil
+			}
 			if got := read[Request](t, resaid(t, raw(t, request), v.request)); !reflect.DeepEqual(got, wantRequest) {
 				t.Errorf("request: %+v, want %+v", got, wantRequest)
 			}
 			want := response
-			want.Standby, want.Zones = nil, nil
+			want.Zones = nil
+			if !v.standby {
+				want.Standby = nil
+			}
 			if v.version == 0 {
 				want.State = capturedState(0) // it knows no versions, and does not pass them on
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// Price is what the machine costs an hour.
+func (w *Worker) Price() float64 {
+	t := Catalog().Types[0]
+	if w.rental.Spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
 // Zone is where the machine is.
 func (w *Worker) Zone() string { return w.rental.Zone }
 
--- a/rolling_test.go
+++ b/rolling_test.go
@@ -59,7 +59,7 @@
 // rollOut upgrades three nodes from the old program to the one of now.
 func rollOut(t *testing.T, old, now string, v oldVersion) {
 	gangs := v.gangs
-	r := &rollout{processes: newProcesses(t, 3, t.TempDir()), begun: time.Now(), gangs: gangs, standby: v.standby, ends: map[string]string{},
+	r := &rollout{processes: newProcesses(t, 3, t.TempDir()), begun: time.Now(), gangs: gangs, newArgs: v.args, ends: map[string]string{},
 		programs: make([]string, 3), accepted: map[string]int{}}
 	defer r.end()
 	for i := range r.stops {
@@ -117,8 +117,8 @@
 type rollout struct {
 	*processes
 	begun    time.Time
-	gangs    bool // all that serve know gangs
-	standby  bool // new processes have the warm standby on
+	gangs    bool     // all that serve know gangs
+	newArgs  []string // of new processes
 	programs []string
 	jobs     []map[string]any
 	ends     map[string]string // the state that each job must end in
@@ -128,8 +128,8 @@
 // begin begins a life of a node with a program.
 func (r *rollout) begin(i int, program string) {
 	r.programs[i], r.args = program, nil
-	if r.standby && filepath.Base(program) == "now" {
-		r.args = []string{"--standby", "deploy/standby.xml"}
+	if filepath.Base(program) == "now" {
+		r.args = r.newArgs
 	}
 	r.run(i, program)
 }
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -19,11 +19,16 @@
 type oldVersion struct {
 	name  string // first digits of its commit, and its directory in testdata/versions
 	gangs bool   // it runs gangs
-	// standby: an upgrade from it is tried with the warm standby on in the new processes.
-	standby bool
+	// args are those of the new processes when an upgrade from it is tried.
+	args []string
 }
 
-var oldVersions = []oldVersion{{"3a714ab", false, false}, {"5fd93d5", true, false}, {"1f14824", true, true}}
+var oldVersions = []oldVersion{
+	{"3a714ab", false, nil},
+	{"5fd93d5", true, nil},
+	{"1f14824", true, []string{"--standby", "deploy/standby.xml"}},
+	{"d052fb0", true, []string{"--standby", "deploy/standby.xml", "--features", "deploy/zones.xml"}},
+}
 
 func (v oldVersion) path(file string) string {
 	return filepath.Join("testdata", "versions", v.name, file)
--- a/zones_driver_test.go
+++ b/zones_driver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -78,6 +79,11 @@
 	ends    []zoneStart // the same of what was done
 	forgets bool        // what is stored of zones is lost with each leader
 	wrong   []string    // what checks found
+	// Of measurements.
+	seed       uint64                   // of the jobs' sizes; 0: all of a class have one size
+	acceptedAt map[string]time.Duration // by job
+	beganAt    map[string]time.Time     // of tasks on machines
+	repeated   time.Duration            // on machines, of starts that did not end done
 }
 
 // zoneStart is a start as its machine saw it.
@@ -94,6 +100,8 @@
 	waiting map[string]int // tasks that are accepted, not done, and on no machine
 	room    int            // CPUs that nothing holds, in zones that are not cut off
 	starts  map[string]int // since the sample before
+	busy    map[string]int // tasks on machines by zone
+	price   float64        // of all machines an hour
 }
 
 // zoneSettings is the policy as the runs have it.
@@ -101,14 +109,15 @@
 	c := zone.DefaultConfig(micros.FromSeconds(zoneReportS))
 	c.Classes = []string{"scan", "update"}
 	// Workers that were cut off come back within some 6 s; steps must show beside that.
-	c.StepHold = 4 * micros.Second
+	c.StepHold, c.HoldDown = 4*micros.Second, 2*micros.Second
 	return &c
 }
 
 // newZoneRun starts nodes in turn in the zones, each with so many machines at most.
 func newZoneRun(t *testing.T, nodes int, zones []string, machines int, features settings.Features) *zoneRun {
 	r := &zoneRun{zones: zones, load: 1, cutOff: map[string]bool{}, stays: map[string]bool{}, on: map[string]standin.TaskEvent{},
-		begun: map[string]int{}, done: map[string]bool{}, sizes: map[string]int{}, tainted: map[string]bool{}}
+		begun: map[string]int{}, done: map[string]bool{}, sizes: map[string]int{}, tainted: map[string]bool{},
+		acceptedAt: map[string]time.Duration{}, beganAt: map[string]time.Time{}}
 	r.cluster = newFeaturesCluster(t, nodes, func(s *settings.Settings) {
 		s.Params.Zones = zones
 		s.Params.Workers.ReportS, s.Params.Workers.LeaseS, s.Params.Workers.CancelS = zoneReportS, zoneLeaseS, zoneCancelS
@@ -139,7 +148,7 @@
 	defer r.mu.Unlock()
 	switch {
 	case e.Began:
-		r.on[e.Task] = e
+		r.on[e.Task], r.beganAt[e.Task] = e, time.Now()
 		r.begun[e.Task]++
 		r.starts = append(r.starts, zoneStart{time.Since(r.began), classOf(e.Task), e.Task, e.Machine, e.Zone})
 		r.tainted[e.Task] = r.tainted[e.Task] || r.hit(e.Zone)
@@ -147,6 +156,8 @@
 	case e.Done:
 		r.done[e.Task] = true
 		r.ends = append(r.ends, zoneStart{time.Since(r.began), classOf(e.Task), e.Task, e.Machine, e.Zone})
+	default:
+		r.repeated += time.Since(r.beganAt[e.Task])
 	}
 	delete(r.on, e.Task)
 }
@@ -237,8 +248,9 @@
 // submitAll has the jobs of a class come until the run is over.
 func (r *zoneRun) submitAll(c zoneClass) {
 	var users sync.WaitGroup
+	sizes := r.sizesOf(c)
 	for n := 0; !r.isOver(); n++ {
-		job := testJob(fmt.Sprintf("j-%06d", c.first+n), max(1, int(math.Round(r.load*float64(c.tasks)))))
+		job := testJob(fmt.Sprintf("j-%06d", c.first+n), sizes())
 		job["lane"], job["rank"], job["expect_s"], job["save_every_s"] = c.name, c.rank, c.runS, c.saveS
 		users.Go(func() { r.accepted(job, n) })
 		time.Sleep(c.every)
@@ -246,6 +258,17 @@
 	users.Wait()
 }
 
+// sizesOf gives the sizes of a class's jobs, one after the other. The classes draw them apart,
+// as they submit at the same time.
+func (r *zoneRun) sizesOf(c zoneClass) func() int {
+	usual := r.load * float64(c.tasks)
+	if r.seed == 0 {
+		return func() int { return max(1, int(math.Round(usual))) }
+	}
+	random := rand.New(rand.NewPCG(r.seed, uint64(c.first)))
+	return func() int { return max(1, int(math.Round(usual*(0.5+random.Float64())))) }
+}
+
 // accepted repeats a submission until it is taken, and counts its tasks from then on.
 func (r *zoneRun) accepted(job map[string]any, first int) {
 	for try := range 120 {
@@ -253,6 +276,7 @@
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.jobs = append(r.jobs, job["id"].(string))
+			r.acceptedAt[job["id"].(string)] = r.now()
 			r.sizes[job["lane"].(string)] += job["pieces"].(int)
 			return
 		}
@@ -272,12 +296,13 @@
 	seen := 0
 	for !r.isOver() {
 		time.Sleep(time.Second)
-		up := map[string]int{}
+		up, price := map[string]int{}, 0.0
 		for _, w := range r.cloud.Workers() {
 			up[w.Zone()]++
+			price += w.Price()
 		}
 		r.mu.Lock()
-		s := zoneSample{at: time.Since(r.began), waiting: map[string]int{}, starts: map[string]int{}}
+		s := zoneSample{at: time.Since(r.began), waiting: map[string]int{}, starts: map[string]int{}, price: price}
 		for class, n := range r.sizes {
 			s.waiting[class] = n
 		}
@@ -290,6 +315,7 @@
 				s.waiting[classOf(task)]--
 			}
 		}
+		s.busy = held
 		for name, n := range up {
 			if !r.cutOff[name] {
 				s.room += max(0, 4*n-held[name])
@@ -384,6 +410,14 @@
 	r.ledAfter(token)
 }
 
+// leadIn has the leader be in a zone.
+func (r *zoneRun) leadIn(name string) {
+	for r.target(true) != name {
+		r.killLeader()
+		time.Sleep(10 * time.Second)
+	}
+}
+
 // pause is for how long urgent work waited at the longest, although it had room where it might
 // lawfully run, and none of it began.
 func (r *zoneRun) pause() (longest time.Duration) {
--- a/zones_test.go
+++ b/zones_test.go
@@ -105,10 +105,7 @@
 		r.awaitState(lost, zone.Healthy)
 	}},
 	{"the leader is inside, and keeps leases alive", 3, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		for r.target(true) != "a" { // where two of three nodes are
-			r.killLeader()
-			time.Sleep(10 * time.Second)
-		}
+		r.leadIn("a") // where two of three nodes are
 		lost, cut := r.lose(true, 20*time.Second)
 		if n := r.doneIn(lost, cut+zoneLeaseS*time.Second); n == 0 {
 			r.t.Error("nothing ran on inside past its lease")
