Zones: a small lost zone's silent machines are returned as single ones are; no blind rentals

Change: whether silent machines are kept is decided at the verdict, by their part of the fleet, and remembered through flaps; an empty zone is held down and probed.

--- a/internal/zone/lifecycle.go
+++ b/internal/zone/lifecycle.go
@@ -18,6 +18,7 @@
 	flaps  int           // losses that are not forgotten
 	calm   micros.Micros // since when it has been healthy
 	until  micros.Micros // end of a hold-down
+	keep   bool          // its silent machines are kept: the loss is a large part of the fleet
 
 	lossSince       micros.Micros // since when the evidence speaks for a loss, 0 if it does not
 	observerAtFault bool
@@ -64,6 +65,8 @@
 
 func (z lifecycle) whileSuspected(c *Config, e Evidence, now micros.Micros) lifecycle {
 	switch {
+	case e.Up == 0: // all were given up as single machines
+		return z.holdDown(c, ReasonEmpty, e, now)
 	case c.clear(e):
 		return z.to(Healthy, ReasonWell, e, now)
 	case z.confirmed(c, now):
@@ -82,9 +85,7 @@
 	case !c.heard(e) || c.lost(e):
 		return z
 	}
-	z = z.to(HeldDown, reason, e, now)
-	z.until = now + c.holdDown(z.flaps)
-	return z
+	return z.holdDown(c, reason, e, now)
 }
 
 func (z lifecycle) whileHeldDown(c *Config, e Evidence, now micros.Micros) lifecycle {
@@ -117,7 +118,7 @@
 		return z.toStep(z.step+1, ReasonStepHeld, e, now)
 	}
 	z = z.to(Healthy, ReasonAllOpen, e, now)
-	z.calm = now
+	z.calm, z.keep = now, false
 	return z
 }
 
@@ -126,6 +127,11 @@
 	if z.step > 0 {
 		return z.toStep(z.step-1, reason, e, now)
 	}
+	return z.holdDown(c, reason, e, now)
+}
+
+// holdDown has the zone be heard for a while before it is used.
+func (z lifecycle) holdDown(c *Config, reason Reason, e Evidence, now micros.Micros) lifecycle {
 	z = z.to(HeldDown, reason, e, now)
 	z.until = now + c.holdDown(z.flaps)
 	return z
--- a/internal/zone/manager.go
+++ b/internal/zone/manager.go
@@ -36,6 +36,9 @@
 		if slices.Contains(m.config.Exempt, name) {
 			after = lifecycle{}
 		}
+		if after.state == Lost && before.state != Lost {
+			after.keep = m.mass || before.keep
+		}
 		m.zones[name] = after
 		m.moving = m.moving || after.state >= Lost
 		if after.state != before.state || after.step != before.step || after.reason != before.reason {
@@ -82,7 +85,7 @@
 // Decide implements Policy.
 func (m *Manager) Decide(name string) Decision {
 	z := m.zones[name]
-	d := Decision{Rent: true, Reachable: true, KeepSilent: m.mass || z.state != Healthy, Open: 1}
+	d := Decision{Rent: true, Reachable: true, KeepSilent: m.mass || z.state == Suspected || z.keep, Open: 1}
 	switch z.state {
 	case Suspected:
 		d.Rent, d.Reachable = false, z.lossSince == 0
--- a/internal/zone/record.go
+++ b/internal/zone/record.go
@@ -20,6 +20,7 @@
 	Step   int           `json:"step,omitempty"`
 	Flaps  int           `json:"flaps,omitempty"`
 	Until  micros.Micros `json:"until,omitempty"`
+	Keep   bool          `json:"keep,omitempty"`
 	Calm   micros.Micros `json:"calm,omitempty"`
 }
 
@@ -47,6 +48,7 @@
 			Step:   z.step,
 			Flaps:  z.flaps,
 			Until:  timeOfDay(z.until),
+			Keep:   z.keep,
 			Calm:   timeOfDay(z.calm),
 		}
 	}
@@ -88,6 +90,7 @@
 		since:  steady(s.Since),
 		step:   s.Step,
 		flaps:  s.Flaps,
+		keep:   s.Keep,
 		calm:   steady(s.Calm),
 	}
 	if s.State == HeldDown {
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -60,6 +60,7 @@
 		{"nobody left", append(lostAt[:3:3], moment{60, nothing, HeldDown, 0, ReasonEmpty}, moment{5, nothing, Returning, 0, ReasonHeldOut},
 			moment{99, nothing, Returning, 0, ReasonHeldOut}, moment{1, Evidence{Up: 3, Back: 3}, Returning, 0, ReasonHeldOut},
 			moment{7, Evidence{Up: 3, Back: 3}, Returning, 1, ReasonStepHeld})},
+		{"given up while it was suspected", []moment{{1, mostLate, Suspected, 0, ReasonLate}, {9, nothing, HeldDown, 0, ReasonEmpty}}},
 		{"held down", append(heldAt[:4:4], moment{4.9, allBack, HeldDown, 0, ReasonHeard}, moment{0.1, allBack, Returning, 0, ReasonHeldOut})},
 		{"held down for longer after a flap", append(heldAt[:4:4], moment{1, silent, HeldDown, 0, ReasonHeard}, moment{2, silent, Lost, 0, ReasonSilent},
 			moment{1, allBack, HeldDown, 0, ReasonHeard}, moment{9, allBack, HeldDown, 0, ReasonHeard}, moment{1, allBack, Returning, 0, ReasonHeldOut})},
@@ -163,7 +164,7 @@
 	c.Exempt = []string{"x"}
 	m := NewManager(c)
 	for name, z := range map[string]lifecycle{"healthy": {}, "suspected": {state: Suspected}, "blamed": {state: Suspected, observerAtFault: true, lossSince: 1},
-		"lost": {state: Lost}, "held": {state: HeldDown}, "returning": {state: Returning, step: 1}, "half open": {state: Returning, step: 2}, "empty": {state: Returning}} {
+		"lost": {state: Lost, keep: true}, "gone": {state: Lost}, "held": {state: HeldDown, keep: true}, "returning": {state: Returning, step: 1, keep: true}, "half open": {state: Returning, step: 2, keep: true}, "empty": {state: Returning, keep: true}} {
 		m.zones[name] = z
 	}
 	m.evidence["returning"], m.evidence["half open"] = well, well
@@ -173,6 +174,7 @@
 		"suspected": {Reachable: true, KeepSilent: true, Open: 1, Replace: 0.5},
 		"blamed":    {KeepSilent: true, Open: 1},
 		"lost":      {KeepSilent: true, Replace: 0.5},
+		"gone":      {Replace: 0.5},
 		"held":      {Reachable: true, KeepSilent: true, Replace: 0.5},
 		"returning": {Reachable: true, KeepSilent: true, Open: 0.25, Replace: 0.5},
 		"half open": {Rent: true, Reachable: true, KeepSilent: true, Open: 0.5, Replace: 0.5},
@@ -200,6 +202,25 @@
 	}
 }
 
+// TestKept has the silent machines of a lost zone be kept where the zone is a large part of the
+// fleet, through its flaps as well, and given up like single ones where it is not.
+func TestKept(t *testing.T) {
+	for others, want := range map[int]bool{40: true, 200: false} {
+		m, now := NewManager(testConfig()), 100*micros.Second
+		observe := func(e Evidence) {
+			now += 3 * micros.Second
+			m.Observe(now, Observation{Zones: map[string]Evidence{"a": e, "b": {Up: others}}})
+		}
+		observe(silent)
+		observe(silent)
+		replaced := Evidence{Up: 20, Silent: 20} // others stand for them by now
+		m.Observe(now, Observation{Zones: map[string]Evidence{"a": replaced, "b": {Up: others + 200}}})
+		if d := m.Decide("a"); m.zones["a"].state != Lost || d.KeepSilent != want {
+			t.Errorf("beside %d machines: %v, %+v, want kept: %v", others, m.zones["a"].state, d, want)
+		}
+	}
+}
+
 // TestBands has work move urgent first, then in the operators' order, while a zone is lost.
 func TestBands(t *testing.T) {
 	c := testConfig()
@@ -223,8 +244,8 @@
 		before lifecycle
 		after  lifecycle
 	}{
-		{"lost", lifecycle{state: Lost, reason: ReasonSilent, since: now - 20*micros.Second, flaps: 2, calm: now - 60*micros.Second},
-			lifecycle{state: Lost, reason: ReasonSilent, since: nowThere - 22*micros.Second, flaps: 2, calm: nowThere - 62*micros.Second}},
+		{"lost", lifecycle{state: Lost, reason: ReasonSilent, since: now - 20*micros.Second, flaps: 2, calm: now - 60*micros.Second, keep: true},
+			lifecycle{state: Lost, reason: ReasonSilent, since: nowThere - 22*micros.Second, flaps: 2, calm: nowThere - 62*micros.Second, keep: true}},
 		{"held down", lifecycle{state: HeldDown, reason: ReasonHeard, since: now - 4*micros.Second, flaps: 1, until: now + 6*micros.Second},
 			lifecycle{state: HeldDown, reason: ReasonHeard, since: nowThere - 6*micros.Second, flaps: 1, until: nowThere + 4*micros.Second}},
 		{"returning", lifecycle{state: Returning, reason: ReasonStepHeld, since: now - 4*micros.Second, step: 2, flaps: 1, sent: 9, started: 8},
