Stand-ins: a history of what workers and users saw judges lost zones

Cause: the driver of lost zones held both the cluster and the judgement of what was seen. Change: internal/standin keeps the history and judges pauses, order and steps from it alone; the driver is shorter.

--- a/zones_measure_test.go
+++ b/zones_measure_test.go
@@ -1,7 +1,6 @@
 package caperlatch
 
 import (
-	"fmt"
 	"os"
 	"strconv"
 	"strings"
@@ -109,7 +108,7 @@
 	rented, used := 0, 0
 	r.play(func(r *zoneRun) {
 		r.leadIn("a")
-		run.CutS, rented, used = r.now().Seconds(), r.cloud.Rented(), len(r.usedMachines())
+		run.CutS, rented, used = r.Now().Seconds(), r.cloud.Rented(), r.Used()
 		for i, s := range p.times {
 			if i%2 == 0 {
 				r.cut("b")
@@ -118,56 +117,23 @@
 			}
 			time.Sleep(time.Duration(s * float64(time.Second)))
 		}
-		run.RestoreS = r.now().Seconds()
+		run.RestoreS = r.Now().Seconds()
 		r.restore()
 		time.Sleep(measuredSettle)
 	})
 	run.Rented = r.cloud.Rented() - rented
-	run.Unused = run.Rented - (len(r.usedMachines()) - used)
-	run.RepeatedS, run.Money = r.repeated.Seconds(), r.moneyAfter(run.CutS)
-	for _, s := range r.samples {
-		run.Samples = append(run.Samples, zonereport.Sample{AtS: s.at.Seconds(), Waiting: s.waiting, Busy: s.busy})
-	}
-	if err := r.addWaits(run); err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%s, %d machines, policy %v, seed %d: %d starts, pause %v", run.Pattern, run.Machines, run.Policy, run.Seed, r.cloud.Starts(), r.pause())
-}
-
-// usedMachines are those that had a start.
-func (r *zoneRun) usedMachines() map[string]bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	used := map[string]bool{}
-	for _, s := range r.starts {
-		used[s.machine] = true
-	}
-	return used
-}
-
-// moneyAfter is what all machines cost from a moment on.
-func (r *zoneRun) moneyAfter(fromS float64) (money float64) {
-	for _, s := range r.samples {
-		if s.at.Seconds() > fromS {
-			money += s.price / secondsAnHour
+	run.Unused = run.Rented - (r.Used() - used)
+	run.RepeatedS = r.Repeated().Seconds()
+	for _, s := range r.Samples() {
+		run.Samples = append(run.Samples, zonereport.Sample{AtS: s.At.Seconds(), Waiting: s.Waiting, Busy: s.Busy})
+		if s.At.Seconds() > run.CutS {
+			run.Money += s.Price / secondsAnHour // a sample a second
 		}
 	}
-	return money
-}
-
-// addWaits adds the waits for their first starts of the tasks accepted from the first cut on.
-func (r *zoneRun) addWaits(run *zonereport.Run) error {
-	seen := map[string]bool{}
-	for _, s := range r.starts {
-		id, _, _ := strings.Cut(s.task, "/")
-		accepted, ok := r.acceptedAt[id]
-		if seen[s.task] || !ok || accepted.Seconds() < run.CutS {
-			continue
+	r.Waits(time.Duration(run.CutS*float64(time.Second)), func(class string, wait time.Duration) {
+		if err := run.AddWait(class, wait.Seconds()); err != nil {
+			t.Error(err)
 		}
-		seen[s.task] = true
-		if err := run.AddWait(s.class, (s.at - accepted).Seconds()); err != nil {
-			return fmt.Errorf("%s: %w", s.task, err)
-		}
-	}
-	return nil
+	})
+	t.Logf("%s, %d machines, policy %v, seed %d: %d starts, pause %v", run.Pattern, run.Machines, run.Policy, run.Seed, r.cloud.Starts(), r.Pause("urgent"))
 }
--- a/zones_test.go
+++ b/zones_test.go
@@ -31,6 +31,7 @@
 	mostPause     = 30 * time.Second // of urgent work
 	orderPart     = 5                // a routine start in so many scans is borne while scans wait
 	leastMeasured = 60               // starts, for an order to be judged
+	leastWaiting  = 30               // scans, for others to be out of order
 )
 
 var (
@@ -49,7 +50,7 @@
 var zoneScenarios = []zoneScenario{
 	{"cut and restored", 5, twoZones, fullMachines, fullLoad, func(r *zoneRun) {
 		lost, _ := r.lose(false, 0)
-		lostAt := r.now()
+		lostAt := r.Now()
 		time.Sleep(14 * time.Second) // none of its machines is given up for being silent
 		restored := r.comesBack(lost)
 		r.check(r.inOrder(lostAt, restored))
@@ -59,11 +60,11 @@
 	{"three flaps, as leases end and as a step opens", 3, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
 		lost, _ := r.lose(false, 25*time.Second)
 		first := r.cloud.Rented()
-		r.comesBackTo(lost, zone.Returning)
+		r.comesBack(lost, zone.Returning)
 		r.cut(lost)
 		r.awaitState(lost, zone.Lost)
 		time.Sleep((zoneLeaseS - 6) * time.Second)
-		r.comesBackTo(lost, zone.HeldDown, zone.Returning)
+		r.comesBack(lost, zone.HeldDown, zone.Returning)
 		r.cut(lost)
 		r.awaitState(lost, zone.Lost)
 		time.Sleep(5 * time.Second)
@@ -96,18 +97,15 @@
 			r.restore()
 			r.killLeader()
 		}()
-		r.with(30*time.Second, func(from string, q *http.Request) standin.Fault {
-			if machineOf(from) != "" && q.URL.Path == "/hello" && len(from)%2 == int(from[len(from)-1])%2 {
-				return standin.Copied
-			}
-			return standin.Pass
+		r.with(30*time.Second, standin.Copied, func(from string, q *http.Request) bool {
+			return machineOf(from) != "" && q.URL.Path == "/hello" && from[len(from)-1]%2 == 0
 		})
 		r.awaitState(lost, zone.Healthy)
 	}},
 	{"the leader is inside, and keeps leases alive", 3, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
 		r.leadIn("a") // where two of three nodes are
 		lost, cut := r.lose(true, 20*time.Second)
-		if n := r.doneIn(lost, cut+zoneLeaseS*time.Second); n == 0 {
+		if n := r.EndsIn(lost, cut+zoneLeaseS*time.Second); n == 0 {
 			r.t.Error("nothing ran on inside past its lease")
 		}
 		r.comesBack(lost)
@@ -120,9 +118,7 @@
 	{"two leaders in a row are killed when the zone returns", 5, twoZones, halfMachines, halfLoad, killedIn(zone.Returning, 2)},
 	{"all nodes restart at once", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
 		lost, _ := r.lose(false, 10*time.Second)
-		token := r.token()
-		r.back(0, 1, 2, 3, 4)
-		r.ledAfter(token)
+		r.restartAll()
 		r.check(r.goesOn(lost, zone.Lost))
 		r.comesBack(lost)
 	}},
@@ -133,7 +129,7 @@
 	}},
 	{"the state service refuses the leader, then all, in the return", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
 		lost, _ := r.lose(false, 20*time.Second)
-		r.comesBackTo(lost, zone.Returning)
+		r.comesBack(lost, zone.Returning)
 		r.refuseState(8 * time.Second)
 		r.awaitState(lost, zone.Healthy)
 	}},
@@ -145,12 +141,7 @@
 		r.comesBack(lost)
 	}},
 	{"the cloud is down meanwhile", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		go r.with(40*time.Second, func(_ string, q *http.Request) standin.Fault {
-			if q.URL.Host == "cloud" {
-				return standin.Refused
-			}
-			return standin.Pass
-		})
+		go r.with(40*time.Second, standin.Refused, func(_ string, q *http.Request) bool { return q.URL.Host == "cloud" })
 		lost, _ := r.lose(false, 25*time.Second)
 		r.comesBack(lost)
 	}},
@@ -206,11 +197,8 @@
 	{"the only zone", 3, []string{"a"}, 2 * halfMachines, halfLoad, func(r *zoneRun) {
 		// Its machines are cut off from the nodes, which go on.
 		r.change(func() { r.allHit = true })
-		r.with(25*time.Second, func(from string, q *http.Request) standin.Fault {
-			if (machineOf(from) == "") != (machineOf(q.URL.Host) == "") {
-				return standin.LostRequest
-			}
-			return standin.Pass
+		r.with(25*time.Second, standin.LostRequest, func(from string, q *http.Request) bool {
+			return (machineOf(from) == "") != (machineOf(q.URL.Host) == "")
 		})
 		if s := r.status("a"); s.Zone == "" || s.Flaps > 0 {
 			r.t.Errorf("the only zone was lost: %+v", s)
@@ -246,9 +234,7 @@
 		time.Sleep(5 * time.Second)
 		r.without = nil
 		r.restore()
-		token := r.token()
-		r.back(0, 1, 2, 3, 4)
-		r.ledAfter(token)
+		r.restartAll()
 		r.awaitState(lost, zone.Healthy)
 	}},
 }
@@ -274,11 +260,11 @@
 	defer r.close()
 	r.load = s.load
 	r.play(s.script)
-	pause := r.pause()
+	pause := r.Pause("urgent")
 	if pause > mostPause {
 		t.Errorf("urgent work paused for %v", pause)
 	}
-	if again := r.begunAgain(); len(again) > 0 {
+	if again := r.BegunAgain("urgent"); len(again) > 0 {
 		t.Errorf("%d urgent tasks began again that no trouble met: %v", len(again), again[:min(5, len(again))])
 	}
 	t.Logf("pause %v, %d starts, %d machines rented", pause, r.cloud.Starts(), r.cloud.Rented())
@@ -325,6 +311,71 @@
 	wrongState    = "stored state:"
 )
 
+// check notes what was found wrong, if anything was.
+func (r *zoneRun) check(wrong string) {
+	if wrong != "" {
+		r.wrong = append(r.wrong, wrong)
+	}
+}
+
+// inOrder judges the order in which work began between two moments.
+func (r *zoneRun) inOrder(from, to time.Duration) string {
+	scans, updates := r.StartsWhile("scan", "update", leastWaiting, from, to)
+	if scans+updates < leastMeasured {
+		r.t.Errorf("%d tasks began while scans waited, too few to tell, between %v and %v", scans+updates, from, to)
+	}
+	if updates*orderPart > scans {
+		return fmt.Sprintf("%s %d updates began beside %d scans while scans waited", wrongOrder, updates, scans)
+	}
+	return ""
+}
+
+// inSteps judges how fast the machines of a zone got work again after a moment.
+func (r *zoneRun) inSteps(name string, after time.Duration) string {
+	at, c := r.FirstStarts(name, after), zoneSettings()
+	if len(at) < fullMachines/2 {
+		r.t.Errorf("%d machines got work again, too few to tell", len(at))
+		return ""
+	}
+	soon := 0
+	for _, d := range at {
+		if d-at[0] < c.StepHold.Duration()/2 {
+			soon++
+		}
+	}
+	// A part of a machine is one.
+	if most := 1 + int(c.Steps[0]*float64(r.cloud.MostIn[name])); soon > most {
+		return fmt.Sprintf("%s %d machines got work within the first step, want at most %d", wrongSteps, soon, most)
+	}
+	if half := at[len(at)*6/10] - at[0]; half < 5*c.StepHold.Duration()/2 {
+		return fmt.Sprintf("%s more than half of the machines got work after %v", wrongSteps, half)
+	}
+	return ""
+}
+
+// heldDown ends all cuts and judges when the first machine of a zone gets work that could run
+// elsewhere.
+func (r *zoneRun) heldDown(name string, least time.Duration) string {
+	restored := r.comesBack(name)
+	if at := r.FirstStarts(name, restored); len(at) > 0 && at[0] < restored+least {
+		return fmt.Sprintf("%s a task began %v after the zone was heard again, want at least %v", wrongHoldDown, at[0]-restored, least)
+	}
+	return ""
+}
+
+// goesOn judges whether a leader that has just begun thinks so of a zone.
+func (r *zoneRun) goesOn(name string, states ...zone.State) string {
+	s := r.status(name)
+	for try := 0; s.Zone == "" && try < 30; try++ {
+		time.Sleep(100 * time.Millisecond)
+		s = r.status(name)
+	}
+	if isAny(s, states) {
+		return ""
+	}
+	return fmt.Sprintf("%s zone %s is %q (%s) under the next leader, want %v", wrongState, name, s.State, s.Reason, states)
+}
+
 // killedIn is a script that ends the leader, or several, when it thinks so of a zone.
 func killedIn(state zone.State, times int) func(r *zoneRun) {
 	return func(r *zoneRun) {
