Stand-ins: partitions by zones leave the tests' driver

Cause: cuts by zones are a stand-in's work, and stood in a test's driver. Change: internal/standin.Partition cuts zones off, apart and partly; the driver uses it.

--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -97,11 +97,10 @@
 	}
 }
 
-// Change has troubles begin or end, and notes which tasks they meet.
-func (h *History) Change(f func()) {
+// Troubled notes which tasks the troubles meet that have just begun.
+func (h *History) Troubled() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	f()
 	for task, p := range h.on {
 		h.taint(task, p.Zone)
 	}
--- a/zones_driver_test.go
+++ b/zones_driver_test.go
@@ -57,20 +57,16 @@
 type zoneRun struct {
 	*cluster
 	*standin.History
+	*standin.Partition
 	zones   []string
 	load    float64 // of the jobs' sizes, 1: as the classes say
 	seed    uint64  // of the jobs' sizes; 0: all of a class have one size
 	forgets bool    // what is stored of zones is lost with each leader
 	wrong   []string
 
-	mu     sync.Mutex
-	cutOff map[string]bool // zones
-	apart  bool            // zones are cut off from each other, not from the services
-	allHit bool            // all machines are met by some other trouble
-	stays  map[string]bool // machines of a cut zone that are heard again
-	others func(from string, r *http.Request) standin.Fault
-	ended  bool
-	jobs   []string
+	mu    sync.Mutex
+	ended bool
+	jobs  []string
 }
 
 // zoneSettings is the policy as the runs have it. Workers that were cut off come back within
@@ -84,36 +80,36 @@
 
 // newZoneRun starts nodes in turn in the zones, each with so many machines at most.
 func newZoneRun(t *testing.T, nodes int, zones []string, machines int, features settings.Features) *zoneRun {
-	r := &zoneRun{zones: zones, load: 1, cutOff: map[string]bool{}, stays: map[string]bool{}, History: standin.NewHistory()}
+	r := &zoneRun{zones: zones, load: 1, History: standin.NewHistory(), Partition: standin.NewPartition()}
+	r.cluster = newFeaturesCluster(t, nodes, func(s *settings.Settings) {
+		s.Params.Zones = zones
+		s.Params.Workers.ReportS, s.Params.Workers.LeaseS, s.Params.Workers.CancelS = zoneReportS, zoneLeaseS, zoneCancelS
+	}, features)
 	r.ClassOf = func(task string) string {
 		if c := zoneClassOf(task); c != nil {
 			return c.name
 		}
 		return ""
 	}
-	r.Hit = func(name string) bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.cutOff[name] || r.apart || r.allHit
-	}
-	r.Recent = 2 * zoneReportS * time.Second
-	r.cluster = newFeaturesCluster(t, nodes, func(s *settings.Settings) {
-		s.Params.Zones = zones
-		s.Params.Workers.ReportS, s.Params.Workers.LeaseS, s.Params.Workers.CancelS = zoneReportS, zoneLeaseS, zoneCancelS
-	}, features)
-	r.cloud.Zones, r.rules.Offers[0].Zones = zones, zones
-	r.cloud.MostIn = map[string]int{}
-	for _, name := range zones {
-		r.cloud.MostIn[name] = machines
-	}
 	r.cloud.RunFor = func(task string) float64 {
 		if c := zoneClassOf(task); c != nil {
 			return c.runS
 		}
 		return 60
 	}
+	r.cloud.Zones, r.rules.Offers[0].Zones = zones, zones
+	r.cloud.MostIn = map[string]int{}
+	for _, name := range zones {
+		r.cloud.MostIn[name] = machines
+	}
+	r.History.Hit, r.Recent = r.Partition.Hit, 2*zoneReportS*time.Second
 	r.cloud.Watch = r.Watch
-	r.setFault(r.zoneFault)
+	r.ZoneOf, r.MachineOf = r.zoneOfName, machineOf
+	r.Changed = func() {
+		r.Troubled()
+		r.pipes.Cut(r.Separated)
+	}
+	r.setFault(r.Fault)
 	return r
 }
 
@@ -129,71 +125,6 @@
 	return ""
 }
 
-// separated tells whether nothing passes between two names.
-func (r *zoneRun) separated(from, to string) bool {
-	a, b := r.zoneOfName(from), r.zoneOfName(to)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if a == b || r.stays[machineOf(from)] || r.stays[machineOf(to)] {
-		return false
-	}
-	return r.cutOff[a] || r.cutOff[b] || r.apart && a != "" && b != ""
-}
-
-// zoneFault is what messages meet.
-func (r *zoneRun) zoneFault(from string, q *http.Request) standin.Fault {
-	if r.separated(from, q.URL.Host) {
-		return standin.LostRequest
-	}
-	r.mu.Lock()
-	others := r.others
-	r.mu.Unlock()
-	if others == nil {
-		return standin.Pass
-	}
-	return others(from, q)
-}
-
-// with has messages that match meet a fault as well, for a while.
-func (r *zoneRun) with(d time.Duration, fault standin.Fault, match func(from string, q *http.Request) bool) {
-	set := func(f func(from string, q *http.Request) standin.Fault) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.others = f
-	}
-	set(func(from string, q *http.Request) standin.Fault {
-		if match(from, q) {
-			return fault
-		}
-		return standin.Pass
-	})
-	time.Sleep(d)
-	set(nil)
-}
-
-// change has troubles begin or end.
-func (r *zoneRun) change(f func()) {
-	r.Change(func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		f()
-	})
-	r.pipes.Cut(r.separated)
-}
-
-// cut cuts zones off from everything, restore ends all cuts.
-func (r *zoneRun) cut(zones ...string) {
-	r.change(func() {
-		for _, name := range zones {
-			r.cutOff[name] = true
-		}
-	})
-}
-
-func (r *zoneRun) restore() {
-	r.change(func() { r.cutOff, r.apart, r.allHit, r.stays = map[string]bool{}, false, false, map[string]bool{} })
-}
-
 // submitAll has the jobs of a class come until the run is over.
 func (r *zoneRun) submitAll(c zoneClass) {
 	var users sync.WaitGroup
@@ -247,7 +178,7 @@
 	})
 	time.Sleep(100 * time.Second) // the fleet is steady
 	script(r)
-	r.restore()
+	r.Restore()
 	time.Sleep(20 * time.Second)
 	r.mu.Lock()
 	r.ended = true
@@ -348,7 +279,7 @@
 // since when it is cut.
 func (r *zoneRun) lose(leads bool, d time.Duration) (lost string, cut time.Duration) {
 	lost, cut = r.target(leads), r.Now()
-	r.cut(lost)
+	r.Cut(lost)
 	r.awaitState(lost, zone.Lost)
 	time.Sleep(d)
 	return lost, cut
@@ -358,7 +289,7 @@
 // tells when the cuts ended.
 func (r *zoneRun) comesBack(name string, states ...zone.State) (restored time.Duration) {
 	restored = r.Now()
-	r.restore()
+	r.Restore()
 	r.awaitState(name, append(states, zone.Healthy)...)
 	return restored
 }
@@ -375,7 +306,7 @@
 // refuseState has the state service refuse the leader alone for a while, and then everybody.
 func (r *zoneRun) refuseState(d time.Duration) {
 	leads := r.leader()
-	r.with(d, standin.Refused, func(from string, q *http.Request) bool { return isState(q) && fromNode(from, leads) })
+	r.With(d, standin.Refused, func(from string, q *http.Request) bool { return isState(q) && fromNode(from, leads) })
 	r.state.SetDown(true)
 	time.Sleep(d)
 	r.state.SetDown(false)
--- a/zones_measure_test.go
+++ b/zones_measure_test.go
@@ -111,14 +111,14 @@
 		run.CutS, rented, used = r.Now().Seconds(), r.cloud.Rented(), r.Used()
 		for i, s := range p.times {
 			if i%2 == 0 {
-				r.cut("b")
+				r.Cut("b")
 			} else {
-				r.restore()
+				r.Restore()
 			}
 			time.Sleep(time.Duration(s * float64(time.Second)))
 		}
 		run.RestoreS = r.Now().Seconds()
-		r.restore()
+		r.Restore()
 		time.Sleep(measuredSettle)
 	})
 	run.Rented = r.cloud.Rented() - rented
--- a/zones_test.go
+++ b/zones_test.go
@@ -61,11 +61,11 @@
 		lost, _ := r.lose(false, 25*time.Second)
 		first := r.cloud.Rented()
 		r.comesBack(lost, zone.Returning)
-		r.cut(lost)
+		r.Cut(lost)
 		r.awaitState(lost, zone.Lost)
 		time.Sleep((zoneLeaseS - 6) * time.Second)
 		r.comesBack(lost, zone.HeldDown, zone.Returning)
-		r.cut(lost)
+		r.Cut(lost)
 		r.awaitState(lost, zone.Lost)
 		time.Sleep(5 * time.Second)
 		if s := r.status(lost); s.Flaps < 3 {
@@ -79,25 +79,23 @@
 	}},
 	{"half of the zone comes back", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
 		lost, _ := r.lose(false, 20*time.Second)
-		r.change(func() {
-			for i, w := range r.cloud.Workers() {
-				if w.Zone() == lost && i%2 == 0 {
-					r.stays[w.ID] = true
-				}
+		for i, w := range r.cloud.Workers() {
+			if w.Zone() == lost && i%2 == 0 {
+				r.LetThrough(w.ID)
 			}
-		})
+		}
 		time.Sleep(40 * time.Second)
-		r.restore()
+		r.Restore()
 		r.awaitState(lost, zone.Healthy)
 	}},
 	{"reports over a lease old reach all nodes as a leader begins", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
 		lost, _ := r.lose(false, 15*time.Second)
 		go func() {
 			time.Sleep(5 * time.Second)
-			r.restore()
+			r.Restore()
 			r.killLeader()
 		}()
-		r.with(30*time.Second, standin.Copied, func(from string, q *http.Request) bool {
+		r.With(30*time.Second, standin.Copied, func(from string, q *http.Request) bool {
 			return machineOf(from) != "" && q.URL.Path == "/hello" && from[len(from)-1]%2 == 0
 		})
 		r.awaitState(lost, zone.Healthy)
@@ -135,13 +133,13 @@
 	}},
 	{"two zones are apart, and both reach the state service", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
 		lost := r.target(false)
-		r.change(func() { r.apart = true })
+		r.Apart()
 		r.awaitState(lost, zone.Lost)
 		time.Sleep(20 * time.Second)
 		r.comesBack(lost)
 	}},
 	{"the cloud is down meanwhile", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		go r.with(40*time.Second, standin.Refused, func(_ string, q *http.Request) bool { return q.URL.Host == "cloud" })
+		go r.With(40*time.Second, standin.Refused, func(_ string, q *http.Request) bool { return q.URL.Host == "cloud" })
 		lost, _ := r.lose(false, 25*time.Second)
 		r.comesBack(lost)
 	}},
@@ -154,7 +152,7 @@
 				taken++
 			}
 		}
-		r.change(func() { r.allHit = true })
+		r.HitAll()
 		time.Sleep(20 * time.Second)
 		r.comesBack(lost)
 	}},
@@ -196,8 +194,8 @@
 	}},
 	{"the only zone", 3, []string{"a"}, 2 * halfMachines, halfLoad, func(r *zoneRun) {
 		// Its machines are cut off from the nodes, which go on.
-		r.change(func() { r.allHit = true })
-		r.with(25*time.Second, standin.LostRequest, func(from string, q *http.Request) bool {
+		r.HitAll()
+		r.With(25*time.Second, standin.LostRequest, func(from string, q *http.Request) bool {
 			return (machineOf(from) == "") != (machineOf(q.URL.Host) == "")
 		})
 		if s := r.status("a"); s.Zone == "" || s.Flaps > 0 {
@@ -207,7 +205,7 @@
 	{"two of four zones", 5, fourZones, halfMachines / 2, halfLoad, func(r *zoneRun) {
 		leads := r.zoneOfName(fmt.Sprintf("host-%d", r.leader()))
 		lost := slices.DeleteFunc(slices.Clone(fourZones), func(name string) bool { return name == leads })[:2]
-		r.cut(lost...)
+		r.Cut(lost...)
 		r.awaitState(lost[0], zone.Lost)
 		r.awaitState(lost[1], zone.Lost)
 		time.Sleep(20 * time.Second)
@@ -223,7 +221,7 @@
 				w.Hang(25 * time.Second)
 			}
 		}
-		r.change(func() { r.allHit = true })
+		r.HitAll()
 		time.Sleep(25 * time.Second)
 		r.comesBack(lost)
 	}},
@@ -233,7 +231,7 @@
 		r.killLeader()
 		time.Sleep(5 * time.Second)
 		r.without = nil
-		r.restore()
+		r.Restore()
 		r.restartAll()
 		r.awaitState(lost, zone.Healthy)
 	}},
@@ -380,11 +378,11 @@
 func killedIn(state zone.State, times int) func(r *zoneRun) {
 	return func(r *zoneRun) {
 		lost := r.target(false)
-		r.cut(lost)
+		r.Cut(lost)
 		if state > zone.Lost {
 			r.awaitState(lost, zone.Lost)
 			time.Sleep(20 * time.Second)
-			r.restore()
+			r.Restore()
 		}
 		r.awaitState(lost, state)
 		if state >= zone.Lost {
