--- a/internal/leader/machine.go
+++ b/internal/leader/machine.go
@@ -186,14 +186,14 @@
 // than they are: they are kept as long as their leases last, and as long again.
 func (l *Leader) whyReturn(m *machine, over bool, now micros.Micros) string {
 	report := l.Settings.Params.Workers.Report()
-	keep := l.zones.Decide(m.kind.Zone).KeepSilent
+	kept := func() bool { return l.zones.Decide(m.kind.Zone).KeepSilent }
 	switch {
 	case m.leaving:
-	case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!keep || m.expired != 0 && now-m.expired > l.lease):
+	case m.up && l.silentFor(m, now) > l.silentLimit(m) && (!kept() || m.expired != 0 && now-m.expired > l.lease):
 		return "silent"
 	case m.up && l.taken(m, now):
 		return "silent and no longer listed"
-	case m.notReceiving >= notReceivingAfter && now-m.notReceivingSince > l.silentLimit(m) && (!keep || over):
+	case m.notReceiving >= notReceivingAfter && now-m.notReceivingSince > l.silentLimit(m) && (!kept() || over):
 		return "it hears nothing"
 	case !m.up && m.first == 0 && now-m.rentedAt > l.bootLimit(m) && now-l.began > 2*report:
 		l.lateBoots.add(false)
--- a/internal/leader/zones.go
+++ b/internal/leader/zones.go
@@ -121,20 +121,27 @@
 
 // zoneEvidence counts the machines by zone. Each stands in one group, the gravest.
 func (l *Leader) zoneEvidence(now micros.Micros) map[string]zone.Evidence {
-	zones := map[string]zone.Evidence{}
+	counted := map[string]*zone.Evidence{}
+	of := func(name string) *zone.Evidence {
+		if counted[name] == nil {
+			counted[name] = &zone.Evidence{}
+		}
+		return counted[name]
+	}
 	for _, m := range l.order {
-		if !m.up || m.leaving {
-			continue
+		if m.up && !m.leaving {
+			e := of(m.kind.Zone)
+			e.Up++
+			l.countEvidence(m, e, now)
 		}
-		e := zones[m.kind.Zone]
-		e.Up++
-		l.countEvidence(m, &e, now)
-		zones[m.kind.Zone] = e
 	}
 	for name, c := range l.counters {
-		e := zones[name]
+		e := of(name)
 		e.Relapses, e.Sent, e.Started = c.relapses, c.sent, c.started
-		zones[name] = e
+	}
+	zones := make(map[string]zone.Evidence, len(counted))
+	for name, e := range counted {
+		zones[name] = *e
 	}
 	return zones
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -131,23 +131,35 @@
 // Less is the queue's order: what has waited too long to begin, the bands while a zone is
 // lost, guarantees, then priorities, then what can still be in time, and of that what is due first.
 func Less(a, b *Job) int {
-	return cmp.Or(claim(a, b), cmp.Compare(a.Due, b.Due), cmp.Compare(a.ID, b.ID))
+	if c := claim(a, b); c != 0 {
+		return c
+	}
+	if a.Due != b.Due {
+		return cmp.Compare(a.Due, b.Due)
+	}
+	return cmp.Compare(a.ID, b.ID)
 }
 
-// claim compares what comes before due times.
+// claim compares what comes before due times. Plans sort thousands of jobs by it.
 func claim(a, b *Job) int {
-	return cmp.Or(
-		cmp.Compare(rank(a.Aged), rank(b.Aged)),
-		standing(a, b),
-		cmp.Compare(rank(!a.Late), rank(!b.Late)))
+	if a.Aged != b.Aged {
+		return rank(a.Aged) - rank(b.Aged)
+	}
+	if c := standing(a, b); c != 0 {
+		return c
+	}
+	return rank(!a.Late) - rank(!b.Late)
 }
 
 // standing compares what a job is entitled to, however long it waits and whatever is due.
 func standing(a, b *Job) int {
-	return cmp.Or(
-		cmp.Compare(a.Band, b.Band),
-		cmp.Compare(rank(a.Covered), rank(b.Covered)),
-		cmp.Compare(b.Priority, a.Priority))
+	if a.Band != b.Band {
+		return cmp.Compare(a.Band, b.Band)
+	}
+	if a.Covered != b.Covered {
+		return rank(a.Covered) - rank(b.Covered)
+	}
+	return cmp.Compare(b.Priority, a.Priority)
 }
 
 // SetAside marks as late the jobs that too much work keeps from being in time,
