Zones: a machine that boots in a returning zone counts as supply

Cause: machines that boot there are closed until they are heard, and half of them did not count as supply, so others were rented beside them. Change: only machines that are up can be unusable.

--- a/internal/leader/zones.go
+++ b/internal/leader/zones.go
@@ -247,9 +247,10 @@
 	l.replan = true
 }
 
-// unusable tells whether a machine's room is not to be had now.
+// unusable tells whether the room of a machine that is up is not to be had now. One that boots
+// counts as supply: it is open once it is heard, and was rented for that.
 func (l *Leader) unusable(m *machine, now micros.Micros) bool {
-	return m.inZone.closed || m.up && (l.lateReport(m, now) || m.notReceiving >= notReceivingAfter)
+	return m.up && (m.inZone.closed || l.lateReport(m, now) || m.notReceiving >= notReceivingAfter)
 }
 
 // replacedMachines picks the machines that do not count as supply, since their zone is
--- a/internal/leader/zones_test.go
+++ b/internal/leader/zones_test.go
@@ -158,6 +158,11 @@
 	if closed() != 10 || supply() != 15 || !l.dirty[replica.ZonesKey] {
 		t.Errorf("lost: %d closed, supply %d, stored %v; want 10, 15 and true", closed(), supply(), l.dirty[replica.ZonesKey])
 	}
+	l.order[10].up = false // half of the nine others, rounded
+	if supply() != 15 || len(l.replacedMachines(now)) != 5 || l.replacedMachines(now)[l.order[10]] {
+		t.Errorf("one boots: supply %d, %d replaced; want 15 and 5, not that one", supply(), len(l.replacedMachines(now)))
+	}
+	l.order[10].up = true
 	if l.boundTo(bound) != "b" || l.boundTo(together) != "b" || l.boundTo(free) != "" {
 		t.Errorf("bound to %q, %q and %q", l.boundTo(bound), l.boundTo(together), l.boundTo(free))
 	}
