--- a/standby_commands_test.go
+++ b/standby_commands_test.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// TestStandbyCommands follows docs/operations-standby.md with real processes: the commands,
+// TestStandbyCommands follows docs/operations-standby.md and docs/operations-zones.md with real
+// processes: the commands,
 // asked of leaders, followers and nodes without a standby. It runs with TestFailoverTimes.
 func TestStandbyCommands(t *testing.T) {
 	if os.Getenv(failoverVariable) == "" {
@@ -20,8 +21,9 @@
 	shell(t, `go build -ldflags=-linkmode=external -o "$1" ./cmd/caperlatch`, program)
 	c := newProcesses(t, 3, t.TempDir())
 	defer c.end()
-	c.run(2, program) // without a standby
-	c.args = []string{"--standby", "deploy/standby.xml"}
+	withParts := []string{"--standby", "deploy/standby.xml", "--features", "deploy/zones.xml"}
+	c.run(2, program) // without optional parts
+	c.args = withParts
 	c.run(0, program)
 	c.run(1, program)
 	c.submit("j-000001", 6)
@@ -31,7 +33,7 @@
 		c.ledAfter(token)
 		c.args = nil
 		c.run(2, program)
-		c.args = []string{"--standby", "deploy/standby.xml"}
+		c.args = withParts
 	}
 	time.Sleep(3 * time.Second)
 	leader := c.leader()
@@ -54,6 +56,10 @@
 		{"a follower", []string{"standby", "--node", address(follower)}, false, []string{"following", "whole"}},
 		{"a node without", []string{"standby", "--node", address(2)}, true, []string{"the warm standby is off"}},
 		{"a node that is not there", []string{"standby", "--node", "127.0.0.1:1"}, true, []string{"refused"}},
+		{"check of zones", []string{"check", "--features", "deploy/zones.xml", settingsFile}, false, []string{"ok: member host-0"}},
+		{"zones, by the leader", []string{"zones", "--node", address(leader)}, false, []string{"as host-", "sees them", "healthy: its machines are heard"}},
+		{"zones, by a follower", []string{"zones", "--node", address(follower)}, false, []string{"as host-", "healthy: its machines are heard"}},
+		{"zones, by a node without", []string{"zones", "--node", address(2)}, false, []string{"healthy: its machines are heard"}},
 		{"handover by a follower", []string{"handover", "--node", address(follower)}, true, []string{"not leading"}},
 		{"handover by a node without", []string{"handover", "--node", address(2)}, true, []string{"the warm standby is off"}},
 		{"handover by the leader", []string{"handover", "--node", address(leader)}, false, []string{"handed over to host-"}},
