Standby: tasks of cancelled jobs that a handover tells of are stopped

The next leader held the tasks of a job cancelled before its term as known to be on their machine, and sent no stop; a report that shows a known task brings none either. Change: adopting a handed-over machine has the tasks of jobs that are over stopped at once, and with each answer until they are gone.

--- a/internal/leader/standby.go
+++ b/internal/leader/standby.go
@@ -175,6 +175,13 @@
 	}
 	m.resolved, m.unconfirmed = true, true
 	m.answered = l.began
+	for _, a := range attempts {
+		if a.job.over {
+			// The term before may not have told it, and no report will show it as news: known to
+			// be there, it went on for ever.
+			l.stop(a, 0, "job is over")
+		}
+	}
 }
 
 // jobOf is the job that a task is of, and the task's number; nil if it cannot be counted.
--- a/internal/leader/standby_test.go
+++ b/internal/leader/standby_test.go
@@ -422,3 +422,20 @@
 		}
 	}
 }
+
+// TestHandedOverCancelled has a handover tell of a task whose job was cancelled, and which the
+// term before had not told to stop: the next report is answered with the stop.
+func TestHandedOverCancelled(t *testing.T) {
+	l, _ := newTest(t)
+	spec := &wire.Job{ID: "j-000009", Team: "blue", Shape: wire.ShapeArray, Priority: "normal", Tasks: 1, CPUs: 1, MemoryGB: 1, EstimateS: 10, Spot: true}
+	l.Replica.Wrote(replica.JobPrefix+spec.ID, replica.Job{State: wire.JobCancelled, Spec: spec}, 2)
+	l.Expected = handedView()
+	l.Expected.Machines["i-1"].Tasks["j-000009/0"] = standby.TaskState{Attempt: 9}
+	l.useExpected()
+	r := report(1, token, wire.ReportTask{Task: "j-000001/0", Attempt: 5, State: wire.TaskRunning}, wire.ReportTask{Task: "j-000009/0", Attempt: 9, State: wire.TaskRunning})
+	r.Session = 4
+	a, err := l.Report(r)
+	if err != nil || !slices.Contains(verbs(a), "stop j-000009/0") {
+		t.Errorf("told %v (%v), want a stop of j-000009/0", verbs(a), err)
+	}
+}
