Zones: the last zone that is left is never lost; rentals, events and elements share one form

Cause: a zone that was lost and heard again counted as a witness before it was healthy, so the other one could be lost as well, and both were closed (seen in TestZoneLoss with the state service down). Read again: rentals were a flag and a number, the machines were counted twice a tick, the stand-in cloud kept zones and events that its rules had, elements of files were of three kinds. Change: only a zone that is neither lost nor on its way back, and looks well, is a refuge; without one nothing more is lost, and what is heard is open. One number for rentals, one count, one predicate, one kind of element.

--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -26,7 +26,7 @@
 	}
 	var ms []*machine
 	for _, m := range l.order {
-		if l.types[m.kind.Type] != nil && m.open(now) && !m.inZone.closed && len(m.tasks) > 0 && now-m.reported <= 2*l.report {
+		if l.types[m.kind.Type] != nil && m.openToAll(now) && len(m.tasks) > 0 && now-m.reported <= 2*l.report {
 			ms = append(ms, m)
 		}
 	}
--- a/internal/leader/gang.go
+++ b/internal/leader/gang.go
@@ -11,6 +11,7 @@
 
 	"caperlatch/internal/micros"
 	"caperlatch/internal/wire"
+	"caperlatch/internal/zone"
 	"caperlatch/placement"
 )
 
@@ -537,7 +538,7 @@
 				best = offer{}
 				break // its answer comes first
 			}
-			if st := l.offers[o]; st != nil && now < st.until || !l.mayRentForGang(o.Zone) || most(o.Zone) <= inZone[o.Zone] {
+			if st := l.offers[o]; st != nil && now < st.until || l.zones.Decide(o.Zone).Rent < zone.AnyNumber || most(o.Zone) <= inZone[o.Zone] {
 				continue
 			}
 			if best.Type == "" || j.spec.OneZone && inZone[o.Zone] > inZone[best.Zone] {
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -317,7 +317,7 @@
 func (l *Leader) openCPUs(now micros.Micros) float64 {
 	cpus := 0.0
 	for _, m := range l.order {
-		if m.open(now) && !m.inZone.closed {
+		if m.openToAll(now) {
 			cpus += l.types[m.kind.Type].CPUs
 		}
 	}
--- a/internal/leader/staff.go
+++ b/internal/leader/staff.go
@@ -418,7 +418,7 @@
 		switch {
 		case l.pending(o):
 			return n // its answer comes first
-		case !l.zones.Decide(zone).Rent:
+		case l.zones.Decide(zone).Rent == 0:
 		case s == nil || now >= s.until:
 			open = append(open, o)
 		}
--- a/internal/leader/zones.go
+++ b/internal/leader/zones.go
@@ -15,7 +15,6 @@
 // zoneState is the policy on zones, and what its decisions come to.
 type zoneState struct {
 	zones    zone.Policy
-	managed  bool // the policy closes machines, and has something to store
 	counters map[string]*zoneCounters
 	closed   bool // some machines are closed to work that is not bound to their zone
 	replaces bool // some machines are to be replaced in other zones
@@ -42,8 +41,7 @@
 	if p == nil {
 		p = zone.NewThreshold()
 	}
-	managed := p.Record(0, 0) != nil
-	return zoneState{zones: p, managed: managed, counters: map[string]*zoneCounters{}}
+	return zoneState{zones: p, counters: map[string]*zoneCounters{}}
 }
 
 // zoneCounters are those of a machine's zone.
@@ -66,9 +64,9 @@
 		slog.Error("zones", "stored", err)
 		return
 	}
-	if stamp != 0 && l.managed {
+	if stamp != 0 {
 		l.zones.Restore(&r, now, micros.Wall())
-		l.applyZones()
+		l.applyZones(l.zoneEvidence(now))
 	}
 }
 
@@ -88,16 +86,13 @@
 
 // watchZones shows the policy the machines as they are, and carries out what it decides.
 func (l *Leader) watchZones(now micros.Micros) {
-	o := zone.Observation{Zones: l.zoneEvidence(now), Isolated: l.Isolated != nil && l.Isolated()}
-	changes := l.zones.Observe(now, o)
+	evidence := l.zoneEvidence(now)
+	changes := l.zones.Observe(now, zone.Observation{Zones: evidence, Isolated: l.Isolated != nil && l.Isolated()})
 	for _, t := range changes {
 		l.zoneChanged(t)
 	}
-	if !l.managed {
-		return
-	}
-	l.applyZones()
-	if len(changes) > 0 {
+	l.applyZones(evidence)
+	if len(changes) > 0 && l.zones.Record(now, micros.Wall()) != nil {
 		l.dirty[replica.ZonesKey] = true
 		l.wakeFlush()
 	}
@@ -205,38 +200,30 @@
 
 // applyZones closes and opens machines as the policy decides. Of a returning zone the first
 // that are heard again open; what runs on a closed one runs on.
-func (l *Leader) applyZones() {
-	quota := map[string]int{}
+func (l *Leader) applyZones(evidence map[string]zone.Evidence) {
+	quota, before := map[string]int{}, l.closed
 	l.closed, l.replaces = false, false
-	for name, count := range l.machinesUp() {
+	for name, e := range evidence {
 		d := l.zones.Decide(name)
-		quota[name] = int(math.Ceil(d.Open * float64(count)))
-		l.closed = l.closed || d.Open < 1
-		l.replaces = l.replaces || d.Replace > 0
+		quota[name] = int(math.Ceil(d.Open * float64(e.Up)))
+		l.closed = l.closed || e.Up > 0 && d.Open < 1
+		l.replaces = l.replaces || e.Up > 0 && d.Replace > 0
+	}
+	if !l.closed && !before {
+		return
 	}
 	for _, m := range l.order {
 		closed := false
-		if l.zones.Decide(m.kind.Zone).Open < 1 {
-			closed = !m.inZone.back || quota[m.kind.Zone] == 0
+		if name := m.kind.Zone; l.zones.Decide(name).Open < 1 {
+			closed = !m.inZone.back || quota[name] == 0
 			if !closed {
-				quota[m.kind.Zone]--
+				quota[name]--
 			}
 		}
 		l.setClosed(m, closed)
 	}
 }
 
-// machinesUp counts the machines that are up, by zone.
-func (l *Leader) machinesUp() map[string]int {
-	up := map[string]int{}
-	for _, m := range l.order {
-		if m.up && !m.leaving {
-			up[m.kind.Zone]++
-		}
-	}
-	return up
-}
-
 // setClosed closes a machine to work that is not bound to its zone, or opens it.
 func (l *Leader) setClosed(m *machine, closed bool) {
 	if m.inZone.closed == closed {
@@ -247,6 +234,9 @@
 	l.replan = true
 }
 
+// openToAll tells whether a machine may get tasks of any job that its kind allows.
+func (m *machine) openToAll(now micros.Micros) bool { return m.open(now) && !m.inZone.closed }
+
 // unusable tells whether the room of a machine that is up is not to be had now. One that boots
 // counts as supply: it is open once it is heard, and was rented for that.
 func (l *Leader) unusable(m *machine, now micros.Micros) bool {
@@ -279,12 +269,11 @@
 	return picked
 }
 
-// mayRent is how many machines may be rented in a zone that is not suspected or lost: few as
-// long as none is heard in one that returns.
+// mayRent is how many more machines may be rented in a zone.
 func (l *Leader) mayRent(name string) int {
-	most := l.zones.Decide(name).RentMost
-	if most == 0 {
-		return math.MaxInt
+	most := l.zones.Decide(name).Rent
+	if most == zone.AnyNumber {
+		return most
 	}
 	for _, m := range l.order {
 		if m.kind.Zone == name && !m.leaving {
@@ -299,12 +288,6 @@
 	return max(0, most)
 }
 
-// mayRentForGang tells whether machines may be rented for a gang in a zone. It needs them all.
-func (l *Leader) mayRentForGang(name string) bool {
-	d := l.zones.Decide(name)
-	return d.Rent && d.RentMost == 0
-}
-
 // band is a job's place in the order in which work leaves a lost zone.
 func (l *Leader) band(j *job) int {
 	return l.zones.Band(j.spec.Class, j.priority >= wire.PriorityRank(wire.PriorityUrgent))
--- a/internal/settings/standby.go
+++ b/internal/settings/standby.go
@@ -49,23 +49,20 @@
 func ParseStandby(r io.Reader) (*Standby, error) {
 	s := defaultStandby()
 	p := newElementParser(r)
-	p.sections[standbySection] = standbyFields(p, &s)
+	p.sections[standbySection] = standbyElements(p, &s)
 	err := p.parse()
 	if err == nil && !p.entered[standbySection] {
 		err = errors.New("element standby is missing")
 	}
-	if err == nil {
-		err = s.check()
-	}
 	if err != nil {
 		return nil, fmt.Errorf("standby: %w", err)
 	}
 	return &s, nil
 }
 
-// standbyFields are the elements of the section.
-func standbyFields(p *elementParser, s *Standby) section {
-	return section{numbers: map[string]field{
+// standbyElements are the elements of the section.
+func standbyElements(p *elementParser, s *Standby) section {
+	return section{check: s.check, fields: map[string]field{
 		"pull_ms":     p.milliseconds(&s.Pull, 20, 5_000),
 		"suspect_ms":  p.milliseconds(&s.Suspect, 100, 60_000),
 		"log_entries": p.count(&s.LogEntries, 1_000, 1_000_000),
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -62,7 +62,7 @@
 func ParseTuning(r io.Reader) (Tuning, error) {
 	tuning := DefaultTuning()
 	p := newElementParser(r)
-	p.sections[tuningSection] = section{numbers: map[string]field{
+	p.sections[tuningSection] = section{fields: map[string]field{
 		"z":        p.number(&tuning.Z, maxZ),
 		"review_s": p.seconds(&tuning.ReviewInterval, maxSeconds),
 		"window_s": p.seconds(&tuning.Window, maxSeconds),
--- a/internal/settings/zones.go
+++ b/internal/settings/zones.go
@@ -18,12 +18,15 @@
 	maxCalmS         = 86_400
 )
 
-// zonesFields are the elements of the section. Steps that are given replace all the default
+// zonesElements are the elements of the section. Steps that are given replace all the default
 // ones.
-func zonesFields(p *elementParser, c *zone.Config) section {
+func zonesElements(p *elementParser, c *zone.Config, params *Params) section {
 	steps := false
 	return section{
-		numbers: map[string]field{
+		check: func() error { return checkZones(c, params) },
+		fields: map[string]field{
+			"class":            p.names(&c.Classes),
+			"exempt":           p.names(&c.Exempt),
 			"suspect_percent":  p.percent(&c.Suspect),
 			"lost_percent":     p.percent(&c.Lose),
 			"clear_percent":    p.percent(&c.Clear),
@@ -35,17 +38,14 @@
 			"hold_down_s":      p.seconds(&c.HoldDown, maxHoldDownS),
 			"hold_down_most_s": p.seconds(&c.MaxHoldDown, maxHoldDownS),
 			"calm_s":           p.seconds(&c.Calm, maxCalmS),
-		},
-		repeated: map[string]field{
-			"step_percent": func(name string, v float64) {
+			"step_percent": many(numeric(func(name string, v float64) {
 				if !steps {
 					c.Steps, steps = nil, true
 				}
 				p.within(name, v, 1, 100)
 				c.Steps = append(c.Steps, v/100)
-			},
+			})),
 		},
-		names: map[string]*[]string{"class": &c.Classes, "exempt": &c.Exempt},
 	}
 }
 
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -69,7 +69,7 @@
 // Now is the time since the history began.
 func (h *History) Now() time.Duration { return time.Since(h.began) }
 
-// Watch takes over what a task did; see Cloud.Watch.
+// Watch takes over what a task did; see Rules.Watch.
 func (h *History) Watch(e TaskEvent) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -17,6 +17,7 @@
 	Cancel time.Duration      // cancel_s
 	Limits map[string]float64 // CPUs that a team may use, by team; 0: no limit
 	Offers []wire.MachineType // what the cloud has
+	Watch  func(TaskEvent)    // is told what tasks do, in order; nil: nobody is
 
 	mu        sync.Mutex
 	jobs      map[string]*watched
@@ -28,6 +29,26 @@
 	broken    []string
 }
 
+// TaskEvent is a task that began on a machine, or left it.
+type TaskEvent struct {
+	Task, Machine, Zone string
+	Began, Done         bool
+}
+
+// tell shows an event to who watches; the caller holds the lock.
+func (r *Rules) tell(task, machine string, began, done bool) {
+	if r.Watch != nil {
+		r.Watch(TaskEvent{Task: task, Machine: machine, Zone: r.kinds[machine].Zone, Began: began, Done: done})
+	}
+}
+
+// ZoneOf is where a machine is or was, empty if there never was one.
+func (r *Rules) ZoneOf(machine string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.kinds[machine].Zone
+}
+
 // watched is a job as its user knows it.
 type watched struct {
 	spec     wire.Job
@@ -94,6 +115,7 @@
 		r.used[w.spec.Team] += w.spec.CPUs
 	}
 	r.on[task], w.on[task] = machine, true
+	r.tell(task, machine, true, false)
 	if limit := r.Limits[w.spec.Team]; limit > 0 && r.used[w.spec.Team] > limit {
 		r.breaks("quota", "team %s uses %v of %v CPUs", w.spec.Team, r.used[w.spec.Team], limit)
 	}
@@ -111,6 +133,7 @@
 	}
 	delete(r.on, task)
 	delete(w.on, task)
+	r.tell(task, machine, false, done)
 	r.used[w.spec.Team] -= w.spec.CPUs
 	if done {
 		w.done[task] = true
--- a/internal/zone/manager.go
+++ b/internal/zone/manager.go
@@ -15,20 +15,22 @@
 	evidence map[string]Evidence
 	mass     bool
 	moving   bool // work moves: some zone is not all there
+	refuge   bool // some zone is left to move to
 }
 
 var _ Policy = (*Manager)(nil)
 
 // NewManager makes the policy for a checked configuration.
 func NewManager(c Config) *Manager {
-	return &Manager{config: c, zones: map[string]lifecycle{}, evidence: map[string]Evidence{}}
+	return &Manager{config: c, zones: map[string]lifecycle{}, evidence: map[string]Evidence{}, refuge: true}
 }
 
 // Observe implements Policy.
 func (m *Manager) Observe(now micros.Micros, o Observation) (changes []Transition) {
 	m.mass = massSilent(o)
 	m.evidence = o.Zones
-	atFault := m.observerAtFault(o)
+	// If no zone speaks against it, the observer is taken to be at fault.
+	atFault := o.Isolated || !m.hasRefuge()
 	m.moving = false
 	for _, name := range names(o, m.zones) {
 		before := m.zones[name]
@@ -45,6 +47,7 @@
 			changes = append(changes, transition(name, before, after, o.Zones[name]))
 		}
 	}
+	m.refuge = m.hasRefuge()
 	return changes
 }
 
@@ -57,18 +60,15 @@
 	return t
 }
 
-// observerAtFault tells whether no zone is left that speaks against a fault of the observer.
-// A zone with too few machines for a verdict is a witness all the same.
-func (m *Manager) observerAtFault(o Observation) bool {
-	if o.Isolated {
-		return true
-	}
-	for _, e := range o.Zones {
-		if e.Up > 0 && float64(e.troubled()) <= m.config.Suspect*float64(e.Up) {
-			return false
+// hasRefuge tells whether a zone is left that is neither lost, nor on its way back, nor looks
+// lost. One with too few machines for a verdict counts all the same.
+func (m *Manager) hasRefuge() bool {
+	for name, e := range m.evidence {
+		if e.Up > 0 && m.zones[name].state < Lost && float64(e.troubled()) <= m.config.Suspect*float64(e.Up) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // names lists the zones of an observation and those known before, in order.
@@ -85,24 +85,29 @@
 // Decide implements Policy.
 func (m *Manager) Decide(name string) Decision {
 	z := m.zones[name]
-	d := Decision{Rent: true, Reachable: true, KeepSilent: m.mass || z.state == Suspected || z.keep, Open: 1}
+	d := Decision{Rent: AnyNumber, Reachable: true, KeepSilent: m.mass || z.state == Suspected || z.keep, Open: 1}
 	switch z.state {
 	case Suspected:
-		d.Rent, d.Reachable = false, z.lossSince == 0
+		d.Rent, d.Reachable = 0, z.lossSince == 0
 		if !z.observerAtFault {
 			d.Replace = m.config.Replace
 		}
 	case Lost:
-		d.Rent, d.Reachable, d.Open, d.Replace = false, false, 0, m.config.Replace
+		d.Rent, d.Reachable, d.Open, d.Replace = 0, false, 0, m.config.Replace
 	case HeldDown:
-		d.Rent, d.Open, d.Replace = false, 0, m.config.Replace
+		d.Rent, d.Open, d.Replace = 0, 0, m.config.Replace
 	case Returning:
 		d.Open, d.Replace = m.config.Steps[z.step], m.config.Replace
-		d.Rent = d.Open >= rentFrom
-		if m.evidence[name].Up == 0 {
-			d.Rent, d.RentMost = true, m.config.Least // to hear whether the zone is back
+		switch {
+		case m.evidence[name].Up == 0:
+			d.Rent = m.config.Least // to hear whether the zone is back
+		case d.Open < rentFrom:
+			d.Rent = 0
 		}
 	}
+	if !m.refuge {
+		d.Open = 1 // what is heard there is all that is left
+	}
 	return d
 }
 
--- a/internal/zone/threshold.go
+++ b/internal/zone/threshold.go
@@ -59,8 +59,10 @@
 
 // Decide implements Policy.
 func (t *Threshold) Decide(zone string) Decision {
-	cut := t.cutOff[zone]
-	return Decision{Rent: !cut, Reachable: !cut, KeepSilent: t.mass, Open: 1}
+	if t.cutOff[zone] {
+		return Decision{KeepSilent: t.mass, Open: 1}
+	}
+	return Decision{Rent: AnyNumber, Reachable: true, KeepSilent: t.mass, Open: 1}
 }
 
 // Band implements Policy.
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -7,7 +7,11 @@
 // ended: a decision orders, paces and rents, and never allows a start elsewhere.
 package zone
 
-import "caperlatch/internal/micros"
+import (
+	"math"
+
+	"caperlatch/internal/micros"
+)
 
 // State is what is thought of a zone.
 type State int
@@ -39,7 +43,7 @@
 	ReasonLate         Reason = "many machines are late with their reports"
 	ReasonWell         Reason = "its machines are heard"
 	ReasonSilent       Reason = "most machines are silent, receive no answers, or have vanished from the cloud's list"
-	ReasonObserver     Reason = "all zones look lost, or this node is cut off: the observer is taken to be at fault"
+	ReasonObserver     Reason = "no zone is left that does not look lost, or this node is cut off: the observer is taken to be at fault"
 	ReasonHeard        Reason = "machines have reported anew"
 	ReasonEmpty        Reason = "no machine is left there that could be heard"
 	ReasonHeldOut      Reason = "it was heard for as long as it had to be"
@@ -82,14 +86,16 @@
 
 // Decision is what holds for one zone.
 type Decision struct {
-	Rent       bool    // machines may be rented there
-	RentMost   int     // as long as none is heard there, 0: any number
+	Rent       int     // how many machines there may be that are booked, boot or are up; see AnyNumber
 	Reachable  bool    // orders can be expected to arrive
 	KeepSilent bool    // silent machines are kept for as long as their leases last, and again
 	Open       float64 // share of its machines that may start work which could run elsewhere
 	Replace    float64 // share of its unusable machines that do not count as supply
 }
 
+// AnyNumber is no limit on rentals.
+const AnyNumber = math.MaxInt
+
 // Transition is a change of a zone's state or step.
 type Transition struct {
 	Zone     string
