Tests of lost zones: scenarios are rows of steps over one driver; the report reads the history

Change: one table of steps, guards taken out as rows of it; zonereport takes samples, waits and cost from the history. All checks are as before.

--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -119,6 +121,13 @@
 	h.sizes[class] += tasks
 }
 
+// Jobs lists the accepted jobs, by name.
+func (h *History) Jobs() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.accepted))
+}
+
 // Sample notes what is so now, with these machines.
 func (h *History) Sample(machines []*Worker) {
 	h.mu.Lock()
--- a/internal/zonereport/html.go
+++ b/internal/zonereport/html.go
@@ -9,6 +9,8 @@
 	"github.com/go-echarts/go-echarts/v2/charts"
 	"github.com/go-echarts/go-echarts/v2/components"
 	"github.com/go-echarts/go-echarts/v2/opts"
+
+	"caperlatch/internal/standin"
 )
 
 // WriteHTML writes a report of runs: for each its timelines by class and by zone, and for each
@@ -25,8 +27,8 @@
 	}
 	for _, r := range runs {
 		page.AddCharts(
-			timeline("tasks waiting by class: "+r.title(), r, func(s Sample) map[string]int { return s.Waiting }),
-			timeline("tasks on machines by zone: "+r.title(), r, func(s Sample) map[string]int { return s.Busy }),
+			timeline("tasks waiting by class: "+r.title(), r, func(s standin.Sample) map[string]int { return s.Waiting }),
+			timeline("tasks on machines by zone: "+r.title(), r, func(s standin.Sample) map[string]int { return s.Busy }),
 		)
 	}
 	if err := page.Render(w); err != nil {
@@ -46,7 +48,7 @@
 // title names a run.
 func (r *Run) title() string {
 	return fmt.Sprintf("%s, %s, %d machines, seed %d (cut at %.0f s, restored at %.0f s)",
-		r.Pattern, policyName(r.Policy), r.Machines, r.Seed, r.CutS, r.RestoreS)
+		r.Pattern, policyName(r.Policy), r.Machines, r.Seed, r.Cut.Seconds(), r.Restored.Seconds())
 }
 
 // waitsChart shows the waits of the classes in runs of one kind.
@@ -77,7 +79,7 @@
 }
 
 // timeline shows counts over a run.
-func timeline(title string, r *Run, counts func(Sample) map[string]int) *charts.Line {
+func timeline(title string, r *Run, counts func(standin.Sample) map[string]int) *charts.Line {
 	line := charts.NewLine()
 	line.SetGlobalOptions(
 		charts.WithTitleOpts(opts.Title{Title: title}),
@@ -88,7 +90,7 @@
 	names := map[string]bool{}
 	var at []string
 	for _, s := range r.Samples {
-		at = append(at, fmt.Sprintf("%.0f", s.AtS))
+		at = append(at, fmt.Sprintf("%.0f", s.At.Seconds()))
 		for name := range counts(s) {
 			names[name] = true
 		}
--- a/internal/zonereport/measurement.go
+++ b/internal/zonereport/measurement.go
@@ -10,20 +10,17 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
+	"time"
 
 	"github.com/DataDog/sketches-go/ddsketch"
+
+	"caperlatch/internal/standin"
 )
 
 // accuracy is the relative error of the quantiles of waits.
 const accuracy = 0.01
 
-// Sample is what was so at a moment of a run, in seconds from its beginning.
-type Sample struct {
-	AtS     float64
-	Waiting map[string]int // tasks by class
-	Busy    map[string]int // tasks on machines by zone
-}
-
 // Run is one measured run.
 type Run struct {
 	Pattern  string // of the cuts
@@ -31,10 +28,9 @@
 	Machines int    // that there could be in all zones
 	Seed     uint64
 
-	CutS     float64 // of the first cut
-	RestoreS float64 // of the last one
-	Samples  []Sample
-	Waits    map[string]*ddsketch.DDSketch // seconds until tasks began, by class
+	Cut, Restored time.Duration // the first, and the end of the last
+	Samples       []standin.Sample
+	Waits         map[string]*ddsketch.DDSketch // seconds until tasks began, by class
 	// RepeatedS is the time on machines of starts that did not end done, in task seconds.
 	RepeatedS float64
 	Money     float64 // of machines from the first cut on, at the catalog's prices
@@ -47,6 +43,20 @@
 	return &Run{Pattern: pattern, Policy: policy, Machines: machines, Seed: seed, Waits: map[string]*ddsketch.DDSketch{}}
 }
 
+// Take takes what a history holds from the first cut on, with a sample a second.
+func (r *Run) Take(h *standin.History) (err error) {
+	r.Samples, r.RepeatedS = h.Samples(), h.Repeated().Seconds()
+	for _, s := range r.Samples {
+		if s.At > r.Cut {
+			r.Money += s.Price / time.Hour.Seconds()
+		}
+	}
+	h.Waits(r.Cut, func(class string, wait time.Duration) {
+		err = errors.Join(err, r.AddWait(class, wait.Seconds()))
+	})
+	return err
+}
+
 // AddWait notes how long a task of a class waited for its first start.
 func (r *Run) AddWait(class string, seconds float64) error {
 	s := r.Waits[class]
@@ -65,10 +75,10 @@
 
 // Bounds of what counts as recovered.
 const (
-	calmFor  = 30.0 // seconds before the first cut that tell what is usual
-	tolerant = 1.2  // times what is usual
-	few      = 10   // tasks that say nothing
-	smoothed = 10   // samples of a mean
+	calmFor  = 30 * time.Second // before the first cut that tell what is usual
+	tolerant = 1.2              // times what is usual
+	few      = 10               // tasks that say nothing
+	smoothed = 10               // samples of a mean
 )
 
 // ErrTooShort says that a run has no samples from before its first cut.
@@ -78,21 +88,21 @@
 // usually were before it, in seconds and on the mean of some samples; 0 if they never were.
 func (r *Run) Recovery(class string) (float64, error) {
 	usual, seen := 0.0, false
-	last := r.CutS
+	last := r.Cut
 	for i, s := range r.Samples {
 		waiting := r.meanWaiting(class, i)
 		switch {
-		case s.AtS <= r.CutS-calmFor:
-		case s.AtS <= r.CutS:
+		case s.At <= r.Cut-calmFor:
+		case s.At <= r.Cut:
 			usual, seen = max(usual, waiting), true
 		case waiting > tolerant*usual+few:
-			last = s.AtS
+			last = s.At
 		}
 	}
 	if !seen {
 		return 0, ErrTooShort
 	}
-	return last - r.CutS, nil
+	return (last - r.Cut).Seconds(), nil
 }
 
 // meanWaiting is the mean of a class's waiting tasks over the samples up to one. Arrays come as
@@ -126,6 +136,18 @@
 	LongestWaitS  float64
 }
 
+// String tells of the group in a line, and of each class in another.
+func (g Group) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s, %d machines, policy %v, %d runs: repeated %.0f task s, cost %.2f, rented %.0f, unused %.0f",
+		g.Pattern, g.Machines, g.Policy, g.Runs, g.RepeatedS, g.Money, g.Rented, g.Unused)
+	for _, c := range g.Classes {
+		fmt.Fprintf(&b, "\n  %s: recovered after %.0f s (at most %.0f), waits %.1f s median, %.1f s 99%%, %.1f s longest of %.0f",
+			c.Class, c.RecoveryS, c.RecoveryMostS, c.MedianS, c.P99S, c.LongestWaitS, c.WaitsMeasured)
+	}
+	return b.String()
+}
+
 // Summarize groups runs by all but their seeds, and merges their waits.
 func Summarize(runs []*Run) ([]Group, error) {
 	type kind struct {
--- a/zones_test.go
+++ b/zones_test.go
@@ -1,31 +1,60 @@
 package caperlatch
 
 import (
+	"cmp"
+	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"caperlatch/internal/api"
+	"caperlatch/internal/micros"
+	"caperlatch/internal/replica"
 	"caperlatch/internal/settings"
 	"caperlatch/internal/standin"
 	"caperlatch/internal/wire"
 	"caperlatch/internal/zone"
 )
 
-// zoneScenario is a trouble with zones, and what must be seen besides what holds for all of
-// them: no rule is broken, all that was accepted ends, and urgent work does not pause.
-type zoneScenario struct {
-	name     string
-	nodes    int
-	zones    []string
-	machines int     // of each zone at most
-	load     float64 // 1: as the classes say
-	script   func(r *zoneRun)
+// zoneClass is a class of the jobs that come all the time in runs of lost zones.
+type zoneClass struct {
+	name, rank  string
+	first       int // of its jobs' numbers
+	every       time.Duration
+	tasks       int
+	runS, saveS float64 // saveS is between checkpoints, 0: its tasks never save
+}
+
+// zoneClasses need some 410 CPUs in all, which is more than one of two zones has.
+var zoneClasses = []zoneClass{
+	{"urgent", "urgent", 100_000, time.Second, 10, 8, 0},
+	{"scan", "normal", 200_000, 2 * time.Second, 24, 20, 5},
+	{"update", "normal", 300_000, 2 * time.Second, 12, 15, 5},
+}
+
+// zoneClassOf is the class of a task by its job's number; one without a name that a script adds.
+func zoneClassOf(task string) zoneClass {
+	var n int
+	if _, err := fmt.Sscanf(task, "j-%d", &n); err != nil || n < zoneClasses[0].first {
+		return zoneClass{runS: 60}
+	}
+	return zoneClasses[n/100_000-1]
 }
 
+// Times of the workers in runs of lost zones, in seconds.
+const zoneReportS, zoneLeaseS, zoneCancelS = 2.0, 16.0, 41.0
+
+// A full load is more than one of two zones can hold, with room of both for it; a half one is
+// less, at half the size.
+const fullLoad, fullMachines, halfLoad, halfMachines = 1.3, 85, 0.5, 70
+
 // Bounds of what is seen.
 const (
 	mostPause     = 30 * time.Second // of urgent work
@@ -34,376 +63,495 @@
 	leastWaiting  = 30               // scans, for others to be out of order
 )
 
-var (
-	twoZones  = []string{"a", "b"}
-	fourZones = []string{"a", "b", "c", "d"}
-)
+// What checks find wrong.
+const wrongOrder, wrongSteps, wrongHoldDown, wrongState = "order:", "steps:", "hold-down:", "stored state:"
 
-// overloaded is a load that one of two zones cannot hold, with room of both for it; half is
-// one that it can, at half the size.
-const (
-	fullLoad, fullMachines = 1.3, 85
-	halfLoad, halfMachines = 0.5, 70
+var twoZones, fourZones = []string{"a", "b"}, []string{"a", "b", "c", "d"}
+
+// zoneSettings is the policy as the runs have it. Workers that were cut off come back within
+// some 6 s; steps must show beside that.
+func zoneSettings() *zone.Config {
+	c := zone.DefaultConfig(micros.FromSeconds(zoneReportS))
+	c.Classes = []string{"scan", "update"}
+	c.StepHold, c.HoldDown = 4*micros.Second, 2*micros.Second
+	return &c
+}
+
+// zoneScenario is a trouble with zones. In all of them no rule is broken, all that was accepted
+// ends, and urgent work neither pauses nor begins again for no reason.
+type zoneScenario struct {
+	name     string
+	nodes    int      // 5
+	zones    []string // two
+	machines int      // of each zone at most; halfMachines
+	load     float64  // 1: as the classes say; halfLoad
+	steps    []zoneStep
+	// Of a scenario with a guard off: how, and what its checks must then find.
+	off   func(c *zone.Config)
+	wrong string
+}
+
+// zoneStep is what happens next, or is checked.
+type zoneStep func(r *zoneRun)
+
+var (
+	// Shorter than two leases: none of the zone's machines is given up for being silent.
+	cutAndRestored = zoneScenario{name: "cut and restored", machines: fullMachines, load: fullLoad, steps: []zoneStep{loses(14), heals(), inOrder, wait(15), inSteps}}
+	// Most machines are heard between the cuts, or nothing would be left there to be lost again.
+	threeFlaps = zoneScenario{name: "three flaps, as leases end and as a step opens", nodes: 3, steps: []zoneStep{loses(14), heals(zone.Returning), wait(2), loses(zoneLeaseS - 6),
+		heals(zone.HeldDown, zone.Returning), loses(5), flapsCounted, heals(), heldDown}}
+	killedWhenLost = zoneScenario{name: "the leader is killed when the zone is lost", nodes: 3, steps: []zoneStep{loses(0.3), kills(1, zone.Lost), until(zone.Lost), wait(10)}}
 )
 
-// zoneScenarios are the troubles.
-var zoneScenarios = []zoneScenario{
-	{"cut and restored", 5, twoZones, fullMachines, fullLoad, func(r *zoneRun) {
-		lost, _ := r.lose(false, 0)
-		lostAt := r.Now()
-		time.Sleep(14 * time.Second) // none of its machines is given up for being silent
-		restored := r.comesBack(lost)
-		r.check(r.inOrder(lostAt, restored))
-		time.Sleep(15 * time.Second)
-		r.check(r.inSteps(lost, restored))
-	}},
-	{"three flaps, as leases end and as a step opens", 3, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		// A machine that is silent for two leases is given up: the cuts are shorter, and most
-		// machines are heard in between, or nothing would be left there to be lost again.
-		lost, _ := r.lose(false, 14*time.Second)
-		first := r.cloud.Rented()
-		r.comesBack(lost, zone.Returning)
-		time.Sleep(2 * time.Second)
-		r.Cut(lost)
-		r.awaitState(lost, zone.Lost)
-		time.Sleep((zoneLeaseS - 6) * time.Second)
-		r.comesBack(lost, zone.HeldDown, zone.Returning)
-		r.Cut(lost)
-		r.awaitState(lost, zone.Lost)
-		time.Sleep(5 * time.Second)
-		if s := r.status(lost); s.Flaps < 3 {
-			r.t.Errorf("%d flaps are counted", s.Flaps)
-		}
-		if more := r.cloud.Rented() - first; more > halfMachines/4 {
-			r.t.Errorf("%d machines were rented again for the same loss", more)
-		}
-		r.check(r.heldDown(lost, 8*time.Second))
-		r.awaitState(lost, zone.Healthy)
-	}},
-	{"half of the zone comes back", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		lost, _ := r.lose(false, 20*time.Second)
-		for i, w := range r.cloud.Workers() {
-			if w.Zone() == lost && i%2 == 0 {
-				r.LetThrough(w.ID)
-			}
-		}
-		time.Sleep(40 * time.Second)
-		r.Restore()
-		r.awaitState(lost, zone.Healthy)
-	}},
-	{"reports over a lease old reach all nodes as a leader begins", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		lost, _ := r.lose(false, 15*time.Second)
-		go func() {
-			time.Sleep(5 * time.Second)
-			r.Restore()
-			r.killLeader()
-		}()
+// zoneScenarios are the troubles. At the end of each the zone comes back.
+var zoneScenarios = []zoneScenario{cutAndRestored, threeFlaps, killedWhenLost,
+	{name: "half of the zone comes back", steps: []zoneStep{loses(20), halfComesBack, wait(40)}},
+	{name: "reports over a lease old reach all nodes as a leader begins", steps: []zoneStep{loses(15), func(r *zoneRun) {
+		time.AfterFunc(5*time.Second, func() { r.Restore(); r.restart(r.leader()) })
 		r.With(30*time.Second, standin.Copied, func(from string, q *http.Request) bool {
 			return machineOf(from) != "" && q.URL.Path == "/hello" && from[len(from)-1]%2 == 0
 		})
-		r.awaitState(lost, zone.Healthy)
-	}},
-	{"the leader is inside, and keeps leases alive", 3, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		r.leadIn("a") // where two of three nodes are
-		lost, cut := r.lose(true, 20*time.Second)
-		if n := r.EndsIn(lost, cut+zoneLeaseS*time.Second); n == 0 {
-			r.t.Error("nothing ran on inside past its lease")
-		}
-		r.comesBack(lost)
-	}},
-	{"the leader is killed when the zone is suspected", 5, twoZones, halfMachines, halfLoad, killedIn(zone.Suspected, 1)},
-	{"the leader is killed when the zone is lost", 3, twoZones, halfMachines, halfLoad, killedIn(zone.Lost, 1)},
-	{"the leader is killed when the zone is held down", 5, twoZones, halfMachines, halfLoad, killedIn(zone.HeldDown, 1)},
-	{"the leader is killed when the zone returns", 5, twoZones, halfMachines, halfLoad, killedIn(zone.Returning, 1)},
-	{"two leaders in a row are killed when the zone is lost", 5, twoZones, halfMachines, halfLoad, killedIn(zone.Lost, 2)},
-	{"two leaders in a row are killed when the zone returns", 5, twoZones, halfMachines, halfLoad, killedIn(zone.Returning, 2)},
-	{"all nodes restart at once", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		lost, _ := r.lose(false, 10*time.Second)
-		r.restartAll()
-		r.check(r.goesOn(lost, zone.Lost))
-		r.comesBack(lost)
-	}},
-	{"the state service refuses the leader, then all, in the evacuation", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		lost, _ := r.lose(false, 5*time.Second)
-		r.refuseState(8 * time.Second)
-		r.comesBack(lost)
-	}},
-	{"the state service refuses the leader, then all, in the return", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		lost, _ := r.lose(false, 20*time.Second)
-		r.comesBack(lost, zone.Returning)
-		r.refuseState(8 * time.Second)
-		r.awaitState(lost, zone.Healthy)
-	}},
-	{"two zones are apart, and both reach the state service", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		lost := r.target(false)
-		r.Apart()
-		r.awaitState(lost, zone.Lost)
-		time.Sleep(20 * time.Second)
-		r.comesBack(lost)
-	}},
-	{"the cloud is down meanwhile", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
+	}}},
+	// Two of three nodes are in zone a.
+	{name: "the leader is inside, and keeps leases alive", nodes: 3, steps: []zoneStep{func(r *zoneRun) { r.leadIn("a"); r.lost = "a" }, loses(20), outlivesLease}},
+	{name: "the leader is killed when the zone is suspected", steps: []zoneStep{cuts, until(zone.Suspected), kills(1), until(zone.Lost), wait(10)}},
+	{name: "the leader is killed when the zone is held down", steps: []zoneStep{loses(15), heals(zone.HeldDown), wait(0.3), kills(1, zone.HeldDown, zone.Returning)}},
+	{name: "the leader is killed when the zone returns", steps: []zoneStep{loses(15), heals(zone.Returning), wait(0.3), kills(1, zone.HeldDown, zone.Returning)}},
+	{name: "two leaders in a row are killed when the zone is lost", steps: []zoneStep{loses(0.3), kills(2, zone.Lost), until(zone.Lost), wait(10)}},
+	{name: "two leaders in a row are killed when the zone returns", steps: []zoneStep{loses(15), heals(zone.Returning), wait(0.3), kills(2, zone.HeldDown, zone.Returning)}},
+	{name: "all nodes restart at once", steps: []zoneStep{loses(10), allRestart, goesOn(zone.Lost)}},
+	{name: "the state service refuses the leader, then all, in the evacuation", steps: []zoneStep{loses(5), stateRefuses}},
+	{name: "the state service refuses the leader, then all, in the return", steps: []zoneStep{loses(20), heals(zone.Returning), stateRefuses}},
+	{name: "two zones are apart, and both reach the state service", steps: []zoneStep{func(r *zoneRun) { r.lost = r.target(false); r.Apart() }, until(zone.Lost), wait(20)}},
+	{name: "the cloud is down meanwhile", steps: []zoneStep{func(r *zoneRun) {
 		go r.With(40*time.Second, standin.Refused, func(_ string, q *http.Request) bool { return q.URL.Host == "cloud" })
-		lost, _ := r.lose(false, 25*time.Second)
-		r.comesBack(lost)
-	}},
-	{"machines are taken in the surviving zone", 3, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		lost, _ := r.lose(false, 2*time.Second)
-		taken := 0
-		for _, w := range r.cloud.Workers() {
-			if w.Zone() != lost && taken < halfMachines/4 {
-				w.Take(3 * time.Second)
-				taken++
-			}
-		}
-		r.HitAll()
-		time.Sleep(20 * time.Second)
-		r.comesBack(lost)
-	}},
-	{"displaced jobs are cancelled through a third node", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		var doomed []string
-		for n := range 6 {
-			doomed = append(doomed, fmt.Sprintf("j-00010%d", n))
-			job := testJob(doomed[n], 10)
-			job["expect_s"] = 60.0
-			r.submitJob(job)
-		}
-		time.Sleep(5 * time.Second)
-		lost, _ := r.lose(false, 3*time.Second)
-		third := slices.IndexFunc(r.zones, func(name string) bool { return name != lost }) + 2
-		for _, id := range doomed {
-			r.cancelJob(id, third)
-		}
-		time.Sleep(20 * time.Second)
-		r.comesBack(lost)
-		time.Sleep(zoneCancelS * time.Second)
-		for _, id := range doomed {
-			if n := r.running(id); n > 0 {
-				r.t.Errorf("%d tasks of %s still run", n, id)
-			}
-		}
-	}},
-	{"gangs are in both zones", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		var ids []string
-		for n := range 8 {
-			ids = append(ids, fmt.Sprintf("j-00020%d", n))
-			r.submitJob(gangJob(ids[n], 4, 2, map[string]any{"together": n%2 == 0}))
-		}
-		time.Sleep(8 * time.Second)
-		lost, _ := r.lose(false, 25*time.Second)
-		r.comesBack(lost)
-		for _, id := range ids {
-			r.await(id, wire.JobDone, 4*time.Minute)
-		}
-	}},
-	{"the only zone", 3, []string{"a"}, 2 * halfMachines, halfLoad, func(r *zoneRun) {
-		// Its machines are cut off from the nodes, which go on.
-		r.HitAll()
+	}, loses(25)}},
+	{name: "machines are taken in the surviving zone", nodes: 3, steps: []zoneStep{loses(2), hitSurvivors(halfMachines/4, func(w *standin.Worker) { w.Take(3 * time.Second) }), wait(20)}},
+	{name: "what is left cannot hold the urgent work", nodes: 3, machines: 14, load: 0.25, steps: []zoneStep{loses(0), hitSurvivors(9, func(w *standin.Worker) { w.Hang(25 * time.Second) }), wait(25)}},
+	{name: "displaced jobs are cancelled through a third node", steps: []zoneStep{submits(6, func(id string) map[string]any {
+		job := testJob(id, 10)
+		job["expect_s"] = 60.0
+		return job
+	}), loses(3), cancelsAdded, wait(20), heals(), wait(zoneCancelS), addedAre(wire.JobCancelled)}},
+	{name: "gangs are in both zones", steps: []zoneStep{submits(8, func(id string) map[string]any {
+		return gangJob(id, 4, 2, map[string]any{"together": id[len(id)-1]%2 == 0})
+	}), loses(25), heals(), addedAre(wire.JobDone)}},
+	{name: "the only zone", nodes: 3, zones: twoZones[:1], machines: 2 * halfMachines, steps: []zoneStep{func(r *zoneRun) {
+		r.HitAll() // its machines are cut off from the nodes, which go on
 		r.With(25*time.Second, standin.LostRequest, func(from string, q *http.Request) bool {
 			return (machineOf(from) == "") != (machineOf(q.URL.Host) == "")
 		})
 		if s := r.status("a"); s.Zone == "" || s.Flaps > 0 {
 			r.t.Errorf("the only zone was lost: %+v", s)
 		}
-	}},
-	{"two of four zones", 5, fourZones, halfMachines / 2, halfLoad, func(r *zoneRun) {
-		leads := r.zoneOfName(fmt.Sprintf("host-%d", r.leader()))
+	}}},
+	{name: "two of four zones", zones: fourZones, machines: halfMachines / 2, steps: []zoneStep{func(r *zoneRun) {
+		leads := r.target(true)
 		lost := slices.DeleteFunc(slices.Clone(fourZones), func(name string) bool { return name == leads })[:2]
 		r.Cut(lost...)
-		r.awaitState(lost[0], zone.Lost)
-		r.awaitState(lost[1], zone.Lost)
-		time.Sleep(20 * time.Second)
-		r.comesBack(lost[0])
-		r.awaitState(lost[1], zone.Healthy)
-	}},
-	{"what is left cannot hold the urgent work", 3, twoZones, 14, 0.25, func(r *zoneRun) {
-		lost, _ := r.lose(false, 0)
-		// Taken without a notice, until urgent work alone needs more than there is.
-		left := 0
-		for _, w := range r.cloud.Workers() {
-			if left++; w.Zone() != lost && left%3 != 0 {
-				w.Hang(25 * time.Second)
-			}
+		for _, want := range []zone.State{zone.Lost, zone.Healthy} {
+			r.awaitState(lost[0], want)
+			r.awaitState(lost[1], want)
+			time.Sleep(20 * time.Second)
+			r.Restore()
 		}
-		r.HitAll()
-		time.Sleep(25 * time.Second)
-		r.comesBack(lost)
-	}},
-	{"a node of a version without it leads for a while", 5, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-		lost, _ := r.lose(false, 8*time.Second)
+	}}},
+	{name: "nodes of a version without it lead for a while", steps: []zoneStep{loses(8), func(r *zoneRun) {
 		r.without = map[int]bool{0: true, 1: true, 2: true, 3: true, 4: true}
-		r.killLeader()
+		r.restart(r.leader())
 		time.Sleep(5 * time.Second)
 		r.without = nil
 		r.Restore()
-		r.restartAll()
-		r.awaitState(lost, zone.Healthy)
-	}},
+	}, allRestart}},
+	cutAndRestored.without(wrongOrder, func(c *zone.Config) { c.Classes = nil }),
+	cutAndRestored.without(wrongSteps, func(c *zone.Config) { c.Steps = []float64{1} }),
+	threeFlaps.without(wrongHoldDown, func(c *zone.Config) { c.HoldDown, c.MaxHoldDown = 0, 0 }),
+	killedWhenLost.without(wrongState, func(*zone.Config) {}),
 }
 
-// TestZoneLoss plays the troubles.
+// without is the scenario with a guard off: what is checked must then be seen to be wrong.
+func (s zoneScenario) without(wrong string, off func(c *zone.Config)) zoneScenario {
+	s.name, s.wrong, s.off = "without "+strings.TrimSuffix(wrong, ":")+", "+s.name, wrong, off
+	return s
+}
+
+// TestZoneLoss plays the troubles, and some of them with one guard off at a time.
 func TestZoneLoss(t *testing.T) {
 	for _, s := range zoneScenarios {
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				r := s.run(t, zoneSettings())
-				for _, wrong := range r.wrong {
-					t.Error(wrong)
+				wrong := s.run(t)
+				if s.wrong == "" && len(wrong) > 0 || s.wrong != "" && !slices.ContainsFunc(wrong, func(w string) bool { return strings.HasPrefix(w, s.wrong) }) {
+					t.Errorf("seen: %q, want %q", wrong, s.wrong)
 				}
 			})
 		})
 	}
 }
 
-// run plays a scenario with settings.
-func (s *zoneScenario) run(t *testing.T, c *zone.Config) *zoneRun {
-	r := newZoneRun(t, s.nodes, s.zones, s.machines, settings.Features{Zones: c})
-	defer r.close()
-	r.load = s.load
-	r.play(s.script)
-	pause := r.Pause("urgent")
-	if pause > mostPause {
-		t.Errorf("urgent work paused for %v", pause)
+// run plays a scenario, and tells what its checks found wrong.
+func (s zoneScenario) run(t *testing.T) (wrong []string) {
+	c := zoneSettings()
+	if s.off != nil {
+		s.off(c)
 	}
-	if again := r.BegunAgain("urgent"); len(again) > 0 {
-		t.Errorf("%d urgent tasks began again that no trouble met: %v", len(again), again[:min(5, len(again))])
+	if s.zones == nil {
+		s.zones = twoZones
+	}
+	r := newZoneRun(t, cmp.Or(s.nodes, 5), s.zones, cmp.Or(s.machines, halfMachines), settings.Features{Zones: c})
+	defer r.close()
+	r.load, r.forgets = cmp.Or(s.load, halfLoad), s.wrong == wrongState
+	r.play(func() {
+		for _, step := range s.steps {
+			step(r)
+		}
+		if r.lost != "" {
+			heals()(r)
+		}
+	})
+	pause, again := r.Pause("urgent"), r.BegunAgain("urgent")
+	if pause > mostPause || len(again) > 0 {
+		t.Errorf("urgent work paused for %v; %d tasks began again that no trouble met: %v", pause, len(again), again[:min(5, len(again))])
 	}
 	t.Logf("pause %v, %d starts, %d machines rented", pause, r.cloud.Starts(), r.cloud.Rented())
+	return r.wrong
+}
+
+// zoneRun is a cluster over some zones with a steady load, parts of which are cut off.
+type zoneRun struct {
+	*cluster
+	*standin.History
+	*standin.Partition
+	zones   []string
+	load    float64 // of the jobs' sizes, 1: as the classes say
+	seed    uint64  // of the jobs' sizes; 0: all of a class have one size
+	forgets bool    // what is stored of zones is lost with each leader
+	// What the steps did: the zone that is cut off, when it was, was declared lost, and the cuts
+	// ended, machines rented once it was first lost, jobs added, and what checks found.
+	lost                   string
+	cutAt, lostAt, healsAt time.Duration
+	rented                 int
+	added, wrong           []string
+}
+
+// newZoneRun starts nodes in turn in the zones, each with so many machines at most.
+func newZoneRun(t *testing.T, nodes int, zones []string, machines int, features settings.Features) *zoneRun {
+	r := &zoneRun{zones: zones, History: standin.NewHistory(), Partition: standin.NewPartition()}
+	r.cluster = newFeaturesCluster(t, nodes, func(s *settings.Settings) {
+		s.Params.Zones = zones
+		s.Params.Workers.ReportS, s.Params.Workers.LeaseS, s.Params.Workers.CancelS = zoneReportS, zoneLeaseS, zoneCancelS
+	}, features)
+	r.cloud.Zones, r.rules.Offers[0].Zones, r.cloud.MostIn = zones, zones, map[string]int{}
+	for _, name := range zones {
+		r.cloud.MostIn[name] = machines
+	}
+	r.cloud.RunFor = func(task string) float64 { return zoneClassOf(task).runS }
+	r.ClassOf = func(task string) string { return zoneClassOf(task).name }
+	r.History.Hit, r.Recent, r.rules.Watch = r.Partition.Hit, 2*zoneReportS*time.Second, r.Watch
+	r.ZoneOf, r.MachineOf = r.zoneOfName, machineOf
+	r.Changed = func() { r.Troubled(); r.pipes.Cut(r.Separated) }
+	r.setFault(r.Fault)
 	return r
 }
 
-// TestZoneGuards plays the first two scenarios, and a killed leader, with one guard off at a
-// time: what is checked must then be seen to be wrong.
-func TestZoneGuards(t *testing.T) {
-	cases := []struct {
-		name     string
-		scenario zoneScenario
-		off      func(c *zone.Config)
-		wrong    string
-	}{
-		{"order", zoneScenarios[0], func(c *zone.Config) { c.Classes = nil }, wrongOrder},
-		{"steps", zoneScenarios[0], func(c *zone.Config) { c.Steps = []float64{1} }, wrongSteps},
-		{"hold-down", zoneScenarios[1], func(c *zone.Config) { c.HoldDown, c.MaxHoldDown = 0, 0 }, wrongHoldDown},
-		{"stored state", zoneScenario{"", 3, twoZones, halfMachines, halfLoad, func(r *zoneRun) {
-			r.forgets = true
-			killedIn(zone.Lost, 1)(r)
-		}}, func(*zone.Config) {}, wrongState},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				settings := zoneSettings()
-				c.off(settings)
-				r := c.scenario.run(t, settings)
-				if !slices.ContainsFunc(r.wrong, func(w string) bool { return strings.HasPrefix(w, c.wrong) }) {
-					t.Errorf("without it nothing is seen but %q, want %q", r.wrong, c.wrong)
-				}
-			})
+// zoneOfName is the zone that a sender or host is in, empty for the services and users.
+func (r *zoneRun) zoneOfName(name string) string {
+	var node int
+	if _, err := fmt.Sscanf(name, "host-%d", &node); err == nil {
+		return r.zones[node%len(r.zones)]
+	}
+	return r.rules.ZoneOf(machineOf(name))
+}
+
+// submitAll has the jobs of a class come until ctx ends.
+func (r *zoneRun) submitAll(ctx context.Context, c zoneClass) {
+	var users sync.WaitGroup
+	random := rand.New(rand.NewPCG(r.seed, uint64(c.first)))
+	for n := 0; ctx.Err() == nil; n++ {
+		size := r.load * float64(c.tasks)
+		if r.seed != 0 {
+			size *= 0.5 + random.Float64()
+		}
+		id, tasks := fmt.Sprintf("j-%06d", c.first+n), max(1, int(math.Round(size)))
+		job := testJob(id, tasks)
+		job["lane"], job["rank"], job["expect_s"], job["save_every_s"] = c.name, c.rank, c.runS, c.saveS
+		users.Go(func() {
+			if !r.submitFrom(n%len(r.stops), time.Second, job) {
+				r.t.Errorf("%s was not accepted", id)
+			}
+			r.Accepted(id, c.name, tasks)
 		})
+		time.Sleep(c.every)
 	}
+	users.Wait()
 }
 
-// What checks find wrong.
-const (
-	wrongOrder    = "order:"
-	wrongSteps    = "steps:"
-	wrongHoldDown = "hold-down:"
-	wrongState    = "stored state:"
-)
+// play runs a script beside the load, then lets all end that was accepted.
+func (r *zoneRun) play(script func()) {
+	var users sync.WaitGroup
+	ctx, over := context.WithCancel(context.Background())
+	for _, c := range zoneClasses {
+		users.Go(func() { r.submitAll(ctx, c) })
+	}
+	users.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(time.Second)
+			r.Sample(r.cloud.Workers())
+		}
+	})
+	time.Sleep(100 * time.Second) // the fleet is steady
+	script()
+	r.Restore()
+	time.Sleep(20 * time.Second)
+	over()
+	users.Wait()
+	jobs := r.Jobs()
+	for _, id := range jobs {
+		r.await(id, wire.JobDone, 6*time.Minute)
+	}
+	r.answersAll(jobs[:min(len(jobs), 50)])
+	r.broken()
+}
 
-// check notes what was found wrong, if anything was.
-func (r *zoneRun) check(wrong string) {
-	if wrong != "" {
-		r.wrong = append(r.wrong, wrong)
+// status is what the leader thinks of a zone, as the first node tells that knows; empty while
+// none does.
+func (r *zoneRun) status(name string) zone.Status {
+	for node := range r.stops {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		code, b, err := wire.Exchange(ctx, r.user, http.MethodGet, fmt.Sprintf("http://host-%d:8080/zones", node), nil)
+		cancel()
+		var all api.ZonesStatus
+		if err != nil || code != http.StatusOK || wire.Unmarshal(b, &all) != nil {
+			continue
+		}
+		if i := slices.IndexFunc(all.Zones, func(s zone.Status) bool { return s.Zone == name }); i >= 0 {
+			return all.Zones[i]
+		}
 	}
+	return zone.Status{}
 }
 
-// inOrder judges the order in which work began between two moments.
-func (r *zoneRun) inOrder(from, to time.Duration) string {
-	scans, updates := r.StartsWhile("scan", "update", leastWaiting, from, to)
-	if scans+updates < leastMeasured {
-		r.t.Errorf("%d tasks began while scans waited, too few to tell, between %v and %v", scans+updates, from, to)
+// poll asks for a zone's state until that is enough.
+func (r *zoneRun) poll(name string, tries int, enough func(s zone.Status) bool) (s zone.Status) {
+	for s = r.status(name); tries > 0 && !enough(s); tries-- {
+		time.Sleep(100 * time.Millisecond)
+		s = r.status(name)
 	}
-	if updates*orderPart > scans {
-		return fmt.Sprintf("%s %d updates began beside %d scans while scans waited", wrongOrder, updates, scans)
+	return s
+}
+
+// isAny tells whether a zone is in one of some states.
+func isAny(s zone.Status, states []zone.State) bool {
+	return slices.ContainsFunc(states, func(want zone.State) bool { return s.State == want.String() })
+}
+
+// awaitState waits until the leader thinks so of a zone.
+func (r *zoneRun) awaitState(name string, states ...zone.State) {
+	r.t.Helper()
+	if s := r.poll(name, 1200, func(s zone.Status) bool { return isAny(s, states) }); !isAny(s, states) {
+		r.t.Fatalf("zone %s is %s (%s: %+v), want %v", name, s.State, s.Reason, s.Evidence, states)
 	}
-	return ""
 }
 
-// inSteps judges how fast the machines of a zone got work again after a moment.
-func (r *zoneRun) inSteps(name string, after time.Duration) string {
-	at, c := r.FirstStarts(name, after), zoneSettings()
-	if len(at) < fullMachines/2 {
-		r.t.Errorf("%d machines got work again, too few to tell", len(at))
-		return ""
+// restart crashes nodes for a moment and waits for the next leader. The state service may then
+// hold nothing that can be read of zones.
+func (r *zoneRun) restart(nodes ...int) {
+	token := r.token()
+	for _, i := range nodes {
+		r.kill(i)
 	}
-	soon := 0
-	for _, d := range at {
-		if d-at[0] < c.StepHold.Duration()/2 {
-			soon++
+	if r.forgets {
+		b, err := wire.Marshal(zone.Record{Version: zone.RecordVersion + 1})
+		if err != nil {
+			panic(err)
 		}
+		r.state.Put(replica.ZonesKey, b)
 	}
-	// A part of a machine is one.
-	if most := 1 + int(c.Steps[0]*float64(r.cloud.MostIn[name])); soon > most {
-		return fmt.Sprintf("%s %d machines got work within the first step, want at most %d", wrongSteps, soon, most)
+	time.Sleep(100 * time.Millisecond)
+	for _, i := range nodes {
+		r.start(i)
 	}
-	if half := at[len(at)*6/10] - at[0]; half < 5*c.StepHold.Duration()/2 {
-		return fmt.Sprintf("%s more than half of the machines got work after %v", wrongSteps, half)
+	r.ledAfter(token)
+}
+
+// target is a zone that the leader is in, or one that it is not in.
+func (r *zoneRun) target(leads bool) string {
+	inside := r.zoneOfName(fmt.Sprintf("host-%d", r.leader()))
+	return r.zones[slices.IndexFunc(r.zones, func(name string) bool { return (name == inside) == leads })]
+}
+
+// leadIn has the leader be in a zone.
+func (r *zoneRun) leadIn(name string) {
+	for r.target(true) != name {
+		r.restart(r.leader())
+		time.Sleep(10 * time.Second)
 	}
-	return ""
 }
 
-// heldDown ends all cuts and judges when the first machine of a zone gets work that could run
-// elsewhere.
-func (r *zoneRun) heldDown(name string, least time.Duration) string {
-	restored := r.comesBack(name)
-	if at := r.FirstStarts(name, restored); len(at) > 0 && at[0] < restored+least {
-		return fmt.Sprintf("%s a task began %v after the zone was heard again, want at least %v", wrongHoldDown, at[0]-restored, least)
+func wait(seconds float64) zoneStep {
+	return func(*zoneRun) { time.Sleep(time.Duration(seconds * float64(time.Second))) }
+}
+
+func until(states ...zone.State) zoneStep {
+	return func(r *zoneRun) { r.awaitState(r.lost, states...) }
+}
+
+func allRestart(r *zoneRun) { r.restart(0, 1, 2, 3, 4) }
+
+// cuts cuts the zone off that was before, or one that the leader is not in.
+func cuts(r *zoneRun) {
+	if r.lost == "" {
+		r.lost = r.target(false)
 	}
-	return ""
+	r.cutAt = r.Now()
+	r.Cut(r.lost)
 }
 
-// goesOn judges whether a leader that has just begun thinks so of a zone.
-func (r *zoneRun) goesOn(name string, states ...zone.State) string {
-	s := r.status(name)
-	for try := 0; s.Zone == "" && try < 30; try++ {
-		time.Sleep(100 * time.Millisecond)
-		s = r.status(name)
+// loses cuts the zone off, waits for the verdict, and then for a while.
+func loses(seconds float64) zoneStep {
+	return func(r *zoneRun) {
+		cuts(r)
+		r.awaitState(r.lost, zone.Lost)
+		r.lostAt = r.Now()
+		wait(seconds)(r)
+		r.rented = cmp.Or(r.rented, r.cloud.Rented())
 	}
-	if isAny(s, states) {
-		return ""
+}
+
+// heals ends all cuts, and waits until the zone is in one of some states, or healthy.
+func heals(states ...zone.State) zoneStep {
+	return func(r *zoneRun) {
+		r.healsAt = r.Now()
+		r.Restore()
+		r.awaitState(r.lost, append(states, zone.Healthy)...)
 	}
-	return fmt.Sprintf("%s zone %s is %q (%s) under the next leader, want %v", wrongState, name, s.State, s.Reason, states)
 }
 
-// killedIn is a script that ends the leader, or several, when it thinks so of a zone.
-func killedIn(state zone.State, times int) func(r *zoneRun) {
+// kills ends the leader again and again; the next one must think so of the zone, if anything.
+func kills(times int, states ...zone.State) zoneStep {
 	return func(r *zoneRun) {
-		lost := r.target(false)
-		r.Cut(lost)
-		if state > zone.Lost {
-			r.awaitState(lost, zone.Lost)
-			time.Sleep(15 * time.Second)
-			r.Restore()
-		}
-		r.awaitState(lost, state)
-		if state >= zone.Lost {
-			time.Sleep(300 * time.Millisecond) // until it is stored
-		}
 		for range times {
-			r.killLeader()
-			switch state {
-			case zone.Lost:
-				r.check(r.goesOn(lost, zone.Lost))
-			case zone.HeldDown, zone.Returning:
-				r.check(r.goesOn(lost, zone.HeldDown, zone.Returning))
+			if r.restart(r.leader()); len(states) > 0 {
+				goesOn(states...)(r)
 			}
 		}
-		if state <= zone.Lost {
-			r.awaitState(lost, zone.Lost)
-			time.Sleep(10 * time.Second)
+	}
+}
+
+// stateRefuses has the state service refuse the leader alone for a while, and then everybody.
+// Workers then seek another node, and may lose their leases in the zone that is left.
+func stateRefuses(r *zoneRun) {
+	r.HitAll()
+	leads := r.leader()
+	r.With(8*time.Second, standin.Refused, func(from string, q *http.Request) bool { return isState(q) && fromNode(from, leads) })
+	r.state.SetDown(true)
+	time.Sleep(8 * time.Second)
+	r.state.SetDown(false)
+}
+
+func halfComesBack(r *zoneRun) {
+	for i, w := range r.cloud.Workers() {
+		if w.Zone() == r.lost && i%2 == 0 {
+			r.LetThrough(w.ID)
+		}
+	}
+}
+
+// hitSurvivors has something happen to so many of the machines in the other zones.
+func hitSurvivors(most int, hit func(w *standin.Worker)) zoneStep {
+	return func(r *zoneRun) {
+		left := slices.DeleteFunc(r.cloud.Workers(), func(w *standin.Worker) bool { return w.Zone() == r.lost })
+		for _, w := range left[:min(most, len(left))] {
+			hit(w)
+		}
+		r.HitAll()
+	}
+}
+
+// submits adds jobs and lets them begin.
+func submits(n int, job func(id string) map[string]any) zoneStep {
+	return func(r *zoneRun) {
+		for i := range n {
+			r.added = append(r.added, fmt.Sprintf("j-%06d", 100+i))
+			r.submitJob(job(r.added[i]))
+		}
+		time.Sleep(8 * time.Second)
+	}
+}
+
+func cancelsAdded(r *zoneRun) {
+	third := slices.IndexFunc(r.zones, func(name string) bool { return name != r.lost }) + 2
+	for _, id := range r.added {
+		r.cancelJob(id, third)
+	}
+}
+
+// addedAre waits until the jobs that were added have a last status. None of their tasks runs on.
+func addedAre(status string) zoneStep {
+	return func(r *zoneRun) {
+		for _, id := range r.added {
+			r.await(id, status, 4*time.Minute)
+			if n := r.running(id); n > 0 {
+				r.t.Errorf("%d tasks of %s still run", n, id)
+			}
 		}
-		r.comesBack(lost)
+	}
+}
+
+func outlivesLease(r *zoneRun) {
+	if r.EndsIn(r.lost, r.cutAt+zoneLeaseS*time.Second) == 0 {
+		r.t.Error("nothing ran on inside past its lease")
+	}
+}
+
+func flapsCounted(r *zoneRun) {
+	if s, more := r.status(r.lost), r.cloud.Rented()-r.rented; s.Flaps < 3 || more > halfMachines/4 {
+		r.t.Errorf("%d flaps are counted; %d machines were rented again for the same loss", s.Flaps, more)
+	}
+}
+
+// judge notes what is wrong of a kind, if it is.
+func (r *zoneRun) judge(is bool, kind, format string, args ...any) {
+	if is {
+		r.wrong = append(r.wrong, kind+" "+fmt.Sprintf(format, args...))
+	}
+}
+
+// inOrder judges the order in which work began from the verdict until the zone came back.
+func inOrder(r *zoneRun) {
+	scans, updates := r.StartsWhile("scan", "update", leastWaiting, r.lostAt, r.healsAt)
+	if scans+updates < leastMeasured {
+		r.t.Errorf("%d tasks began while scans waited, too few to tell, between %v and %v", scans+updates, r.lostAt, r.healsAt)
+	}
+	r.judge(updates*orderPart > scans, wrongOrder, "%d updates began beside %d scans while scans waited", updates, scans)
+}
+
+// inSteps judges how fast the zone's machines got work again.
+func inSteps(r *zoneRun) {
+	at, c := r.FirstStarts(r.lost, r.healsAt), zoneSettings()
+	if len(at) < fullMachines/2 {
+		r.t.Errorf("%d machines got work again, too few to tell", len(at))
+		return
+	}
+	soon, _ := slices.BinarySearch(at, at[0]+c.StepHold.Duration()/2)
+	most := 1 + int(c.Steps[0]*float64(r.cloud.MostIn[r.lost])) // a part of a machine is one
+	r.judge(soon > most, wrongSteps, "%d machines got work within the first step, want at most %d", soon, most)
+	half := at[len(at)*6/10] - at[0]
+	r.judge(half < 5*c.StepHold.Duration()/2, wrongSteps, "more than half of the machines got work after %v", half)
+}
+
+// heldDown judges when the zone's first machine got work that could run elsewhere, after a third loss.
+func heldDown(r *zoneRun) {
+	least := r.healsAt + 4*zoneSettings().HoldDown.Duration()
+	at := append(r.FirstStarts(r.lost, r.healsAt), least)[0]
+	r.judge(at < least, wrongHoldDown, "a task began %v after the zone was heard again", at-r.healsAt)
+}
+
+// goesOn judges whether a leader that has just begun thinks so of the zone.
+func goesOn(states ...zone.State) zoneStep {
+	return func(r *zoneRun) {
+		s := r.poll(r.lost, 30, func(s zone.Status) bool { return s.Zone != "" })
+		r.judge(!isAny(s, states), wrongState, "zone %s is %q (%s) under the next leader, want %v", r.lost, s.State, s.Reason, states)
 	}
 }
