--- a/cmd/caperlatch/zones_test.go
+++ b/cmd/caperlatch/zones_test.go
@@ -14,13 +14,29 @@
 	"caperlatch/internal/zone"
 )
 
+// execute runs a command of the program. It must say something, or fail with an error that does.
+func execute(t *testing.T, says []string, wrong string, args ...string) {
+	t.Helper()
+	root := rootCommand()
+	var out bytes.Buffer
+	root.SetOut(&out)
+	root.SetArgs(args)
+	err := root.Execute()
+	if (err != nil) != (wrong != "") || err != nil && !strings.Contains(err.Error(), wrong) {
+		t.Errorf("error %v, want %q", err, wrong)
+	}
+	for _, want := range says {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("it does not say %q:\n%s", want, out.String())
+		}
+	}
+}
+
 // TestZonesCommand has the command tell what a node answers.
 func TestZonesCommand(t *testing.T) {
 	returning := zone.Status{
-		Zone: "b", State: "returning", Reason: zone.ReasonStepHeld, SinceS: 4, Step: 2, Steps: 4, OpenPart: 0.25, Flaps: 1,
-		Evidence: zone.Evidence{Up: 40, Silent: 2, Back: 38},
-		Work: zone.Work{Displaced: map[string]int{"scan": 30, "news": 4}, Moved: map[string]int{"scan": 20}, Machines: 2, Tasks: 8, NextEndS: 1, LastEndS: 9,
-			Closed: 30, Replaced: 15},
+		Zone: "b", State: "returning", Reason: zone.ReasonStepHeld, SinceS: 4, Step: 2, Steps: 4, OpenPart: 0.25, Flaps: 1, Evidence: zone.Evidence{Up: 40, Silent: 2, Back: 38},
+		Work: zone.Work{Displaced: map[string]int{"scan": 30, "news": 4}, Moved: map[string]int{"scan": 20}, Machines: 2, Tasks: 8, NextEndS: 1, LastEndS: 9, Closed: 30, Replaced: 15},
 	}
 	cases := []struct {
 		name   string
@@ -41,49 +57,21 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if r.URL.Path != "/zones" {
-					t.Errorf("%s was asked", r.URL.Path)
-				}
+			mux := http.NewServeMux()
+			mux.HandleFunc("GET /zones", func(w http.ResponseWriter, _ *http.Request) {
 				b, err := wire.Marshal(c.body)
-				if err != nil {
-					t.Error(err)
-				}
 				w.WriteHeader(c.status)
-				if _, err := w.Write(b); err != nil {
-					t.Error(err)
+				if _, wrote := w.Write(b); err != nil || wrote != nil {
+					t.Error(err, wrote)
 				}
-			}))
+			})
+			server := httptest.NewServer(mux)
 			defer server.Close()
-			out, err := execute("zones", "--node", strings.TrimPrefix(server.URL, "http://"))
-			if c.wrong != "" {
-				if err == nil || !strings.Contains(err.Error(), c.wrong) {
-					t.Fatalf("error %v, want %q", err, c.wrong)
-				}
-				return
-			}
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, want := range c.says {
-				if !strings.Contains(out, want) {
-					t.Errorf("it does not say %q:\n%s", want, out)
-				}
-			}
+			execute(t, c.says, c.wrong, "zones", "--node", strings.TrimPrefix(server.URL, "http://"))
 		})
 	}
 }
 
-// execute runs a command of the program and returns what it prints.
-func execute(args ...string) (string, error) {
-	root := rootCommand()
-	var out bytes.Buffer
-	root.SetOut(&out)
-	root.SetArgs(args)
-	err := root.Execute()
-	return out.String(), err
-}
-
 // TestFeatureFiles has the files of optional parts be checked with the settings, before
 // anything starts.
 func TestFeatureFiles(t *testing.T) {
@@ -98,35 +86,35 @@
 	config := write("settings.toml", `member = "host-0"
 client_listen = "127.0.0.1:8080"
 peer_bind = "127.0.0.1:8081"
-[external]
-cloud = "127.0.0.1:8082"
-state = "127.0.0.1:8083"
+external = {cloud = "127.0.0.1:8082", state = "127.0.0.1:8083"}
 [params]
 zones = ["a", "b"]
 teams = [{name = "blue"}]
 workers = {report_s = 8.0, lease_s = 45.0, cancel_s = 75.0}
 state = {rps = 100.0, write_rps = 30.0, value_kb = 4.0, txn_ops = 8}
 cloud = {rps = 8.0, list_lag_s = 3.0}
-limits = {cpu = 1.0, mem_mb = 300.0, max_sockets = 1000}
-`)
-	both := write("both.xml", "<caperlatch><standby/><zones/></caperlatch>")
+limits = {cpu = 1.0, mem_mb = 300.0, max_sockets = 1000}`)
+	const zones, standby = "--features=../../deploy/zones.xml", "--standby=../../deploy/standby.xml"
 	cases := []struct {
 		name  string
 		args  []string
 		wrong string
 	}{
 		{"none", nil, ""},
-		{"zones", []string{"--features", "../../deploy/zones.xml"}, ""},
-		{"the standby by either", []string{"--standby", "../../deploy/standby.xml"}, ""},
-		{"the standby by its own, zones by the other", []string{"--features", "../../deploy/zones.xml", "--standby", "../../deploy/standby.xml"}, ""},
-		{"the standby by both", []string{"--features", both, "--standby", "../../deploy/standby.xml"}, "both files"},
+		{"zones", []string{zones}, ""},
+		{"the standby by either", []string{standby}, ""},
+		{"the standby by its own, zones by the other", []string{zones, standby}, ""},
+		{"the standby by both", []string{"--features", write("both.xml", "<caperlatch><standby/><zones/></caperlatch>"), standby}, "both files"},
 		{"an unknown zone", []string{"--features", write("zone.xml", "<caperlatch><zones><exempt>c</exempt></zones></caperlatch>")}, "there is no zone c"},
 		{"no file", []string{"--features", filepath.Join(dir, "none.xml")}, "none.xml"},
 	}
 	for _, c := range cases {
-		out, err := execute(append([]string{"check", config}, c.args...)...)
-		if c.wrong == "" && (err != nil || !strings.Contains(out, "ok: member host-0")) || c.wrong != "" && (err == nil || !strings.Contains(err.Error(), c.wrong)) {
-			t.Errorf("%s: %q, %v; want error %q", c.name, out, err, c.wrong)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			says := []string{"ok: member host-0"}
+			if c.wrong != "" {
+				says = nil
+			}
+			execute(t, says, c.wrong, append([]string{"check", config}, c.args...)...)
+		})
 	}
 }
--- a/internal/leader/zones_test.go
+++ b/internal/leader/zones_test.go
@@ -17,74 +17,61 @@
 // have just reported.
 func newZonesTest(t *testing.T) (l *Leader, now micros.Micros) {
 	t.Helper()
-	l, _ = newTest(t)
+	l, term := newTest(t)
 	c := zone.DefaultConfig(l.report)
 	c.Confirm = 0
 	l.zoneState = newZoneState(zone.NewManager(c))
-	types := []wire.MachineType{{Name: "m4", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 1, Zones: []string{"a", "b"}}}
-	l.setCatalog(wire.Catalog{Types: types})
+	l.setCatalog(wire.Catalog{Types: []wire.MachineType{{Name: "m4", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 1, Zones: []string{"a", "b"}}}})
 	l.order, l.machines = nil, map[string]*machine{}
 	now = micros.Now() + 1000*micros.Second
-	l.Term.(*fakeTerm).confirmed = now
+	term.confirmed = now
 	for i := range 20 {
-		name := string("ab"[i/10])
-		m := l.addMachine(fmt.Sprintf("i-%02d", i), &booking{Type: "m4", Zone: name, Spot: true, At: micros.Wall()}, now)
+		m := l.addMachine(fmt.Sprintf("i-%02d", i), &booking{Type: "m4", Zone: string("ab"[i/10]), Spot: true, At: micros.Wall()}, now)
 		m.up, m.stored, m.upStored, m.current, m.told = true, true, true, true, true
 		m.reported, m.answered, m.session, m.seq, m.address = now, now, 1, 100, m.id+":9000"
 	}
 	return l, now
 }
 
-// silence has the machines of zone b last report so long ago.
+// silence has the machines of zone b last report so long ago, and the policy look at that.
 func silence(l *Leader, now, ago micros.Micros) {
 	for _, m := range l.order[10:] {
 		m.reported, m.answered = now-ago, now-ago
 	}
-}
-
-// loseB has zone b be lost.
-func loseB(l *Leader, now micros.Micros) {
-	silence(l, now, 6*micros.Second)
 	for range 3 {
 		l.watchZones(now)
 	}
 }
 
+// A machine is silent after the second of these times, and overdue after the first.
+const overdueFor, silentEnough = 4 * micros.Second, 6 * micros.Second
+
 // TestZoneEvidence counts machines in several states, each in the gravest group.
 func TestZoneEvidence(t *testing.T) {
 	cases := []struct {
 		name string
-		edit func(l *Leader, m *machine, now micros.Micros)
+		edit func(m *machine, now micros.Micros)
 		want zone.Evidence
 	}{
-		{"heard", func(*Leader, *machine, micros.Micros) {}, zone.Evidence{Up: 10}},
-		{"late", func(_ *Leader, m *machine, now micros.Micros) { m.reported = now - 4*micros.Second }, zone.Evidence{Up: 10, Late: 1}},
-		{"silent", func(_ *Leader, m *machine, now micros.Micros) { m.reported = now - 6*micros.Second }, zone.Evidence{Up: 10, Silent: 1}},
-		{"late and gone from the list", func(_ *Leader, m *machine, now micros.Micros) {
-			m.reported, m.listed, m.missing = now-4*micros.Second, true, 2
-		}, zone.Evidence{Up: 10, Vanished: 1}},
-		{"gone from the list and heard", func(_ *Leader, m *machine, _ micros.Micros) { m.listed, m.missing = true, 9 }, zone.Evidence{Up: 10}},
-		{"deaf", func(_ *Leader, m *machine, _ micros.Micros) { m.notReceiving = notReceivingAfter }, zone.Evidence{Up: 10, Deaf: 1}},
-		{"silent and deaf", func(_ *Leader, m *machine, now micros.Micros) {
-			m.reported, m.notReceiving = now-6*micros.Second, notReceivingAfter
-		}, zone.Evidence{Up: 10, Silent: 1}},
-		{"faulty", func(_ *Leader, m *machine, _ micros.Micros) { m.draining = faulty }, zone.Evidence{Up: 10, Failing: 1}},
-		{"being returned", func(_ *Leader, m *machine, _ micros.Micros) { m.leaving = true }, zone.Evidence{Up: 9}},
-		{"booting", func(_ *Leader, m *machine, _ micros.Micros) { m.up = false }, zone.Evidence{Up: 9}},
-		{"back", func(_ *Leader, m *machine, _ micros.Micros) { m.inZone.back = true }, zone.Evidence{Up: 10, Back: 1}},
-		{"back and silent anew", func(_ *Leader, m *machine, now micros.Micros) {
-			m.inZone.back, m.reported = true, now-6*micros.Second
-		}, zone.Evidence{Up: 10, Silent: 1, Relapses: 1}},
+		{"heard", func(*machine, micros.Micros) {}, zone.Evidence{Up: 10}},
+		{"late", func(m *machine, now micros.Micros) { m.reported = now - overdueFor }, zone.Evidence{Up: 10, Late: 1}},
+		{"silent", func(m *machine, now micros.Micros) { m.reported = now - silentEnough }, zone.Evidence{Up: 10, Silent: 1}},
+		{"late and gone from the list", func(m *machine, now micros.Micros) { m.reported, m.listed, m.missing = now-overdueFor, true, 2 }, zone.Evidence{Up: 10, Vanished: 1}},
+		{"gone from the list and heard", func(m *machine, _ micros.Micros) { m.listed, m.missing = true, 9 }, zone.Evidence{Up: 10}},
+		{"deaf", func(m *machine, _ micros.Micros) { m.notReceiving = notReceivingAfter }, zone.Evidence{Up: 10, Deaf: 1}},
+		{"silent and deaf", func(m *machine, now micros.Micros) { m.reported, m.notReceiving = now-silentEnough, notReceivingAfter }, zone.Evidence{Up: 10, Silent: 1}},
+		{"faulty", func(m *machine, _ micros.Micros) { m.draining = faulty }, zone.Evidence{Up: 10, Failing: 1}},
+		{"being returned", func(m *machine, _ micros.Micros) { m.leaving = true }, zone.Evidence{Up: 9}},
+		{"booting", func(m *machine, _ micros.Micros) { m.up = false }, zone.Evidence{Up: 9}},
+		{"back", func(m *machine, _ micros.Micros) { m.inZone.back = true }, zone.Evidence{Up: 10, Back: 1}},
+		{"back and silent anew", func(m *machine, now micros.Micros) { m.inZone.back, m.reported = true, now-silentEnough }, zone.Evidence{Up: 10, Silent: 1, Relapses: 1}},
 	}
 	for _, c := range cases {
 		l, now := newZonesTest(t)
-		c.edit(l, l.machines["i-15"], now)
+		c.edit(l.machines["i-15"], now)
 		l.zoneEvidence(now)
-		if got := l.zoneEvidence(now)["b"]; got != c.want {
-			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
-		}
-		if got := l.zoneEvidence(now)["a"]; got != (zone.Evidence{Up: 10}) {
-			t.Errorf("%s: the other zone: %+v", c.name, got)
+		if got := l.zoneEvidence(now); got["b"] != c.want || got["a"] != (zone.Evidence{Up: 10}) {
+			t.Errorf("%s: %+v, want %+v, and the other zone well", c.name, got, c.want)
 		}
 	}
 }
@@ -114,7 +101,7 @@
 	}
 	for _, c := range cases {
 		l, now := newZonesTest(t)
-		loseB(l, now)
+		silence(l, now, silentEnough)
 		m := l.machines["i-15"]
 		for _, a := range c.arrivals {
 			now += micros.FromSeconds(a.afterS)
@@ -131,60 +118,50 @@
 }
 
 // TestZoneCarriedOut has what the policy decides be carried out: which machines are closed, for
-// whom, and which do not count as supply.
+// whom, which do not count as supply, and what is rented there.
 func TestZoneCarriedOut(t *testing.T) {
 	l, now := newZonesTest(t)
-	free, bound := l.jobs["j-000001"], newJob(replica.Job{Spec: &wire.Job{ID: "j-000002", Team: "blue", Zone: "b", Tasks: 1, Spot: true}}, false)
+	bound := newJob(replica.Job{Spec: &wire.Job{ID: "j-000002", Team: "blue", Zone: "b", Tasks: 1, Spot: true}}, false)
 	together := newJob(replica.Job{Spec: &wire.Job{ID: "j-000003", Team: "blue", OneZone: true, Tasks: 2, Spot: true}}, false)
 	together.zones["b"] = 1
-	if got := l.boundTo(bound); got != "" {
-		t.Errorf("bound to %q while all is well", got)
-	}
-	closed := func() (n int) {
+	expect := func(state string, wantClosed, wantReplaced, wantRent int, wantBound string) {
+		t.Helper()
+		closed := 0
 		for _, m := range l.order {
 			if m.inZone.closed {
-				n++
+				closed++
 			}
 		}
-		return n
-	}
-	supply := func() int { return l.countSupply(l.replacedMachines(now), now)["m4"].have }
-	silence(l, now, 4*micros.Second)
-	l.watchZones(now)
-	if closed() != 0 || supply() != 15 {
-		t.Errorf("suspected: %d closed, supply %d; want none and 15", closed(), supply())
+		replaced := l.replacedMachines(now)
+		supply, ofBound, ofTogether := l.countSupply(replaced, now)["m4"].have, l.boundTo(bound), l.boundTo(together)
+		if closed != wantClosed || len(replaced) != wantReplaced || supply != 20-wantReplaced || l.mayRent("b") != wantRent ||
+			ofBound != wantBound || ofTogether != wantBound || l.boundTo(l.jobs["j-000001"]) != "" {
+			t.Errorf("%s: %d closed, %d replaced, supply %d, %d to rent, bound to %q and %q", state, closed, len(replaced), supply, l.mayRent("b"), ofBound, ofTogether)
+		}
 	}
-	loseB(l, now)
-	if closed() != 10 || supply() != 15 || !l.dirty[replica.ZonesKey] {
-		t.Errorf("lost: %d closed, supply %d, stored %v; want 10, 15 and true", closed(), supply(), l.dirty[replica.ZonesKey])
+	expect("well", 0, 0, zone.AnyNumber, "")
+	silence(l, now, overdueFor)
+	expect("suspected", 0, 5, 0, "")
+	silence(l, now, silentEnough)
+	expect("lost", 10, 5, 0, "b")
+	if w, ok := l.buildZones(write{key: replica.ZonesKey}); !ok || w.value.(*zone.Record).Zones["b"].State != zone.Lost || !l.dirty[replica.ZonesKey] {
+		t.Errorf("stored is %+v (%v)", w.value, ok)
 	}
 	l.order[10].up = false // half of the nine others, rounded
-	if supply() != 15 || len(l.replacedMachines(now)) != 5 || l.replacedMachines(now)[l.order[10]] {
-		t.Errorf("one boots: supply %d, %d replaced; want 15 and 5, not that one", supply(), len(l.replacedMachines(now)))
+	if expect("one boots", 10, 5, 0, "b"); l.replacedMachines(now)[l.order[10]] {
+		t.Error("a machine that boots is replaced")
 	}
 	l.order[10].up = true
-	if l.boundTo(bound) != "b" || l.boundTo(together) != "b" || l.boundTo(free) != "" {
-		t.Errorf("bound to %q, %q and %q", l.boundTo(bound), l.boundTo(together), l.boundTo(free))
-	}
-	if w, ok := l.buildZones(write{key: replica.ZonesKey}); !ok || w.value.(*zone.Record).Zones["b"].State != zone.Lost {
-		t.Errorf("stored is %+v (%v)", w.value, ok)
-	}
-	for _, m := range l.order[10:] {
-		m.reported, m.inZone.back = now, true
-	}
 	for range 4 { // held down, and then the first step
 		now += 2 * micros.Second
 		for _, m := range l.order {
-			m.reported = now
+			m.reported, m.inZone.back = now, true
 		}
-		l.watchZones(now)
-		if s := l.zones.Status(now)[1]; s.Step == 1 {
+		if l.watchZones(now); l.zones.Status(now)[1].Step == 1 {
 			break
 		}
 	}
-	if closed() != 9 || supply() != 15 || l.mayRent("b") != 0 {
-		t.Errorf("first step: %d closed, supply %d, %+v; want 9, 15, and no rentals", closed(), supply(), l.zones.Decide("b"))
-	}
+	expect("first step", 9, 5, 0, "b")
 }
 
 // TestZoneMoves has tasks be lost with a zone, and begin again: what is told of them.
@@ -195,17 +172,15 @@
 		j.take()
 		l.hold(&attempt{job: j, task: task, n: 1, machine: l.order[10+task], sentAt: 90, began: now, running: now, state: wire.TaskRunning})
 	}
-	loseB(l, now)
-	e, _ := l.Explain("j-000001")
-	if len(e.Why) != 1 || !strings.Contains(e.Why[0], "3 of its tasks are in zone b, which is lost") {
+	silence(l, now, silentEnough)
+	if e, _ := l.Explain("j-000001"); len(e.Why) != 1 || !strings.Contains(e.Why[0], "3 of its tasks are in zone b, which is lost") {
 		t.Errorf("why: %q", e.Why)
 	}
-	l.lose(l.order[10], "its lease ended")
-	l.lose(l.order[11], "its lease ended")
-	l.hold(&attempt{job: j, task: 0, n: 2, machine: l.order[0], sentAt: 100})
-	l.hold(&attempt{job: j, task: 1, n: 2, machine: l.order[19], sentAt: 100})
-	s := l.ZoneStatus()[1]
-	class := j.spec.Class
+	for task, to := range []*machine{l.order[0], l.order[19]} {
+		l.lose(l.order[10+task], "its lease ended")
+		l.hold(&attempt{job: j, task: task, n: 2, machine: to, sentAt: 100})
+	}
+	s, class := l.ZoneStatus()[1], j.spec.Class
 	if w := s.Work; s.Zone != "b" || w.Displaced[class] != 2 || w.Moved[class] != 1 || w.Restarted[class] != 1 || w.Tasks != 2 || w.Machines != 2 || w.Closed != 10 || w.Replaced != 5 {
 		t.Errorf("%+v", s)
 	}
@@ -226,22 +201,19 @@
 	}
 }
 
-// TestZonesRestored has a term go on from what the one before stored.
+// TestZonesRestored has a term go on from what the one before stored, though its machines have
+// not been heard and are not silent for long; and begin anew where that cannot be read.
 func TestZonesRestored(t *testing.T) {
-	l, now := newZonesTest(t)
-	l.Replica.Wrote(replica.ZonesKey, zone.Record{Version: zone.RecordVersion, Zones: map[string]zone.Stored{"b": {State: zone.Lost, Since: micros.Wall(), Flaps: 2}}}, 3)
-	l.restoreZones(now)
-	for range 3 { // the machines have not been heard in this term, and are not silent for long
-		l.watchZones(now)
-	}
-	if s := l.zones.Status(now)[1]; s.Zone != "b" || s.State != "lost" || !l.order[15].inZone.closed || l.order[5].inZone.closed {
-		t.Errorf("%+v", l.zones.Status(now))
-	}
-	l, now = newZonesTest(t)
-	l.Replica.Wrote(replica.ZonesKey, "nonsense", 3)
-	l.restoreZones(now)
-	l.watchZones(now)
-	if s := l.zones.Status(now)[1]; s.State != "healthy" {
-		t.Errorf("from what cannot be read: %+v", s)
+	lost := zone.Record{Version: zone.RecordVersion, Zones: map[string]zone.Stored{"b": {State: zone.Lost, Since: micros.Wall(), Flaps: 2}}}
+	for want, stored := range map[string]any{"lost": lost, "healthy": "nonsense"} {
+		l, now := newZonesTest(t)
+		l.Replica.Wrote(replica.ZonesKey, stored, 3)
+		l.restoreZones(now)
+		for range 3 {
+			l.watchZones(now)
+		}
+		if s := l.zones.Status(now)[1]; s.Zone != "b" || s.State != want || l.order[15].inZone.closed != (want == "lost") || l.order[5].inZone.closed {
+			t.Errorf("from %v: %+v, want %s", stored, s, want)
+		}
 	}
 }
--- a/internal/settings/features_test.go
+++ b/internal/settings/features_test.go
@@ -18,8 +18,7 @@
 	}
 }
 
-// TestParseFeatures reads files that turn optional parts on. What is wrong ends the start with
-// one line that names the element.
+// TestParseFeatures reads files that turn optional parts on.
 func TestParseFeatures(t *testing.T) {
 	wrap := func(s string) string { return "<caperlatch><zones>" + s + "</zones></caperlatch>" }
 	standby := defaultStandby()
@@ -64,24 +63,26 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			got, err := ParseFeatures(strings.NewReader(c.text), testParams())
-			if c.wrong != "" {
-				if err == nil || !strings.Contains(err.Error(), c.wrong) || strings.Contains(err.Error(), "\n") {
-					t.Fatalf("error %v, want one line naming %s", err, c.wrong)
-				}
-				return
-			}
-			if err != nil || !reflect.DeepEqual(got, c.want) {
-				t.Errorf("%+v (%v), want %+v", got, err, c.want)
-			}
+			checkParsed(t, got, err, c.want, c.wrong)
 		})
 	}
 }
 
+// checkParsed checks what a file was read as, or that what is wrong ends the start with one line
+// that names the element.
+func checkParsed(t *testing.T, got any, err error, want any, wrong string) {
+	t.Helper()
+	if wrong == "" && (err != nil || !reflect.DeepEqual(got, want)) {
+		t.Errorf("%+v (%v), want %+v", got, err, want)
+	}
+	if wrong != "" && (err == nil || !strings.Contains(err.Error(), wrong) || strings.Contains(err.Error(), "\n")) {
+		t.Errorf("error %v, want one line naming %s", err, wrong)
+	}
+}
+
 // TestDeployedZones reads the file under deploy, which shows the defaults.
 func TestDeployedZones(t *testing.T) {
 	want := zone.DefaultConfig(8 * micros.Second)
 	got, err := ReadFeatures("../../deploy/zones.xml", testParams())
-	if err != nil || got.Standby != nil || !reflect.DeepEqual(got.Zones, &want) {
-		t.Errorf("%+v (%v), want the defaults %+v", got.Zones, err, want)
-	}
+	checkParsed(t, got, err, Features{Zones: &want}, "")
 }
--- a/internal/settings/standby_test.go
+++ b/internal/settings/standby_test.go
@@ -37,15 +37,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			got, err := ParseStandby(strings.NewReader(c.text))
-			if c.wrong != "" {
-				if err == nil || !strings.Contains(err.Error(), c.wrong) || strings.Contains(err.Error(), "\n") {
-					t.Fatalf("error %v, want one line naming %s", err, c.wrong)
-				}
-				return
-			}
-			if err != nil || *got != c.want {
-				t.Errorf("%+v (%v), want %+v", got, err, c.want)
-			}
+			checkParsed(t, got, err, &c.want, c.wrong)
 		})
 	}
 }
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
-	"reflect"
+	"errors"
+	"slices"
+	"strings"
 	"testing"
 
 	"caperlatch/internal/micros"
@@ -91,34 +93,30 @@
 	}
 }
 
+// observed shows a manager evidence of zones a and b after some seconds, again and again.
+func observed(m *Manager, now *micros.Micros, afterS float64, times int, a, b Evidence) {
+	for range times {
+		*now += micros.FromSeconds(afterS)
+		m.Observe(*now, Observation{Zones: map[string]Evidence{"a": a, "b": b}})
+	}
+}
+
 // TestFlaps loses a zone again and again. Each flap doubles the hold-down up to its bound, and
 // calm has them forgotten.
 func TestFlaps(t *testing.T) {
 	m, now := NewManager(testConfig()), 100*micros.Second
-	observe := func(afterS float64, e Evidence) {
-		now += micros.FromSeconds(afterS)
-		m.Observe(now, Observation{Zones: map[string]Evidence{"a": e, "b": well}})
-	}
-	held := func() (s float64) {
-		observe(1, silent)
-		observe(2, silent)
-		observe(1, silent)
-		for observe(1, allBack); m.zones["a"].state == HeldDown && s < 100; s++ {
-			observe(1, allBack)
-		}
-		for i := 0; m.zones["a"].state == Returning && i < 100; i++ {
-			observe(1, allBack)
+	for i, c := range []struct{ calmS, heldS float64 }{{1, 5}, {1, 10}, {1, 20}, {1, 30}, {1, 30}, {4 * 300, 10}} {
+		observed(m, &now, c.calmS, 1, well, well)
+		observed(m, &now, 1, 4, silent, well)
+		observed(m, &now, 1, 1, allBack, well)
+		held := 0.0
+		for ; m.zones["a"].state == HeldDown && held < 100; held++ {
+			observed(m, &now, 1, 1, allBack, well)
 		}
-		return s
-	}
-	for i, want := range []float64{5, 10, 20, 30, 30} {
-		if got := held(); got != want {
-			t.Errorf("flap %d: held down for %v s, want %v", i, got, want)
+		if held != c.heldS {
+			t.Errorf("flap %d: held down for %v s, want %v", i, held, c.heldS)
 		}
-	}
-	observe(4*300, well)
-	if got := held(); got != 10 {
-		t.Errorf("after calm: held down for %v s, want 10", got)
+		observed(m, &now, 1, 40, allBack, well) // it returns
 	}
 }
 
@@ -147,9 +145,7 @@
 		}
 		lost, replaced := 0, 0.0
 		for _, s := range m.Status(0) {
-			if s.State == Lost.String() {
-				lost++
-			}
+			lost += strings.Count(s.State, Lost.String())
 			replaced += m.Decide(s.Zone).Replace
 		}
 		if lost != c.lost || (replaced > 0) != (c.lost > 0) {
@@ -162,148 +158,123 @@
 // it is not lost, and what is heard is open to all, whatever the hold-down.
 func TestLastZone(t *testing.T) {
 	m, now := NewManager(testConfig()), 100*micros.Second
-	observe := func(a, b Evidence) {
-		now += 3 * micros.Second
-		m.Observe(now, Observation{Zones: map[string]Evidence{"a": a, "b": b}})
-	}
-	observe(silent, well)
-	observe(silent, well)
-	if m.zones["a"].state != Lost || m.Decide("a").Open != 0 {
-		t.Fatalf("%v, %+v", m.zones["a"].state, m.Decide("a"))
-	}
-	for range 3 {
-		observe(allBack, silent)
-	}
-	if a, b := m.zones["a"].state, m.zones["b"]; a < HeldDown || b.state != Suspected || b.reason != ReasonObserver || m.Decide("a").Open != 1 {
-		t.Errorf("%v and %v (%s), %+v", a, b.state, b.reason, m.Decide("a"))
-	}
-	for range 15 {
-		observe(allBack, silent)
+	steps := []struct {
+		times          int
+		a, b           Evidence
+		aState, bState State
+		open           float64 // of a
+	}{{2, silent, well, Lost, Healthy, 0}, {3, allBack, silent, Returning, Suspected, 1}, {15, allBack, silent, Healthy, Lost, 1}}
+	for i, s := range steps {
+		observed(m, &now, 3, s.times, s.a, s.b)
+		a, b, open := m.zones["a"].state, m.zones["b"], m.Decide("a").Open
+		if a != s.aState || b.state != s.bState || open != s.open || b.state == Suspected && b.reason != ReasonObserver {
+			t.Errorf("step %d: %v and %v (%s), %v open; want %+v", i, a, b.state, b.reason, open, s)
+		}
 	}
-	if a, b := m.zones["a"].state, m.zones["b"].state; a != Healthy || b != Lost {
-		t.Errorf("%v and %v, want healthy and lost", a, b)
+}
+
+// TestKept has the silent machines of a lost zone be kept where the zone is a large part of the
+// fleet, also when others stand for them by then, and given up like single ones where it is not.
+func TestKept(t *testing.T) {
+	for others, want := range map[int]bool{40: true, 200: false} {
+		m, now := NewManager(testConfig()), 100*micros.Second
+		observed(m, &now, 3, 2, silent, Evidence{Up: others})
+		observed(m, &now, 0, 1, Evidence{Up: 20, Silent: 20}, Evidence{Up: others + 200})
+		if d := m.Decide("a"); m.zones["a"].state != Lost || d.KeepSilent != want {
+			t.Errorf("beside %d machines: %v, %+v, want kept: %v", others, m.zones["a"].state, d, want)
+		}
 	}
 }
 
 // TestDecisions has what follows of each state, and of the default policy.
 func TestDecisions(t *testing.T) {
-	c := testConfig()
-	c.Exempt = []string{"x"}
-	m := NewManager(c)
-	for name, z := range map[string]lifecycle{"healthy": {}, "suspected": {state: Suspected}, "blamed": {state: Suspected, observerAtFault: true, lossSince: 1},
-		"lost": {state: Lost, keep: true}, "gone": {state: Lost}, "held": {state: HeldDown, keep: true}, "returning": {state: Returning, step: 1, keep: true}, "half open": {state: Returning, step: 2, keep: true}, "empty": {state: Returning, keep: true}} {
-		m.zones[name] = z
+	m := NewManager(testConfig())
+	cases := []struct {
+		name string
+		z    lifecycle
+		up   int
+		want Decision
+	}{
+		{"healthy", lifecycle{}, 9, Decision{Rent: AnyNumber, Reachable: true, Open: 1}},
+		{"suspected", lifecycle{state: Suspected}, 9, Decision{Reachable: true, KeepSilent: true, Open: 1, Replace: 0.5}},
+		{"blamed", lifecycle{state: Suspected, observerAtFault: true, lossSince: 1}, 9, Decision{KeepSilent: true, Open: 1}},
+		{"lost", lifecycle{state: Lost, keep: true}, 9, Decision{KeepSilent: true, Replace: 0.5}},
+		{"gone", lifecycle{state: Lost}, 9, Decision{Replace: 0.5}},
+		{"held", lifecycle{state: HeldDown, keep: true}, 9, Decision{Reachable: true, KeepSilent: true, Replace: 0.5}},
+		{"returning", lifecycle{state: Returning, step: 1, keep: true}, 9, Decision{Reachable: true, KeepSilent: true, Open: 0.25, Replace: 0.5}},
+		{"half open", lifecycle{state: Returning, step: 2, keep: true}, 9, Decision{Rent: AnyNumber, Reachable: true, KeepSilent: true, Open: 0.5, Replace: 0.5}},
+		{"empty", lifecycle{state: Returning, keep: true}, 0, Decision{Rent: 3, Reachable: true, KeepSilent: true, Open: 0.1, Replace: 0.5}},
 	}
-	m.evidence["returning"], m.evidence["half open"] = well, well
-	for name, want := range map[string]Decision{
-		"unknown":   {Rent: AnyNumber, Reachable: true, Open: 1},
-		"healthy":   {Rent: AnyNumber, Reachable: true, Open: 1},
-		"suspected": {Reachable: true, KeepSilent: true, Open: 1, Replace: 0.5},
-		"blamed":    {KeepSilent: true, Open: 1},
-		"lost":      {KeepSilent: true, Replace: 0.5},
-		"gone":      {Replace: 0.5},
-		"held":      {Reachable: true, KeepSilent: true, Replace: 0.5},
-		"returning": {Reachable: true, KeepSilent: true, Open: 0.25, Replace: 0.5},
-		"half open": {Rent: AnyNumber, Reachable: true, KeepSilent: true, Open: 0.5, Replace: 0.5},
-		"empty":     {Rent: 3, Reachable: true, KeepSilent: true, Open: 0.1, Replace: 0.5},
-	} {
-		if got := m.Decide(name); got != want {
-			t.Errorf("%s: %+v, want %+v", name, got, want)
+	for _, c := range cases {
+		m.zones[c.name], m.evidence[c.name] = c.z, Evidence{Up: c.up}
+		if got := m.Decide(c.name); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
 		}
 	}
-	m = NewManager(c)
-	d := NewThreshold()
+	c := testConfig()
+	c.Exempt = []string{"x"}
+	exempt, plain := NewManager(c), NewThreshold()
 	for i := range 20 {
 		o := Observation{Zones: map[string]Evidence{"x": silent, "y": {Up: 300}}}
-		m.Observe(micros.Micros(100+i)*micros.Second, o)
-		d.Observe(0, o)
+		exempt.Observe(micros.Micros(100+i)*micros.Second, o)
+		plain.Observe(0, o)
 	}
-	if got, want := m.Decide("x"), (Decision{Rent: AnyNumber, Reachable: true, Open: 1}); got != want {
-		t.Errorf("an exempt zone: %+v, want %+v", got, want)
+	open := Decision{Rent: AnyNumber, Reachable: true, Open: 1}
+	if m.Decide("unknown") != open || exempt.Decide("x") != open || plain.Decide("x") != (Decision{Open: 1}) {
+		t.Errorf("unknown %+v, exempt %+v, by the default policy %+v", m.Decide("unknown"), exempt.Decide("x"), plain.Decide("x"))
 	}
-	if got, want := d.Decide("x"), (Decision{Open: 1}); got != want {
-		t.Errorf("the default policy: %+v, want %+v", got, want)
-	}
-	if d.Band("scan", true) != 0 || d.Record(0, 0) != nil || d.Status(0) != nil {
+	if plain.Band("scan", true) != 0 || plain.Record(0, 0) != nil || plain.Status(0) != nil {
 		t.Error("the default policy has more to tell than whether zones are cut off")
 	}
 }
 
-// TestKept has the silent machines of a lost zone be kept where the zone is a large part of the
-// fleet, through its flaps as well, and given up like single ones where it is not.
-func TestKept(t *testing.T) {
-	for others, want := range map[int]bool{40: true, 200: false} {
-		m, now := NewManager(testConfig()), 100*micros.Second
-		observe := func(e Evidence) {
-			now += 3 * micros.Second
-			m.Observe(now, Observation{Zones: map[string]Evidence{"a": e, "b": {Up: others}}})
-		}
-		observe(silent)
-		observe(silent)
-		replaced := Evidence{Up: 20, Silent: 20} // others stand for them by now
-		m.Observe(now, Observation{Zones: map[string]Evidence{"a": replaced, "b": {Up: others + 200}}})
-		if d := m.Decide("a"); m.zones["a"].state != Lost || d.KeepSilent != want {
-			t.Errorf("beside %d machines: %v, %+v, want kept: %v", others, m.zones["a"].state, d, want)
-		}
-	}
-}
-
 // TestBands has work move urgent first, then in the operators' order, while a zone is lost.
 func TestBands(t *testing.T) {
-	c := testConfig()
-	c.Classes = []string{"scan", "update"}
-	m := NewManager(c)
-	if got := m.Band("scan", true); got != 0 {
-		t.Errorf("band %d while all is well", got)
-	}
-	m.moving = true
-	got := []int{m.Band("other", true), m.Band("scan", false), m.Band("update", false), m.Band("other", false)}
-	if want := []int{1, 2, 3, 4}; !reflect.DeepEqual(got, want) {
-		t.Errorf("bands %v, want %v", got, want)
+	m := NewManager(testConfig())
+	m.config.Classes = []string{"scan", "update"}
+	for moving, want := range map[bool][]int{false: {0, 0, 0, 0}, true: {1, 2, 3, 4}} {
+		m.moving = moving
+		got := []int{m.Band("other", true), m.Band("scan", false), m.Band("update", false), m.Band("other", false)}
+		if !slices.Equal(got, want) {
+			t.Errorf("bands %v, want %v", got, want)
+		}
 	}
 }
 
 // TestRecord has a next leader go on from what was stored, on a node whose clocks differ.
 func TestRecord(t *testing.T) {
-	const now, wall, nowThere, wallThere = 500 * micros.Second, 9000 * micros.Second, 77 * micros.Second, 9002 * micros.Second
+	const s, now, wall, nowThere, wallThere = micros.Second, 500 * micros.Second, 9000 * micros.Second, 77 * micros.Second, 9002 * micros.Second
 	cases := []struct {
-		name   string
-		before lifecycle
-		after  lifecycle
+		name          string
+		before, after lifecycle
 	}{
-		{"lost", lifecycle{state: Lost, reason: ReasonSilent, since: now - 20*micros.Second, flaps: 2, calm: now - 60*micros.Second, keep: true},
-			lifecycle{state: Lost, reason: ReasonSilent, since: nowThere - 22*micros.Second, flaps: 2, calm: nowThere - 62*micros.Second, keep: true}},
-		{"held down", lifecycle{state: HeldDown, reason: ReasonHeard, since: now - 4*micros.Second, flaps: 1, until: now + 6*micros.Second},
-			lifecycle{state: HeldDown, reason: ReasonHeard, since: nowThere - 6*micros.Second, flaps: 1, until: nowThere + 4*micros.Second}},
-		{"returning", lifecycle{state: Returning, reason: ReasonStepHeld, since: now - 4*micros.Second, step: 2, flaps: 1, sent: 9, started: 8},
+		{"lost", lifecycle{state: Lost, reason: ReasonSilent, since: now - 20*s, flaps: 2, calm: now - 60*s, keep: true},
+			lifecycle{state: Lost, reason: ReasonSilent, since: nowThere - 22*s, flaps: 2, calm: nowThere - 62*s, keep: true}},
+		{"held down", lifecycle{state: HeldDown, reason: ReasonHeard, since: now - 4*s, flaps: 1, until: now + 6*s},
+			lifecycle{state: HeldDown, reason: ReasonHeard, since: nowThere - 6*s, flaps: 1, until: nowThere + 4*s}},
+		{"returning", lifecycle{state: Returning, reason: ReasonStepHeld, since: now - 4*s, step: 2, flaps: 1, sent: 9, started: 8},
 			lifecycle{state: Returning, reason: ReasonStepHeld, since: nowThere, step: 2, flaps: 1}},
-		{"healthy after flaps", lifecycle{reason: ReasonAllOpen, since: now - 10*micros.Second, flaps: 3, calm: now - 10*micros.Second},
-			lifecycle{reason: ReasonAllOpen, since: nowThere - 12*micros.Second, flaps: 3, calm: nowThere - 12*micros.Second}},
+		{"healthy after flaps", lifecycle{reason: ReasonAllOpen, since: now - 10*s, flaps: 3, calm: now - 10*s},
+			lifecycle{reason: ReasonAllOpen, since: nowThere - 12*s, flaps: 3, calm: nowThere - 12*s}},
 		{"healthy", lifecycle{}, lifecycle{}},
 		{"too old", lifecycle{state: Lost, since: now - 2*oldest, flaps: 1}, lifecycle{}},
 		{"a step that there is not", lifecycle{state: Returning, since: now, step: 9, flaps: 1}, lifecycle{}},
 		{"a state that there is not", lifecycle{state: 9, since: now, flaps: 1}, lifecycle{}},
 	}
 	for _, c := range cases {
-		m, next := NewManager(testConfig()), NewManager(testConfig())
+		m, next, other := NewManager(testConfig()), NewManager(testConfig()), NewManager(testConfig())
 		m.zones["a"] = c.before
 		b, err := json.Marshal(m.Record(now, wall))
 		var r Record
-		if err == nil {
-			err = json.Unmarshal(b, &r)
-		}
-		if err != nil {
+		if err = errors.Join(err, json.Unmarshal(b, &r)); err != nil {
 			t.Fatal(err)
 		}
-		next.Restore(&r, nowThere, wallThere)
-		if got := next.zones["a"]; got != c.after {
-			t.Errorf("%s: %+v, want %+v", c.name, got, c.after)
+		if next.Restore(&r, nowThere, wallThere); next.zones["a"] != c.after {
+			t.Errorf("%s: %+v, want %+v", c.name, next.zones["a"], c.after)
 		}
 		r.Version++
-		again := NewManager(testConfig())
-		again.Restore(&r, nowThere, wallThere)
-		again.Restore(nil, nowThere, wallThere)
-		if len(again.zones) > 0 {
+		other.Restore(&r, nowThere, wallThere)
+		if other.Restore(nil, nowThere, wallThere); len(other.zones) > 0 {
 			t.Errorf("%s: a record of another version was read", c.name)
 		}
 	}
--- a/placement/zones_test.go
+++ b/placement/zones_test.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 )
@@ -18,20 +17,16 @@
 		{ID: "another", Band: 3, Priority: 1},
 	}
 	slices.SortFunc(jobs, Less)
-	var got []string
-	for _, j := range jobs {
-		got = append(got, j.ID)
-	}
-	want := []string{"aged", "urgent", "late", "first class", "due sooner", "guaranteed", "another"}
-	if !slices.Equal(got, want) {
-		t.Errorf("order %q, want %q", got, want)
+	for i, want := range []string{"aged", "urgent", "late", "first class", "due sooner", "guaranteed", "another"} {
+		if jobs[i].ID != want {
+			t.Errorf("number %d is %s, want %s", i, jobs[i].ID, want)
+		}
 	}
 }
 
 // TestClosed has a machine of a zone that is not all there take only what is bound to the zone,
 // by each way of placing.
 func TestClosed(t *testing.T) {
-	need := Resources{CPU: 1000, Mem: 1000}
 	cases := []struct {
 		bound  string
 		closed bool
@@ -39,21 +34,13 @@
 	}{{"", false, 2}, {"", true, 0}, {"b", true, 0}, {"a", true, 2}, {"a", false, 2}}
 	for _, c := range cases {
 		for _, whole := range []bool{false, true} {
-			machine := func() []Machine {
-				return []Machine{{ID: "i-1", Zone: "a", Free: Resources{CPU: 4000, Mem: 4000}, Closed: c.closed}}
-			}
-			job := func() []*Job {
-				return []*Job{{ID: "j", Bound: c.bound, Need: need, Waiting: 2, Total: 2, Whole: whole}}
-			}
-			ways := map[string][]Start{"plan": Plan(machine(), job(), nil), "fill": Fill(&machine()[0], job(), nil)}
-			for name, starts := range ways {
-				n := 0
-				for _, s := range starts {
-					n += s.Count
-				}
-				if n != c.starts {
-					t.Errorf("%s: %d starts, want %d, in %s", name, n, c.starts, fmt.Sprintf("%+v, whole %v", c, whole))
-				}
+			machine := []Machine{{ID: "i-1", Zone: "a", Free: Resources{CPU: 4000, Mem: 4000}, Closed: c.closed}}
+			job := Job{ID: "j", Bound: c.bound, Need: Resources{CPU: 1000, Mem: 1000}, Waiting: 2, Total: 2, Whole: whole}
+			planned, filled := job, job
+			Plan(slices.Clone(machine), []*Job{&planned}, nil)
+			Fill(&slices.Clone(machine)[0], []*Job{&filled}, nil)
+			if planned.Waiting != 2-c.starts || filled.Waiting != 2-c.starts {
+				t.Errorf("%+v, whole %v: %d and %d wait still", c, whole, planned.Waiting, filled.Waiting)
 			}
 		}
 	}
