TestZones cuts its zone off by the stand-ins' partition

Cause: the test had a cut by zones of its own, which internal/standin now has. Change: it uses that; machines rented in the zone during the cut are cut off as well.

--- a/placing_test.go
+++ b/placing_test.go
@@ -214,32 +214,30 @@
 				if !tc.leads {
 					inside = (inside + 1) % 5
 				}
-				zones := map[string]string{}
-				for _, w := range c.cloud.Workers() {
-					zones[w.ID] = w.Zone()
-				}
-				host := fmt.Sprintf("host-%d", inside)
-				// Where a name is; the services and users are in no zone.
-				cutOff := func(name string) bool {
-					return zones[machineOf(name)] == "a" || strings.HasPrefix(name, host+"/") || strings.HasPrefix(name, host+":")
+				p, host := standin.NewPartition(), fmt.Sprintf("host-%d", inside)
+				p.MachineOf, p.ZoneOf = machineOf, func(name string) string {
+					if strings.HasPrefix(name, host+"/") || strings.HasPrefix(name, host+":") || name == host {
+						return "a"
+					}
+					return c.rules.ZoneOf(machineOf(name))
 				}
+				p.Changed = func() { c.pipes.Cut(p.Separated) }
 				var cut tally
-				c.pipes.Cut(func(from, to string) bool { return (from == host) != (to == host) })
 				c.setFault(func(from string, r *http.Request) standin.Fault {
-					if cutOff(from) != cutOff(r.URL.Host) {
+					fault := p.Fault(from, r)
+					if fault != standin.Pass {
 						cut.add("cut")
-						return standin.LostRequest
-					}
-					if r.URL.Path == "/hosts/return" && !tc.returns {
-						return standin.Refused
+					} else if r.URL.Path == "/hosts/return" && !tc.returns {
+						fault = standin.Refused
 					}
-					return standin.Pass
+					return fault
 				})
+				p.Cut("a")
 				held := 0
 				for i := 0; i < int(leaseS)+10; i++ {
 					time.Sleep(time.Second)
 					for _, w := range c.cloud.Workers() {
-						if zones[w.ID] == "a" {
+						if w.Zone() == "a" {
 							held += len(w.Tasks())
 						}
 					}
