TestKills: a leader that refuses to hand over ends without a handover

Change: after a refusal the process ends without a handover, as HandOverAtEnd has it, so that each of the five hundred ends is one; any other error of HandOver fails the test, which it did not.

--- a/standby_kills_test.go
+++ b/standby_kills_test.go
@@ -1,6 +1,7 @@
 package caperlatch
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	leadership "caperlatch/internal/leader"
 	"caperlatch/internal/settings"
 	"caperlatch/internal/wire"
 )
@@ -23,7 +25,7 @@
 // TestKills ends the leader at random moments, five hundred times in all, over 300 machines
 // that run arrays and gangs, while users submit, cancel and ask all nodes. Some ends are
 // handovers, some of them broken off by the end of the process or of the node that was
-// named. Under the checker of rules: no job has two final answers or goes back, no task is on
+// named. A leader that is still taking over refuses to hand over; it ends without. Under the checker of rules: no job has two final answers or goes back, no task is on
 // two machines, none is forgotten, and all that was accepted ends.
 func TestKills(t *testing.T) {
 	for seed := range uint64(killSeeds) {
@@ -95,32 +97,38 @@
 		r.crash(leader, time.Duration(r.random.IntN(3000))*time.Millisecond)
 		return false
 	}
-	to := ""
+	var to string
+	var err error
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		var err error
-		if to, err = r.nodes[leader].HandOver(); err == nil {
-			handed = true
-		}
+		to, err = r.nodes[leader].HandOver()
 	}()
-	switch way {
-	case 6: // it crashes in the midst of handing over
+	if way == 6 { // it crashes in the midst of handing over
 		time.Sleep(time.Duration(r.random.IntN(400)) * time.Millisecond)
 		r.crash(leader, 100*time.Millisecond)
-		<-done
-	case 7: // the named node ends in the midst of taking over
-		<-done
-		for i, n := range r.nodes {
-			if n.settings.Member == to {
-				time.Sleep(time.Duration(r.random.IntN(500)) * time.Millisecond)
-				r.crash(i, 200*time.Millisecond)
-			}
+	}
+	<-done
+	switch {
+	case err != nil && way != 6: // refused: the process ends without, as HandOverAtEnd has it
+		if !errors.Is(err, errNotLeading) && !errors.Is(err, leadership.ErrNotReady) {
+			r.t.Errorf("handing over: %v", err)
+		}
+		r.crash(leader, 100*time.Millisecond)
+	case way == 7: // the named node ends in the midst of taking over
+		r.crashNamed(to)
+	}
+	return err == nil
+}
+
+// crashNamed ends the node that a handover names, within half a second.
+func (r *killRun) crashNamed(member string) {
+	for i, n := range r.nodes {
+		if n.settings.Member == member {
+			time.Sleep(time.Duration(r.random.IntN(500)) * time.Millisecond)
+			r.crash(i, 200*time.Millisecond)
 		}
-	default:
-		<-done
 	}
-	return handed
 }
 
 // crash ends a node and starts it again after a while.
