Election: a leader that handed over lets others go first from the end of its own term, again

Cause: freeSince, since when nobody is seen to lead, was kept from before its own term, so a leader that handed over could lead again 1 ms later.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -229,6 +229,9 @@
 	t := e.campaign(ctx)
 	if t != nil {
 		e.serve(ctx, t)
+		// Somebody led meanwhile, this node. Counted from before its own term, a leader that
+		// handed over let nobody go first, and took the lead back at once.
+		e.freeSince = 0
 	}
 	e.endCampaign()
 	if t != nil {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -81,3 +81,54 @@
 		})
 	}
 }
+
+// TestYieldsAfterItsTerm has a leader hand over where nobody else leads: it lets others go first
+// for the whole time, counted from the end of its own term, and then leads again.
+func TestYieldsAfterItsTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		net, state := standin.NewNet(), standin.NewState()
+		net.Handle("state", state)
+		store := statestore.New("state", settings.State{RPS: 200, WriteRPS: 60, ValueKB: 8, TxnOps: 6}, net.From("host-0/1"))
+		copied := replica.New(store)
+		const yields = 2 * time.Second
+		terms, ended := make(chan time.Time, 2), time.Time{}
+		e := New(Config{
+			Member:  "host-0",
+			Store:   store,
+			Replica: copied,
+			Peers:   noPeers{},
+			Yield:   func() micros.Micros { return micros.Micros(yields / time.Microsecond) },
+			Lead: func(ctx context.Context, _ *Term) {
+				terms <- time.Now()
+				if len(terms) == 1 {
+					time.Sleep(5 * time.Second)
+					var l replica.Leader
+					if _, err := copied.Get(replica.LeaderKey, &l); err != nil {
+						t.Error(err)
+					}
+					if err := store.EndSession(ctx, l.Session); err != nil {
+						t.Error(err)
+					}
+					time.Sleep(time.Second) // it sees that nobody leads before the term ends here
+					ended = time.Now()
+					return
+				}
+				<-ctx.Done()
+			},
+		})
+		go copied.Run(ctx)
+		go e.Run(ctx)
+		time.Sleep(20 * time.Second)
+		if len(terms) != 2 {
+			t.Fatalf("%d terms", len(terms))
+		}
+		<-terms
+		if after := (<-terms).Sub(ended); after < yields || after > yields+time.Second {
+			t.Errorf("it leads again %v after its term, want %v", after, yields)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		state.Close()
+	})
+}
