Membership: nodes suspect each other before they come to a verdict, off by default

Need: nodes judged each other by the age of the last answer to a probe, alone, and told nobody. Change: internal/membership holds the states alive, suspected, failed and left, with timers that confirmations shorten, incarnation numbers that refute, and a node's own health.

--- a/cmd/caperlatch/main.go
+++ b/cmd/caperlatch/main.go
@@ -50,7 +50,7 @@
 		files.addFlags(cmd)
 	}
 	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionsCommand(), versionCommand(),
-		standbyCommand(), handoverCommand(), zonesCommand())
+		standbyCommand(), handoverCommand(), zonesCommand(), membersCommand())
 	return root
 }
 
@@ -77,7 +77,7 @@
 		return err
 	}
 	node := caperlatch.NewNode(s, t, features)
-	if features.Standby == nil {
+	if features.Standby == nil && features.Membership == nil {
 		return node.Run(ctx)
 	}
 	return runUntilTerminated(ctx, node)
--- /dev/null
+++ b/cmd/caperlatch/members.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"caperlatch/internal/membership"
+)
+
+// membersCommand asks a node what it thinks of the others.
+func membersCommand() *cobra.Command {
+	run := func(cmd *cobra.Command, node string, _ []string) error {
+		var status membership.Status
+		if err := ask(cmd.Context(), http.MethodGet, node, "/members", &status); err != nil {
+			return err
+		}
+		printMembers(cmd.OutOrStdout(), &status)
+		return nil
+	}
+	return nodeCommand("members", "Say which nodes are alive, suspected or failed, as a node sees them, and who else doubts them", cobra.NoArgs, run)
+}
+
+// printMembers writes what a node thinks of the others for people.
+func printMembers(w io.Writer, s *membership.Status) {
+	fmt.Fprintf(w, "as %s sees them:\n", s.Member)
+	for i := range s.Members {
+		printMember(w, &s.Members[i])
+	}
+	if s.Slow {
+		fmt.Fprintf(w, "%s is slow itself: it waits longer for its verdicts\n", s.Member)
+	}
+	if s.Isolated {
+		fmt.Fprintf(w, "%s hears neither the state service nor any node: it gives no verdict\n", s.Member)
+	}
+	fmt.Fprintf(w, "since %s started: %d suspicions, %d verdicts, %d doubts of itself refuted\n",
+		s.Member, s.Counts.Suspicions, s.Counts.Failures, s.Counts.Refuted)
+}
+
+// printMember writes what is thought of one member.
+func printMember(w io.Writer, m *membership.MemberStatus) {
+	fmt.Fprintf(w, "%s: %s for %.1f s, heard %.1f s ago", m.Member, m.State, m.SinceS, m.HeardS)
+	if m.RoundTripS > 0 {
+		fmt.Fprintf(w, ", last answered in %.1f ms", 1000*m.RoundTripS)
+	}
+	fmt.Fprintln(w)
+	if m.Through != "" {
+		fmt.Fprintf(w, "  heard by %s alone\n", m.Through)
+	}
+	if m.Withheld {
+		fmt.Fprintln(w, "  no verdict: its session lives, or this node hears nobody")
+	} else if m.State == membership.Suspected {
+		fmt.Fprintf(w, "  verdict in %.1f s\n", m.VerdictS)
+	}
+	if len(m.DoubtedBy) > 0 {
+		fmt.Fprintf(w, "  doubted as well by %s\n", strings.Join(m.DoubtedBy, ", "))
+	}
+}
--- a/cmd/caperlatch/standby.go
+++ b/cmd/caperlatch/standby.go
@@ -16,7 +16,7 @@
 	"caperlatch/internal/wire"
 )
 
-// runUntilTerminated runs a node that hands over when it is told to end by SIGTERM.
+// runUntilTerminated runs a node that hands over and leaves when it is told to end by SIGTERM.
 func runUntilTerminated(ctx context.Context, n *caperlatch.Node) error {
 	terminated, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
 	defer stop()
@@ -25,6 +25,7 @@
 	go func() {
 		<-terminated.Done()
 		n.HandOverAtEnd()
+		n.Leave()
 		end()
 	}()
 	return n.Run(running)
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -18,6 +18,7 @@
 	"github.com/labstack/echo/v4"
 
 	"caperlatch/internal/leader"
+	"caperlatch/internal/membership"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/peer"
 	"caperlatch/internal/replica"
@@ -56,6 +57,8 @@
 	Standby() (StandbyStatus, error)
 	// Zones tells what the leader thinks of the zones.
 	Zones(ctx context.Context) ([]zone.Status, error)
+	// Members tells what this node thinks of the others.
+	Members() (membership.Status, error)
 	// HandOver hands leadership over, and tells to whom.
 	HandOver() (to string, err error)
 }
@@ -91,6 +94,7 @@
 	e.GET("/standby", h.standby)
 	e.POST("/standby/handover", h.handOver)
 	e.GET("/zones", h.zones)
+	e.GET("/members", h.members)
 	e.POST("/hello", h.report)
 	return e
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -11,6 +11,7 @@
 	"io"
 
 	"caperlatch/internal/leader"
+	"caperlatch/internal/membership"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
 	"caperlatch/internal/standby"
@@ -29,6 +30,9 @@
 	Standby *standby.Query `json:"standby,omitempty"`
 	// Zones asks a leader what it thinks of the zones; ignored by versions before this one.
 	Zones bool `json:"zones,omitempty"`
+	// Heartbeat is what the sender thinks of the members; the answer is the peer's. Versions
+	// before this one ignore it, and their answer says nothing but that they live.
+	Heartbeat *membership.Heartbeat `json:"heartbeat,omitempty"`
 }
 
 // Probe tells a peer of its sender and asks for its state.
@@ -59,13 +63,14 @@
 
 // Response answers the request of the same id.
 type Response struct {
-	ID      uint64              `json:"id"`
-	State   *State              `json:"state,omitempty"`
-	Relay   []Relayed           `json:"relay,omitempty"`
-	Explain *leader.Explanation `json:"explain,omitempty"`
-	Standby *standby.Page       `json:"standby,omitempty"`
-	Zones   []zone.Status       `json:"zones,omitempty"`
-	Error   string              `json:"error,omitempty"`
+	ID        uint64                `json:"id"`
+	State     *State                `json:"state,omitempty"`
+	Relay     []Relayed             `json:"relay,omitempty"`
+	Explain   *leader.Explanation   `json:"explain,omitempty"`
+	Standby   *standby.Page         `json:"standby,omitempty"`
+	Zones     []zone.Status         `json:"zones,omitempty"`
+	Heartbeat *membership.Heartbeat `json:"heartbeat,omitempty"`
+	Error     string                `json:"error,omitempty"`
 }
 
 // Relayed is the leader's answer to one report that was passed on, or why there
--- a/internal/peer/oldversions_test.go
+++ b/internal/peer/oldversions_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"caperlatch/internal/leader"
+	"caperlatch/internal/membership"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/replica"
 	"caperlatch/internal/standby"
@@ -325,12 +326,14 @@
 	grace := 10.0
 	answer.Commands = append(answer.Commands, wire.Command{Verb: wire.VerbStop, Task: "j-000377/1", Attempt: 1, GraceS: &grace})
 	report.Tasks[1].Saved = true
+	heartbeat := &membership.Heartbeat{Member: "host-2", Incarnation: 3, Leaving: true,
+		Opinions: []membership.Opinion{{Member: "host-1", State: membership.Suspected, Incarnation: 2, Silence: 7}}}
 	request := Request{ID: 7, Probe: capturedProbe(), Relay: []wire.Raw{raw(t, report)}, Explain: "j-000412",
-		Standby: &standby.Query{Version: standby.Version, Member: "host-2", Token: 41, Position: 7}, Zones: true}
+		Standby: &standby.Query{Version: standby.Version, Member: "host-2", Token: 41, Position: 7}, Zones: true, Heartbeat: heartbeat}
 	response := Response{ID: 7, State: capturedState(Version), Relay: []Relayed{{Answer: raw(t, answer)}, {Error: "not entitled"}}, Error: "not leading",
 		Explain: &leader.Explanation{Job: "j-000412", By: "host-1", Tasks: 16, Why: []string{"no room"}},
 		Standby: &standby.Page{Version: standby.Version, Token: 41, Latest: 9, Entries: []standby.Entry{{Gone: &standby.Gone{Machine: "i-000231"}}}},
-		Zones:   []zone.Status{{Zone: "a", Flaps: 1}}}
+		Zones:   []zone.Status{{Zone: "a", Flaps: 1}}, Heartbeat: heartbeat}
 	set := map[string]bool{}
 	for _, message := range []any{request, response, report, answer} {
 		noteFields(reflect.ValueOf(message), set)
@@ -342,10 +345,10 @@
 	}
 	for _, v := range oldVersions {
 		t.Run(v.name, func(t *testing.T) {
-			// Earlier versions tell nothing of zones, and most neither follow a leader nor publish:
+			// Earlier versions send no heartbeats and tell nothing of zones, and most neither follow a leader nor publish:
 			// they ignore these.
 			wantRequest := request
-			wantRequest.Zones = false
+			wantRequest.Zones, wantRequest.Heartbeat = false, nil
 			if !v.standby {
 				wantRequest.Standby = nil
 			}
@@ -353,7 +356,7 @@
 				t.Errorf("request: %+v, want %+v", got, wantRequest)
 			}
 			want := response
-			want.Zones = nil
+			want.Zones, want.Heartbeat = nil, nil
 			if !v.standby {
 				want.Standby = nil
 			}
--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"caperlatch/internal/leader"
+	"caperlatch/internal/membership"
 	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
 	"caperlatch/internal/zone"
@@ -30,6 +31,8 @@
 
 func (*fullAnswers) ZonesTold() ([]zone.Status, error) { return nil, nil }
 
+func (*fullAnswers) Heartbeat(*membership.Heartbeat) *membership.Heartbeat { return nil }
+
 // TestRelayMuch has a follower pass on the reports of a fleet that waits to be filled.
 // The answers to all of them do not fit one message: those that do must arrive, and
 // the leader must not have seen the reports whose answers do not.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"caperlatch/internal/leader"
+	"caperlatch/internal/membership"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/standby"
 	"caperlatch/internal/wire"
@@ -33,6 +34,8 @@
 	Followed(q *standby.Query) *standby.Page
 	// ZonesTold tells a peer what the leader here thinks of the zones.
 	ZonesTold() ([]zone.Status, error)
+	// Heartbeat takes over a peer's heartbeat and answers with this node's; nil if it sends none.
+	Heartbeat(h *membership.Heartbeat) *membership.Heartbeat
 }
 
 // Serve answers requests on connections of l until ctx ends.
@@ -117,6 +120,8 @@
 		zones, err := h.ZonesTold()
 		answer.Zones = zones
 		answer.fail(err)
+	case q.Heartbeat != nil:
+		answer.Heartbeat = h.Heartbeat(q.Heartbeat)
 	case q.Explain != "":
 		explanation, err := h.Explained(q.Explain)
 		answer.Explain = &explanation
--- a/internal/settings/features.go
+++ b/internal/settings/features.go
@@ -6,13 +6,15 @@
 	"io"
 	"os"
 
+	"caperlatch/internal/membership"
 	"caperlatch/internal/zone"
 )
 
 // Features holds the settings of the optional parts; nil where one is off.
 type Features struct {
-	Standby *Standby
-	Zones   *zone.Config
+	Standby    *Standby
+	Zones      *zone.Config
+	Membership *membership.Config
 }
 
 // ErrStandbyTwice says that the standby is turned on in two files.
@@ -30,17 +32,18 @@
 
 // ParseFeatures reads
 //
-//	<caperlatch><standby>...</standby><zones>...</zones></caperlatch>
+//	<caperlatch><standby>...</standby><zones>...</zones><membership>...</membership></caperlatch>
 //
-// where each section turns a part on and may be left out, but not both.
+// where each section turns a part on and may be left out, but not all of them.
 func ParseFeatures(r io.Reader, p *Params) (Features, error) {
-	standby, zones := defaultStandby(), zone.DefaultConfig(p.Workers.Report())
+	standby, zones, members := defaultStandby(), zone.DefaultConfig(p.Workers.Report()), membership.DefaultConfig()
 	parser := newElementParser(r)
 	parser.sections[standbySection] = standbyElements(parser, &standby)
 	parser.sections[zonesSection] = zonesElements(parser, &zones, p)
+	parser.sections[membershipSection] = membershipElements(parser, &members)
 	err := parser.parse()
 	if err == nil && len(parser.entered) == 0 {
-		err = errors.New("the file turns nothing on: element standby or zones is missing")
+		err = errors.New("the file turns nothing on: element standby, zones or membership is missing")
 	}
 	if err != nil {
 		return Features{}, fmt.Errorf("features: %w", err)
@@ -52,5 +55,8 @@
 	if parser.entered[zonesSection] {
 		out.Zones = &zones
 	}
+	if parser.entered[membershipSection] {
+		out.Membership = &members
+	}
 	return out, nil
 }
--- a/internal/settings/features_test.go
+++ b/internal/settings/features_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"caperlatch/internal/membership"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/zone"
 )
@@ -26,6 +27,8 @@
 	changed := plain
 	changed.Classes, changed.Exempt = []string{"scan", "update"}, []string{"b"}
 	changed.Steps, changed.HoldDown, changed.Lose = []float64{0.5, 1}, 10*micros.Second, 0.6
+	members := membership.DefaultConfig()
+	members.Suspect, members.ConfirmMost = 4*micros.Second, 6500*micros.Millisecond
 	cases := []struct {
 		name, text string
 		want       Features
@@ -36,8 +39,12 @@
 		{"both", "<caperlatch><standby/><zones/></caperlatch>", Features{Standby: &standby, Zones: &plain}, ""},
 		{"much", wrap("<class>scan</class><class> update </class><exempt>b</exempt><step_percent>50</step_percent>" +
 			"<step_percent>100</step_percent><hold_down_s>10</hold_down_s><lost_percent>60</lost_percent>"), Features{Zones: &changed}, ""},
-		{"neither", "<caperlatch/>", Features{}, "standby or zones"},
-		{"an empty file", "", Features{}, "standby or zones"},
+		{"membership", "<caperlatch><membership><suspect_ms>4000</suspect_ms><confirm_most_ms>6500</confirm_most_ms></membership></caperlatch>", Features{Membership: &members}, ""},
+		{"a node suspected too soon", "<caperlatch><membership><heartbeat_ms>1100</heartbeat_ms></membership></caperlatch>", Features{}, "suspect_ms"},
+		{"a verdict that others delay", "<caperlatch><membership><confirm_least_ms>5001</confirm_least_ms></membership></caperlatch>", Features{}, "confirm_least_ms"},
+		{"no heartbeats", "<caperlatch><membership><heartbeat_ms>0</heartbeat_ms></membership></caperlatch>", Features{}, "heartbeat_ms"},
+		{"neither", "<caperlatch/>", Features{}, "standby, zones or membership"},
+		{"an empty file", "", Features{}, "standby, zones or membership"},
 		{"a section twice", "<caperlatch><zones/><zones/></caperlatch>", Features{}, "zones"},
 		{"an unknown section", "<caperlatch><zone/></caperlatch>", Features{}, "zone"},
 		{"an unknown element", wrap("<step>1</step>"), Features{}, "step"},
@@ -80,9 +87,15 @@
 	}
 }
 
-// TestDeployedZones reads the file under deploy, which shows the defaults.
-func TestDeployedZones(t *testing.T) {
-	want := zone.DefaultConfig(8 * micros.Second)
-	got, err := ReadFeatures("../../deploy/zones.xml", testParams())
-	checkParsed(t, got, err, Features{Zones: &want}, "")
+// TestDeployed reads the files under deploy, which show the defaults.
+func TestDeployed(t *testing.T) {
+	zones, members, standby := zone.DefaultConfig(8*micros.Second), membership.DefaultConfig(), defaultStandby()
+	for file, want := range map[string]Features{
+		"zones.xml":      {Zones: &zones},
+		"membership.xml": {Membership: &members},
+		"standby.xml":    {Standby: &standby},
+	} {
+		got, err := ReadFeatures("../../deploy/"+file, testParams())
+		checkParsed(t, got, err, want, "")
+	}
 }
--- a/internal/standin/pipes.go
+++ b/internal/standin/pipes.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
 // Pipes connects peers within a process.
@@ -12,6 +13,7 @@
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	cut       func(from, to string) bool
+	lag       func(from, to string) time.Duration
 	open      []opened
 }
 
@@ -30,6 +32,14 @@
 	}
 }
 
+// Lag decides how long what is sent takes from one to the other, on connections that are
+// opened from now on; nil: no time.
+func (p *Pipes) Lag(f func(from, to string) time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lag = f
+}
+
 // opened is a connection that was made, perhaps closed since.
 type opened struct {
 	from, to string
@@ -58,13 +68,27 @@
 	p.mu.Lock()
 	l := p.listeners[addr]
 	cut := p.cut != nil && p.cut(from, addr)
+	lag := p.lag
 	p.mu.Unlock()
 	if l == nil || cut {
 		return nil, errors.New("connection refused")
 	}
 	near, far := net.Pipe()
+	if lag != nil {
+		near = newLaggedConn(near, func() time.Duration { return lag(from, addr) })
+		far = newLaggedConn(far, func() time.Duration { return lag(addr, from) })
+		time.Sleep(lag(from, addr) + lag(addr, from)) // to connect takes a message and its answer
+	}
+	taken := false
+	defer func() {
+		if !taken {
+			near.Close()
+			far.Close()
+		}
+	}()
 	select {
 	case l.conns <- far:
+		taken = true
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.open = append(p.open, opened{from, addr, near})
--- /dev/null
+++ b/membership_process_test.go
@@ -0,0 +1,223 @@
+package caperlatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"caperlatch/internal/detection"
+	"caperlatch/internal/membership"
+	"caperlatch/internal/wire"
+)
+
+// Variables of TestDetectionTimes, which takes minutes of real time: how many failures it measures
+// for each size of cluster (without it, it is skipped), and where the plot is written.
+const (
+	membersVariable    = "CAPERLATCH_MEMBERS"
+	membersOutVariable = "CAPERLATCH_MEMBERS_OUT"
+)
+
+// Times of measuring.
+const (
+	membersPoll  = 20 * time.Millisecond
+	shortFreeze  = time.Second // too short for a suspicion
+	settledAfter = 2 * time.Second
+)
+
+// TestDetectionTimes ends and freezes nodes of real processes on loopback at random moments while
+// jobs run, and measures until each of the others suspects the node and confirms its failure. No
+// other node may be found failed, nor may one that froze for a second be suspected. The checker of
+// rules watches all of it.
+func TestDetectionTimes(t *testing.T) {
+	failures := intVariable(t, membersVariable, 0)
+	if failures == 0 {
+		t.Skip(membersVariable + " is not set")
+	}
+	program := filepath.Join(t.TempDir(), "now")
+	shell(t, `go build -ldflags=-linkmode=external -o "$1" ./cmd/caperlatch`, program)
+	var verdicts []detection.Verdict
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprintf("%d nodes", size), func(t *testing.T) {
+			r := &detectionRun{processes: newProcesses(t, size, t.TempDir()), program: program, random: rand.New(rand.NewPCG(uint64(size), 33))}
+			verdicts = append(verdicts, r.measure(failures)...)
+		})
+	}
+	for _, s := range detection.Summarize(verdicts) {
+		t.Log(s)
+	}
+	if out := os.Getenv(membersOutVariable); out != "" {
+		f, err := os.Create(out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		if err := detection.WriteSVG(f, verdicts); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// detectionRun measures with one cluster of processes.
+type detectionRun struct {
+	*processes
+	program string
+	random  *rand.Rand
+}
+
+// measure measures some failures.
+func (r *detectionRun) measure(failures int) (verdicts []detection.Verdict) {
+	defer r.end()
+	r.args = []string{"--features", "deploy/membership.xml"}
+	for i := range r.stops {
+		r.run(i, r.program)
+	}
+	r.leader()
+	time.Sleep(settledAfter)
+	for n := range failures {
+		id := fmt.Sprintf("j-%06d", n+1)
+		r.submit(id, 8)
+		verdicts = append(verdicts, r.fail(n)...)
+		r.await(id, "done", time.Minute)
+	}
+	r.broken()
+	return verdicts
+}
+
+// fail has one node fail, the leader and another in turn, killed or frozen, and come back.
+func (r *detectionRun) fail(n int) (verdicts []detection.Verdict) {
+	time.Sleep(time.Duration(r.random.Int64N(int64(time.Second))))
+	leader := r.leader()
+	node := leader
+	if n%2 == 1 {
+		node = (leader + 1) % len(r.stops)
+	}
+	cause := detection.Killed
+	if n/2%2 == 1 {
+		cause = detection.Frozen
+		r.signal(node, syscall.SIGSTOP)
+		time.Sleep(shortFreeze)
+		r.signal(node, syscall.SIGCONT)
+		r.allAlive(node, true)
+	}
+	begun := time.Now()
+	if cause == detection.Frozen {
+		r.signal(node, syscall.SIGSTOP)
+	} else {
+		r.kill(node)
+	}
+	verdicts = r.observe(node, begun)
+	for i := range verdicts {
+		verdicts[i].Nodes, verdicts[i].Cause, verdicts[i].Leader = len(r.stops), cause, node == leader
+	}
+	if cause == detection.Frozen {
+		r.signal(node, syscall.SIGCONT)
+	} else {
+		r.run(node, r.program)
+	}
+	r.allAlive(node, false)
+	return verdicts
+}
+
+// signal sends a signal to a node's process.
+func (r *detectionRun) signal(node int, s syscall.Signal) {
+	if err := r.commands[node].Process.Signal(s); err != nil {
+		r.t.Errorf("host-%d: %v", node, err)
+	}
+}
+
+// observe waits until all others have confirmed that a node failed.
+func (r *detectionRun) observe(node int, begun time.Time) (verdicts []detection.Verdict) {
+	seen := map[int]*detection.Verdict{}
+	for time.Since(begun) < verdictWithin && len(verdicts) < len(r.stops)-1 {
+		for i := range r.stops {
+			if i != node && (seen[i] == nil || seen[i].Confirmed == 0) {
+				r.look(i, node, begun, seen)
+				if v := seen[i]; v != nil && v.Confirmed != 0 {
+					verdicts = append(verdicts, *v)
+				}
+			}
+		}
+		time.Sleep(membersPoll)
+	}
+	if len(verdicts) < len(r.stops)-1 {
+		r.t.Errorf("host-%d: %d nodes have confirmed its failure within %v", node, len(verdicts), verdictWithin)
+	}
+	return verdicts
+}
+
+// look asks one node what it thinks of the one that failed; no other may have failed to it.
+func (r *detectionRun) look(by, node int, begun time.Time, seen map[int]*detection.Verdict) {
+	status, err := r.members(by)
+	if err != nil {
+		return // it is asked again
+	}
+	for _, m := range status.Members {
+		doubts := m.State == membership.Suspected || m.State == membership.Failed
+		if !doubts {
+			continue
+		}
+		if m.Member != fmt.Sprintf("host-%d", node) {
+			r.t.Errorf("host-%d finds %s %s, which runs", by, m.Member, m.State)
+			continue
+		}
+		if seen[by] == nil {
+			seen[by] = &detection.Verdict{Suspected: since(begun)}
+		}
+		if m.State == membership.Failed {
+			seen[by].Confirmed = since(begun)
+		}
+	}
+}
+
+// allAlive waits until all nodes find a node alive again, or expects that they never doubted it.
+func (r *detectionRun) allAlive(node int, ever bool) {
+	name := fmt.Sprintf("host-%d", node)
+	for begun := time.Now(); ; time.Sleep(membersPoll) {
+		doubted := ""
+		for i := range r.stops {
+			status, err := r.members(i)
+			if err != nil {
+				doubted = err.Error()
+			}
+			for _, m := range status.Members {
+				if m.Member == name && m.State != membership.Alive || i == node && m.State != membership.Alive {
+					doubted = fmt.Sprintf("%s finds %s %s", status.Member, m.Member, m.State)
+				}
+			}
+		}
+		if doubted == "" {
+			return
+		}
+		if ever || time.Since(begun) > verdictWithin {
+			r.t.Errorf("host-%d: %s", node, doubted)
+			return
+		}
+	}
+}
+
+// members asks a node what it thinks of the others.
+func (r *detectionRun) members(node int) (status membership.Status, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.addrs[node][0]+"/members", nil)
+	if err != nil {
+		return status, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return status, err
+	}
+	return status, wire.Unmarshal(body, &status)
+}
--- a/node.go
+++ b/node.go
@@ -42,7 +42,8 @@
 	times    *api.Times
 	features settings.Features
 
-	standby *standbyNode // nil: off
+	standby    *standbyNode    // nil: off
+	membership *membershipNode // nil: off
 
 	mu       sync.Mutex
 	leading  *leader.Leader
@@ -107,6 +108,9 @@
 		config.Yield = n.standby.yield
 	}
 	n.election = election.New(config)
+	if features.Membership != nil {
+		n.membership = newMembershipNode(n, *features.Membership)
+	}
 	return n
 }
 
@@ -178,6 +182,9 @@
 	if n.standby != nil {
 		wg.Go(func() { n.standby.follow(ctx) })
 	}
+	if n.membership != nil {
+		wg.Go(func() { n.membership.run(ctx) })
+	}
 	wg.Wait()
 }
 
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -26,7 +26,7 @@
 var oldVersions = []oldVersion{
 	{"3a714ab", false, nil},
 	{"5fd93d5", true, nil},
-	{"1f14824", true, []string{"--standby", "deploy/standby.xml"}},
+	{"1f14824", true, []string{"--standby", "deploy/standby.xml", "--features", "deploy/membership.xml"}},
 	{"d052fb0", true, []string{"--standby", "deploy/standby.xml", "--features", "deploy/zones.xml"}},
 }
 
