Tests: the driver of clusters becomes internal/cluster; processes' settings are those of nodes

Need: the driver of real processes and of users lay in test files, and wrote node settings a second time as text; a cluster on one machine for operators needs the same. Change: internal/cluster holds users under the checker of rules, who leads, and processes on loopback, which now end with their parent also when that is killed; its errors are returned, the tests end with them. Processes' settings are nodeSettings, encoded.

--- /dev/null
+++ b/internal/cluster/leadership.go
@@ -0,0 +1,69 @@
+package cluster
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"caperlatch/internal/replica"
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// ErrNobodyLeads says that no node led in time.
+var ErrNobodyLeads = errors.New("nobody leads")
+
+// How often and how long it is looked who leads.
+const (
+	leaderLooks  = 100
+	leaderPause  = 200 * time.Millisecond
+	nextLooks    = 200
+	nextPause    = 50 * time.Millisecond
+	memberFormat = "host-%d"
+)
+
+// Leadership tells who leads, as the state service has it.
+type Leadership struct{ State *standin.State }
+
+// Now is the index of the node that the state service names, -1 if it names none.
+func (l Leadership) Now() int {
+	var leader replica.Leader
+	node := -1
+	if e, ok := l.State.Get(replica.LeaderKey); ok && wire.Unmarshal(e.Value, &leader) == nil {
+		if _, err := fmt.Sscanf(leader.Member, memberFormat, &node); err != nil {
+			return -1
+		}
+	}
+	return node
+}
+
+// Leader waits until a node leads.
+func (l Leadership) Leader() (node int, err error) {
+	for range leaderLooks {
+		if node := l.Now(); node >= 0 {
+			return node, nil
+		}
+		time.Sleep(leaderPause)
+	}
+	return -1, ErrNobodyLeads
+}
+
+// Token is the highest token given out, as stored; 0 if there is none.
+func (l Leadership) Token() uint64 {
+	var n replica.Token
+	if e, ok := l.State.Get(replica.TokenKey); !ok || wire.Unmarshal(e.Value, &n) != nil {
+		return 0
+	}
+	return n.Token
+}
+
+// LedAfter waits until another leader leads than the one with this token.
+func (l Leadership) LedAfter(token uint64) error {
+	for range nextLooks {
+		if _, ok := l.State.Get(replica.LeaderKey); ok && l.Token() > token {
+			return nil
+		}
+		time.Sleep(nextPause)
+	}
+	return ErrNobodyLeads
+}
--- /dev/null
+++ b/internal/cluster/processes.go
@@ -0,0 +1,267 @@
+package cluster
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"caperlatch/internal/settings"
+	"caperlatch/internal/standin"
+)
+
+// Config is what processes are made of.
+type Config struct {
+	// Settings are those of a node but for all addresses, which are filled in.
+	Settings func(node int) *settings.Settings
+	Nodes    int
+	Dir      string                    // for settings files and logs
+	RunFor   func(task string) float64 // how long a task runs, in seconds
+	// Ended is told of a process that ended by itself; nil: nobody is.
+	Ended func(node int, log string, err error)
+}
+
+// idleProxyConns is how many connections to a node stay open for its next requests.
+const idleProxyConns = 256
+
+// Processes are controllers that run as processes on loopback, with stand-ins of all around them
+// in this process.
+type Processes struct {
+	Users
+	Leadership
+	Net   *standin.Net
+	Cloud *standin.Cloud
+	Dir   string
+	Args  []string // of each process, before those that name its settings
+	Addrs []Addrs  // of each node
+
+	config  Config
+	servers []*httptest.Server
+	starter *starter
+
+	mu       sync.Mutex
+	commands []*exec.Cmd // of the nodes' present lives
+	expected []bool      // nodes that may end by themselves
+	stops    []func()
+	lives    []int
+}
+
+// Addrs are where a node listens.
+type Addrs struct{ Client, Peer string }
+
+// NewProcesses prepares a cluster; Run starts its nodes.
+func NewProcesses(config Config) (*Processes, error) {
+	p := &Processes{
+		Leadership: Leadership{standin.NewState()},
+		Net:        standin.NewNet(),
+		Dir:        config.Dir,
+		config:     config,
+		starter:    newStarter(),
+		commands:   make([]*exec.Cmd, config.Nodes),
+		expected:   make([]bool, config.Nodes),
+		stops:      make([]func(), config.Nodes),
+		lives:      make([]int, config.Nodes),
+	}
+	var hosts []string
+	for i := range config.Nodes {
+		addrs, err := freeAddrs()
+		if err != nil {
+			return nil, err
+		}
+		p.Addrs = append(p.Addrs, addrs)
+		hosts = append(hosts, host(i))
+		p.Net.Handle(host(i), proxy(addrs.Client))
+		p.stops[i] = func() {}
+	}
+	s := config.Settings(0)
+	limits := map[string]float64{}
+	for _, team := range s.Params.Teams {
+		limits[team.Name] = team.CPUsMax
+	}
+	workers := s.Params.Workers
+	rules := standin.NewRules(workers.Cancel().Duration(), limits)
+	p.Users = Users{Client: &http.Client{Transport: p.Net.From("user")}, Rules: rules, Nodes: config.Nodes}
+	p.Cloud = standin.NewCloud(p.Net, rules, hosts, workers.ReportS, workers.LeaseS, config.RunFor)
+	p.Cloud.Serve = p.serve
+	p.serve(p.State)
+	p.serve(p.Cloud)
+	return p, nil
+}
+
+// Listen has a node listen for users at an address of the caller's choice, if it is free.
+func (p *Processes) Listen(node int, address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return
+	}
+	listener.Close()
+	p.Addrs[node].Client = address
+	p.Net.Handle(host(node), proxy(address))
+}
+
+// freeAddrs are two addresses on loopback that nothing listens at.
+func freeAddrs() (a Addrs, err error) {
+	for _, addr := range []*string{&a.Client, &a.Peer} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return a, fmt.Errorf("loopback: %w", err)
+		}
+		*addr = listener.Addr().String()
+		defer listener.Close() // not before both are found, or they might be the same
+	}
+	return a, nil
+}
+
+// proxy passes requests on to a node.
+func proxy(address string) http.Handler {
+	to := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: address})
+	to.Transport = &http.Transport{MaxIdleConnsPerHost: idleProxyConns, DisableCompression: true}
+	to.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, _ error) { w.WriteHeader(http.StatusBadGateway) }
+	return to
+}
+
+// serve serves a handler on loopback. Workers are served under the cloud's lock, the
+// others before.
+func (p *Processes) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	p.servers = append(p.servers, server)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// SettingsFile is where a node's settings are.
+func (p *Processes) SettingsFile(node int) string {
+	return filepath.Join(p.Dir, fmt.Sprintf(memberFormat+".toml", node))
+}
+
+// writeSettings writes a node's settings, with the addresses of all.
+func (p *Processes) writeSettings(node int) error {
+	s := p.config.Settings(node)
+	s.ClientListen, s.PeerListen = p.Addrs[node].Client, p.Addrs[node].Peer
+	s.External.State = strings.TrimPrefix(p.servers[0].URL, "http://")
+	s.External.Cloud = strings.TrimPrefix(p.servers[1].URL, "http://")
+	s.Peers = nil
+	for i, a := range p.Addrs {
+		if i != node {
+			s.Peers = append(s.Peers, settings.Peer{Member: fmt.Sprintf(memberFormat, i), Zone: s.Zone, Addr: a.Peer})
+		}
+	}
+	text, err := toml.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("settings of node %d: %w", node, err)
+	}
+	return os.WriteFile(p.SettingsFile(node), text, 0o644)
+}
+
+// Run begins a new life of a node with a program.
+func (p *Processes) Run(node int, program string) error {
+	if err := p.writeSettings(node); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lives[node]++
+	name := fmt.Sprintf(memberFormat+"-%d-%s.log", node, p.lives[node], filepath.Base(program))
+	log, err := os.Create(filepath.Join(p.Dir, name))
+	if err != nil {
+		return err
+	}
+	args := append(append([]string{}, p.Args...), "--config", p.SettingsFile(node))
+	cmd := exec.Command(program, args...)
+	cmd.Stderr, cmd.Env = log, append(os.Environ(), "LOG_LEVEL=info")
+	if err := p.starter.start(cmd); err != nil {
+		log.Close()
+		return err
+	}
+	ended := make(chan struct{})
+	killed := false
+	p.commands[node], p.expected[node] = cmd, false
+	go func() {
+		defer close(ended)
+		defer log.Close()
+		err := cmd.Wait()
+		p.mu.Lock()
+		byItself := !killed && !p.expected[node]
+		p.mu.Unlock()
+		if byItself && p.config.Ended != nil {
+			p.config.Ended(node, log.Name(), err)
+		}
+	}()
+	p.stops[node] = func() {
+		p.mu.Lock()
+		killed = true
+		p.mu.Unlock()
+		_ = cmd.Process.Kill() // it may have ended
+		<-ended
+	}
+	return nil
+}
+
+// Kill ends a node's process as a crash would.
+func (p *Processes) Kill(node int) {
+	p.mu.Lock()
+	stop := p.stops[node]
+	p.mu.Unlock()
+	stop()
+}
+
+// Process is a node's process in its present life.
+func (p *Processes) Process(node int) *os.Process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.commands[node].Process
+}
+
+// Signal sends a signal to a node's process.
+func (p *Processes) Signal(node int, s os.Signal) error {
+	if err := p.Process(node).Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("node %d: %w", node, err)
+	}
+	return nil
+}
+
+// ExpectEnd says that a node's process is about to be told to end.
+func (p *Processes) ExpectEnd(node int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expected[node] = true
+}
+
+// AwaitReady waits until all nodes take requests.
+func (p *Processes) AwaitReady(within time.Duration) error {
+	for begun, node := time.Now(), 0; node < p.config.Nodes; {
+		if code, _ := p.Request(http.MethodGet, node, "/ready", nil); code == http.StatusOK {
+			node++
+			continue
+		}
+		if time.Since(begun) > within {
+			return fmt.Errorf("node %d takes no requests after %v", node, within)
+		}
+		time.Sleep(nextPause)
+	}
+	return nil
+}
+
+// Close ends all processes and stand-ins.
+func (p *Processes) Close() {
+	for i := range p.stops {
+		p.Kill(i)
+	}
+	p.starter.close()
+	p.Cloud.Close()
+	for _, s := range p.servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+	p.State.Close()
+}
--- /dev/null
+++ b/internal/cluster/starter_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package cluster
+
+import "os/exec"
+
+// endWithParent does nothing: this system does not tell children of their parent's death.
+func endWithParent(*exec.Cmd) {}
--- /dev/null
+++ b/internal/cluster/users.go
@@ -0,0 +1,149 @@
+// Package cluster runs whole clusters: stand-ins of the state service, the cloud and its workers,
+// controllers as processes on loopback, and users under the checker of the protocol's rules.
+//
+// Tests and `caperlatch lab` use the same driver. It makes no judgement but the checker's.
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"caperlatch/internal/standin"
+	"caperlatch/internal/wire"
+)
+
+// Users sends users' requests to nodes and shows the answers to the checker of the rules.
+type Users struct {
+	Client *http.Client
+	Rules  *standin.Rules
+	Nodes  int
+}
+
+// Times of users.
+const (
+	// userPatience is how long users wait for an answer.
+	userPatience = 5 * time.Second
+	// pollEvery is between two questions about a job.
+	pollEvery = time.Second
+)
+
+// submissions is how often a submission is repeated.
+const submissions = 60
+
+// jobsPath is where jobs are submitted, and below which each is.
+const jobsPath = "/v1/jobs"
+
+// Errors of awaiting a job.
+var (
+	ErrForgotten = errors.New("the job was forgotten")
+	ErrTooLate   = errors.New("the job has not got there in time")
+)
+
+// host is where a node answers users.
+func host(node int) string { return fmt.Sprintf("host-%d:8080", node) }
+
+// Request sends a user's request to a node and shows the answer to the checker of the
+// rules. The code is 0 if there was no answer.
+func (u *Users) Request(method string, node int, path string, body any) (int, wire.JobStatus) {
+	var content []byte
+	submitted := ""
+	if body != nil {
+		var err error
+		if content, err = wire.Marshal(body); err != nil {
+			panic(err)
+		}
+		submitted = u.submits(content)
+	}
+	id := submitted
+	if id == "" {
+		id = u.Rules.Asks(path)
+	}
+	sent := time.Now()
+	code, answer := u.send(method, node, path, content)
+	if code == 0 {
+		return 0, wire.JobStatus{}
+	}
+	var status wire.JobStatus
+	if len(answer) > 0 {
+		_ = wire.Unmarshal(answer, &status) // an error body has no status, which the callers see
+	}
+	if strings.HasPrefix(path, jobsPath) {
+		u.Rules.Told(method, path, id, sent, code, status)
+	}
+	return code, status
+}
+
+// send sends a request; the code is 0 if there was no whole answer.
+func (u *Users) send(method string, node int, path string, content []byte) (code int, answer []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), userPatience)
+	defer cancel()
+	var body io.Reader
+	if content != nil {
+		body = bytes.NewReader(content)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+host(node)+path, body)
+	if err != nil {
+		panic(err)
+	}
+	response, err := u.Client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	if answer, err = io.ReadAll(response.Body); err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, answer
+}
+
+// submits shows a submission to the checker of the rules and returns its id, if it has one.
+func (u *Users) submits(body []byte) string {
+	id := wire.SubmittedID(body)
+	if spec, err := wire.ParseJob(body); err == nil {
+		u.Rules.Submits(spec)
+	} else if id != "" {
+		u.Rules.SubmitsMalformed(id)
+	}
+	return id
+}
+
+// Accepts submits a job to a node and tells whether it is accepted now or was before.
+func (u *Users) Accepts(node int, job any) bool {
+	code, _ := u.Request(http.MethodPost, node, jobsPath, job)
+	return code == http.StatusCreated || code == http.StatusOK
+}
+
+// SubmitFrom repeats a submission sixty times, each time at the next node, and tells whether it
+// was taken.
+func (u *Users) SubmitFrom(first int, pause time.Duration, job any) bool {
+	for try := range submissions {
+		if u.Accepts((first+try)%u.Nodes, job) {
+			return true
+		}
+		time.Sleep(pause)
+	}
+	return false
+}
+
+// Await polls, each time at the next node, until a job has a status.
+func (u *Users) Await(id, status string, within time.Duration) error {
+	var last wire.JobStatus
+	code := 0
+	for begun, try := time.Now(), 0; time.Since(begun) < within; try++ {
+		code, last = u.Request(http.MethodGet, try%u.Nodes, jobsPath+"/"+id, nil)
+		if code == http.StatusNotFound {
+			return fmt.Errorf("%s: %w", id, ErrForgotten)
+		}
+		if last.Status == status {
+			return nil
+		}
+		time.Sleep(pollEvery)
+	}
+	return fmt.Errorf("%s is %q (%d) after %v, want %s: %w", id, last.Status, code, within, status, ErrTooLate)
+}
