Peers: a connection that is accepted as the node ends is closed

Serve returned without closing a connection that it had accepted in the moment of ending, so its peer would have waited for an answer until its timeout. Change: it is closed.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -46,6 +46,10 @@
 	defer wg.Wait()
 	for {
 		conn, err := l.Accept()
+		if err == nil && ctx.Err() != nil {
+			conn.Close() // accepted as the node ended: its peer would wait for answers
+			return
+		}
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return
 		}
