Lab: a cluster on one machine, and clients for users

Need: a newcomer could not run caperlatch: the README's first command failed, no sample of settings existed, and nothing happens without state service, cloud and workers. Change: caperlatch lab run and lab up run controllers as processes with the tests' stand-ins, a sample of jobs and faults from a file; submit, jobs and cancel are small clients; deploy/settings.example.toml explains every field; the README begins with the lab and a test runs its commands. The charts of reports stand once, in internal/charts.

--- a/cmd/caperlatch/features.go
+++ b/cmd/caperlatch/features.go
@@ -18,6 +18,16 @@
 	cmd.Flags().StringVar(&f.standby, "standby", "", "settings of the warm standby alone (XML)")
 }
 
+// args name the files to another process.
+func (f *featureFiles) args() (args []string) {
+	for flag, file := range map[string]string{"--features": f.features, "--standby": f.standby} {
+		if file != "" {
+			args = append(args, flag, file)
+		}
+	}
+	return args
+}
+
 // read reads the files for a deployment.
 func (f *featureFiles) read(s *settings.Settings) (features settings.Features, err error) {
 	if f.features != "" {
--- a/cmd/caperlatch/main.go
+++ b/cmd/caperlatch/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -22,10 +23,33 @@
 	root := rootCommand()
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "caperlatch:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// usageError is a request that cannot be carried out as it stands; nothing was begun.
+type usageError struct{ error }
+
+// Unwrap is what is wrong.
+func (e usageError) Unwrap() error { return e.error }
+
+// usage marks an error as the user's.
+func usage(err error) error { return usageError{err} }
+
+// exitCode is the program's exit code after an error.
+func exitCode(err error) int {
+	if errors.As(err, &usageError{}) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
 // rootCommand is the program with all its commands; without one it runs a node.
 func rootCommand() *cobra.Command {
 	var config string
@@ -50,7 +74,8 @@
 		files.addFlags(cmd)
 	}
 	root.AddCommand(runCmd, checkCommand(), explainCommand(), versionsCommand(), versionCommand(),
-		standbyCommand(), handoverCommand(), zonesCommand(), membersCommand())
+		standbyCommand(), handoverCommand(), zonesCommand(), membersCommand(),
+		labCommand(), submitCommand(), jobsCommand(), cancelCommand())
 	return root
 }
 
--- /dev/null
+++ b/deploy/deploy.go
@@ -0,0 +1,9 @@
+// Package deploy holds the files that operators start from.
+package deploy
+
+import _ "embed"
+
+// Settings is an example of a node's settings, with every field explained.
+//
+//go:embed settings.example.toml
+var Settings []byte
--- /dev/null
+++ b/internal/charts/charts.go
@@ -0,0 +1,67 @@
+// Package charts draws what stand-ins saw, for reports in HTML. The pages load the chart library
+// from the network.
+package charts
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/go-echarts/go-echarts/v2/charts"
+	"github.com/go-echarts/go-echarts/v2/opts"
+
+	"caperlatch/internal/standin"
+)
+
+// Series is a named row of values.
+type Series struct {
+	Name   string
+	Values []float64
+}
+
+// Timeline draws counts of tasks over samples.
+func Timeline(title string, samples []standin.Sample, counts func(standin.Sample) map[string]int) *charts.Line {
+	line := charts.NewLine()
+	line.SetGlobalOptions(
+		charts.WithTitleOpts(opts.Title{Title: title}),
+		charts.WithXAxisOpts(opts.XAxis{Name: "seconds"}),
+		charts.WithYAxisOpts(opts.YAxis{Name: "tasks"}),
+		charts.WithLegendOpts(opts.Legend{Top: "bottom"}),
+	)
+	names := map[string]bool{}
+	var at []string
+	for _, s := range samples {
+		at = append(at, fmt.Sprintf("%.0f", s.At.Seconds()))
+		for name := range counts(s) {
+			names[name] = true
+		}
+	}
+	line.SetXAxis(at)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		var values []opts.LineData
+		for _, s := range samples {
+			values = append(values, opts.LineData{Value: counts(s)[name]})
+		}
+		line.AddSeries(name, values)
+	}
+	return line
+}
+
+// Seconds draws times by name.
+func Seconds(title, subtitle string, names []string, series ...Series) *charts.Bar {
+	bar := charts.NewBar()
+	bar.SetGlobalOptions(
+		charts.WithTitleOpts(opts.Title{Title: title, Subtitle: subtitle}),
+		charts.WithYAxisOpts(opts.YAxis{Name: "seconds"}),
+		charts.WithLegendOpts(opts.Legend{Top: "bottom"}),
+	)
+	bar.SetXAxis(names)
+	for _, s := range series {
+		values := []opts.BarData{}
+		for _, v := range s.Values {
+			values = append(values, opts.BarData{Value: v})
+		}
+		bar.AddSeries(s.Name, values)
+	}
+	return bar
+}
--- a/internal/cluster/leadership.go
+++ b/internal/cluster/leadership.go
@@ -15,13 +15,15 @@
 
 // How often and how long it is looked who leads.
 const (
-	leaderLooks  = 100
-	leaderPause  = 200 * time.Millisecond
-	nextLooks    = 200
-	nextPause    = 50 * time.Millisecond
-	memberFormat = "host-%d"
+	leaderLooks = 100
+	leaderPause = 200 * time.Millisecond
+	nextLooks   = 200
+	nextPause   = 50 * time.Millisecond
 )
 
+// MemberFormat is the form of nodes' names.
+const MemberFormat = "host-%d"
+
 // Leadership tells who leads, as the state service has it.
 type Leadership struct{ State *standin.State }
 
@@ -30,7 +32,7 @@
 	var leader replica.Leader
 	node := -1
 	if e, ok := l.State.Get(replica.LeaderKey); ok && wire.Unmarshal(e.Value, &leader) == nil {
-		if _, err := fmt.Sscanf(leader.Member, memberFormat, &node); err != nil {
+		if _, err := fmt.Sscanf(leader.Member, MemberFormat, &node); err != nil {
 			return -1
 		}
 	}
--- a/internal/cluster/processes.go
+++ b/internal/cluster/processes.go
@@ -141,7 +141,7 @@
 
 // SettingsFile is where a node's settings are.
 func (p *Processes) SettingsFile(node int) string {
-	return filepath.Join(p.Dir, fmt.Sprintf(memberFormat+".toml", node))
+	return filepath.Join(p.Dir, fmt.Sprintf(MemberFormat+".toml", node))
 }
 
 // writeSettings writes a node's settings, with the addresses of all.
@@ -153,7 +153,7 @@
 	s.Peers = nil
 	for i, a := range p.Addrs {
 		if i != node {
-			s.Peers = append(s.Peers, settings.Peer{Member: fmt.Sprintf(memberFormat, i), Zone: s.Zone, Addr: a.Peer})
+			s.Peers = append(s.Peers, settings.Peer{Member: fmt.Sprintf(MemberFormat, i), Zone: s.Zone, Addr: a.Peer})
 		}
 	}
 	text, err := toml.Marshal(s)
@@ -171,7 +171,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lives[node]++
-	name := fmt.Sprintf(memberFormat+"-%d-%s.log", node, p.lives[node], filepath.Base(program))
+	name := fmt.Sprintf(MemberFormat+"-%d-%s.log", node, p.lives[node], filepath.Base(program))
 	log, err := os.Create(filepath.Join(p.Dir, name))
 	if err != nil {
 		return err
--- a/internal/cluster/users.go
+++ b/internal/cluster/users.go
@@ -5,11 +5,10 @@
 package cluster
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -51,22 +50,12 @@
 // Request sends a user's request to a node and shows the answer to the checker of the
 // rules. The code is 0 if there was no answer.
 func (u *Users) Request(method string, node int, path string, body any) (int, wire.JobStatus) {
-	var content []byte
-	submitted := ""
-	if body != nil {
-		var err error
-		if content, err = wire.Marshal(body); err != nil {
-			panic(err)
-		}
-		submitted = u.submits(content)
-	}
-	id := submitted
-	if id == "" {
-		id = u.Rules.Asks(path)
-	}
+	id := cmp.Or(u.submits(body), u.Rules.Asks(path))
 	sent := time.Now()
-	code, answer := u.send(method, node, path, content)
-	if code == 0 {
+	ctx, cancel := context.WithTimeout(context.Background(), userPatience)
+	defer cancel()
+	code, answer, err := wire.Exchange(ctx, u.Client, method, "http://"+host(node)+path, body)
+	if err != nil {
 		return 0, wire.JobStatus{}
 	}
 	var status wire.JobStatus
@@ -79,33 +68,17 @@
 	return code, status
 }
 
-// send sends a request; the code is 0 if there was no whole answer.
-func (u *Users) send(method string, node int, path string, content []byte) (code int, answer []byte) {
-	ctx, cancel := context.WithTimeout(context.Background(), userPatience)
-	defer cancel()
-	var body io.Reader
-	if content != nil {
-		body = bytes.NewReader(content)
+// submits shows a submission to the checker of the rules and returns its id, if it has one.
+func (u *Users) submits(body any) string {
+	if body == nil {
+		return ""
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+host(node)+path, body)
+	content, err := wire.Marshal(body)
 	if err != nil {
 		panic(err)
 	}
-	response, err := u.Client.Do(request)
-	if err != nil {
-		return 0, nil
-	}
-	defer response.Body.Close()
-	if answer, err = io.ReadAll(response.Body); err != nil {
-		return 0, nil
-	}
-	return response.StatusCode, answer
-}
-
-// submits shows a submission to the checker of the rules and returns its id, if it has one.
-func (u *Users) submits(body []byte) string {
-	id := wire.SubmittedID(body)
-	if spec, err := wire.ParseJob(body); err == nil {
+	id := wire.SubmittedID(content)
+	if spec, err := wire.ParseJob(content); err == nil {
 		u.Rules.Submits(spec)
 	} else if id != "" {
 		u.Rules.SubmitsMalformed(id)
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,36 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/go-echarts/go-echarts/v2/components"
+
+	"caperlatch/internal/charts"
+	"caperlatch/internal/standin"
+)
+
+// WriteHTML writes a report of the run.
+func (s *Summary) WriteHTML(w io.Writer) error {
+	page := components.NewPage()
+	page.PageTitle = "A cluster on one machine (stand-ins)"
+	var names []string
+	median, p95, runs := charts.Series{Name: "median wait"}, charts.Series{Name: "95% of the waits"}, charts.Series{Name: "median run"}
+	for _, c := range s.Classes {
+		names = append(names, c.Class)
+		median.Values = append(median.Values, c.Waits.Median.Seconds())
+		p95.Values = append(p95.Values, c.Waits.P95.Seconds())
+		runs.Values = append(runs.Values, c.Runs.Median.Seconds())
+	}
+	subtitle := fmt.Sprintf("seed %d: %d terms of leaders on %d nodes, %d machines rented for %.4f, %d rules broken",
+		s.Seed, s.Terms, s.Nodes, s.Rented, s.Money, len(s.Broken))
+	page.AddCharts(
+		charts.Seconds("Tasks by class", subtitle, names, median, p95, runs),
+		charts.Timeline("tasks waiting by class", s.Samples, func(s standin.Sample) map[string]int { return s.Waiting }),
+		charts.Timeline("tasks on machines by zone", s.Samples, func(s standin.Sample) map[string]int { return s.Busy }),
+	)
+	if err := page.Render(w); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/sample.go
@@ -0,0 +1,99 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"caperlatch/deploy"
+	"caperlatch/internal/cluster"
+	"caperlatch/internal/settings"
+	"caperlatch/internal/wire"
+)
+
+// class is a kind of the sample's jobs, which come all the time.
+type class struct {
+	name     string
+	shape    string
+	priority string
+	every    time.Duration // between two jobs, on average
+	tasks    int
+	runS     float64
+	dueS     float64 // from the submission
+}
+
+// classes use some 40 CPUs together.
+var classes = []class{
+	{"interactive", wire.ShapeArray, wire.PriorityUrgent, time.Second, 4, 1, 5},
+	{"batch", wire.ShapeArray, "normal", 2 * time.Second, 12, 3, 15},
+	{"training", wire.ShapeGang, "normal", 6 * time.Second, 3, 4, 20},
+	{"nightly", wire.ShapeArray, "idle", 4 * time.Second, 10, 4, 60},
+}
+
+// firstJob parts the numbers of the classes' jobs.
+const firstJob = 1_000_000
+
+// jobID is the id of a class's nth job.
+func jobID(class, n int) string { return fmt.Sprintf("j-%d", (class+1)*firstJob+n) }
+
+// classOf is the class of a task by its job's number; empty if the sample has none like it.
+func classOf(task string) string {
+	var n int
+	if _, err := fmt.Sscanf(task, "j-%d", &n); err != nil || n < firstJob || n >= (len(classes)+1)*firstJob {
+		return ""
+	}
+	return classes[n/firstJob-1].name
+}
+
+// job is a class's job.
+func (c *class) job(id string) wire.Job {
+	return wire.Job{
+		ID:        id,
+		Class:     c.name,
+		Team:      "blue",
+		Shape:     c.shape,
+		Priority:  c.priority,
+		Tasks:     c.tasks,
+		CPUs:      1,
+		MemoryGB:  1,
+		Image:     c.name,
+		ImageGB:   1,
+		Spot:      true,
+		EstimateS: c.runS,
+		DeadlineS: &c.dueS,
+	}
+}
+
+// sampleSettings are those of a node of the sample deployment, but for addresses.
+func sampleSettings(node, nodes int) (*settings.Settings, error) {
+	s, err := settings.Parse(deploy.Settings)
+	if err != nil {
+		return nil, err
+	}
+	s.Member = fmt.Sprintf(cluster.MemberFormat, node)
+	s.Zone = s.Params.Zones[node%len(s.Params.Zones)]
+	s.Params.Nodes = nodes
+	return s, nil
+}
+
+// runFor is how long a task of a job takes, in seconds.
+func (l *Lab) runFor(task string) float64 {
+	id, _, _ := strings.Cut(task, "/")
+	return l.processes.Rules.Job(id).EstimateS
+}
+
+// submitAll gives a class's jobs until the time for jobs is over.
+func (l *Lab) submitAll(index int) {
+	c := &classes[index]
+	random := rand.New(rand.NewPCG(l.options.Seed, uint64(index)))
+	for n := 1; l.history.Now() < l.options.For; n++ {
+		job := c.job(jobID(index, n))
+		if !l.processes.SubmitFrom(random.IntN(l.options.Nodes), submitPause, job) {
+			l.fail(fmt.Errorf("%s: %w", job.ID, ErrNotAccepted))
+			return
+		}
+		l.accepted(&job)
+		time.Sleep(time.Duration((0.5 + random.Float64()) * float64(c.every)))
+	}
+}
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -43,6 +43,7 @@
 type Moment struct {
 	At                         time.Duration
 	Class, Task, Machine, Zone string
+	Took                       time.Duration // on the machine, of an end
 }
 
 // Sample is what was so at a moment.
@@ -75,7 +76,7 @@
 func (h *History) Watch(e TaskEvent) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	m := Moment{h.Now(), h.ClassOf(e.Task), e.Task, e.Machine, e.Zone}
+	m := Moment{At: h.Now(), Class: h.ClassOf(e.Task), Task: e.Task, Machine: e.Machine, Zone: e.Zone}
 	switch {
 	case e.Began:
 		h.on[e.Task] = placed{e, time.Now()}
@@ -85,6 +86,7 @@
 		return
 	case e.Done:
 		h.done[e.Task] = true
+		m.Took = time.Since(h.on[e.Task].since)
 		h.ends = append(h.ends, m)
 	default:
 		h.repeated += time.Since(h.on[e.Task].since)
@@ -256,6 +258,15 @@
 	return h.samples
 }
 
+// Runs tells of each task that was done how long it was on its machine.
+func (h *History) Runs(tell func(class string, run time.Duration)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range h.ends {
+		tell(e.Class, e.Took)
+	}
+}
+
 // Waits tells of each task of a job accepted after a moment how long it waited for its first
 // start.
 func (h *History) Waits(after time.Duration, tell func(class string, wait time.Duration)) {
--- /dev/null
+++ b/readme_test.go
@@ -0,0 +1,45 @@
+package caperlatch
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// readmeCommands are the commands of the first block of a section of the README.
+func readmeCommands(t *testing.T, section string) (commands []string) {
+	t.Helper()
+	b, err := os.ReadFile("README.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, text, found := strings.Cut(string(b), "## "+section+"\n")
+	if !found {
+		t.Fatalf("README has no section %s", section)
+	}
+	for _, line := range strings.Split(text, "\n") {
+		command, is := strings.CutPrefix(line, "    ")
+		if is {
+			commands = append(commands, command)
+		} else if len(commands) > 0 {
+			break
+		}
+	}
+	return commands
+}
+
+// TestReadme runs the first commands of the README as a newcomer would.
+func TestReadme(t *testing.T) {
+	t.Parallel()
+	commands := readmeCommands(t, "Build and run")
+	if len(commands) != 3 || !strings.HasSuffix(commands[1], "lab run") {
+		t.Fatalf("the README begins with %q", commands)
+	}
+	for _, command := range commands {
+		out, err := exec.Command("bash", "-c", command).CombinedOutput()
+		if err != nil {
+			t.Fatalf("%s: %v\n%s", command, err, out)
+		}
+	}
+}
