Lab: sampling and workers' starts no longer wait for each other

Cause: in go test ./... the README's lab run hung. A dump of its goroutines: the sampler asked the checker of rules for broken ones under the lab's lock, while the checker told the history of a start under its own, which asked the lab what is silent. Change: nothing of the checker's or the history's is called under the lab's lock; a run that does not come to its end says so.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -43,6 +43,7 @@
 	ErrNotAccepted = errors.New("the job was accepted by no node")
 	ErrRuleBroken  = errors.New("a rule was broken")
 	ErrInterrupted = errors.New("interrupted")
+	ErrStuck       = errors.New("the run does not come to its end")
 )
 
 // Times of a run.
@@ -65,6 +66,8 @@
 	history   *standin.History
 	begun     time.Time
 
+	// The checker of rules tells the history what tasks do, which asks what is silent, each under
+	// its lock: nothing of theirs may be called under this one.
 	mu       sync.Mutex
 	ended    chan error     // a node that ended by itself, or what went wrong in the background
 	silent   map[string]int // zones whose machines' reports are lost, by how many faults
@@ -223,9 +226,20 @@
 		return err
 	case <-finished:
 		return nil
+	case <-time.After(l.longest()):
+		return ErrStuck
 	}
 }
 
+// longest is how long a run may take at most: all its parts have bounds of their own.
+func (l *Lab) longest() time.Duration {
+	last := l.options.For
+	for _, f := range l.options.Faults {
+		last = max(last, time.Duration((f.AtS+f.ForS)*float64(time.Second)))
+	}
+	return last + 2*endWithin
+}
+
 // awaitDone waits until all jobs are known to be done, or for long enough.
 func (l *Lab) awaitDone(ctx context.Context) {
 	for begun := time.Now(); time.Since(begun) < endWithin && ctx.Err() == nil; time.Sleep(sampleEvery) {
@@ -276,13 +290,7 @@
 // sampleAll notes what is so and tells it now and then, until ctx ends.
 func (l *Lab) sampleAll(ctx context.Context) {
 	for told := time.Now(); ctx.Err() == nil; time.Sleep(sampleEvery) {
-		l.history.Sample(l.processes.Cloud.Workers())
-		l.mu.Lock()
-		if l.brokenAt == 0 && len(l.processes.Rules.Broken()) > 0 {
-			l.brokenAt = l.history.Now()
-		}
-		open, done := len(l.open), l.done
-		l.mu.Unlock()
+		open, done := l.sample()
 		if time.Since(told) < tellEvery {
 			continue
 		}
@@ -296,6 +304,18 @@
 	}
 }
 
+// sample notes what is so, and counts the jobs that are open and done.
+func (l *Lab) sample() (open, done int) {
+	l.history.Sample(l.processes.Cloud.Workers())
+	broken := len(l.processes.Rules.Broken()) > 0
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.brokenAt == 0 && broken {
+		l.brokenAt = l.history.Now()
+	}
+	return len(l.open), l.done
+}
+
 // Up runs the nodes without jobs, and tells how to use them, until ctx ends.
 func (l *Lab) Up(ctx context.Context) error {
 	if err := l.start(); err != nil {
--- a/internal/lab/summary.go
+++ b/internal/lab/summary.go
@@ -61,18 +61,17 @@
 	if wrong != nil {
 		return nil, wrong
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	s := &Summary{
-		Seed:     l.options.Seed,
-		Nodes:    l.options.Nodes,
-		Open:     l.open,
-		Terms:    l.processes.Token() - l.token + 1,
-		Rented:   l.processes.Cloud.Rented(),
-		Broken:   l.processes.Rules.Broken(),
-		BrokenAt: l.brokenAt,
-		Samples:  l.history.Samples(),
+		Seed:    l.options.Seed,
+		Nodes:   l.options.Nodes,
+		Terms:   l.processes.Token() - l.token + 1,
+		Rented:  l.processes.Cloud.Rented(),
+		Broken:  l.processes.Rules.Broken(),
+		Samples: l.history.Samples(),
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.Open, s.BrokenAt = l.open, l.brokenAt
 	for _, c := range classes {
 		s.Classes = append(s.Classes, ClassSummary{c.name, l.jobs[c.name], int(runs[c.name].TotalCount()), times(waits[c.name]), times(runs[c.name])})
 	}
