--- a/cluster_test.go
+++ b/cluster_test.go
@@ -28,23 +28,19 @@
 
 // cluster is some nodes with stand-ins for all around them.
 type cluster struct {
-	t     *testing.T
-	net   *standin.Net
-	pipes *standin.Pipes
-	state *standin.State
-	cloud *standin.Cloud
-	rules *standin.Rules
-	user  *http.Client
+	*driver.World // nil where the nodes are processes
+	t             *testing.T
+	net           *standin.Net
+	pipes         *standin.Pipes
+	state         *standin.State
+	cloud         *standin.Cloud
+	rules         *standin.Rules
+	user          *http.Client
+	size          int // nodes
 
 	mu    sync.Mutex
-	dead  map[string]bool // senders that are no more
 	tune  func(*settings.Settings)
-	fault func(from string, r *http.Request) standin.Fault
-	// faults counts the messages that met one, so that a test can show that it happened.
-	faults int
-	stops  []func()
-	lives  []int
-	nodes  []*Node // in their present lives
+	nodes []*Node // in their present lives
 	// features are those of all nodes but the ones without.
 	features settings.Features
 	without  map[int]bool
@@ -96,92 +92,48 @@
 
 // newFeaturesCluster starts a cluster with optional parts.
 func newFeaturesCluster(t *testing.T, size int, tune func(*settings.Settings), features settings.Features) *cluster {
+	s := nodeSettings(0, size)
+	tune(s)
+	w := driver.NewWorld(size, s, func(string) float64 { return 5 })
 	c := &cluster{
+		World:    w,
 		t:        t,
+		net:      w.Net,
+		pipes:    w.Pipes,
+		state:    w.State,
+		cloud:    w.Cloud,
+		rules:    w.Rules,
+		user:     w.Client,
+		size:     size,
 		tune:     tune,
 		features: features,
 		nodes:    make([]*Node, size),
-		net:      standin.NewNet(),
-		pipes:    standin.NewPipes(),
-		state:    standin.NewState(),
-		dead:     map[string]bool{},
-		stops:    make([]func(), size),
-		lives:    make([]int, size),
-	}
-	c.net.SetFault(c.faultOf)
-	nodes := make([]string, size)
-	for i := range nodes {
-		nodes[i] = fmt.Sprintf("host-%d:8080", i)
-	}
-	s := nodeSettings(0, size)
-	tune(s)
-	limits := map[string]float64{}
-	for _, t := range s.Params.Teams {
-		limits[t.Name] = t.CPUsMax
 	}
-	workers := s.Params.Workers
-	runFor := func(string) float64 { return 5 }
-	c.rules = standin.NewRules(workers.Cancel().Duration(), limits)
-	c.cloud = standin.NewCloud(c.net, c.rules, nodes, workers.ReportS, workers.LeaseS, runFor)
+	w.StartNode = c.newLife
 	c.state.Check = c.conditioned
-	c.net.Handle("state", c.state)
-	c.net.Handle("cloud", c.cloud)
-	c.user = &http.Client{Transport: c.net.From("user")}
 	for i := range size {
 		c.start(i)
 	}
 	return c
 }
 
-// faultOf is the fault that a message meets.
-func (c *cluster) faultOf(from string, r *http.Request) standin.Fault {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.dead[from] {
-		return standin.LostRequest
-	}
-	if c.fault == nil {
-		return standin.Pass
-	}
-	fault := c.fault(from, r)
-	if fault != standin.Pass {
-		c.faults++
-	}
-	return fault
-}
-
-// start begins a new life of a node.
-func (c *cluster) start(i int) {
-	c.lives[i]++
-	member := fmt.Sprintf("host-%d", i)
-	name := fmt.Sprintf("%s/%d", member, c.lives[i])
-	s := nodeSettings(i, len(c.stops))
+// newLife makes a node for a new life.
+func (c *cluster) newLife(life driver.Life) (http.Handler, func(context.Context)) {
+	s := nodeSettings(life.Node, c.size)
 	c.tune(s)
-	n := newNode(s, settings.DefaultTuning(), c.featuresOf(i), outside{
-		services: c.net.From(name),
-		workers:  c.net.From(name),
-		dial:     func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, member, addr) },
-		listen:   func() (net.Listener, error) { return c.pipes.Listen(member), nil },
+	n := newNode(s, settings.DefaultTuning(), c.featuresOf(life.Node), outside{
+		services: c.net.From(life.Sender),
+		workers:  c.net.From(life.Sender),
+		dial:     func(ctx context.Context, addr string) (net.Conn, error) { return c.pipes.Dial(ctx, life.Member, addr) },
+		listen:   func() (net.Listener, error) { return c.pipes.Listen(life.Member), nil },
 	})
-	c.nodes[i] = n
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.work(ctx)
-	}()
-	host := fmt.Sprintf("host-%d:8080", i)
-	c.net.Handle(host, n.handler())
-	c.stops[i] = func() {
-		c.net.Handle(host, nil)
-		c.mu.Lock()
-		c.dead[name] = true
-		c.mu.Unlock()
-		cancel()
-		<-done
-	}
+	c.nodes[life.Node] = n
+	return n.handler(), n.work
 }
 
+// start begins a new life of a node.
+func (c *cluster) start(i int) { c.Begin(i) }
+
 // featuresOf is what node i has of optional parts.
 func (c *cluster) featuresOf(i int) settings.Features {
 	if c.without[i] {
@@ -191,38 +143,16 @@
 }
 
 // kill ends a node as a crash would: nothing that it sends arrives any more.
-func (c *cluster) kill(i int) { c.stops[i]() }
+func (c *cluster) kill(i int) { c.Kill(i) }
 
 // setFault decides what messages meet from now on; nil lets all pass.
-func (c *cluster) setFault(f func(from string, r *http.Request) standin.Fault) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.fault = f
-}
+func (c *cluster) setFault(f func(from string, r *http.Request) standin.Fault) { c.SetFault(f) }
 
-// troubled counts what went wrong so far: messages that met a fault, and lives of nodes
-// beyond the first.
-func (c *cluster) troubled() (n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n = c.faults
-	for _, lives := range c.lives {
-		n += lives - 1
-	}
-	return n
-}
+// troubled counts what went wrong so far.
+func (c *cluster) troubled() int { return c.Troubled() }
 
 // close ends all nodes and stand-ins and waits until nothing of them runs.
-func (c *cluster) close() {
-	c.setFault(nil)
-	for i := range c.stops {
-		c.kill(i)
-	}
-	c.cloud.Close()
-	c.state.Close()
-	c.net.WaitLate()
-	time.Sleep(time.Minute) // all that still waits for an answer gives up
-}
+func (c *cluster) close() { c.Close() }
 
 // leader is the index of the node that the state service names.
 func (c *cluster) leader() int {
@@ -269,7 +199,7 @@
 
 // users sends users' requests to the nodes.
 func (c *cluster) users() *driver.Users {
-	return &driver.Users{Client: c.user, Rules: c.rules, Nodes: len(c.stops)}
+	return &driver.Users{Client: c.user, Rules: c.rules, Nodes: c.size}
 }
 
 // request sends a user's request to a node and shows the answer to the checker of the
@@ -356,7 +286,7 @@
 // which no question is answered for 75 s counts as forgotten.
 func (c *cluster) answersAll(ids []string) {
 	c.t.Helper()
-	for i := range c.stops {
+	for i := range c.size {
 		if code, _ := c.request(http.MethodGet, i, "/ready", nil); code != http.StatusOK {
 			continue
 		}
@@ -372,15 +302,7 @@
 }
 
 // back restarts nodes within a fraction of a second.
-func (c *cluster) back(nodes ...int) {
-	for _, i := range nodes {
-		c.kill(i)
-	}
-	time.Sleep(100 * time.Millisecond)
-	for _, i := range nodes {
-		c.start(i)
-	}
-}
+func (c *cluster) back(nodes ...int) { c.Back(nodes...) }
 
 // fromNode tells whether a sender is a node, in any of its lives.
 func fromNode(from string, node int) bool {
@@ -486,7 +408,7 @@
 func (c *cluster) cancelJob(id string, first int) {
 	c.t.Helper()
 	for try := range 200 {
-		code, _ := c.request(http.MethodPost, (first+try)%len(c.stops), "/v1/jobs/"+id+"/abort", nil)
+		code, _ := c.request(http.MethodPost, (first+try)%c.size, "/v1/jobs/"+id+"/abort", nil)
 		if code == http.StatusOK {
 			return
 		}
--- a/failover_cost_test.go
+++ b/failover_cost_test.go
@@ -31,7 +31,7 @@
 // sampleCost measures all nodes of a cluster that nothing happens to.
 func (f *failoverRun) sampleCost(c *processes, mode failover.Mode) {
 	leader := c.leader()
-	before := make([]float64, len(c.stops))
+	before := make([]float64, c.size)
 	for i := range before {
 		before[i] = processorSeconds(f.t, c.Process(i).Pid)
 	}
--- a/failover_process_test.go
+++ b/failover_process_test.go
@@ -138,7 +138,7 @@
 	if mode == failover.Warm {
 		c.Args = []string{"--standby", "deploy/standby.xml"}
 	}
-	for i := range c.stops {
+	for i := range c.size {
 		c.run(i, f.program)
 	}
 	old := f.fill(c)
--- a/gang_meetings_test.go
+++ b/gang_meetings_test.go
@@ -97,7 +97,7 @@
 // cancelMeanwhile repeats a cancellation while something else goes on.
 func (c *cluster) cancelMeanwhile(id string) {
 	for try := range 200 {
-		if code, _ := c.request(http.MethodPost, try%len(c.stops), "/v1/jobs/"+id+"/abort", nil); code == http.StatusOK {
+		if code, _ := c.request(http.MethodPost, try%c.size, "/v1/jobs/"+id+"/abort", nil); code == http.StatusOK {
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/gap_test.go
+++ b/gap_test.go
@@ -165,7 +165,7 @@
 			if _, err := g.user.Do(r); err == nil {
 				g.t.Error("the answer was not lost")
 			}
-			for i := range g.stops {
+			for i := range g.size {
 				if i != g.confirming && i != g.leading {
 					g.cancel(i)
 					break
--- a/internal/cluster/processes.go
+++ b/internal/cluster/processes.go
@@ -73,26 +73,16 @@
 		stops:      make([]func(), config.Nodes),
 		lives:      make([]int, config.Nodes),
 	}
-	var hosts []string
 	for i := range config.Nodes {
 		addrs, err := freeAddrs()
 		if err != nil {
 			return nil, err
 		}
 		p.Addrs = append(p.Addrs, addrs)
-		hosts = append(hosts, host(i))
 		p.Net.Handle(host(i), proxy(addrs.Client))
 		p.stops[i] = func() {}
 	}
-	s := config.Settings(0)
-	limits := map[string]float64{}
-	for _, team := range s.Params.Teams {
-		limits[team.Name] = team.CPUsMax
-	}
-	workers := s.Params.Workers
-	rules := standin.NewRules(workers.Cancel().Duration(), limits)
-	p.Users = Users{Client: &http.Client{Transport: p.Net.From("user")}, Rules: rules, Nodes: config.Nodes}
-	p.Cloud = standin.NewCloud(p.Net, rules, hosts, workers.ReportS, workers.LeaseS, config.RunFor)
+	p.Users, p.Cloud = surroundings(p.Net, config.Nodes, config.Settings(0), config.RunFor)
 	p.Cloud.Serve = p.serve
 	p.serve(p.State)
 	p.serve(p.Cloud)
--- a/limits_test.go
+++ b/limits_test.go
@@ -64,11 +64,11 @@
 		}},
 		{"as all nodes end", func(c *cluster) {
 			time.Sleep(3 * time.Second)
-			for i := range c.stops {
+			for i := range c.size {
 				c.kill(i)
 			}
 			lower(c)
-			for i := range c.stops {
+			for i := range c.size {
 				c.start(i)
 			}
 		}},
@@ -196,10 +196,10 @@
 				}
 				told = true
 				c.state.SetLimits(lowered)
-				for i := range c.stops {
+				for i := range c.size {
 					c.kill(i)
 				}
-				for i := range c.stops {
+				for i := range c.size {
 					c.start(i)
 				}
 				if tc.fault != 0 {
@@ -295,7 +295,7 @@
 		}
 		c.submit("j-000001", 3)
 		c.await("j-000001", wire.JobDone, time.Minute)
-		for i := range c.stops {
+		for i := range c.size {
 			c.kill(i)
 		}
 		var catalog wire.Catalog
@@ -325,7 +325,7 @@
 		c.state.Put(replica.JobPrefix+spec.ID, b)
 		c.rules.Submits(spec)
 		c.state.SetLimits(standin.StateLimits{ValueKB: 0.12, TxnOps: 3, WriteRPS: 15})
-		for i := range c.stops {
+		for i := range c.size {
 			c.start(i)
 		}
 		c.leader()
--- a/meetings_test.go
+++ b/meetings_test.go
@@ -135,7 +135,7 @@
 		}
 		room := slices.ContainsFunc(c.cloud.Workers(), func(w *standin.Worker) bool { return len(w.Tasks()) < 4 })
 		for _, id := range ids {
-			if !room || !c.waits(id, n%len(c.stops)) {
+			if !room || !c.waits(id, n%c.size) {
 				waited[id] = 0
 			} else if waited[id]++; waited[id] == 90 {
 				c.t.Errorf("%s waits beside a machine with room", id)
--- a/membership_process_test.go
+++ b/membership_process_test.go
@@ -75,7 +75,7 @@
 func (r *detectionRun) measure(failures int) (verdicts []detection.Verdict) {
 	defer r.end()
 	r.Args = []string{"--features", "deploy/membership.xml"}
-	for i := range r.stops {
+	for i := range r.size {
 		r.run(i, r.program)
 	}
 	r.leader()
@@ -96,7 +96,7 @@
 	leader := r.leader()
 	node := leader
 	if n%2 == 1 {
-		node = (leader + 1) % len(r.stops)
+		node = (leader + 1) % r.size
 	}
 	cause := detection.Killed
 	if n/2%2 == 1 {
@@ -114,7 +114,7 @@
 	}
 	verdicts = r.observe(node, begun)
 	for i := range verdicts {
-		verdicts[i].Nodes, verdicts[i].Cause, verdicts[i].Leader = len(r.stops), cause, node == leader
+		verdicts[i].Nodes, verdicts[i].Cause, verdicts[i].Leader = r.size, cause, node == leader
 	}
 	if cause == detection.Frozen {
 		r.signal(node, syscall.SIGCONT)
@@ -133,8 +133,8 @@
 // observe waits until all others have confirmed that a node failed.
 func (r *detectionRun) observe(node int, begun time.Time) (verdicts []detection.Verdict) {
 	seen := map[int]*detection.Verdict{}
-	for time.Since(begun) < verdictWithin && len(verdicts) < len(r.stops)-1 {
-		for i := range r.stops {
+	for time.Since(begun) < verdictWithin && len(verdicts) < r.size-1 {
+		for i := range r.size {
 			if i != node && (seen[i] == nil || seen[i].Confirmed == 0) {
 				r.look(i, node, begun, seen)
 				if v := seen[i]; v != nil && v.Confirmed != 0 {
@@ -144,7 +144,7 @@
 		}
 		time.Sleep(membersPoll)
 	}
-	if len(verdicts) < len(r.stops)-1 {
+	if len(verdicts) < r.size-1 {
 		r.t.Errorf("host-%d: %d nodes have confirmed its failure within %v", node, len(verdicts), verdictWithin)
 	}
 	return verdicts
@@ -179,7 +179,7 @@
 	name := fmt.Sprintf("host-%d", node)
 	for begun := time.Now(); ; time.Sleep(membersPoll) {
 		doubted := ""
-		for i := range r.stops {
+		for i := range r.size {
 			status, err := r.members(i)
 			if err != nil {
 				doubted = err.Error()
--- a/membership_test.go
+++ b/membership_test.go
@@ -23,7 +23,6 @@
 // memberCluster is a cluster whose nodes watch each other.
 type memberCluster struct {
 	*cluster
-	size int
 }
 
 // all lists what the nodes in by think of node of.
@@ -230,7 +229,7 @@
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					config := membership.DefaultConfig()
-					c := &memberCluster{newFeaturesCluster(t, size, func(*settings.Settings) {}, settings.Features{Membership: &config}), size}
+					c := &memberCluster{newFeaturesCluster(t, size, func(*settings.Settings) {}, settings.Features{Membership: &config})}
 					defer c.close()
 					time.Sleep(3 * time.Second)
 					c.submit("j-000001", 20)
--- a/requests_test.go
+++ b/requests_test.go
@@ -122,7 +122,7 @@
 					tc.trouble(c)
 				}
 				for i, o := range odd {
-					for node := range c.stops {
+					for node := range c.size {
 						job := testJob(fmt.Sprintf("j-%06d", 100+i), 1)
 						o.edit(job)
 						want := o.want
@@ -408,7 +408,7 @@
 	id := job["id"].(string)
 	var wg sync.WaitGroup
 	for begun, n := time.Now(), 0; time.Since(begun) < within; n++ {
-		for node := range c.stops {
+		for node := range c.size {
 			wg.Go(func() {
 				code := 0
 				switch {
--- a/rolling_test.go
+++ b/rolling_test.go
@@ -57,7 +57,7 @@
 	r := &rollout{processes: newProcesses(t, 3, t.TempDir()), begun: time.Now(), gangs: gangs, newArgs: v.args, ends: map[string]string{},
 		programs: make([]string, 3), accepted: map[string]int{}}
 	defer r.end()
-	for i := range r.stops {
+	for i := range r.size {
 		r.begin(i, old)
 	}
 	r.leader()
@@ -84,7 +84,7 @@
 	r.state.SetDown(false)
 	r.swap((leader+1)%3, old, 300*time.Millisecond) // and back
 	r.submit(1)
-	for i := range r.stops { // now all
+	for i := range r.size { // now all
 		r.swap(i, now, 500*time.Millisecond)
 	}
 	r.gangs = true
@@ -185,7 +185,7 @@
 	r.t.Helper()
 	id := job["id"].(string)
 	for try := range 60 {
-		node = (len(r.jobs) + try) % len(r.stops)
+		node = (len(r.jobs) + try) % r.size
 		if code, _ := r.request(http.MethodPost, node, "/v1/jobs", job); code == http.StatusCreated || code == http.StatusOK {
 			r.jobs, r.ends[id] = append(r.jobs, job), wire.JobDone
 			r.repeat(job)
@@ -201,7 +201,7 @@
 // the statuses told. That none goes back the checker of rules sees to.
 func (r *rollout) repeat(job map[string]any) (told []string) {
 	r.t.Helper()
-	for node := range r.stops {
+	for node := range r.size {
 		code, status := 0, wire.JobStatus{}
 		for try := 0; try < 40 && (code == 0 || code == http.StatusBadGateway || code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests); try++ {
 			if try > 0 {
@@ -297,7 +297,7 @@
 
 // newScaledProcesses prepares processes for a world of a scale.
 func newScaledProcesses(t *testing.T, nodes int, dir string, scale processScale) *processes {
-	c := &cluster{t: t}
+	c := &cluster{t: t, size: nodes}
 	var p *driver.Processes
 	p, err := driver.NewProcesses(driver.Config{
 		Settings: func(node int) *settings.Settings { return scale.settings(node, nodes) },
@@ -315,13 +315,12 @@
 		t.Fatal(err)
 	}
 	c.net, c.state, c.cloud, c.rules, c.user = p.Net, p.State, p.Cloud, p.Rules, p.Client
-	c.stops = make([]func(), nodes)
-	for i := range c.stops {
-		c.stops[i] = func() { p.Kill(i) }
-	}
 	return &processes{c, p}
 }
 
+// kill ends a node's process.
+func (c *processes) kill(i int) { c.Processes.Kill(i) }
+
 // run begins a new life of a node with a program.
 func (c *processes) run(i int, program string) {
 	c.t.Helper()
--- a/takeover_test.go
+++ b/takeover_test.go
@@ -368,7 +368,7 @@
 // deliver sends reports to every node.
 func (c *cluster) deliver(bodies [][]byte) (answered int) {
 	for _, b := range bodies {
-		for node := range c.stops {
+		for node := range c.size {
 			resp, err := c.user.Post(fmt.Sprintf("http://host-%d:8080/hello", node), wire.ContentType, bytes.NewReader(b))
 			if err == nil {
 				resp.Body.Close()
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -214,7 +214,7 @@
 
 // takeOver has a cluster begin with what was stored, and awaits the ends of all jobs.
 func (c *cluster) takeOver(how takeOver, stored map[string]wire.Raw, machines []wire.Report) {
-	for i := range c.stops {
+	for i := range c.size {
 		c.kill(i)
 	}
 	c.cloud.RunFor = func(task string) float64 {
@@ -238,7 +238,7 @@
 	if how.lower == 0 {
 		c.state.SetLimits(lowered)
 	}
-	for i := range c.stops {
+	for i := range c.size {
 		c.start(i)
 	}
 	if i := c.leader(); how.kill {
--- a/zones_test.go
+++ b/zones_test.go
@@ -277,7 +277,7 @@
 		job := testJob(id, tasks)
 		job["lane"], job["rank"], job["expect_s"], job["save_every_s"] = c.name, c.rank, c.runS, c.saveS
 		users.Go(func() {
-			if !r.submitFrom(n%len(r.stops), time.Second, job) {
+			if !r.submitFrom(n%r.size, time.Second, job) {
 				r.t.Errorf("%s was not accepted", id)
 			}
 			r.Accepted(id, c.name, tasks)
@@ -317,7 +317,7 @@
 // status is what the leader thinks of a zone, as the first node tells that knows; empty while
 // none does.
 func (r *zoneRun) status(name string) zone.Status {
-	for node := range r.stops {
+	for node := range r.size {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		code, b, err := wire.Exchange(ctx, r.user, http.MethodGet, fmt.Sprintf("http://host-%d:8080/zones", node), nil)
 		cancel()
