--- a/internal/cluster/processes.go
+++ b/internal/cluster/processes.go
@@ -173,30 +173,32 @@
 		log.Close()
 		return err
 	}
-	ended := make(chan struct{})
-	killed := false
 	p.commands[node], p.expected[node] = cmd, false
+	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		defer log.Close()
-		err := cmd.Wait()
-		p.mu.Lock()
-		byItself := !killed && !p.expected[node]
-		p.mu.Unlock()
-		if byItself && p.config.Ended != nil {
-			p.config.Ended(node, log.Name(), err)
-		}
+		p.await(node, cmd, log)
 	}()
 	p.stops[node] = func() {
-		p.mu.Lock()
-		killed = true
-		p.mu.Unlock()
+		p.ExpectEnd(node)
 		_ = cmd.Process.Kill() // it may have ended
 		<-ended
 	}
 	return nil
 }
 
+// await waits for a process to end, and tells if nobody asked it to.
+func (p *Processes) await(node int, cmd *exec.Cmd, log *os.File) {
+	err := cmd.Wait()
+	log.Close()
+	p.mu.Lock()
+	expected := p.expected[node]
+	p.mu.Unlock()
+	if !expected && p.config.Ended != nil {
+		p.config.Ended(node, log.Name(), err)
+	}
+}
+
 // Kill ends a node's process as a crash would.
 func (p *Processes) Kill(node int) {
 	p.mu.Lock()
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -10,6 +10,28 @@
 	"caperlatch/internal/wire"
 )
 
+// TestSummary tells what was wrong with a run.
+func TestSummary(t *testing.T) {
+	cases := []struct {
+		name string
+		run  Summary
+		want string // of the error
+	}{
+		{"all well", Summary{Seed: 7}, ""},
+		{"a rule broken", Summary{Seed: 7, Broken: []string{"ran_twice: j-1000001/0"}, BrokenAt: 3 * time.Second}, "a rule was broken after 3.0 s, seed 7: ran_twice: j-1000001/0"},
+		{"jobs open", Summary{Seed: 7, Open: []string{"j-1000001"}}, "1 jobs were not done in time, seed 7: j-1000001"},
+	}
+	for _, c := range cases {
+		text := ""
+		if err := c.run.Err(); err != nil {
+			text = err.Error()
+		}
+		if text != c.want {
+			t.Errorf("%s: %q, want %q", c.name, text, c.want)
+		}
+	}
+}
+
 // TestSampleBesideStarts samples while workers start tasks: the checker of rules tells the history
 // of these under its lock, and the two must not wait for each other.
 func TestSampleBesideStarts(t *testing.T) {
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -49,6 +49,7 @@
 			told(r, "GET", poll, 200, wire.JobDone)
 			told(r, "POST", abort, 200, wire.JobDone)
 		}},
+		{"ran_unknown", func(r *Rules) { r.Started("j-000009/0", "i-1") }},
 		{"ran_twice", func(r *Rules) { r.Started("j-000001/0", "i-1"); r.Started("j-000001/0", "i-2") }},
 		{"quota", func(r *Rules) {
 			for _, task := range []string{"j-000001/0", "j-000001/1", "j-000001/2"} {
--- a/readme_test.go
+++ b/readme_test.go
@@ -29,14 +29,18 @@
 	return commands
 }
 
-// TestReadme runs the first commands of the README as a newcomer would.
+// testCommand is the README's command that runs this test as well.
+const testCommand = "go test ./..."
+
+// TestReadme runs the first commands of the README as a newcomer would, and checks the example
+// of settings that it names.
 func TestReadme(t *testing.T) {
 	t.Parallel()
 	commands := readmeCommands(t, "Build and run")
-	if len(commands) != 3 || !strings.HasSuffix(commands[1], "lab run") {
+	if len(commands) != 3 || !strings.HasSuffix(commands[1], "lab run") || commands[2] != testCommand {
 		t.Fatalf("the README begins with %q", commands)
 	}
-	for _, command := range commands {
+	for _, command := range append(commands[:2], "target/caperlatch check deploy/settings.example.toml") {
 		out, err := exec.Command("bash", "-c", command).CombinedOutput()
 		if err != nil {
 			t.Fatalf("%s: %v\n%s", command, err, out)
