--- a/cluster_test.go
+++ b/cluster_test.go
@@ -304,6 +304,15 @@
 // back restarts nodes within a fraction of a second.
 func (c *cluster) back(nodes ...int) { c.Back(nodes...) }
 
+// cutPeers cuts a node off from the other nodes.
+func (c *cluster) cutPeers(node int) {
+	host := fmt.Sprintf("host-%d", node)
+	c.pipes.Cut(func(from, to string) bool { return from == host || to == host })
+}
+
+// healPeers has all nodes reach each other again.
+func (c *cluster) healPeers() { c.pipes.Cut(func(string, string) bool { return false }) }
+
 // fromNode tells whether a sender is a node, in any of its lives.
 func fromNode(from string, node int) bool {
 	return strings.HasPrefix(from, fmt.Sprintf("host-%d/", node))
--- a/cmd/caperlatch/commands_test.go
+++ b/cmd/caperlatch/commands_test.go
@@ -33,6 +33,32 @@
 	}
 }
 
+// answering is the address of a node that answers one kind of request.
+func answering(t *testing.T, pattern string, answer func() (code int, body any)) (address string) {
+	mux := http.NewServeMux()
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, _ *http.Request) {
+		code, body := answer()
+		b, err := wire.Marshal(body)
+		w.WriteHeader(code)
+		if _, wrote := w.Write(b); err != nil || wrote != nil {
+			t.Error(err, wrote)
+		}
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// writeFile writes a file into a folder of the test's.
+func writeFile(t *testing.T, name, text string) (path string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
 // TestStatusCommands has the commands tell what a node answers.
 func TestStatusCommands(t *testing.T) {
 	returning := zone.Status{
@@ -69,17 +95,8 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			mux := http.NewServeMux()
-			mux.HandleFunc("GET /"+c.command, func(w http.ResponseWriter, _ *http.Request) {
-				b, err := wire.Marshal(c.body)
-				w.WriteHeader(c.status)
-				if _, wrote := w.Write(b); err != nil || wrote != nil {
-					t.Error(err, wrote)
-				}
-			})
-			server := httptest.NewServer(mux)
-			defer server.Close()
-			execute(t, c.says, c.wrong, c.command, "--node", strings.TrimPrefix(server.URL, "http://"))
+			node := answering(t, "GET /"+c.command, func() (int, any) { return c.status, c.body })
+			execute(t, c.says, c.wrong, c.command, "--node", node)
 		})
 	}
 }
@@ -87,15 +104,7 @@
 // TestFeatureFiles has the files of optional parts be checked with the settings, before
 // anything starts.
 func TestFeatureFiles(t *testing.T) {
-	dir := t.TempDir()
-	write := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
-	config := write("settings.toml", `member = "host-0"
+	config := writeFile(t, "settings.toml", `member = "host-0"
 client_listen = "127.0.0.1:8080"
 peer_bind = "127.0.0.1:8081"
 external = {cloud = "127.0.0.1:8082", state = "127.0.0.1:8083"}
@@ -116,9 +125,9 @@
 		{"zones", []string{zones}, ""},
 		{"the standby by either", []string{standby}, ""},
 		{"the standby by its own, zones by the other", []string{zones, standby}, ""},
-		{"the standby by both", []string{"--features", write("both.xml", "<caperlatch><standby/><zones/></caperlatch>"), standby}, "both files"},
-		{"an unknown zone", []string{"--features", write("zone.xml", "<caperlatch><zones><exempt>c</exempt></zones></caperlatch>")}, "there is no zone c"},
-		{"no file", []string{"--features", filepath.Join(dir, "none.xml")}, "none.xml"},
+		{"the standby by both", []string{"--features", writeFile(t, "both.xml", "<caperlatch><standby/><zones/></caperlatch>"), standby}, "both files"},
+		{"an unknown zone", []string{"--features", writeFile(t, "zone.xml", "<caperlatch><zones><exempt>c</exempt></zones></caperlatch>")}, "there is no zone c"},
+		{"no file", []string{"--features", filepath.Join(t.TempDir(), "none.xml")}, "none.xml"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/cmd/caperlatch/get.go
+++ b/cmd/caperlatch/get.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"caperlatch/internal/wire"
 )
 
 const (
@@ -30,19 +32,42 @@
 	return cmd
 }
 
+// statusCommand is a command that asks a node for a value at a path and prints it.
+func statusCommand[T any](use, short, method, path string, print func(io.Writer, *T)) *cobra.Command {
+	return nodeCommand(use, short, cobra.NoArgs, func(cmd *cobra.Command, node string, _ []string) error {
+		var status T
+		if err := ask(cmd.Context(), method, node, path, &status); err != nil {
+			return err
+		}
+		print(cmd.OutOrStdout(), &status)
+		return nil
+	})
+}
+
 // get asks a running node.
 func get(ctx context.Context, node, path string) (status int, body []byte, err error) {
-	return request(ctx, http.MethodGet, node, path)
+	return request(ctx, http.MethodGet, node, path, nil)
 }
 
-// request sends a running node a request without a body.
-func request(ctx context.Context, method, node, path string) (status int, body []byte, err error) {
+// request sends a running node a request, with in as its body unless that is nil.
+func request(ctx context.Context, method, node, path string, in any) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, getTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, nil)
+	var content io.Reader
+	if in != nil {
+		encoded, err := wire.Marshal(in)
+		if err != nil {
+			return 0, nil, err
+		}
+		content = bytes.NewReader(encoded)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, content)
 	if err != nil {
 		return 0, nil, err
 	}
+	if in != nil {
+		req.Header.Set("Content-Type", wire.ContentType)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, nil, err
--- a/cmd/caperlatch/jobs.go
+++ b/cmd/caperlatch/jobs.go
@@ -152,7 +152,7 @@
 	last := errNoAnswer
 	for try := range jobTries {
 		node := c.nodes[try%len(c.nodes)]
-		code, answer, err := c.once(ctx, method, node, path, body)
+		code, answer, err := request(ctx, method, node, path, body)
 		switch {
 		case err != nil:
 			last = fmt.Errorf("%w (%s: %w)", errNoAnswer, node, err)
@@ -168,13 +168,6 @@
 	return status, last
 }
 
-// once asks one node.
-func (c *jobClient) once(ctx context.Context, method, node, path string, body any) (code int, answer []byte, err error) {
-	ctx, cancel := context.WithTimeout(ctx, getTimeout)
-	defer cancel()
-	return wire.Exchange(ctx, http.DefaultClient, method, "http://"+node+path, body)
-}
-
 // readStatus reads a job's status, or why there is none.
 func readStatus(code int, answer []byte) (status wire.JobStatus, err error) {
 	if code == http.StatusOK || code == http.StatusCreated {
--- a/cmd/caperlatch/lab.go
+++ b/cmd/caperlatch/lab.go
@@ -46,18 +46,7 @@
 // labRunCommand plays a sample of jobs.
 func labRunCommand() *cobra.Command {
 	var o labOptions
-	cmd := &cobra.Command{
-		Use:   "run",
-		Short: "Have a cluster do a sample of jobs while its leader is killed, and tell how it went",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := o.check(); err != nil {
-				return err
-			}
-			return withLab(cmd, &o, func(ctx context.Context, l *lab.Lab) error { return o.run(ctx, l, cmd.OutOrStdout()) })
-		},
-	}
-	o.addFlags(cmd)
+	cmd := o.command("run", "Have a cluster do a sample of jobs while its leader is killed, and tell how it went", o.run)
 	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the jobs")
 	cmd.Flags().Float64Var(&o.seconds, "seconds", labSeconds, "for how long jobs come")
 	cmd.Flags().StringVar(&o.faults, "faults", "", "file of troubles (TOML) in place of the leader's end, as in deploy/faults.example.toml")
@@ -68,19 +57,26 @@
 // labUpCommand runs a cluster until it is interrupted.
 func labUpCommand() *cobra.Command {
 	o := labOptions{seconds: labSeconds}
+	cmd := o.command("up", "Run a cluster until Ctrl-C, and say how to use it",
+		func(ctx context.Context, l *lab.Lab, _ io.Writer) error { return l.Up(ctx) })
+	cmd.Flags().IntVar(&o.Port, "port", labPort, "port of the first node, the next ones of the others; those that are taken are replaced")
+	return cmd
+}
+
+// command is a command that checks the options, prepares a lab and uses it.
+func (o *labOptions) command(name, short string, use func(context.Context, *lab.Lab, io.Writer) error) *cobra.Command {
 	cmd := &cobra.Command{
-		Use:   "up",
-		Short: "Run a cluster until Ctrl-C, and say how to use it",
+		Use:   name,
+		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := o.check(); err != nil {
 				return err
 			}
-			return withLab(cmd, &o, func(ctx context.Context, l *lab.Lab) error { return l.Up(ctx) })
+			return o.withLab(cmd, use)
 		},
 	}
 	o.addFlags(cmd)
-	cmd.Flags().IntVar(&o.Port, "port", labPort, "port of the first node, the next ones of the others; those that are taken are replaced")
 	return cmd
 }
 
@@ -127,7 +123,7 @@
 }
 
 // withLab prepares a lab in a folder of its own and uses it until it is interrupted.
-func withLab(cmd *cobra.Command, o *labOptions, use func(context.Context, *lab.Lab) error) (err error) {
+func (o *labOptions) withLab(cmd *cobra.Command, use func(context.Context, *lab.Lab, io.Writer) error) (err error) {
 	if o.Program, err = os.Executable(); err != nil {
 		return err
 	}
@@ -144,7 +140,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := use(ctx, l); err != nil {
+	if err := use(ctx, l, cmd.OutOrStdout()); err != nil {
 		return fmt.Errorf("%w (settings and logs are in %s)", err, o.Dir)
 	}
 	return os.RemoveAll(o.Dir)
--- a/cmd/caperlatch/lab_test.go
+++ b/cmd/caperlatch/lab_test.go
@@ -6,8 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -63,11 +61,7 @@
 func TestLabRun(t *testing.T) {
 	t.Parallel()
 	report := filepath.Join(t.TempDir(), "report.html")
-	faults := filepath.Join(t.TempDir(), "faults.toml")
-	text := "[[fault]]\nat_s = 2.0\nfor_s = 1.0\nkind = \"kill\"\nnode = \"leader\"\n"
-	if err := os.WriteFile(faults, []byte(text), 0o644); err != nil {
-		t.Fatal(err)
-	}
+	faults := writeFile(t, "faults.toml", "[[fault]]\nat_s = 2.0\nfor_s = 1.0\nkind = \"kill\"\nnode = \"leader\"\n")
 	out, code := run(t, "lab", "run", "--machines", "8", "--seconds", "4", "--faults", faults, "--report", report, "--features", "../../deploy/membership.xml")
 	if code != 0 || !strings.Contains(out, "0 rules broken, 0 jobs open") || !strings.Contains(out, "2 terms of leaders") {
 		t.Errorf("exit code %d\n%s", code, out)
@@ -80,10 +74,7 @@
 // TestLabRefuses has the lab refuse what cannot be carried out, before it starts anything.
 func TestLabRefuses(t *testing.T) {
 	t.Parallel()
-	faults := filepath.Join(t.TempDir(), "faults.toml")
-	if err := os.WriteFile(faults, []byte("[[fault]]\nkind = \"explode\"\n"), 0o644); err != nil {
-		t.Fatal(err)
-	}
+	faults := writeFile(t, "faults.toml", "[[fault]]\nkind = \"explode\"\n")
 	for _, c := range []struct {
 		args []string
 		says string
@@ -191,11 +182,12 @@
 	}
 }
 
-// awaitGone waits until a process is no more.
+// awaitGone waits until a process is no more, or has ended and nobody has asked how.
 func awaitGone(t *testing.T, pid int) {
 	t.Helper()
 	for range 100 {
-		if err := syscall.Kill(pid, 0); errors.Is(err, syscall.ESRCH) || zombie(pid) {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if _, state, _ := strings.Cut(string(stat), ") "); err != nil || strings.HasPrefix(state, "Z") {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -203,13 +195,6 @@
 	t.Errorf("process %d still runs", pid)
 }
 
-// zombie tells whether a process has ended, though nobody has asked how.
-func zombie(pid int) bool {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	_, state, found := strings.Cut(string(b), ") ")
-	return err == nil && found && strings.HasPrefix(state, "Z")
-}
-
 // TestSubmitRetries has users' requests be repeated at the next node where the protocol says so.
 func TestSubmitRetries(t *testing.T) {
 	cases := []struct {
@@ -227,17 +212,11 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			asked := 0
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				code := c.codes[min(asked, len(c.codes)-1)]
+			node := answering(t, "POST /v1/jobs", func() (int, any) {
 				asked++
-				b, err := wire.Marshal(wire.JobStatus{ID: "j-100001", Status: wire.JobPending})
-				w.WriteHeader(code)
-				if _, wrote := w.Write(b); err != nil || wrote != nil {
-					t.Error(err, wrote)
-				}
-			}))
-			defer server.Close()
-			execute(t, c.says, c.wrong, "submit", "--node", strings.TrimPrefix(server.URL, "http://"), "../../deploy/job.example.json")
+				return c.codes[min(asked, len(c.codes))-1], wire.JobStatus{ID: "j-100001", Status: wire.JobPending}
+			})
+			execute(t, c.says, c.wrong, "submit", "--node", node, "../../deploy/job.example.json")
 			if asked != c.asked {
 				t.Errorf("asked %d times, want %d", asked, c.asked)
 			}
--- a/cmd/caperlatch/members.go
+++ b/cmd/caperlatch/members.go
@@ -13,15 +13,8 @@
 
 // membersCommand asks a node what it thinks of the others.
 func membersCommand() *cobra.Command {
-	run := func(cmd *cobra.Command, node string, _ []string) error {
-		var status membership.Status
-		if err := ask(cmd.Context(), http.MethodGet, node, "/members", &status); err != nil {
-			return err
-		}
-		printMembers(cmd.OutOrStdout(), &status)
-		return nil
-	}
-	return nodeCommand("members", "Say which nodes are alive, suspected or failed, as a node sees them, and who else doubts them", cobra.NoArgs, run)
+	return statusCommand("members", "Say which nodes are alive, suspected or failed, as a node sees them, and who else doubts them",
+		http.MethodGet, "/members", printMembers)
 }
 
 // printMembers writes what a node thinks of the others for people.
--- a/cmd/caperlatch/standby.go
+++ b/cmd/caperlatch/standby.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -33,36 +34,22 @@
 
 // standbyCommand asks a node how far the warm standby is.
 func standbyCommand() *cobra.Command {
-	run := func(cmd *cobra.Command, node string, _ []string) error {
-		var status api.StandbyStatus
-		if err := ask(cmd.Context(), http.MethodGet, node, "/standby", &status); err != nil {
-			return err
-		}
-		printStandby(cmd.OutOrStdout(), &status)
-		return nil
-	}
-	return nodeCommand("standby", "Say who leads, how far the others follow, and how the last take-over went", cobra.NoArgs, run)
+	return statusCommand("standby", "Say who leads, how far the others follow, and how the last take-over went", http.MethodGet, "/standby", printStandby)
 }
 
 // handoverCommand has a leader hand over.
 func handoverCommand() *cobra.Command {
-	run := func(cmd *cobra.Command, node string, _ []string) error {
-		var done api.HandedOver
-		if err := ask(cmd.Context(), http.MethodPost, node, "/standby/handover", &done); err != nil {
-			return err
-		}
-		if done.To == "" {
-			done.To = "any node, as none follows closely"
-		}
-		fmt.Fprintln(cmd.OutOrStdout(), "handed over to", done.To)
-		return nil
-	}
-	return nodeCommand("handover", "Have the leader on this machine hand over to the standby that is furthest", cobra.NoArgs, run)
+	return statusCommand("handover", "Have the leader on this machine hand over to the standby that is furthest", http.MethodPost, "/standby/handover", printHandover)
+}
+
+// printHandover writes whom a leader handed over to.
+func printHandover(w io.Writer, done *api.HandedOver) {
+	fmt.Fprintln(w, "handed over to", cmp.Or(done.To, "any node, as none follows closely"))
 }
 
 // ask sends a request to a node and decodes its answer; any other status is an error.
 func ask(ctx context.Context, method, node, path string, out any) error {
-	status, body, err := request(ctx, method, node, path)
+	status, body, err := request(ctx, method, node, path, nil)
 	if err != nil {
 		return err
 	}
--- a/cmd/caperlatch/zones.go
+++ b/cmd/caperlatch/zones.go
@@ -16,15 +16,7 @@
 
 // zonesCommand asks a node what the leader thinks of the zones.
 func zonesCommand() *cobra.Command {
-	run := func(cmd *cobra.Command, node string, _ []string) error {
-		var status api.ZonesStatus
-		if err := ask(cmd.Context(), http.MethodGet, node, "/zones", &status); err != nil {
-			return err
-		}
-		printZones(cmd.OutOrStdout(), &status)
-		return nil
-	}
-	return nodeCommand("zones", "Say which zones are lost or returning, why, and where their work is", cobra.NoArgs, run)
+	return statusCommand("zones", "Say which zones are lost or returning, why, and where their work is", http.MethodGet, "/zones", printZones)
 }
 
 // printZones writes the state of all zones for people.
--- a/explain_test.go
+++ b/explain_test.go
@@ -93,7 +93,7 @@
 		c.pipes.Cut(func(from, to string) bool { return from == member || to == member })
 		time.Sleep(2 * time.Second)
 		check("leader silent", (lead+1)%3, "j-000002", wire.JobPending, "the leader does not say more")
-		c.pipes.Cut(func(string, string) bool { return false })
+		c.healPeers()
 		// Nor does the state service, and a node cannot know what is new.
 		c.setFault(func(_ string, r *http.Request) standin.Fault {
 			if isState(r) {
--- a/failover_cost_test.go
+++ b/failover_cost_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -12,7 +11,6 @@
 	"caperlatch/internal/api"
 	"caperlatch/internal/failover"
 	"caperlatch/internal/micros"
-	"caperlatch/internal/wire"
 )
 
 // nodeCost is what a node's process took over some seconds, and how far it followed.
@@ -45,27 +43,14 @@
 			megabytes: residentMegabytes(f.t, pid),
 			lag:       failover.Missing,
 		}
-		if status, ok := standbyStatus(c.Addrs[i].Client); ok && status.Progress != nil && status.Progress.LagS >= 0 {
+		var status api.StandbyStatus
+		if err := fetch(c.Addrs[i].Client, "/standby", &status); err == nil && status.Progress != nil && status.Progress.LagS >= 0 {
 			cost.lagEntries, cost.lag = status.Progress.LagEntries, micros.FromSeconds(status.Progress.LagS)
 		}
 		f.costs = append(f.costs, cost)
 	}
 }
 
-// standbyStatus asks a node how far its standby is.
-func standbyStatus(address string) (status api.StandbyStatus, ok bool) {
-	resp, err := http.Get("http://" + address + "/standby")
-	if err != nil {
-		return status, false
-	}
-	defer resp.Body.Close()
-	body, err := wire.ReadBody(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return status, false
-	}
-	return status, wire.Unmarshal(body, &status) == nil
-}
-
 // Fields of /proc/PID/stat after the process's name, which may have spaces, and its unit.
 const (
 	userTicksField   = 11
--- a/gang_meetings_test.go
+++ b/gang_meetings_test.go
@@ -76,7 +76,7 @@
 		go c.cancelMeanwhile(gangCancelled)
 		m.trouble(c, &met)
 		c.setFault(nil)
-		c.pipes.Cut(func(string, string) bool { return false })
+		c.healPeers()
 		for _, what := range m.met {
 			if met.of(what) == 0 {
 				t.Errorf("no %s; met %v", what, met.n)
--- a/guards_test.go
+++ b/guards_test.go
@@ -236,7 +236,7 @@
 				cut()
 				c.setFault(fault(false))
 				time.Sleep(7*time.Second + time.Duration(phase)*210*time.Millisecond)
-				c.pipes.Cut(func(string, string) bool { return false })
+				c.healPeers()
 				c.setFault(fault(true))
 				c.ledAfter(before)
 				ran := c.running("j-000001")
@@ -244,7 +244,7 @@
 				cut()
 				time.Sleep(time.Duration(leaseS+4) * time.Second)
 				c.setFault(nil)
-				c.pipes.Cut(func(string, string) bool { return false })
+				c.healPeers()
 				if ran != 3 || met.of("reports to the old leader") == 0 {
 					t.Errorf("%d tasks ran, met %v", ran, met.n)
 				}
@@ -330,7 +330,7 @@
 					t.Errorf("%d tasks of the new job ran, met %v", ran, met.n)
 				}
 				c.setFault(nil)
-				c.pipes.Cut(func(string, string) bool { return false })
+				c.healPeers()
 				c.await("j-000001", wire.JobDone, 4*time.Minute)
 				c.broken()
 			})
--- a/internal/detection/detection.go
+++ b/internal/detection/detection.go
@@ -17,22 +17,14 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
+	"caperlatch/internal/failover"
 	"caperlatch/internal/micros"
 )
 
-// Cause is what happened to a node.
-type Cause string
-
-// The causes that are measured.
-const (
-	Killed Cause = "killed" // SIGKILL
-	Frozen Cause = "frozen" // SIGSTOP, and SIGCONT later
-)
-
 // Verdict is what one node thought of a failure of another; times count from the failure.
 type Verdict struct {
 	Nodes     int
-	Cause     Cause
+	Cause     failover.Cause
 	Leader    bool // the node that failed led
 	Suspected micros.Micros
 	Confirmed micros.Micros
@@ -41,7 +33,7 @@
 // kind is what verdicts are grouped by.
 type kind struct {
 	nodes  int
-	cause  Cause
+	cause  failover.Cause
 	leader bool
 }
 
--- a/internal/detection/detection_test.go
+++ b/internal/detection/detection_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"caperlatch/internal/failover"
 	"caperlatch/internal/micros"
 )
 
@@ -13,7 +14,7 @@
 	var verdicts []Verdict
 	for i := range 100 {
 		at := micros.Micros(i+1) * 100 * micros.Millisecond
-		verdicts = append(verdicts, Verdict{Nodes: 3, Cause: Killed, Leader: i%2 == 0, Suspected: at / 2, Confirmed: at})
+		verdicts = append(verdicts, Verdict{Nodes: 3, Cause: failover.Killed, Leader: i%2 == 0, Suspected: at / 2, Confirmed: at})
 	}
 	all := Summarize(verdicts)
 	want := []string{
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -192,7 +192,7 @@
 	if err := l.play(ctx); err != nil {
 		return nil, err
 	}
-	return l.summary()
+	return l.summary(), nil
 }
 
 // play gives the jobs, carries the faults out, and waits until all jobs are done.
--- a/internal/lab/summary.go
+++ b/internal/lab/summary.go
@@ -5,8 +5,7 @@
 	"io"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
+	"caperlatch/internal/failover"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/standin"
 )
@@ -28,39 +27,15 @@
 // ClassSummary tells of one class's jobs.
 type ClassSummary struct {
 	Class       string
-	Jobs, Tasks int
-	Waits, Runs Times // of tasks
+	Jobs        int
+	Waits, Runs failover.Summary // of tasks
 }
 
-// Times are quantiles of times.
-type Times struct{ Median, P95, Most micros.Micros }
-
-// Bounds and precision of the histograms of times.
-const (
-	longest     = 600 * micros.Second
-	significant = 3
-)
-
 // summary tells how the run went that is over.
-func (l *Lab) summary() (*Summary, error) {
-	waits, runs := histograms(), histograms()
-	var wrong error
-	record := func(all map[string]*hdrhistogram.Histogram) func(string, time.Duration) {
-		return func(class string, d time.Duration) {
-			h := all[class]
-			if h == nil {
-				return // a task that no class has
-			}
-			if err := h.RecordValue(min(int64(d/time.Microsecond), int64(longest))); err != nil && wrong == nil {
-				wrong = fmt.Errorf("%s: %w", class, err)
-			}
-		}
-	}
-	l.history.Waits(0, record(waits))
-	l.history.Runs(record(runs))
-	if wrong != nil {
-		return nil, wrong
-	}
+func (l *Lab) summary() *Summary {
+	waits, runs := map[string][]micros.Micros{}, map[string][]micros.Micros{}
+	l.history.Waits(0, recordIn(waits))
+	l.history.Runs(recordIn(runs))
 	s := &Summary{
 		Seed:    l.options.Seed,
 		Nodes:   l.options.Nodes,
@@ -73,24 +48,17 @@
 	defer l.mu.Unlock()
 	s.Open, s.BrokenAt = l.open, l.brokenAt
 	for _, c := range classes {
-		s.Classes = append(s.Classes, ClassSummary{c.name, l.jobs[c.name], int(runs[c.name].TotalCount()), times(waits[c.name]), times(runs[c.name])})
+		s.Classes = append(s.Classes, ClassSummary{c.name, l.jobs[c.name], failover.Summarize(waits[c.name]), failover.Summarize(runs[c.name])})
 	}
 	s.Money = money(s.Samples)
-	return s, nil
+	return s
 }
 
-// histograms are one for each class.
-func histograms() map[string]*hdrhistogram.Histogram {
-	all := map[string]*hdrhistogram.Histogram{}
-	for _, c := range classes {
-		all[c.name] = hdrhistogram.New(1, int64(longest), significant)
+// recordIn keeps times by class.
+func recordIn(times map[string][]micros.Micros) func(class string, d time.Duration) {
+	return func(class string, d time.Duration) {
+		times[class] = append(times[class], micros.Micros(d/time.Microsecond))
 	}
-	return all
-}
-
-// times are the quantiles of a histogram.
-func times(h *hdrhistogram.Histogram) Times {
-	return Times{micros.Micros(h.ValueAtQuantile(50)), micros.Micros(h.ValueAtQuantile(95)), micros.Micros(h.Max())}
 }
 
 // money is what the machines cost until the last sample.
@@ -116,7 +84,7 @@
 func (s *Summary) Print(w io.Writer) {
 	fmt.Fprintf(w, "%-12s %5s %6s   %-24s %s\n", "class", "jobs", "tasks", "waits, s: 50% 95% most", "runs, s: 50% 95% most")
 	for _, c := range s.Classes {
-		fmt.Fprintf(w, "%-12s %5d %6d   %-24v %v\n", c.Class, c.Jobs, c.Tasks, c.Waits, c.Runs)
+		fmt.Fprintf(w, "%-12s %5d %6d   %-24s %s\n", c.Class, c.Jobs, c.Runs.Count, seconds(c.Waits), seconds(c.Runs))
 	}
 	fmt.Fprintf(w, "%d terms of leaders on %d nodes; %d machines rented for %.4f\n", s.Terms, s.Nodes, s.Rented, s.Money)
 	fmt.Fprintf(w, "%d rules broken, %d jobs open, seed %d\n", len(s.Broken), len(s.Open), s.Seed)
@@ -125,7 +93,7 @@
 	}
 }
 
-// String tells times.
-func (t Times) String() string {
-	return fmt.Sprintf("%.2f %.2f %.2f", t.Median.Seconds(), t.P95.Seconds(), t.Most.Seconds())
+// seconds tells how times are distributed.
+func seconds(s failover.Summary) string {
+	return fmt.Sprintf("%.2f %.2f %.2f", s.Median.Seconds(), s.P95.Seconds(), s.Max.Seconds())
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -27,9 +27,12 @@
 	}
 }
 
-// confirmed lets time pass and expects that some nodes find another one failed in time.
+// confirmed lets time pass and expects that some nodes, or all others, find one failed in time.
 func (c *check) confirmed(of int, by ...int) {
 	c.t.Helper()
+	if by == nil {
+		by = c.others(of)
+	}
 	from := c.now
 	c.run(confirmWithin)
 	seen := c.saw(from, Failed, of)
@@ -80,241 +83,151 @@
 	return func(from, to int) bool { return from == node || to == node }
 }
 
-// freeze is a row that has node 1 stand still, for long enough to be suspected, or failed.
-func freeze(d micros.Micros, suspected, failed bool) func(*check) {
+// step is what happens next, or is checked.
+type step func(*check)
+
+// wait lets time pass.
+func wait(seconds micros.Micros) step { return func(c *check) { c.run(seconds * micros.Second) } }
+
+// stops ends nodes, starts begins a new life of one, leaves has one say that it ends.
+func stops(nodes ...int) step {
 	return func(c *check) {
-		from := c.now
-		c.freeze(1, d)
-		if failed {
-			c.confirmed(1, c.others(1)...)
-			c.run(d - confirmWithin)
-		} else {
-			c.run(d)
-		}
-		c.run(2 * micros.Second)
-		c.are(Alive)
-		if !suspected {
-			c.none(from, Suspected, 1)
-		}
-		if !failed {
-			c.none(from, Failed, 1)
-		}
-		for _, other := range c.others(1) { // nor does it hold its own pause against the others
-			c.none(from, Suspected, other)
+		for _, i := range nodes {
+			c.stop(i)
 		}
 	}
 }
+func starts(node int, old bool) step { return func(c *check) { c.start(node, uint64(c.now), old) } }
+func leaves(node int) step           { return func(c *check) { c.nodes[node].detector.Leave() } }
 
-// troubles are what the detectors must tell apart; each row is played with three and five nodes.
-var troubles = []struct {
-	name string
-	old  []int // nodes of a version without heartbeats
-	play func(*check)
-}{
-	{"calm", nil, func(c *check) {
-		c.run(600 * micros.Second)
-		c.none(0, Suspected, -1)
-	}},
-	{"all paths slow and jittering, for ten hours", nil, func(c *check) {
-		c.lag = c.jitter
-		c.run(36_000 * micros.Second)
-		c.none(0, Failed, -1)
-		c.are(Alive)
-	}},
-	{"one node's paths slow and jittering, for ten hours", nil, func(c *check) {
+// freezes has a node stand still, cuts cuts paths, and heals ends all cuts.
+func freezes(node int, seconds micros.Micros) step {
+	return func(c *check) { c.freeze(node, seconds*micros.Second) }
+}
+func cuts(f func(from, to int) bool) step { return func(c *check) { c.cut = f } }
+func heals(c *check)                      { c.cut = func(int, int) bool { return false } }
+
+// slowPaths has all paths jitter, or those of one node (-1: of all).
+func slowPaths(node int) step {
+	return func(c *check) {
 		c.lag = func(from, to int) micros.Micros {
-			if from == 1 || to == 1 {
+			if node < 0 || from == node || to == node {
 				return c.jitter(from, to)
 			}
 			return usualLag
 		}
-		c.run(36_000 * micros.Second)
-		c.none(0, Suspected, -1)
-	}},
-	{"a crash", nil, func(c *check) {
-		c.run(5 * micros.Second)
-		c.stop(1)
-		c.confirmed(1, c.others(1)...)
-		for _, o := range c.saw(0, Failed, 1) {
-			if len(o.ConfirmedBy) == 0 {
-				c.t.Errorf("%s is alone with its verdict", o.by)
-			}
-		}
-	}},
-	{"a crash of the leader", nil, func(c *check) {
-		c.stop(0)
-		c.confirmed(0, c.others(0)...)
-	}},
-	{"a crash while all paths are slow", nil, func(c *check) {
-		c.lag = c.jitter
-		c.run(60 * micros.Second)
-		c.stop(1)
-		c.confirmed(1, c.others(1)...)
-		c.none(0, Failed, 2)
-	}},
-	{"a crash while the state service is down", nil, func(c *check) {
-		c.storeDown = true
-		c.run(20 * micros.Second)
-		c.stop(1)
-		c.confirmed(1, c.others(1)...)
-		c.none(0, Failed, 2)
-	}},
-	{"a crash that one node is too slow to see at once", nil, func(c *check) {
-		c.stop(1)
-		c.run(2 * micros.Second)
-		c.freeze(2, 4*micros.Second)
-		c.run(20 * micros.Second)
-		c.none(0, Failed, 2)
-		if c.state(2, 1).State != Failed || !c.nodes[2].detector.Status(c.now).Slow {
-			c.t.Error("the slow node gave no verdict, or doesn't know that it is slow")
-		}
-		seen := slices.DeleteFunc(append(c.saw(0, Suspected, 1), c.saw(0, Failed, 1)...), func(o observation) bool { return o.by != "host-2" })
-		if took := seen[1].at - seen[0].at; took < slowFactor*DefaultConfig().ConfirmLeast {
-			c.t.Errorf("the slow node took %v for its verdict, no longer than others", took.Duration())
-		}
-	}},
-	{"a late answer after the verdict", nil, func(c *check) {
-		c.stop(1)
-		c.confirmed(1, 0)
-		c.nodes[0].detector.Answered(c.now, "host-1", 15*micros.Second)
-		if c.state(0, 1).State != Failed {
-			c.t.Error("it counts, though it answers what was sent before the verdict")
-		}
-	}},
-	{"a late heartbeat of an earlier life", nil, func(c *check) {
-		c.run(2 * micros.Second)
-		before := c.state(0, 1)
-		c.nodes[0].detector.Receive(c.now, &Heartbeat{Member: "host-1", Incarnation: 7, Leaving: true})
-		if after := c.state(0, 1); after.State != Alive || after.Incarnation != before.Incarnation {
-			c.t.Errorf("it counts: %+v", after)
-		}
-	}},
-	{"failed, and then heard by one node alone", nil, func(c *check) {
-		c.run(2 * micros.Second)
-		c.freeze(1, confirmWithin+micros.Second)
-		c.confirmed(1, c.others(1)...)
-		c.cut = between(1, 2, false)
-		c.run(2 * micros.Second)
-		c.are(Alive)
-	}},
-	{"a path that is cut, for long", nil, func(c *check) {
-		c.cut = between(1, 2, false)
-		c.run(300 * micros.Second)
-		c.none(0, Suspected, -1)
-		if through := c.state(1, 2).Through; through == "" {
-			c.t.Error("nobody is named as hearing the other")
-		}
-	}},
-	{"a path that is cut one way", nil, func(c *check) {
-		c.cut = between(1, 2, true)
-		c.run(300 * micros.Second)
-		c.none(0, Suspected, -1)
-	}},
-	{"a path that is cut, and no third node", nil, func(c *check) {
-		for _, i := range c.others(0, 1) {
-			c.stop(i)
-		}
-		c.run(20 * micros.Second)
-		from := c.now
-		c.cut = between(0, 1, false)
-		c.run(60 * micros.Second)
-		if !c.state(1, 0).Withheld || c.state(0, 1).State != Failed {
-			c.t.Error("a leader whose session lives is suspected alone; whom it can't hear has failed to it")
-		}
-		c.none(from, Failed, 0)
-		c.cut = between(0, 0, false)
-		c.run(2 * micros.Second)
-		c.are(Alive)
-	}},
-	{"a node that is cut off from everything", nil, func(c *check) {
-		c.cut, c.nodes[1].storeLost = around(1), true
-		c.confirmed(1, c.others(1)...)
-		c.run(60 * micros.Second)
-		for _, other := range c.others(1) {
-			c.none(0, Failed, other)
-		}
-		if !c.nodes[1].detector.Status(c.now).Isolated {
-			c.t.Error("it does not know that it is cut off")
-		}
-		c.cut, c.nodes[1].storeLost = between(0, 0, false), false
-		c.run(2 * micros.Second)
-		c.are(Alive)
-	}},
-	{"one node left", nil, func(c *check) {
-		for _, i := range c.others(2) {
-			c.stop(i)
-		}
-		c.confirmed(0, 2)
-		if len(c.saw(0, Failed, -1)) != len(c.nodes)-1 {
-			c.t.Error("not all are confirmed")
-		}
-	}},
-	{"freezes for a second", nil, freeze(micros.Second, false, false)},
-	{"freezes for three seconds", nil, freeze(3*micros.Second, true, false)},
-	{"freezes for ten seconds", nil, freeze(10*micros.Second, true, true)},
-	{"freezes for a minute", nil, freeze(60*micros.Second, true, true)},
-	{"restarts within a fraction of a second", nil, func(c *check) {
-		for range 20 {
-			c.stop(1)
-			c.run(200 * micros.Millisecond)
-			c.start(1, uint64(c.now), false)
-			c.run(3 * micros.Second)
-		}
-		c.none(0, Suspected, -1)
-		c.are(Alive)
-		if c.observed[0].Reason != ReasonRestarted {
-			c.t.Errorf("seen as %q", c.observed[0].Reason)
+	}
+}
+
+// confirms and never check what the nodes think.
+func confirms(of int, by ...int) step { return func(c *check) { c.confirmed(of, by...) } }
+func never(state State, of int) step  { return func(c *check) { c.none(0, state, of) } }
+
+// neverOthers is never, of all but node 1.
+func neverOthers(state State) step {
+	return func(c *check) {
+		for _, of := range c.others(1) {
+			c.none(0, state, of)
 		}
-	}},
-	{"restarts with its clock set back, after its failure was confirmed", nil, func(c *check) {
-		c.run(2 * micros.Second)
-		c.stop(1)
-		c.confirmed(1, c.others(1)...)
-		c.start(1, 7, false)
-		c.run(60 * micros.Second)
-		c.are(Alive)
-		if seen, own := c.state(0, 1).Incarnation, c.nodes[1].detector.incarnation; seen != own {
-			c.t.Errorf("its incarnation is %d, and %d is known of it", own, seen)
+	}
+}
+
+// alive waits for a moment, after which all find all others alive.
+func alive(c *check) { c.run(2 * micros.Second); c.are(Alive) }
+func that(ok func(*check) bool, wrong string) step {
+	return func(c *check) {
+		if !ok(c) {
+			c.t.Error(wrong)
 		}
-	}},
-	{"leaves and comes back", nil, func(c *check) {
-		c.run(2 * micros.Second)
-		c.nodes[1].detector.Leave()
-		c.run(micros.Second)
+	}
+}
+
+// stoodStill are the steps of a pause of node 1, for long enough to be suspected, or failed. Nor
+// does it hold its own pause against the others.
+func stoodStill(seconds micros.Micros, suspected, failed bool) []step {
+	steps := []step{freezes(1, seconds), wait(seconds), alive, neverOthers(Suspected)}
+	if failed {
+		steps = []step{freezes(1, seconds), confirms(1), wait(seconds - 10), alive, neverOthers(Suspected)}
+	}
+	if !suspected {
+		steps = append(steps, never(Suspected, 1))
+	}
+	if !failed {
+		steps = append(steps, never(Failed, 1))
+	}
+	return steps
+}
+
+// What single rows check.
+func notAlone(c *check) bool {
+	return !slices.ContainsFunc(c.saw(0, Failed, 1), func(o observation) bool { return len(o.ConfirmedBy) == 0 })
+}
+func slowVerdict(c *check) bool {
+	seen := slices.DeleteFunc(append(c.saw(0, Suspected, 1), c.saw(0, Failed, 1)...), func(o observation) bool { return o.by != "host-2" })
+	return c.state(2, 1).State == Failed && c.nodes[2].detector.Status(c.now).Slow && seen[1].at-seen[0].at >= slowFactor*DefaultConfig().ConfirmLeast
+}
+func lateAnswer(c *check) { c.nodes[0].detector.Answered(c.now, "host-1", 15*micros.Second) }
+func lateHeartbeat(c *check) {
+	before := c.state(0, 1).Incarnation
+	c.nodes[0].detector.Receive(c.now, &Heartbeat{Member: "host-1", Incarnation: 7, Leaving: true})
+	if after := c.state(0, 1); after.State != Alive || after.Incarnation != before {
+		c.t.Errorf("it counts: %+v", after)
+	}
+}
+func isolated(c *check) bool { return c.nodes[1].detector.Status(c.now).Isolated }
+func believed(c *check) bool { return c.state(0, 1).Incarnation == c.nodes[1].detector.incarnation }
+func restartsOften(c *check) {
+	for range 20 {
 		c.stop(1)
-		c.run(120 * micros.Second)
-		c.none(0, Suspected, -1)
-		if c.state(0, 1).State != Left {
-			c.t.Errorf("it is %s", c.state(0, 1).State)
-		}
+		c.run(200 * micros.Millisecond)
 		c.start(1, uint64(c.now), false)
-		c.run(2 * micros.Second)
-		c.are(Alive)
-	}},
-	{"leaves while one cannot hear it", nil, func(c *check) {
-		c.run(2 * micros.Second)
-		c.cut = between(1, 2, false)
-		c.nodes[1].detector.Leave()
-		c.run(micros.Second)
-		c.stop(1)
-		c.run(60 * micros.Second)
-		c.none(0, Suspected, -1)
-	}},
-	{"a node of a version without heartbeats", []int{1}, func(c *check) {
-		c.run(60 * micros.Second)
-		c.none(0, Suspected, -1)
-		c.stop(1)
-		c.confirmed(1, c.others(1)...)
-		c.start(1, 0, true)
-		c.run(2 * micros.Second)
-		c.are(Alive)
-	}},
-	{"the others of a version without heartbeats", []int{0, 2, 3, 4}, func(c *check) {
-		c.run(60 * micros.Second)
-		c.none(0, Suspected, -1)
-		c.stop(2)
-		c.confirmed(2, 1)
-	}},
+		c.run(3 * micros.Second)
+	}
+}
+
+// troubles are what the detectors must tell apart; each row is played with three and five nodes.
+var troubles = []struct {
+	name  string
+	old   []int // nodes of a version without heartbeats
+	steps []step
+}{
+	{"calm", nil, []step{wait(600), never(Suspected, -1)}},
+	{"all paths slow and jittering, for ten hours", nil, []step{slowPaths(-1), wait(36_000), never(Failed, -1), alive}},
+	{"one node's paths slow and jittering, for ten hours", nil, []step{slowPaths(1), wait(36_000), never(Suspected, -1)}},
+	{"a crash", nil, []step{wait(5), stops(1), confirms(1), that(notAlone, "somebody is alone with its verdict")}},
+	{"a crash of the leader", nil, []step{stops(0), confirms(0)}},
+	{"a crash while all paths are slow", nil, []step{slowPaths(-1), wait(60), stops(1), confirms(1), never(Failed, 2)}},
+	{"a crash while the state service is down", nil, []step{func(c *check) { c.storeDown = true }, wait(20), stops(1), confirms(1), never(Failed, 2)}},
+	{"a crash that one node is too slow to see at once", nil, []step{stops(1), wait(2), freezes(2, 4), wait(20), never(Failed, 2),
+		that(slowVerdict, "the slow node gave no verdict, or no later than others, or doesn't know that it is slow")}},
+	{"a late answer after the verdict", nil, []step{stops(1), confirms(1, 0), lateAnswer,
+		that(func(c *check) bool { return c.state(0, 1).State == Failed }, "it counts, though it answers what was sent before the verdict")}},
+	{"a late heartbeat of an earlier life", nil, []step{wait(2), lateHeartbeat}},
+	{"failed, and then heard by one node alone", nil, []step{wait(2), freezes(1, 11), confirms(1), cuts(between(1, 2, false)), alive}},
+	{"a path that is cut, for long", nil, []step{cuts(between(1, 2, false)), wait(300), never(Suspected, -1),
+		that(func(c *check) bool { return c.state(1, 2).Through != "" }, "nobody is named as hearing the other")}},
+	{"a path that is cut one way", nil, []step{cuts(between(1, 2, true)), wait(300), never(Suspected, -1)}},
+	{"a path that is cut, and no third node", nil, []step{stops(2, 3, 4), wait(20), cuts(between(0, 1, false)), wait(60), never(Failed, 0),
+		that(func(c *check) bool { return c.state(1, 0).Withheld && c.state(0, 1).State == Failed },
+			"a leader whose session lives is suspected alone; whom it can't hear has failed to it"), heals, alive}},
+	{"a node that is cut off from everything", nil, []step{func(c *check) { c.nodes[1].storeLost = true }, cuts(around(1)), confirms(1), wait(60),
+		neverOthers(Failed), that(isolated, "it does not know that it is cut off"),
+		func(c *check) { c.nodes[1].storeLost = false }, heals, alive}},
+	{"one node left", nil, []step{stops(0, 1, 3, 4), confirms(0, 2),
+		that(func(c *check) bool { return len(c.saw(0, Failed, -1)) == len(c.nodes)-1 }, "not all are confirmed")}},
+	{"freezes for a second", nil, stoodStill(1, false, false)},
+	{"freezes for three seconds", nil, stoodStill(3, true, false)},
+	{"freezes for ten seconds", nil, stoodStill(10, true, true)},
+	{"freezes for a minute", nil, stoodStill(60, true, true)},
+	{"restarts within a fraction of a second", nil, []step{restartsOften, never(Suspected, -1), alive,
+		that(func(c *check) bool { return c.observed[0].Reason == ReasonRestarted }, "it is not seen as restarted")}},
+	{"restarts with its clock set back, after its failure was confirmed", nil, []step{wait(2), stops(1), confirms(1),
+		func(c *check) { c.start(1, 7, false) }, wait(60), alive, that(believed, "its incarnation is not the one that is known of it")}},
+	{"leaves and comes back", nil, []step{wait(2), leaves(1), wait(1), stops(1), wait(120), never(Suspected, -1),
+		that(func(c *check) bool { return c.state(0, 1).State == Left }, "it has not left"), starts(1, false), alive}},
+	{"leaves while one cannot hear it", nil, []step{wait(2), cuts(between(1, 2, false)), leaves(1), wait(1), stops(1), wait(60), never(Suspected, -1)}},
+	{"a node of a version without heartbeats", []int{1}, []step{wait(60), never(Suspected, -1), stops(1), confirms(1), starts(1, true), alive}},
+	{"the others of a version without heartbeats", []int{0, 2, 3, 4}, []step{wait(60), never(Suspected, -1), stops(2), confirms(2, 1)}},
 }
 
 // TestTroubles plays all troubles.
@@ -324,7 +237,10 @@
 			t.Run(fmt.Sprintf("%s, %d nodes", trouble.name, size), func(t *testing.T) {
 				t.Parallel()
 				old := slices.DeleteFunc(slices.Clone(trouble.old), func(i int) bool { return i >= size })
-				trouble.play(&check{newSimulation(size, uint64(size), old...), t})
+				c := &check{newSimulation(size, uint64(size), old...), t}
+				for _, next := range trouble.steps {
+					next(c)
+				}
 			})
 		}
 	}
--- a/internal/membership/simulation_test.go
+++ b/internal/membership/simulation_test.go
@@ -105,8 +105,12 @@
 	s.after(i, micros.Micros(s.random.Int64N(int64(DefaultConfig().Interval))), func() { s.beat(i) })
 }
 
-// stop ends a node.
-func (s *simulation) stop(i int) { s.nodes[i].down = true }
+// stop ends a node, if there is one of this number.
+func (s *simulation) stop(i int) {
+	if i < len(s.nodes) {
+		s.nodes[i].down = true
+	}
+}
 
 // freeze has a node stand still.
 func (s *simulation) freeze(i int, d micros.Micros) { s.nodes[i].frozen = s.now + d }
@@ -198,7 +202,7 @@
 // saw lists the changes to a state of some node (-1: any) that nodes saw from a time on.
 func (s *simulation) saw(from micros.Micros, to State, of int) (all []observation) {
 	for _, o := range s.observed {
-		if o.at >= from && o.To == to && o.From != to && (of < 0 || o.Member == s.nodes[of].name) {
+		if o.at >= from && o.To == to && o.From != to && (of < 0 || of < len(s.nodes) && o.Member == s.nodes[of].name) {
 			all = append(all, o)
 		}
 	}
--- a/meetings_test.go
+++ b/meetings_test.go
@@ -257,7 +257,7 @@
 			time.Sleep(6 * time.Second)
 			cancel()
 			time.Sleep(40 * time.Second)
-			c.pipes.Cut(func(string, string) bool { return false })
+			c.healPeers()
 		}},
 		{"a leader ends while half of the machines can't be reached", 5, func(c *cluster, cancel func()) {
 			time.Sleep(8 * time.Second)
--- a/membership_process_test.go
+++ b/membership_process_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"caperlatch/internal/detection"
+	"caperlatch/internal/failover"
 	"caperlatch/internal/membership"
 	"caperlatch/internal/wire"
 )
@@ -52,16 +53,7 @@
 	for _, s := range detection.Summarize(verdicts) {
 		t.Log(s)
 	}
-	if out := os.Getenv(membersOutVariable); out != "" {
-		f, err := os.Create(out)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer f.Close()
-		if err := detection.WriteSVG(f, verdicts); err != nil {
-			t.Error(err)
-		}
-	}
+	writeReport(t, membersOutVariable, func(w io.Writer) error { return detection.WriteSVG(w, verdicts) })
 }
 
 // detectionRun measures with one cluster of processes.
@@ -98,16 +90,16 @@
 	if n%2 == 1 {
 		node = (leader + 1) % r.size
 	}
-	cause := detection.Killed
+	cause := failover.Killed
 	if n/2%2 == 1 {
-		cause = detection.Frozen
+		cause = failover.Frozen
 		r.signal(node, syscall.SIGSTOP)
 		time.Sleep(shortFreeze)
 		r.signal(node, syscall.SIGCONT)
-		r.allAlive(node, true)
+		r.allAlive(node, 0)
 	}
 	begun := time.Now()
-	if cause == detection.Frozen {
+	if cause == failover.Frozen {
 		r.signal(node, syscall.SIGSTOP)
 	} else {
 		r.kill(node)
@@ -116,12 +108,12 @@
 	for i := range verdicts {
 		verdicts[i].Nodes, verdicts[i].Cause, verdicts[i].Leader = r.size, cause, node == leader
 	}
-	if cause == detection.Frozen {
+	if cause == failover.Frozen {
 		r.signal(node, syscall.SIGCONT)
 	} else {
 		r.run(node, r.program)
 	}
-	r.allAlive(node, false)
+	r.allAlive(node, verdictWithin)
 	return verdicts
 }
 
@@ -174,48 +166,68 @@
 	}
 }
 
-// allAlive waits until all nodes find a node alive again, or expects that they never doubted it.
-func (r *detectionRun) allAlive(node int, ever bool) {
-	name := fmt.Sprintf("host-%d", node)
+// allAlive waits until all nodes find a node alive, and it them.
+func (r *detectionRun) allAlive(node int, within time.Duration) {
 	for begun := time.Now(); ; time.Sleep(membersPoll) {
-		doubted := ""
-		for i := range r.size {
-			status, err := r.members(i)
-			if err != nil {
-				doubted = err.Error()
-			}
-			for _, m := range status.Members {
-				if m.Member == name && m.State != membership.Alive || i == node && m.State != membership.Alive {
-					doubted = fmt.Sprintf("%s finds %s %s", status.Member, m.Member, m.State)
-				}
-			}
-		}
-		if doubted == "" {
+		doubted := r.doubted(node)
+		if doubted == nil {
 			return
 		}
-		if ever || time.Since(begun) > verdictWithin {
-			r.t.Errorf("host-%d: %s", node, doubted)
+		if time.Since(begun) >= within {
+			r.t.Errorf("host-%d: %v", node, doubted)
 			return
 		}
 	}
 }
 
+// doubted tells who does not find a node alive, or whom it does not.
+func (r *detectionRun) doubted(node int) error {
+	for i := range r.size {
+		status, err := r.members(i)
+		if err != nil {
+			return err
+		}
+		for _, m := range status.Members {
+			if (i == node || m.Member == fmt.Sprintf("host-%d", node)) && m.State != membership.Alive {
+				return fmt.Errorf("%s finds %s %s", status.Member, m.Member, m.State)
+			}
+		}
+	}
+	return nil
+}
+
 // members asks a node what it thinks of the others.
 func (r *detectionRun) members(node int) (status membership.Status, err error) {
+	return status, fetch(r.Addrs[node].Client, "/members", &status)
+}
+
+// fetch asks a node's process for a value.
+func fetch(address, path string, value any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Addrs[node].Client+"/members", nil)
+	code, body, err := wire.Exchange(ctx, http.DefaultClient, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return status, err
+		return err
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return status, err
+	if code != http.StatusOK {
+		return fmt.Errorf("%s%s answers %d", address, path, code)
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	return wire.Unmarshal(body, value)
+}
+
+// writeReport writes a report to the file that a variable names, if it does.
+func writeReport(t *testing.T, variable string, write func(io.Writer) error) {
+	t.Helper()
+	out := os.Getenv(variable)
+	if out == "" {
+		return
+	}
+	f, err := os.Create(out)
 	if err != nil {
-		return status, err
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := write(f); err != nil {
+		t.Error(err)
 	}
-	return status, wire.Unmarshal(body, &status)
 }
--- a/membership_test.go
+++ b/membership_test.go
@@ -25,11 +25,11 @@
 	*cluster
 }
 
-// all lists what the nodes in by think of node of.
-func (c *memberCluster) all(of int, want membership.State, by ...int) error {
-	for _, i := range by {
-		status, err := c.nodes[i].Members()
-		if err != nil {
+// are tells which of the others thinks otherwise of a node.
+func (c *memberCluster) are(of int, want membership.State) error {
+	for i, n := range c.nodes {
+		status, err := n.Members()
+		if err != nil && !c.without[i] {
 			return err
 		}
 		for _, m := range status.Members {
@@ -41,16 +41,34 @@
 	return nil
 }
 
-// reach waits until the nodes in by think so of node of.
-func (c *memberCluster) reach(within time.Duration, of int, want membership.State, by ...int) {
+// reach waits until all others think so of a node.
+func (c *memberCluster) reach(within time.Duration, of int, want membership.State) {
 	c.t.Helper()
-	err := fmt.Errorf("not asked")
-	for begun := time.Now(); time.Since(begun) < within; time.Sleep(100 * time.Millisecond) {
-		if err = c.all(of, want, by...); err == nil {
-			return
-		}
+	err := c.are(of, want)
+	for begun := time.Now(); err != nil && time.Since(begun) < within; err = c.are(of, want) {
+		time.Sleep(100 * time.Millisecond)
+	}
+	if err != nil {
+		c.t.Errorf("within %v: %v", within, err)
+	}
+}
+
+// stay expects that all others think so of a node after half a minute.
+func (c *memberCluster) stay(of int, want membership.State) {
+	c.t.Helper()
+	time.Sleep(30 * time.Second)
+	if err := c.are(of, want); err != nil {
+		c.t.Error(err)
 	}
-	c.t.Errorf("within %v: %v", within, err)
+}
+
+// fails ends a node, and starts it again once all others have found it failed.
+func (c *memberCluster) fails(node int) {
+	c.t.Helper()
+	c.kill(node)
+	c.reach(verdictWithin, node, membership.Failed)
+	c.start(node)
+	c.reach(aliveWithin, node, membership.Alive)
 }
 
 // never expects for a while that no node came to a verdict on another.
@@ -64,28 +82,13 @@
 	}
 }
 
-// others are the nodes but some.
-func (c *memberCluster) others(but ...int) (all []int) {
-nodes:
-	for i := range c.size {
-		for _, b := range but {
-			if i == b {
-				continue nodes
-			}
-		}
-		all = append(all, i)
-	}
-	return all
-}
-
 // follower is a node that does not lead.
 func (c *memberCluster) follower() int { return (c.leader() + 1) % c.size }
 
 // refuses cuts one node off from the state service.
 func (c *memberCluster) refuses(node int) {
-	host := fmt.Sprintf("host-%d/", node)
 	c.setFault(func(from string, r *http.Request) standin.Fault {
-		if isState(r) && len(from) >= len(host) && from[:len(host)] == host {
+		if isState(r) && fromNode(from, node) {
 			return standin.LostRequest
 		}
 		return standin.Pass
@@ -99,20 +102,8 @@
 		name string
 		play func(*memberCluster)
 	}{
-		{"a follower crashes and comes back", func(c *memberCluster) {
-			down := c.follower()
-			c.kill(down)
-			c.reach(verdictWithin, down, membership.Failed, c.others(down)...)
-			c.start(down)
-			c.reach(aliveWithin, down, membership.Alive, c.others(down)...)
-		}},
-		{"the leader crashes", func(c *memberCluster) {
-			down := c.leader()
-			c.kill(down)
-			c.reach(verdictWithin, down, membership.Failed, c.others(down)...)
-			c.start(down)
-			c.reach(aliveWithin, down, membership.Alive, c.others(down)...)
-		}},
+		{"a follower crashes and comes back", func(c *memberCluster) { c.fails(c.follower()) }},
+		{"the leader crashes and comes back", func(c *memberCluster) { c.fails(c.leader()) }},
 		{"the leader restarts at once, again and again", func(c *memberCluster) {
 			for range 5 {
 				leader := c.leader()
@@ -124,30 +115,28 @@
 		}},
 		{"the leader's paths to all nodes are cut, its session lives", func(c *memberCluster) {
 			leader := c.leader()
-			host := fmt.Sprintf("host-%d", leader)
-			c.pipes.Cut(func(from, to string) bool { return from == host || to == host })
-			c.reach(verdictWithin, leader, membership.Suspected, c.others(leader)...)
-			time.Sleep(30 * time.Second)
-			if err := c.all(leader, membership.Suspected, c.others(leader)...); err != nil || c.leader() != leader {
-				c.t.Errorf("a leader that the state service hears: %v", err)
+			c.cutPeers(leader)
+			c.reach(verdictWithin, leader, membership.Suspected)
+			c.stay(leader, membership.Suspected)
+			if c.leader() != leader {
+				c.t.Error("another leads")
 			}
-			c.pipes.Cut(func(string, string) bool { return false })
-			c.reach(aliveWithin, leader, membership.Alive, c.others(leader)...)
+			c.healPeers()
+			c.reach(aliveWithin, leader, membership.Alive)
 		}},
 		{"a node is cut off from all", func(c *memberCluster) {
 			cut := c.follower()
-			host := fmt.Sprintf("host-%d", cut)
-			c.pipes.Cut(func(from, to string) bool { return from == host || to == host })
+			c.cutPeers(cut)
 			c.refuses(cut)
-			c.reach(verdictWithin, cut, membership.Failed, c.others(cut)...)
-			time.Sleep(30 * time.Second)
+			c.reach(verdictWithin, cut, membership.Failed)
+			c.stay(cut, membership.Failed)
 			if status, err := c.nodes[cut].Members(); err != nil || !status.Isolated || status.Counts.Failures > 0 {
 				c.t.Errorf("what is cut off gives a verdict: %v, %+v", err, status)
 			}
 			c.setFault(nil)
-			c.pipes.Cut(func(string, string) bool { return false })
-			for _, i := range c.others() {
-				c.reach(aliveWithin, i, membership.Alive, c.others(i)...)
+			c.healPeers()
+			for i := range c.size {
+				c.reach(aliveWithin, i, membership.Alive)
 			}
 		}},
 		{"two nodes don't hear each other", func(c *memberCluster) {
@@ -160,45 +149,30 @@
 		}},
 		{"the state service is down, and a node crashes", func(c *memberCluster) {
 			down := c.follower()
-			c.setFault(func(_ string, r *http.Request) standin.Fault {
-				if isState(r) {
-					return standin.Refused
-				}
-				return standin.Pass
-			})
+			c.setFault(nth(1, standin.Refused, isState))
 			c.never(20 * time.Second)
 			c.kill(down)
-			c.reach(verdictWithin, down, membership.Failed, c.others(down)...)
+			c.reach(verdictWithin, down, membership.Failed)
 			c.setFault(nil)
 			c.start(down)
-			c.reach(aliveWithin, down, membership.Alive, c.others(down)...)
+			c.reach(aliveWithin, down, membership.Alive)
 		}},
 		{"a node says that it ends", func(c *memberCluster) {
 			leaves := c.follower()
 			c.nodes[leaves].Leave()
 			c.kill(leaves)
-			c.reach(time.Second, leaves, membership.Left, c.others(leaves)...)
-			time.Sleep(30 * time.Second)
-			if err := c.all(leaves, membership.Left, c.others(leaves)...); err != nil {
-				c.t.Error(err)
-			}
+			c.reach(time.Second, leaves, membership.Left)
+			c.stay(leaves, membership.Left)
 			c.start(leaves)
-			c.reach(aliveWithin, leaves, membership.Alive, c.others(leaves)...)
+			c.reach(aliveWithin, leaves, membership.Alive)
 		}},
 		{"a node without membership crashes and comes back", func(c *memberCluster) {
 			without := c.follower()
 			c.without = map[int]bool{without: true}
-			c.kill(without)
-			c.start(without)
-			c.reach(aliveWithin, without, membership.Alive, c.others(without)...)
-			time.Sleep(30 * time.Second)
-			if err := c.all(without, membership.Alive, c.others(without)...); err != nil {
-				c.t.Error(err)
-			}
-			c.kill(without)
-			c.reach(verdictWithin, without, membership.Failed, c.others(without)...)
-			c.start(without)
-			c.reach(aliveWithin, without, membership.Alive, c.others(without)...)
+			c.back(without)
+			c.reach(aliveWithin, without, membership.Alive)
+			c.stay(without, membership.Alive)
+			c.fails(without)
 		}},
 		{"all paths are slow and jittering", func(c *memberCluster) {
 			random := rand.New(rand.NewPCG(uint64(c.size), 32))
@@ -208,7 +182,7 @@
 				return time.Duration(random.Int64N(int64(pathLag)))
 			})
 			c.pipes.Cut(func(string, string) bool { return true }) // all streams are opened anew
-			c.pipes.Cut(func(string, string) bool { return false })
+			c.healPeers()
 			c.never(10 * time.Minute)
 			slow := 0
 			for range 60 { // single messages may be fast
--- a/placing_test.go
+++ b/placing_test.go
@@ -243,7 +243,7 @@
 					}
 				}
 				c.setFault(nil)
-				c.pipes.Cut(func(string, string) bool { return false })
+				c.healPeers()
 				if cut.of("cut") == 0 || held == 0 {
 					t.Errorf("%d messages were cut, %d tasks seen in the zone", cut.of("cut"), held)
 				}
--- a/readme_test.go
+++ b/readme_test.go
@@ -7,26 +7,17 @@
 	"testing"
 )
 
-// readmeCommands are the commands of the first block of a section of the README.
-func readmeCommands(t *testing.T, section string) (commands []string) {
+// readmeCommands are the first indented lines of a section of the README.
+func readmeCommands(t *testing.T, section string) []string {
 	t.Helper()
 	b, err := os.ReadFile("README.md")
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, text, found := strings.Cut(string(b), "## "+section+"\n")
-	if !found {
-		t.Fatalf("README has no section %s", section)
-	}
-	for _, line := range strings.Split(text, "\n") {
-		command, is := strings.CutPrefix(line, "    ")
-		if is {
-			commands = append(commands, command)
-		} else if len(commands) > 0 {
-			break
-		}
-	}
-	return commands
+	_, text, _ := strings.Cut(string(b), "## "+section+"\n")
+	_, text, _ = strings.Cut(text, "\n\n    ")
+	text, _, _ = strings.Cut(text, "\n\n")
+	return strings.Split(text, "\n    ")
 }
 
 // testCommand is the README's command that runs this test as well.
--- a/standby_meetings_test.go
+++ b/standby_meetings_test.go
@@ -173,7 +173,7 @@
 			c.pipes.Cut(func(from, to string) bool { return from == host || to == host })
 			c.handOver()
 			time.Sleep(5 * time.Second)
-			c.pipes.Cut(func(string, string) bool { return false })
+			c.healPeers()
 		}},
 	}
 	for _, tc := range cases {
--- a/standby_test.go
+++ b/standby_test.go
@@ -253,7 +253,7 @@
 				if took := time.Since(begun); took > 4*time.Second {
 					t.Errorf("nobody led for %v", took)
 				}
-				c.pipes.Cut(func(string, string) bool { return false })
+				c.healPeers()
 				c.await("j-000001", wire.JobDone, time.Minute)
 				c.broken()
 			})
--- a/takeover_test.go
+++ b/takeover_test.go
@@ -91,7 +91,7 @@
 				}
 				time.Sleep(time.Duration(cancelS) * time.Second)
 				c.setFault(nil)
-				c.pipes.Cut(func(string, string) bool { return false })
+				c.healPeers()
 				for _, id := range ids {
 					c.submit(id, 2)
 					c.cancelJob(id, 0)
--- a/zones_measure_test.go
+++ b/zones_measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"io"
 	"maps"
 	"os"
 	"slices"
@@ -56,16 +57,7 @@
 	for _, g := range groups {
 		t.Log(g)
 	}
-	if out := os.Getenv(zonesOutVariable); out != "" {
-		f, err := os.Create(out)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer f.Close()
-		if err := zonereport.WriteHTML(f, runs); err != nil {
-			t.Fatal(err)
-		}
-	}
+	writeReport(t, zonesOutVariable, func(w io.Writer) error { return zonereport.WriteHTML(w, runs) })
 }
 
 // Of a measurement's machines, this part is busy before the cuts.
