--- a/ci_test.go
+++ b/ci_test.go
@@ -8,6 +8,11 @@
 	"testing"
 )
 
+// redEntry returns an entry of KNOWN-RED.txt for a test in the package x.
+func redEntry(test string) string {
+	return test + "; ci; go test -count=1 -run '^" + test + "$' ./x; seed 17; fails; issue 17\n"
+}
+
 // TestCIChecks runs the checks of KNOWN-RED.txt, of the production version and of large files
 // in a repository of their own.
 func TestCIChecks(t *testing.T) {
@@ -39,7 +44,8 @@
 		}
 		write(script, string(b))
 	}
-	write("x/x_test.go", "package x\nfunc TestOne(t *testing.T) {}\nfunc TestTwo(t *testing.T) {}\nfunc TestOneMore(t *testing.T) {}\nfunc TestFour(t *testing.T) {}\n")
+	write("go.mod", "module x\n")
+	write("x/x_test.go", "package x\nimport \"testing\"\nfunc TestOne(t *testing.T) {}\nfunc TestTwo(t *testing.T) { t.Error() }\nfunc TestOneMore(t *testing.T) {}\nfunc TestFour(t *testing.T) { t.Skip() }\n")
 	git("init", "-q")
 	git("add", "-A")
 	git("commit", "-qm", "before the deploy file")
@@ -66,13 +72,26 @@
 		want                     string
 	}{
 		{"no file", "known-red", "", "", true, ""},
-		{"one", "known-red", "KNOWN-RED.txt", "TestOne, a cause, with a comma, issue 17\n", true, "TestOne"},
-		{"three", "known-red", "KNOWN-RED.txt", "TestOne, a, 1\nTestTwo, b, 2\nTestFour, c, 3", true, "TestOne\nTestTwo\nTestFour"},
-		{"four", "known-red", "KNOWN-RED.txt", "TestOne, a, 1\nTestTwo, b, 2\nTestFour, c, 3\nTestOneMore, d, 4\n", false, ""},
-		{"no such test", "known-red", "KNOWN-RED.txt", "TestOn, a, 1\n", false, ""},
-		{"a pattern", "known-red", "KNOWN-RED.txt", "Test.*, a, 1\n", false, ""},
-		{"no cause", "known-red", "KNOWN-RED.txt", "TestOne, issue 17\n", false, ""},
-		{"one twice", "known-red", "KNOWN-RED.txt", "TestOne, a, 1\nTestOne, b, 2\n", false, ""},
+		{"one", "known-red", "KNOWN-RED.txt", redEntry("TestOne"), true, "TestOne"},
+		{"one among comments and blank lines", "known-red", "KNOWN-RED.txt", "# TEST\n\n" + redEntry("TestOne") + "  \n", true, "TestOne"},
+		{"with a variable, without a seed, not run in CI", "known-red", "KNOWN-RED.txt", "TestOne; long; A_B=1 go test -count=1 -run '^TestOne$' ./x; no seed; fails, with a comma; issue 17\n", true, "TestOne"},
+		{"three", "known-red", "KNOWN-RED.txt", redEntry("TestOne") + redEntry("TestTwo") + strings.TrimSpace(redEntry("TestFour")), true, "TestOne\nTestTwo\nTestFour"},
+		{"four", "known-red", "KNOWN-RED.txt", redEntry("TestOne") + redEntry("TestTwo") + redEntry("TestFour") + redEntry("TestOneMore"), false, ""},
+		{"no such test", "known-red", "KNOWN-RED.txt", redEntry("TestOn"), false, ""},
+		{"a pattern", "known-red", "KNOWN-RED.txt", redEntry("Test.*"), false, ""},
+		{"the form without a command", "known-red", "KNOWN-RED.txt", "TestOne, a cause, issue 17\n", false, ""},
+		{"nothing seen", "known-red", "KNOWN-RED.txt", "TestOne; ci; go test -count=1 -run '^TestOne$' ./x; no seed; ; issue 17\n", false, ""},
+		{"no seed said", "known-red", "KNOWN-RED.txt", "TestOne; ci; go test -count=1 -run '^TestOne$' ./x; fails; issue 17\n", false, ""},
+		{"a seed that is none", "known-red", "KNOWN-RED.txt", "TestOne; ci; go test -count=1 -run '^TestOne$' ./x; any seed; fails; issue 17\n", false, ""},
+		{"an issue without a number", "known-red", "KNOWN-RED.txt", "TestOne; ci; go test -count=1 -run '^TestOne$' ./x; no seed; fails; issue\n", false, ""},
+		{"neither for CI nor long", "known-red", "KNOWN-RED.txt", "TestOne; never; go test -count=1 -run '^TestOne$' ./x; no seed; fails; issue 17\n", false, ""},
+		{"the command of another test", "known-red", "KNOWN-RED.txt", "TestOne; ci; go test -count=1 -run '^TestTwo$' ./x; no seed; fails; issue 17\n", false, ""},
+		{"a command that runs more tests", "known-red", "KNOWN-RED.txt", "TestOne; ci; go test -count=1 -run TestOne ./x; no seed; fails; issue 17\n", false, ""},
+		{"a command that goes on after the test", "known-red", "KNOWN-RED.txt", "TestOne; ci; go test -count=1 -run '^TestOne$' ./x && true; no seed; fails; issue 17\n", false, ""},
+		{"one twice", "known-red", "KNOWN-RED.txt", redEntry("TestOne") + redEntry("TestOne"), false, ""},
+		{"results", "known-red run", "KNOWN-RED.txt", redEntry("TestOne") + redEntry("TestTwo") + redEntry("TestFour"), true, "TestOne: passes, take it off KNOWN-RED.txt\nTestTwo: fails\nTestFour: not run, it skipped itself"},
+		{"what is not run", "known-red run", "KNOWN-RED.txt", "TestOneMore; long; go test -count=1 -run '^TestOneMore$' ./x; no seed; fails; issue 17\nTestOne; ci; go test -count=1 -run '^TestOne$' ./y; no seed; fails; issue 17\n", true, "TestOneMore: not run here, it needs minutes or real processes: go test -count=1 -run '^TestOneMore$' ./x\nTestOne: not run, the command ended without its result"},
+		{"nothing to run", "known-red run", "KNOWN-RED.txt", "# TEST\n", true, ""},
 		{"nothing in it", "known-red", "KNOWN-RED.txt", "\n", true, ""},
 		{"no production", "production", "deploy/service.toml", "run = \"x\"\n", true, ""},
 		{"a commit", "production", "deploy/service.toml", "production = \"" + good + "\"\n", true, good},
@@ -91,7 +110,8 @@
 			if c.file != "" {
 				write(c.file, c.text)
 			}
-			cmd := exec.Command(filepath.Join(dir, ".ci", c.script))
+			script, argument, _ := strings.Cut(c.script, " ")
+			cmd := exec.Command(filepath.Join(dir, ".ci", script), argument)
 			out, err := cmd.Output()
 			if (err == nil) != c.ok || strings.TrimSpace(string(out)) != c.want {
 				t.Errorf("%v, %q; want ok %v, %q", err, out, c.ok, c.want)
