Deferral: return what was deferred, and log it at level debug

Cause: no log line told which jobs an overload deferred, to which deadline, and for which other job, so what a large job's wait came from could not be told.

Change: DeferLateJobs returns its deferrals; the scheduler logs each one that is new: "job deferred" with job, team, late, start_deadline, for_job and missed_deadline. Nothing is deferred otherwise than before.

--- a/internal/leader/scheduler/queue.go
+++ b/internal/leader/scheduler/queue.go
@@ -84,7 +84,7 @@
 	for i, e := range entries {
 		waiting[i] = e.waiting
 	}
-	placement.DeferLateJobs(waiting, s.schedulableCPUs(now), wall)
+	s.logDeferrals(placement.DeferLateJobs(waiting, s.schedulableCPUs(now), wall), wall)
 	slices.SortFunc(entries, func(a, b queueEntry) int { return placement.CompareJobs(a.waiting, b.waiting) })
 	q := queue{teams: teams, waiting: waiting, jobs: make([]*state.Job, len(entries))}
 	for i, e := range entries {
--- a/internal/leader/scheduler/scheduler.go
+++ b/internal/leader/scheduler/scheduler.go
@@ -73,8 +73,9 @@
 	planDuration  micros.Micros // of that plan
 	planRequested bool          // something changed since then
 
-	queue        queue          // as of the latest plan
-	responding   *state.Machine // whose heartbeat is being responded to
+	queue        queue                         // as of the latest plan
+	responding   *state.Machine                // whose heartbeat is being responded to
+	deferred     map[string]placement.Deferral // by job ID, as logged; nil unless debugging
 	completions  completionRate
 	reservations map[string]*state.GangReservation // by job ID
 
--- a/placement/deferral.go
+++ b/placement/deferral.go
@@ -17,11 +17,13 @@
 //
 // A deferred job gets the next start deadline that it can still meet, and is marked as late only if
 // there is none: else all that an overload defers once would wait until the end.
-func DeferLateJobs(jobs []*Job, cpus float64, now micros.Micros) {
+//
+// It returns what it deferred, in the order in which it did.
+func DeferLateJobs(jobs []*Job, cpus float64, now micros.Micros) []Deferral {
 	queue := slices.Clone(jobs)
 	slices.SortFunc(queue, CompareJobs)
 	if cpus <= 0 {
-		return
+		return nil
 	}
 	d := deferral{queue: queue, cpus: cpus, now: now}
 	for i := 0; i < len(d.queue); i++ {
@@ -37,6 +39,16 @@
 		}
 	}
 	d.endEntitlement(len(d.queue))
+	return d.deferrals
+}
+
+// Deferral says that a job was deferred, so that another one can be in time.
+type Deferral struct {
+	Job            *Job
+	For            *Job          // would have been late
+	MissedDeadline micros.Micros // of For; the job is to be in time after it
+	StartDeadline  micros.Micros // the job's next one
+	Late           bool          // the job can meet none
 }
 
 // deferral is the state of Moore's algorithm on its way through the queue.
@@ -48,6 +60,7 @@
 	workAhead  float64 // CPU seconds of the jobs so far that are in time
 	overloaded bool    // a job of the present entitlement had to be deferred
 	onTime     []*Job  // of the present entitlement, in the order of their work
+	deferrals  []Deferral
 }
 
 // serve takes the job at i as in time, and defers one if that is too late.
@@ -70,11 +83,13 @@
 	d.onTime = d.onTime[:len(d.onTime)-1]
 	d.workAhead -= largest.WaitingCPUSeconds
 	d.overloaded = true
+	missed := j.StartDeadline
 	for len(largest.LaterStartDeadlines) > 0 && largest.StartDeadline <= j.StartDeadline {
 		largest.StartDeadline, largest.LaterStartDeadlines = largest.LaterStartDeadlines[0], largest.LaterStartDeadlines[1:]
 	}
-	if largest.StartDeadline <= j.StartDeadline {
-		largest.Late = true
+	largest.Late = largest.StartDeadline <= j.StartDeadline
+	d.deferrals = append(d.deferrals, Deferral{largest, j, missed, largest.StartDeadline, largest.Late})
+	if largest.Late {
 		return
 	}
 	position, _ := slices.BinarySearchFunc(d.queue[i+1:], largest, CompareJobs)
