Deferral: the largest late job keeps the deadlines that it can still meet

Symptom: a large job that misses its first objective waits behind everything of its guarantee and priority, also behind jobs that can meet none any more, although it could still meet its next objective.

Cause: deferLargest went on to the job's next start deadline while that was not after the missed one, and read the missed one from the job at i. Where that is the largest job itself, the loop moved what it compared with: every later deadline was used up, and the job was marked late. The log showed such a job as deferred for itself.

Change: the missed deadline is read before the loop. The doc comment says what is promised. Nothing else of the order changes.

TestLargestJobKeepsItsPlace fails without the mend: the large job stands behind the overdue one, late.

--- a/internal/leader/scheduler/deferrals_test.go
+++ b/internal/leader/scheduler/deferrals_test.go
@@ -42,6 +42,29 @@
 	return s
 }
 
+// TestLargestJobKeepsItsPlace has a large job miss its first deadline, and one that can meet none any more wait. The
+// large job went behind that one, and so missed its second deadline too, which it could have met: it started up to
+// 20 s later here, at a user's distance for as long as there were late jobs that are smaller. In the log it stood as
+// "job deferred" job=j-000002 late=true start_deadline=1m9.999995s for_job=j-000002 missed_deadline=29.999995s: the job that was to be
+// in time is itself, and it is late although its deadline lies after the one that it missed.
+func TestLargestJobKeepsItsPlace(t *testing.T) {
+	now := micros.Now()
+	s := newOverload(t, now)
+	q := s.newQueue(now)
+	var order []string
+	for _, j := range q.jobs {
+		order = append(order, j.Spec.ID)
+	}
+	if got, want := strings.Join(order, " "), smallJob+" "+largeJob+" "+overdueJob; got != want {
+		t.Errorf("the queue is %s, want %s", got, want)
+	}
+	for _, w := range q.waiting {
+		if w.Late != (w.ID == overdueJob) {
+			t.Errorf("%s: late is %v", w.ID, w.Late)
+		}
+	}
+}
+
 // TestDeferralsAreLogged checks that a deferral is logged at level debug, once as long as it stays.
 func TestDeferralsAreLogged(t *testing.T) {
 	var log bytes.Buffer
--- a/placement/deferral.go
+++ b/placement/deferral.go
@@ -15,8 +15,17 @@
 // cpus is what the machines have. What runs already is not counted: its room is freed bit by bit,
 // and counting it deferred jobs that were in time after all.
 //
-// A deferred job gets the next start deadline that it can still meet, and is marked as late only if
-// there is none: else all that an overload defers once would wait until the end.
+// A deferred job gets its next start deadline after the one that is missed, and is judged again in its place by that;
+// it is marked as late only if there is none: else all that an overload defers once would wait until the end.
+//
+// What is promised, of the jobs of one entitlement and of what goes ahead of them:
+//   - Those on time could all be, each by the deadline that it has been given, if they were served in the order of these.
+//   - No late job could be on time besides, by any of its deadlines.
+//   - No more are late than if each had its first deadline alone, which is the least possible then.
+//
+// With several deadlines it is a heuristic: fewer might be late if a job that can meet an early deadline were deferred to
+// a later one, and one that was deferred may have got room at an early deadline again. As soon as a job is deferred, those
+// of its entitlement are served by their work, so that the deadlines are what they are judged by, not when they start.
 //
 // It returns what it deferred, in the order in which it did.
 func DeferLateJobs(jobs []*Job, cpus float64, now micros.Micros) []Deferral {
@@ -75,19 +84,18 @@
 }
 
 // deferLargest defers the job with the most work, as that at i would be late otherwise. If it has a
-// later start deadline, it takes its place in the queue by that. If the largest is the job at i itself,
-// its deadline is compared with itself: it gets its last one and is marked as late.
+// start deadline after the missed one, it takes its place in the queue by that.
 func (d *deferral) deferLargest(i int) {
 	j := d.queue[i]
 	largest := d.onTime[len(d.onTime)-1]
 	d.onTime = d.onTime[:len(d.onTime)-1]
 	d.workAhead -= largest.WaitingCPUSeconds
 	d.overloaded = true
-	missed := j.StartDeadline
-	for len(largest.LaterStartDeadlines) > 0 && largest.StartDeadline <= j.StartDeadline {
+	missed := j.StartDeadline // read before the loop: the largest may be j itself, whose deadline the loop moves
+	for len(largest.LaterStartDeadlines) > 0 && largest.StartDeadline <= missed {
 		largest.StartDeadline, largest.LaterStartDeadlines = largest.LaterStartDeadlines[0], largest.LaterStartDeadlines[1:]
 	}
-	largest.Late = largest.StartDeadline <= j.StartDeadline
+	largest.Late = largest.StartDeadline <= missed
 	d.deferrals = append(d.deferrals, Deferral{largest, j, missed, largest.StartDeadline, largest.Late})
 	if largest.Late {
 		return
