Elections: log who campaigns when the leader key is absent, and who lets others go first

Cause: of a handover after which another node than the named one led, the log had only the new term. When each node saw the key vanish, which of them yielded, for how long and why, was not to be seen.

Change: info lines, each once for a vacancy: "leader key is absent", "letting others campaign first" with the reason, "campaigning" with the time since the key was seen absent and whether the member may yield.

--- a/handover.go
+++ b/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 
 	"caperlatch/internal/election"
@@ -47,8 +48,20 @@
 
 	mu           sync.Mutex
 	handedOverAt micros.Micros // when this node last handed over, 0 if it never did
+	yieldReason  yieldReason   // as it was last logged
 }
 
+// yieldReason is why a node lets others lead first, as the log shows it.
+type yieldReason string
+
+// The reasons.
+const (
+	yieldsToNobody     yieldReason = "no other member should go first"
+	yieldsToNamed      yieldReason = "handed over to another member"
+	yieldsAfterOwnTerm yieldReason = "this member has handed over"
+	yieldsToFurther    yieldReason = "other members' views are further"
+)
+
 // lastHandedOverAt returns when this node last handed over, 0 if it never did.
 func (h *handover) lastHandedOverAt() micros.Micros {
 	h.mu.Lock()
@@ -65,23 +78,38 @@
 
 // yieldFor returns how long this node lets others go first when nobody leads.
 func (h *handover) yieldFor() micros.Micros {
+	wait, reason := h.decideYield()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if reason != h.yieldReason && wait > 0 {
+		slog.Info("letting others campaign first", "member", h.member, "duration", wait.Duration(), "reason", reason)
+	}
+	h.yieldReason = reason
+	return wait
+}
+
+// decideYield returns how long this node lets others go first, and why.
+func (h *handover) decideYield() (wait micros.Micros, reason yieldReason) {
 	handedOverAt, followers := h.lastHandedOverAt(), h.followers()
 	if to, handed := h.follower.HandedOverTo(); handed && to != "" {
 		if to == h.member || !h.peers.IsReachable(to) {
-			return 0
+			return 0, yieldsToNobody
 		}
-		return yieldToNamed
+		return yieldToNamed, yieldsToNamed
 	}
 	if handedOverAt != 0 && micros.Now()-handedOverAt < yieldAfterHandover {
-		return yieldAfterHandover
+		return yieldAfterHandover, yieldsAfterOwnTerm
 	}
-	own, wait := h.follower.Progress(), micros.Micros(0)
+	own := h.follower.Progress()
 	for _, f := range followers {
 		if f.Member != h.member && f.Complete && h.peers.IsReachable(f.Member) && (!own.Complete || f.Position > own.Position+muchFurther) {
 			wait += yieldToFurther
 		}
 	}
-	return min(wait, maxYieldToFurther)
+	if wait == 0 {
+		return 0, yieldsToNobody
+	}
+	return min(wait, maxYieldToFurther), yieldsToFurther
 }
 
 // handOver has this node, if it leads, hand over to the follower that is furthest. It returns
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -98,6 +98,7 @@
 	// Of Run's goroutine alone.
 	campaignBackoff micros.Micros // the wait after a campaign that was not won
 	vacantSince     micros.Micros // since when no leader key is seen, 0 while there is one
+	campaigned      bool          // since then
 
 	mu           sync.Mutex
 	abstention   abstention
@@ -164,7 +165,8 @@
 func (e *Election) remainingYield() micros.Micros {
 	now := micros.Now()
 	if e.vacantSince == 0 {
-		e.vacantSince = now
+		e.vacantSince, e.campaigned = now, false
+		slog.Info("leader key is absent", "member", e.member)
 	}
 	if e.yieldFor == nil {
 		return 0
@@ -178,6 +180,7 @@
 	if !e.beginCampaign() {
 		return retryInterval
 	}
+	e.logCampaign()
 	if e.onCampaign != nil {
 		e.onCampaign()
 	}
@@ -196,3 +199,12 @@
 	}
 	return e.campaignBackoff + micros.Micros(rand.Int64N(int64(retryInterval)))
 }
+
+// logCampaign logs the first campaign since no leader key is seen, and how long this node let others go first.
+func (e *Election) logCampaign() {
+	if e.campaigned {
+		return
+	}
+	e.campaigned = true
+	slog.Info("campaigning", "member", e.member, "duration", (micros.Now() - e.vacantSince).Duration(), "yields", e.yieldFor != nil)
+}
