Handover: the named node replaces the leader key, and the command says who leads

Symptom: after a handover another node than the named one leads, while operators are told the name.

Cause: the leader ended its session, so that every node found the leader key absent; a node without a standby, or of an earlier version, lets nobody go first. The log showed it campaigning with yields=false at the instant at which it saw the key absent.

Change: the named node replaces the key by a compare-and-swap on its revision, and the old leader, whose term proves nothing from before its last entry on, keeps its session for that for at most 0.7 s. The command answers once the next leader is seen, and fails with who leads unless that is the named node. Of two handovers at once the refused one no longer makes the node forget that it hands over. No message, stored value or setting changes.

--- a/api.go
+++ b/api.go
@@ -80,6 +80,15 @@
 	return n.handover.handOver()
 }
 
+// HandOverAndConfirm has this node, if it leads, hand over to the follower that is furthest, and returns
+// that member once it leads.
+func (n *Node) HandOverAndConfirm(ctx context.Context) (to string, err error) {
+	if n.handover == nil {
+		return "", api.ErrStandbyOff
+	}
+	return n.handover.handOverAndConfirm(ctx)
+}
+
 // ZoneStatus returns the leader's view of the zones.
 func (n *Node) ZoneStatus(ctx context.Context) ([]zone.Status, error) { return n.zones.status(ctx) }
 
--- a/cmd/caperlatch/client.go
+++ b/cmd/caperlatch/client.go
@@ -45,7 +45,12 @@
 // request sends a request to a running node, with in as its body unless that is nil. Any status
 // is a response and no error.
 func request(ctx context.Context, method, node, path string, in any) (*response, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	return requestWithin(ctx, requestTimeout, method, node, path, in)
+}
+
+// requestWithin is request with a time limit of the caller's.
+func requestWithin(ctx context.Context, timeout time.Duration, method, node, path string, in any) (*response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var content io.Reader
 	if in != nil {
@@ -77,7 +82,12 @@
 // ask sends a request without a body to a node and decodes the response; any status but 200 is
 // an error.
 func ask(ctx context.Context, method, node, path string, out any) error {
-	resp, err := request(ctx, method, node, path, nil)
+	return askWithin(ctx, requestTimeout, method, node, path, out)
+}
+
+// askWithin is ask with a time limit of the caller's.
+func askWithin(ctx context.Context, timeout time.Duration, method, node, path string, out any) error {
+	resp, err := requestWithin(ctx, timeout, method, node, path, nil)
 	if err != nil {
 		return err
 	}
--- a/handover.go
+++ b/handover.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 
+	"caperlatch/internal/api"
 	"caperlatch/internal/election"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/peer"
@@ -16,6 +17,9 @@
 const (
 	// yieldToNamed is how long the nodes that a handover does not name wait.
 	yieldToNamed = 700 * micros.Millisecond
+	// keepKeyForSuccessor is how long a leader that handed over keeps its leader key for the named node to replace.
+	// That takes two requests to the state service; 01da0cf and versions before it do not do it.
+	keepKeyForSuccessor = 700 * micros.Millisecond
 	// yieldToFurther is how long a node waits for each peer whose view is much further: by more
 	// than what a leader decides between two queries.
 	yieldToFurther = 100 * micros.Millisecond
@@ -26,6 +30,10 @@
 	yieldAfterHandover = 2 * micros.Second
 )
 
+// nextLeaderTimeout is how long a node that handed over waits until it sees who leads next, to say so. It is longer than
+// keepKeyForSuccessor and yieldToNamed together.
+const nextLeaderTimeout = 3 * micros.Second
+
 // maxHandoverWait is how long a worker's heartbeat is kept for the next leader at most. Its
 // worker waits for 4 s, of which forwarding the heartbeat may take 2.5 s.
 const maxHandoverWait = 1200 * micros.Millisecond
@@ -48,6 +56,7 @@
 
 	mu           sync.Mutex
 	handedOverAt micros.Micros // when this node last handed over, 0 if it never did
+	successor    string        // to which this node's last term was handed over, "" if to nobody in particular
 	yieldReason  yieldReason   // as it was last logged
 }
 
@@ -69,11 +78,30 @@
 	return h.handedOverAt
 }
 
-// setHandedOverAt notes when this node last handed over.
-func (h *handover) setHandedOverAt(at micros.Micros) {
+// setHandedOverAt notes when this node last handed over, and returns when it did so before.
+func (h *handover) setHandedOverAt(at micros.Micros) (before micros.Micros) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before, h.handedOverAt = h.handedOverAt, at
+	return before
+}
+
+// setSuccessor notes to which member this node's term, which has ended, was handed over.
+func (h *handover) setSuccessor(member string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.handedOverAt = at
+	h.successor = member
+}
+
+// keepKeyFor returns for how long the leader key of this node's last term is kept for its successor.
+func (h *handover) keepKeyFor() micros.Micros {
+	h.mu.Lock()
+	successor := h.successor
+	h.mu.Unlock()
+	if successor == "" || !h.peers.IsReachable(successor) {
+		return 0
+	}
+	return keepKeyForSuccessor
 }
 
 // yieldFor returns how long this node lets others go first when nobody leads.
@@ -119,12 +147,48 @@
 	if local == nil {
 		return "", ErrNotLeading
 	}
-	h.setHandedOverAt(micros.Now())
+	before := h.setHandedOverAt(micros.Now())
 	to, err = local.HandOver(h.timeout)
 	if err != nil {
-		h.setHandedOverAt(0)
+		h.setHandedOverAt(before) // which is that of a handover under way, if this was a second one
+		return "", err
+	}
+	h.leadership.setExpectsChange(true)
+	return to, nil
+}
+
+// handOverAndConfirm has this node, if it leads, hand over, and returns the member that was named once that leads. The
+// error is an *api.HandoverError if another one leads next, or none does for so long.
+func (h *handover) handOverAndConfirm(ctx context.Context) (to string, err error) {
+	token := h.election.HighestKnownLeader().FencingToken
+	to, err = h.handOver()
+	if err != nil {
+		return "", err
+	}
+	next := h.awaitNextLeader(ctx, token)
+	slog.Info("handover confirmed", "to", to, "leader", next)
+	if to == "" || next != to {
+		return "", &api.HandoverError{Named: to, Leader: next}
+	}
+	return to, nil
+}
+
+// awaitNextLeader waits until the leader key shows a later term than the one with a fencing token, and returns the
+// member that leads; empty if none does in time.
+func (h *handover) awaitNextLeader(ctx context.Context, token uint64) string {
+	ctx, cancel := context.WithTimeout(ctx, nextLeaderTimeout.Duration())
+	defer cancel()
+	for {
+		changed := h.replica.Changed()
+		if l, modRevision := h.election.Leader(); modRevision != 0 && l.FencingToken > token {
+			return l.Member
+		}
+		select {
+		case <-ctx.Done():
+			return ""
+		case <-changed:
+		}
 	}
-	return to, err
 }
 
 // await waits while leadership is being handed over, so that a worker's heartbeat reaches the
--- a/internal/api/standby.go
+++ b/internal/api/standby.go
@@ -1,6 +1,8 @@
 package api
 
 import (
+	"cmp"
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -21,9 +23,25 @@
 	// StandbyStatus returns how far the warm standby is, as this node knows it. The error is
 	// ErrStandbyOff if there is none.
 	StandbyStatus() (StandbyStatus, error)
-	// HandOver has this node, if it leads, hand leadership over, and returns the member that
-	// was named; empty: any may lead next. The error is ErrStandbyOff without a standby.
-	HandOver() (to string, err error)
+	// HandOverAndConfirm has this node, if it leads, hand leadership over to a member that it names, and returns
+	// that member once it leads. The error is ErrStandbyOff without a standby, and a *HandoverError if
+	// another member than the named one leads next, or none does for a while.
+	HandOverAndConfirm(ctx context.Context) (to string, err error)
+}
+
+// HandoverError says that leadership was handed over, and not to a named member.
+type HandoverError struct {
+	Named  string // the member that was to lead next; empty: any, as none followed closely
+	Leader string // the member that leads now; empty: none is known yet
+}
+
+// Error implements error. Operators are shown the text.
+func (e *HandoverError) Error() string {
+	to := cmp.Or(e.Named, "any node, as none follows closely")
+	if e.Leader == "" {
+		return "handed over to " + to + ", and nobody is known to lead yet"
+	}
+	return "handed over to " + to + ", and " + e.Leader + " leads"
 }
 
 // StandbyStatus is the answer to a question about the warm standby.
@@ -44,7 +62,7 @@
 
 // HandoverResponse is the answer to a request to hand over.
 type HandoverResponse struct {
-	To string `json:"to"` // the member that was named; empty: any
+	To string `json:"to"` // the member that was named, and leads; versions up to 01da0cf say whom they named, empty: any
 }
 
 // standbyHandlers answer operators' questions and requests about the warm standby.
@@ -65,7 +83,7 @@
 	if !isFromSameMachine(c.Request()) {
 		return respondError(c, http.StatusForbidden, errNotLocal)
 	}
-	to, err := h.node.HandOver()
+	to, err := h.node.HandOverAndConfirm(c.Request().Context())
 	switch {
 	case errors.Is(err, ErrStandbyOff):
 		return respondError(c, http.StatusNotFound, err)
--- a/internal/election/campaign.go
+++ b/internal/election/campaign.go
@@ -12,9 +12,9 @@
 	"caperlatch/internal/wire"
 )
 
-// campaign opens a session and tries to take the leader key with it. Its error says that no term was won here; the
+// campaign opens a session and tries to take the leader key with it, in place of the key with a mod revision. Its error says that no term was won here; the
 // transaction may still have been carried out if its response was lost.
-func (e *Election) campaign(ctx context.Context) (*Term, error) {
+func (e *Election) campaign(ctx context.Context, replaced uint64) (*Term, error) {
 	token, tokenRevision, err := e.storedToken()
 	if err != nil {
 		return nil, err
@@ -25,7 +25,7 @@
 		return nil, fmt.Errorf("election: open session: %w", err)
 	}
 	leader := replica.Leader{Member: e.member, FencingToken: token.FencingToken + 1, SessionID: session}
-	revision, err := e.takeLeaderKey(ctx, leader, tokenRevision)
+	revision, err := e.takeLeaderKey(ctx, leader, replaced, tokenRevision)
 	e.campaignBackoff = backoffAfter(err)
 	if err != nil {
 		e.endSession(ctx, session)
@@ -41,13 +41,13 @@
 	}, nil
 }
 
-// takeLeaderKey is the compare-and-swap that begins a term: it stores the leader and its token, if there is no
-// leader key and the token's key still has the given mod revision. It returns the mod revision of both.
-func (e *Election) takeLeaderKey(ctx context.Context, leader replica.Leader, tokenRevision uint64) (revision uint64, err error) {
+// takeLeaderKey is the compare-and-swap that begins a term: it stores the leader and its token, if the leader key
+// and the token's key still have the given mod revisions. It returns the mod revision of both.
+func (e *Election) takeLeaderKey(ctx context.Context, leader replica.Leader, replaced, tokenRevision uint64) (revision uint64, err error) {
 	token := replica.TokenRecord{FencingToken: leader.FencingToken}
 	revision, err = e.store.Commit(ctx, wire.Txn{
 		If: []wire.Compare{
-			{Key: replica.LeaderKey},
+			{Key: replica.LeaderKey, ModRevision: replaced},
 			{Key: replica.TokenKey, ModRevision: tokenRevision},
 		},
 		Then: []wire.Op{
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -4,7 +4,9 @@
 // How a term begins. While no leader key is stored, a node that may campaign (see Election.Abstain) opens a
 // session and sends one transaction: a compare-and-swap that puts the leader key on that session and raises
 // the fencing token by one, provided that there is still no leader key and that the token has not been raised
-// meanwhile. At most one node succeeds, and no two terms share a token. A campaign whose response was lost may
+// meanwhile. At most one node succeeds, and no two terms share a token. The member that a leader has handed over to
+// does not wait for the key to vanish: it replaces the key, by the same transaction on condition of that leader's key
+// (Config.TakesOver), so that nobody else finds it absent. A campaign whose response was lost may
 // have succeeded: its node then finds the leader key naming itself, ends that session, and campaigns anew for
 // another token. A key found by a restarted node is ended the same way, so that nothing ever acts under a token
 // that it did not win itself.
@@ -15,7 +17,8 @@
 //
 // How it ends. Another leader key or a higher fencing token is seen, the service says that the session does not
 // exist, OnElected returns (a handover), or the node ends. Then the context of OnElected is cancelled, its return
-// is awaited, and the session is ended, so that the next node need not wait for its TTL. A renewal that merely
+// is awaited, and the session is ended, so that the next node need not wait for its TTL; after a handover only once the
+// named member has replaced the key, or has not for a while (Config.KeepKeyFor). A renewal that merely
 // gets no response does not end the term: what it may still do without the state service follows from the four
 // proofs of Term.
 //
@@ -53,6 +56,9 @@
 	idlePollInterval = micros.Second
 )
 
+// noLeaderKey is the mod revision of the leader key when there is none.
+const noLeaderKey = 0
+
 // Peers is what the election needs of the other nodes' last responses. All instants are of this node's steady
 // clock; 0 stands for never.
 type Peers interface {
@@ -79,6 +85,12 @@
 	// YieldFor, if set, is for how long this node lets others campaign first, counted from when the leader key
 	// was seen to be absent. It only saves time: a node that yields in vain leads a little later.
 	YieldFor func() micros.Micros
+	// TakesOver, if set, reports whether the leader that a leader key names has handed over to this node. That leader
+	// must act no more: this node then replaces its key. Wake has the election ask again.
+	TakesOver func(replica.Leader) bool
+	// KeepKeyFor, if set, is for how long the leader key stays when OnElected has returned, so that the member that
+	// the term was handed over to can replace it; 0: not at all.
+	KeepKeyFor func() micros.Micros
 	// OnElected is called for each term, in a goroutine that the election waits for. It must return soon after
 	// its context ends; if it returns before, the term ends.
 	OnElected func(context.Context, *Term)
@@ -93,7 +105,10 @@
 	peers      Peers
 	onCampaign func()
 	yieldFor   func() micros.Micros
+	takesOver  func(replica.Leader) bool
+	keepKeyFor func() micros.Micros
 	onElected  func(context.Context, *Term)
+	wake       chan struct{} // has room for one call of Wake
 
 	// Of Run's goroutine alone.
 	campaignBackoff micros.Micros // the wait after a campaign that was not won
@@ -114,6 +129,9 @@
 		peers:           c.Peers,
 		onCampaign:      c.OnCampaign,
 		yieldFor:        c.YieldFor,
+		takesOver:       c.TakesOver,
+		keepKeyFor:      c.KeepKeyFor,
+		wake:            make(chan struct{}, 1),
 		onElected:       c.OnElected,
 		campaignBackoff: retryInterval,
 		abstention:      newAbstention(micros.Now(), c.MaxAbstention),
@@ -131,11 +149,20 @@
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-e.wake:
 		case <-time.After(wait.Duration()):
 		}
 	}
 }
 
+// Wake has the election look at the leader key at once, as TakesOver may answer otherwise now.
+func (e *Election) Wake() {
+	select {
+	case e.wake <- struct{}{}:
+	default: // it will look in any case
+	}
+}
+
 // reactToLeaderKey does what the leader key requires of this node now, and returns for how long to wait for a
 // change after that.
 func (e *Election) reactToLeaderKey(ctx context.Context) (wait micros.Micros) {
@@ -150,13 +177,15 @@
 		if wait := e.remainingYield(); wait > 0 {
 			return wait
 		}
-		return e.campaignAndServe(ctx)
+		return e.campaignAndServe(ctx, noLeaderKey)
 	case leader.Member == e.member:
 		// An earlier process of this node, or a campaign of this one that got no response, holds the key.
 		// Nothing acts for it any more: every term gets a token of its own, also of the same node.
 		slog.Info("ending the session of an earlier term", "fencing_token", leader.FencingToken)
 		e.endSession(ctx, leader.SessionID)
 		return retryInterval
+	case e.takesOver != nil && e.takesOver(leader):
+		return e.campaignAndServe(ctx, revision)
 	}
 	return idlePollInterval
 }
@@ -174,17 +203,17 @@
 	return min(retryInterval, e.vacantSince+e.yieldFor()-now)
 }
 
-// campaignAndServe campaigns, and serves the term if it is won. It returns how long to wait before looking at the
-// leader key again.
-func (e *Election) campaignAndServe(ctx context.Context) (wait micros.Micros) {
+// campaignAndServe campaigns to put the leader key in place of one with a mod revision, and serves the term if it is
+// won. It returns how long to wait before looking at the leader key again.
+func (e *Election) campaignAndServe(ctx context.Context, replaced uint64) (wait micros.Micros) {
 	if !e.beginCampaign() {
 		return retryInterval
 	}
-	e.logCampaign()
+	e.logCampaign(replaced)
 	if e.onCampaign != nil {
 		e.onCampaign()
 	}
-	term, err := e.campaign(ctx)
+	term, err := e.campaign(ctx, replaced)
 	if err != nil {
 		slog.Debug("campaign failed", "error", err)
 	} else {
@@ -201,7 +230,11 @@
 }
 
 // logCampaign logs the first campaign since no leader key is seen, and how long this node let others go first.
-func (e *Election) logCampaign() {
+func (e *Election) logCampaign(replaced uint64) {
+	if replaced != noLeaderKey {
+		slog.Info("campaigning as the named successor", "member", e.member, "revision", replaced)
+		return
+	}
 	if e.campaigned {
 		return
 	}
--- a/internal/election/session.go
+++ b/internal/election/session.go
@@ -20,22 +20,46 @@
 // serveTerm runs OnElected and keeps the session until the term is over.
 func (e *Election) serveTerm(ctx context.Context, term *Term) {
 	slog.Info("term started", "fencing_token", term.FencingToken)
-	ctx, cancel := context.WithCancel(ctx)
+	termCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		e.onElected(ctx, term)
+		e.onElected(termCtx, term)
 	}()
-	e.maintainSession(ctx, term, done)
+	e.maintainSession(termCtx, term, done)
 	term.end()
 	cancel()
 	<-done
 	slog.Info("term ended", "fencing_token", term.FencingToken)
+	e.keepLeaderKey(ctx, term)
 	ending, stop := context.WithTimeout(context.Background(), statestore.RequestTimeout.Duration())
 	defer stop()
 	e.endSession(ending, term.sessionID)
 }
 
+// keepLeaderKey leaves the key of a term that is over to the member that it was handed over to, for a bounded time.
+// Were the session ended at once, every node that finds the key absent would campaign, and one that knows nothing of
+// the handover, without a standby or of an earlier version, would often lead instead.
+func (e *Election) keepLeaderKey(ctx context.Context, term *Term) {
+	if e.keepKeyFor == nil {
+		return
+	}
+	deadline := time.After(e.keepKeyFor().Duration())
+	for {
+		changed := e.replica.Changed()
+		if e.isSuperseded(term) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-deadline:
+			return
+		case <-changed:
+		}
+	}
+}
+
 // maintainSession renews the session until the term is lost, or given up by OnElected, which closes done.
 func (e *Election) maintainSession(ctx context.Context, term *Term, done <-chan struct{}) {
 	for {
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -45,7 +45,8 @@
 }
 
 // HoldsSession reports whether the session cannot have ended yet, even if the service's clock runs fast. It proves
-// that the leader key is still this term's and that no later term has begun.
+// that the leader key is still this term's and that no later term has begun: only the member that the term was handed
+// over to replaces the key of a session that lasts, and nothing is proved once the term is relinquished.
 func (t *Term) HoldsSession() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -71,6 +72,10 @@
 	t.sessionConfirmedAt = max(t.sessionConfirmedAt, sent)
 }
 
+// Relinquish has the term prove nothing any more: from now on another node may replace its leader key. It is called
+// before a handover is announced.
+func (t *Term) Relinquish() { t.end() }
+
 // end notes that the term is over.
 func (t *Term) end() {
 	t.mu.Lock()
--- a/internal/leader/failover.go
+++ b/internal/leader/failover.go
@@ -21,9 +21,10 @@
 
 // failoverState is what the leader keeps of the term before, and of its own end.
 type failoverState struct {
-	tasksKnownRecorded bool // FailoverProgress.TasksKnown was called
-	handedOver         bool // some machines' tasks are known by the handover of the term before
-	handingOver        bool // this term is handed over: nothing more is decided
+	tasksKnownRecorded bool   // FailoverProgress.TasksKnown was called
+	handedOver         bool   // some machines' tasks are known by the handover of the term before
+	handingOver        bool   // this term is handed over: nothing more is decided
+	successor          string // the member that it is handed over to, "" if any may lead next
 }
 
 // restoreFromPreviousTerm goes on from the view of the term before. It is a hint: which machines to query first
--- a/internal/leader/handover.go
+++ b/internal/leader/handover.go
@@ -38,14 +38,43 @@
 		handoverPollInterval.Sleep()
 	}
 	position, to := l.publishHandover()
-	for to != "" && micros.Now() < startedAt+limit && !l.Followers.HasApplied(to, position) {
-		handoverPollInterval.Sleep()
-	}
-	slog.Info("term handed over", "fencing_token", l.FencingToken, "to", to, "applied", to != "" && l.Followers.HasApplied(to, position), "duration", (micros.Now() - startedAt).Duration())
+	applied := to != "" && l.awaitApplied(to, position, startedAt+limit)
+	slog.Info("term handed over", "fencing_token", l.FencingToken, "to", to, "applied", applied, "duration", (micros.Now() - startedAt).Duration())
 	l.loseTerm()
 	return to, nil
 }
 
+// awaitApplied waits until a follower has applied all entries up to a position, and reports whether it has. It does not
+// say so once it leads: then this term is over.
+func (l *Leader) awaitApplied(follower string, position uint64, until micros.Micros) bool {
+	for !l.Followers.HasApplied(follower, position) {
+		select {
+		case <-l.termLost:
+			return true
+		default:
+		}
+		if micros.Now() >= until {
+			return false
+		}
+		handoverPollInterval.Sleep()
+	}
+	return true
+}
+
+// IsHandingOver reports whether the term is being handed over, or was.
+func (l *Leader) IsHandingOver() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.handingOver
+}
+
+// Successor is the member that the term was handed over to; "" if it was not, or if any may lead next.
+func (l *Leader) Successor() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.successor
+}
+
 // stopDeciding ends all decisions of the term for a handover. It reports whether one may begin.
 func (l *Leader) stopDeciding() bool {
 	l.mu.Lock()
@@ -58,11 +87,14 @@
 }
 
 // publishHandover publishes the term's last entry. All starts were published before it, since they are under the
-// same lock and none follows.
+// same lock and none follows. The follower may replace the leader key as soon as it has read the entry, so the term
+// proves nothing from before then on.
 func (l *Leader) publishHandover() (position uint64, to string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	to = l.Followers.FurthestFollower(followerFreshWithin).Member
+	l.successor = to
+	l.Term.Relinquish()
 	l.publish(standby.Entry{Handover: &standby.Handover{To: to, Complete: l.areAllTasksConfirmed()}})
 	return l.Followers.Position(), to
 }
--- a/internal/leader/handover_test.go
+++ b/internal/leader/handover_test.go
@@ -86,3 +86,48 @@
 		})
 	}
 }
+
+// TestHandOverRelinquishesFirst checks that the term proves nothing any more when its last entry is published: the named
+// follower may replace the leader key as soon as it has read that entry, while the session still lasts.
+func TestHandOverRelinquishesFirst(t *testing.T) {
+	l, term := newTestLeader(t)
+	f := &publishedProofs{fakeFollowers: fakeFollowers{follower: "host-1", applies: true}, term: term}
+	l.Followers = f
+	if _, err := l.HandOver(300 * micros.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	if !f.handedOver || f.provesAny {
+		t.Errorf("handed over: %v; the term still proved something: %v", f.handedOver, f.provesAny)
+	}
+	if l.Successor() != "host-1" || !l.IsHandingOver() {
+		t.Errorf("the successor is %q", l.Successor())
+	}
+}
+
+// publishedProofs notes whether the term proves anything as the handover is published.
+type publishedProofs struct {
+	fakeFollowers
+	term                  *fakeTerm
+	handedOver, provesAny bool
+}
+
+func (p *publishedProofs) Publish(e standby.Entry) {
+	if e.Handover != nil {
+		p.handedOver, p.provesAny = true, p.term.HoldsSession() || p.term.IsExclusive()
+	}
+	p.fakeFollowers.Publish(e)
+}
+
+// TestHandOverEndsWithItsTerm has the named follower lead before it has said that it applied everything: from then on it
+// asks no more, and the handover must not wait for that until its limit.
+func TestHandOverEndsWithItsTerm(t *testing.T) {
+	l, _ := newTestLeader(t)
+	l.Followers = &fakeFollowers{follower: "host-1"}
+	const limit = 20 * micros.Second
+	time.AfterFunc(100*time.Millisecond, l.loseTerm)
+	startedAt := time.Now()
+	to, err := l.HandOver(limit)
+	if took := time.Since(startedAt); err != nil || to != "host-1" || took > limit.Duration()/4 {
+		t.Errorf("handed over to %q in %v: %v", to, took, err)
+	}
+}
--- a/internal/leader/helpers_test.go
+++ b/internal/leader/helpers_test.go
@@ -31,6 +31,8 @@
 
 func (t *fakeTerm) EarlierTermsFencedSince() micros.Micros { return t.earlierTermsFencedSince }
 
+func (t *fakeTerm) Relinquish() { t.holdsSession, t.exclusive = false, false }
+
 // testToken is the fencing token of the term.
 const testToken = 7
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -49,6 +49,8 @@
 	IsExclusive() bool
 	// LastConfirmed is when that was last proved.
 	LastConfirmed() micros.Micros
+	// Relinquish has the term prove nothing any more: another node may lead.
+	Relinquish()
 	// EarlierTermsFencedSince is since when no node responds with a lower fencing token; 0 if that is not known.
 	EarlierTermsFencedSince() micros.Micros
 }
@@ -176,6 +178,7 @@
 func (l *Leader) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer l.loseTerm() // a handover that waits need not wait any more
 	if !l.awaitStoredState(ctx) {
 		return
 	}
--- a/internal/standby/failover.go
+++ b/internal/standby/failover.go
@@ -14,7 +14,7 @@
 const (
 	Following   Phase = iota // the leader answers
 	Suspecting               // the leader has not answered for a while: a hint, nothing follows but haste
-	Campaigning              // the leader key is free, and this node tries to take it
+	Campaigning              // the leader key is free, or left to this node, which tries to take it
 	Confirming               // it has taken the key, and reads what earlier terms have stored
 	Adopting                 // it knows all of that, and compares what machines hold with it
 	Active                   // the tasks of all machines that may hold any are known
@@ -32,8 +32,8 @@
 type Evidence struct {
 	// FencingToken is the new term's, raised in the transaction that took the key.
 	FencingToken uint64 `json:"token"`
-	// Revision is that transaction's. It succeeds only while there is no leader key, so the
-	// session of the leader before had ended.
+	// Revision is that transaction's. It succeeds only while there is no leader key, so the session of the leader
+	// before had ended, or in place of the key of a leader that had handed over to this node.
 	Revision uint64 `json:"revision"`
 	// ReadThrough is the revision of the read barrier that began after the transaction.
 	ReadThrough uint64 `json:"read_through"`
--- a/internal/standby/follower.go
+++ b/internal/standby/follower.go
@@ -190,6 +190,13 @@
 	return f.view != nil && f.view.FencingToken == token && f.view.Handover != nil
 }
 
+// IsSuccessorOf reports whether the leader with a token has handed over to this follower, whose view is complete.
+func (f *Follower) IsSuccessorOf(token uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view != nil && f.snapshot == nil && f.view.FencingToken == token && f.view.Handover != nil && f.view.Handover.To == f.member
+}
+
 // Progress is how far the follower is.
 func (f *Follower) Progress() Progress {
 	f.mu.Lock()
--- a/node.go
+++ b/node.go
@@ -132,6 +132,8 @@
 	if n.features.Standby != nil {
 		config.OnCampaign = func() { n.standby.failover.CampaignStarted() }
 		config.YieldFor = func() micros.Micros { return n.handover.yieldFor() }
+		config.TakesOver = func(l replica.Leader) bool { return n.standby.follower.IsSuccessorOf(l.FencingToken) }
+		config.KeepKeyFor = func() micros.Micros { return n.handover.keepKeyFor() }
 	}
 	return election.New(config)
 }
@@ -266,6 +268,9 @@
 	n.leadership.setLocal(l)
 	defer n.leadership.setLocal(nil)
 	l.Run(ctx)
+	if n.handover != nil {
+		n.handover.setSuccessor(l.Successor())
+	}
 }
 
 // HandOverOnShutdown hands over, if this node leads, and waits until it has released the leader
@@ -276,8 +281,8 @@
 		slog.Info("shutting down without a handover", "error", err)
 		return
 	}
-	slog.Info("shutting down after a handover", "peer", to)
 	n.handover.awaitRelease()
+	slog.Info("shutting down after a handover", "to", to, "leader", n.LeaderMember())
 }
 
 // Leave announces to the other nodes that this one leaves, so that it is not suspected.
--- a/peers.go
+++ b/peers.go
@@ -52,7 +52,7 @@
 	highest := h.election.HighestKnownLeader()
 	p.HighestToken, p.Leader = highest.FencingToken, highest.Member
 	if local := h.leadership.local(); local != nil {
-		p.LeadershipInDoubt = !local.Term.HoldsSession()
+		p.LeadershipInDoubt = !local.Term.HoldsSession() && !local.IsHandingOver()
 		if counts, at := local.AllTaskCounts(); at != *sentCountsAt {
 			p.TaskCounts, *sentCountsAt = peer.TaskCounts(counts), at
 		}
--- a/standby.go
+++ b/standby.go
@@ -64,8 +64,11 @@
 		return false
 	}
 	page := response.StandbyPage
-	if page == nil {
-		return false // it does not publish, or no longer leads
+	if page == nil { // it does not publish, or no longer leads
+		if !a.follower.HasHandedOver(highest.FencingToken) {
+			a.leadership.setExpectsChange(false) // else this node would follow the state service closely for ever
+		}
+		return false
 	}
 	if err := a.follower.ApplyPage(page, sentAt); err != nil {
 		return false // the follower has logged it
@@ -74,7 +77,8 @@
 	a.otherFollowers = page.Followers
 	a.mu.Unlock()
 	if _, handed := a.follower.HandedOverTo(); handed {
-		a.leadership.setExpectsChange(true) // its session ends very soon
+		a.leadership.setExpectsChange(true) // very soon
+		a.election.Wake()
 		return false
 	}
 	a.trustLeader()
--- a/tests/cluster/handover_test.go
+++ b/tests/cluster/handover_test.go
@@ -79,10 +79,11 @@
 	}
 }
 
-// awaitFollowers waits until all nodes with a standby follow the leader closely, and all others know who leads.
+// awaitFollowers waits until a node with a standby leads, all others with one follow it closely, and all know who leads.
 func (c *cluster) awaitFollowers() {
 	c.t.Helper()
 	for range 200 {
+		c.leadWithStandby()
 		ready := 0
 		leader := memberName(c.leader())
 		for i, n := range c.nodes {
@@ -105,6 +106,10 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	for i, n := range c.nodes {
+		status, err := n.StandbyStatus()
+		c.t.Logf("%s: %s leads as known here; %+v, follows %+v (%v)", memberName(i), n.LeaderMember(), status, status.Progress, err)
+	}
 	c.t.Fatal("the followers are not ready")
 }
 
