--- a/ci_test.go
+++ b/ci_test.go
@@ -8,69 +8,117 @@
 	"testing"
 )
 
-// redEntry returns an entry of KNOWN-RED.txt for a test in the package x.
-func redEntry(test string) string {
-	return test + "; ci; go test -count=1 -run '^" + test + "$' ./x; seed 17; fails; issue 17\n"
+// ciRepository is a git repository with the scripts of .ci that check the repository that they are in.
+type ciRepository struct {
+	t   *testing.T
+	dir string
+	// Commits: before there was a deploy file, with it, and with it on another branch.
+	withoutDeployFile, withDeployFile, ofBranch string
 }
 
-// TestCIChecks runs the checks of KNOWN-RED.txt, of the production version and of large files
-// in a repository of their own.
-func TestCIChecks(t *testing.T) {
-	dir := t.TempDir()
-	git := func(args ...string) string {
-		t.Helper()
-		cmd := exec.Command("git", append([]string{"-c", "user.name=t", "-c", "user.email=t@example.org"}, args...)...)
-		cmd.Dir = dir
-		out, err := cmd.CombinedOutput()
-		if err != nil {
-			t.Fatalf("git %v: %v: %s", args, err, out)
-		}
-		return strings.TrimSpace(string(out))
-	}
-	write := func(name, text string) {
-		t.Helper()
-		path := filepath.Join(dir, name)
-		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(text), 0o755); err != nil {
-			t.Fatal(err)
-		}
-	}
+// largeFile is the content of a file that is a byte over the limit.
+var largeFile = strings.Repeat("x", 1<<20+1)
+
+// ciTests is a package of tests that end in each way: two pass, one fails, and one skips itself.
+const ciTests = `package x
+import "testing"
+func TestOne(t *testing.T) {}
+func TestTwo(t *testing.T) { t.Error() }
+func TestOneMore(t *testing.T) {}
+func TestFour(t *testing.T) { t.Skip() }
+`
+
+// newCIRepository makes the repository.
+func newCIRepository(t *testing.T) *ciRepository {
+	t.Helper()
+	r := &ciRepository{t: t, dir: t.TempDir()}
 	for _, script := range []string{".ci/known-red", ".ci/production", ".ci/large-files"} {
-		b, err := os.ReadFile(script)
+		content, err := os.ReadFile(script)
 		if err != nil {
 			t.Fatal(err)
 		}
-		write(script, string(b))
+		r.write(script, string(content))
+	}
+	r.write("go.mod", "module x\n")
+	r.write("x/x_test.go", ciTests)
+	r.git("init", "-q")
+	r.withoutDeployFile = r.commitAll("before the deploy file")
+	r.write("deploy/service.toml", "run = \"x\"\n")
+	r.withDeployFile = r.commitAll("with it")
+	r.git("checkout", "-q", "-b", "side")
+	r.git("commit", "-q", "--allow-empty", "-m", "aside")
+	r.ofBranch = r.git("rev-parse", "HEAD")
+	r.git("checkout", "-q", "-")
+	r.write("journal/old.json", largeFile)
+	r.write("sub/testdata/old.bin", largeFile)
+	r.write("grows.bin", "x")
+	r.commitAll("files that may be large")
+	return r
+}
+
+// git runs git and returns what it prints.
+func (r *ciRepository) git(args ...string) string {
+	r.t.Helper()
+	cmd := exec.Command("git", append([]string{"-c", "user.name=t", "-c", "user.email=t@example.org"}, args...)...)
+	cmd.Dir = r.dir
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		r.t.Fatalf("git %v: %v: %s", args, err, out)
+	}
+	return strings.TrimSpace(string(out))
+}
+
+// commitAll commits all files and returns the commit.
+func (r *ciRepository) commitAll(title string) string {
+	r.t.Helper()
+	r.git("add", "-A")
+	r.git("commit", "-qm", title)
+	return r.git("rev-parse", "HEAD")
+}
+
+// write writes a file.
+func (r *ciRepository) write(name, text string) {
+	r.t.Helper()
+	path := filepath.Join(r.dir, name)
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		r.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(text), 0o755); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// ciCase is a run of a script, with an argument if there is one, after a file was written.
+type ciCase struct {
+	name, script, file, text string
+	ok                       bool
+	want                     string // the output
+}
+
+// check runs the cases, each in the repository as the one before left it.
+func (r *ciRepository) check(cases []ciCase) {
+	for _, c := range cases {
+		r.t.Run(c.name, func(t *testing.T) {
+			if c.file != "" {
+				r.write(c.file, c.text)
+			}
+			script, argument, _ := strings.Cut(c.script, " ")
+			out, err := exec.Command(filepath.Join(r.dir, ".ci", script), argument).Output()
+			if (err == nil) != c.ok || strings.TrimSpace(string(out)) != c.want {
+				t.Errorf("%v, %q; want ok %v, %q", err, out, c.ok, c.want)
+			}
+		})
 	}
-	write("go.mod", "module x\n")
-	write("x/x_test.go", "package x\nimport \"testing\"\nfunc TestOne(t *testing.T) {}\nfunc TestTwo(t *testing.T) { t.Error() }\nfunc TestOneMore(t *testing.T) {}\nfunc TestFour(t *testing.T) { t.Skip() }\n")
-	git("init", "-q")
-	git("add", "-A")
-	git("commit", "-qm", "before the deploy file")
-	bare := git("rev-parse", "HEAD")
-	write("deploy/service.toml", "run = \"x\"\n")
-	git("add", "-A")
-	git("commit", "-qm", "with it")
-	good := git("rev-parse", "HEAD")
-	git("checkout", "-q", "-b", "side")
-	git("commit", "-q", "--allow-empty", "-m", "aside")
-	aside := git("rev-parse", "HEAD")
-	git("checkout", "-q", "-")
+}
 
-	large := strings.Repeat("x", 1<<20+1)
-	write("journal/old.json", large)
-	write("sub/testdata/old.bin", large)
-	write("grows.bin", "x")
-	git("add", "-A")
-	git("commit", "-qm", "files that may be large")
+// redEntry returns an entry of KNOWN-RED.txt for a test in the package x.
+func redEntry(test string) string {
+	return test + "; ci; go test -count=1 -run '^" + test + "$' ./x; seed 17; fails; issue 17\n"
+}
 
-	cases := []struct {
-		name, script, file, text string
-		ok                       bool
-		want                     string
-	}{
+// TestCIKnownRed runs the checks of KNOWN-RED.txt, and its entries.
+func TestCIKnownRed(t *testing.T) {
+	newCIRepository(t).check([]ciCase{
 		{"no file", "known-red", "", "", true, ""},
 		{"one", "known-red", "KNOWN-RED.txt", redEntry("TestOne"), true, "TestOne"},
 		{"one among comments and blank lines", "known-red", "KNOWN-RED.txt", "# TEST\n\n" + redEntry("TestOne") + "  \n", true, "TestOne"},
@@ -93,29 +141,23 @@
 		{"what is not run", "known-red run", "KNOWN-RED.txt", "TestOneMore; long; go test -count=1 -run '^TestOneMore$' ./x; no seed; fails; issue 17\nTestOne; ci; go test -count=1 -run '^TestOne$' ./y; no seed; fails; issue 17\n", true, "TestOneMore: not run here, it needs minutes or real processes: go test -count=1 -run '^TestOneMore$' ./x\nTestOne: not run, the command ended without its result"},
 		{"nothing to run", "known-red run", "KNOWN-RED.txt", "# TEST\n", true, ""},
 		{"nothing in it", "known-red", "KNOWN-RED.txt", "\n", true, ""},
+	})
+}
+
+// TestCIChecks runs the checks of the production version and of large files.
+func TestCIChecks(t *testing.T) {
+	repo := newCIRepository(t)
+	repo.check([]ciCase{
 		{"no production", "production", "deploy/service.toml", "run = \"x\"\n", true, ""},
-		{"a commit", "production", "deploy/service.toml", "production = \"" + good + "\"\n", true, good},
-		{"half a hash", "production", "deploy/service.toml", "production = \"" + good[:12] + "\"\n", false, ""},
+		{"a commit", "production", "deploy/service.toml", "production = \"" + repo.withDeployFile + "\"\n", true, repo.withDeployFile},
+		{"half a hash", "production", "deploy/service.toml", "production = \"" + repo.withDeployFile[:12] + "\"\n", false, ""},
 		{"an empty one", "production", "deploy/service.toml", "production = \"\"\n", false, ""},
 		{"no commit", "production", "deploy/service.toml", "production = \"" + strings.Repeat("0", 40) + "\"\n", false, ""},
-		{"of another branch", "production", "deploy/service.toml", "production = \"" + aside + "\"\n", false, ""},
+		{"of another branch", "production", "deploy/service.toml", "production = \"" + repo.ofBranch + "\"\n", false, ""},
+		{"without a deploy file", "production", "deploy/service.toml", "production = \"" + repo.withoutDeployFile + "\"\n", false, ""},
 		{"small files, and large ones where they may be", "large-files", "", "", true, ""},
-		{"a large tracked file", "large-files", "grows.bin", large, false, ""},
-		{"one of just the limit", "large-files", "grows.bin", large[1:], true, ""},
-		{"a large one that is not tracked", "large-files", "untracked.bin", large, true, ""},
-		{"without a deploy file", "production", "deploy/service.toml", "production = \"" + bare + "\"\n", false, ""},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			if c.file != "" {
-				write(c.file, c.text)
-			}
-			script, argument, _ := strings.Cut(c.script, " ")
-			cmd := exec.Command(filepath.Join(dir, ".ci", script), argument)
-			out, err := cmd.Output()
-			if (err == nil) != c.ok || strings.TrimSpace(string(out)) != c.want {
-				t.Errorf("%v, %q; want ok %v, %q", err, out, c.ok, c.want)
-			}
-		})
-	}
+		{"a large tracked file", "large-files", "grows.bin", largeFile, false, ""},
+		{"one of just the limit", "large-files", "grows.bin", largeFile[1:], true, ""},
+		{"a large one that is not tracked", "large-files", "untracked.bin", largeFile, true, ""},
+	})
 }
