--- a/tests/cluster/handover_answers_test.go
+++ b/tests/cluster/handover_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -26,6 +27,10 @@
 // two retries of a campaign.
 const leaderlessBound = 1500*time.Millisecond + 700*time.Millisecond + 700*time.Millisecond + 800*time.Millisecond
 
+// undisturbedBound is how long a handover may take that nothing disturbs: a fraction of a second, as
+// docs/operations-standby.md says.
+const undisturbedBound = 900 * time.Millisecond
+
 // answerCase is something that happens to the named node during a handover.
 type answerCase struct {
 	name    string
@@ -171,9 +176,13 @@
 			defer close(disturbed)
 			tc.disturb(c, leader, named)
 		})
+		startedAt := time.Now()
 		if c.handOverObserved(leader) {
 			toNamed++
 		}
+		if took := time.Since(startedAt); tc.always && took > undisturbedBound {
+			t.Errorf("handover %d took %v", n, took)
+		}
 		if !timer.Stop() {
 			<-disturbed // two incarnations of a node must not run
 			c.heal(named)
@@ -230,6 +239,7 @@
 			t.Errorf("a node without a standby answers %v", err)
 		}
 		c.checkTwoHandovers(leader)
+		c.checkRefusedHandoverIsForgotten()
 		c.checkHandoverToNobody()
 		c.awaitStatus("j-000001", wire.JobDone, time.Minute)
 		c.checkRules()
@@ -265,6 +275,37 @@
 	}
 }
 
+// checkRefusedHandoverIsForgotten asks the leader twice at once while no other node can lead: it must let others go first
+// for 2 s all the same. The refused request had it forget that it hands over, and it took the lead back at once.
+func (c *cluster) checkRefusedHandoverIsForgotten() {
+	c.t.Helper()
+	const letsOthersGoFirst = 2 * time.Second
+	c.awaitFollowers()
+	time.Sleep(3 * time.Second)
+	leader, token := c.leader(), c.fencingToken()
+	c.setFault(func(from string, r *http.Request) fake.Fault {
+		if isStateRequest(r) && !isFromNode(from, leader) {
+			return fake.ServiceUnavailable
+		}
+		return fake.NoFault
+	})
+	startedAt := time.Now()
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			if to, err := c.nodes[leader].HandOverAndConfirm(c.t.Context()); err == nil {
+				c.t.Errorf("handed over to %q", to)
+			}
+		})
+	}
+	c.awaitLeaderAfter(token)
+	if duration := time.Since(startedAt); duration < letsOthersGoFirst {
+		c.t.Errorf("the node that handed over leads again after %v", duration)
+	}
+	wg.Wait()
+	c.setFault(nil)
+}
+
 // checkHandoverToNobody has the leader hand over while the other standby is down: any node may lead, and the answer says
 // which one does.
 func (c *cluster) checkHandoverToNobody() {
@@ -280,3 +321,38 @@
 	}
 	c.start(1 - leader)
 }
+
+// TestFollowsCloselyOnlyDuringHandover has a node without a standby lead after a handover. The other nodes followed the state
+// service as closely as a leader while they expected the change, and must stop that: they went on for as long as that
+// node led, four times as many requests of the state service's limit.
+func TestFollowsCloselyOnlyDuringHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newHandoverCluster(t, 3, []int{2})
+		defer c.close()
+		c.awaitFollowers()
+		leader := c.leader()
+		c.state.SetTxnFault(refuseReplacedKeys)
+		c.refuseStateTo(1 - leader) // so that node 2 leads
+		if _, err := c.nodes[leader].HandOverAndConfirm(t.Context()); err == nil || c.leader() != 2 {
+			t.Fatalf("node %d leads (%v)", c.leader(), err)
+		}
+		c.state.SetTxnFault(nil)
+		time.Sleep(5 * time.Second)
+		var watches counter
+		c.setFault(func(from string, r *http.Request) fake.Fault {
+			if isFromNode(from, leader) && isStateRequest(r) && r.URL.Path == "/watch" {
+				watches.add("watch")
+			}
+			return fake.NoFault
+		})
+		const seconds, jobs = 20, 100 // jobs come in all the time, so that each watch ends at once
+		for n := range jobs {
+			c.accept(2, testJob(fmt.Sprintf("j-%06d", 100+n), 1))
+			time.Sleep(seconds * time.Second / jobs)
+		}
+		if n := watches.count("watch"); n > 3*seconds {
+			t.Errorf("%d watches in %d s, a follower makes at most 2.5 a second", n, seconds)
+		}
+		c.checkRules()
+	})
+}
