--- a/internal/sim/fake/worker.go
+++ b/internal/sim/fake/worker.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"caperlatch/internal/micros"
 	"caperlatch/internal/wire"
 )
 
@@ -23,7 +24,7 @@
 	// responseTimeout is how long a worker waits for the response to a heartbeat.
 	responseTimeout = 4 * time.Second
 	// stepInterval is how often a worker looks what its tasks have come to.
-	stepInterval = 100 * time.Millisecond
+	stepInterval = 100 * micros.Millisecond
 	// minHeartbeatInterval is between two heartbeats, also if something changes.
 	minHeartbeatInterval = 500 * time.Millisecond
 	// nextNodeS is after how many seconds the next node is tried when one does not answer.
@@ -203,18 +204,11 @@
 
 // runTasks has tasks change their states on time, also while a heartbeat waits for its response.
 func (w *Worker) runTasks(ctx context.Context) {
-	ticker := time.NewTicker(stepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			w.mu.Lock()
-			w.step()
-			w.mu.Unlock()
-		}
-	}
+	micros.Every(ctx, stepInterval, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.step()
+	})
 }
 
 // notifyChange has the next heartbeat be sent soon.
