TestHandoverCommand: twenty handovers by an operator, with real processes

A cluster of three with one node without a standby, as in the issue. Each answer must be true and the named node lead. Skipped without CAPERLATCH_FAILOVER.

--- a/tests/cluster/standby_commands_test.go
+++ b/tests/cluster/standby_commands_test.go
@@ -131,3 +131,45 @@
 		c.t.Errorf("after SIGTERM no node led for %v", duration)
 	}
 }
+
+// Handovers of TestHandoverCommand, and how long a follower has to complete its view before each.
+const (
+	commandHandovers = 20
+	followWithin     = 20 * time.Second
+)
+
+// TestHandoverCommand has an operator hand over again and again, with real processes of which one has no standby: each
+// answer must be true, and the named node lead. It runs with TestFailoverTimes.
+func TestHandoverCommand(t *testing.T) {
+	if os.Getenv(failoverVariable) == "" {
+		t.Skip(failoverVariable + " is not set")
+	}
+	program := filepath.Join(t.TempDir(), "now")
+	shell(t, `go build -ldflags=-linkmode=external -o "$1" ./cmd/caperlatch`, program)
+	c := newProcesses(t, 3, t.TempDir())
+	defer c.close()
+	c.runWithAndWithoutParts(program)
+	for n := range commandHandovers {
+		leader := c.leader()
+		c.awaitFollowerOf(program, leader)
+		out, err := exec.Command(program, "handover", "--node", c.Addresses[leader].Client).CombinedOutput()
+		next := memberName(c.leader())
+		if want := "handed over to " + next + "\n"; err != nil || string(out) != want {
+			t.Errorf("handover %d by node %d: %s leads, and the answer is %q (%v)", n, leader, next, out, err)
+		}
+	}
+	c.awaitStatus("j-000001", "done", time.Minute)
+	c.checkRules()
+}
+
+// awaitFollowerOf waits until the leader has a follower with a complete view that has asked within the last second.
+func (c *processes) awaitFollowerOf(program string, leader int) {
+	c.t.Helper()
+	for startedAt := time.Now(); time.Since(startedAt) < followWithin; time.Sleep(200 * time.Millisecond) {
+		out, err := exec.Command(program, "standby", "--node", c.Addresses[leader].Client).CombinedOutput()
+		if err == nil && strings.Contains(string(out), "active") && strings.Contains(string(out), "0 entries behind, asked 0.") {
+			return
+		}
+	}
+	c.t.Fatalf("node %d has no follower", leader)
+}
