--- a/review/testdata/standin/chaos.go
+++ b/review/testdata/standin/chaos.go
@@ -18,6 +18,7 @@
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	rng := rand.New(rand.NewPCG(seed, 7))
 	c.cloud.bootS = func(n int, _ build) float64 { return 1 + float64(n%5) }
+	c.links = map[[2]int]*link{}
 	c.begin()
 	begun := time.Now()
 	until := begun.Add(lookFor(100))
@@ -132,7 +133,7 @@
 			w.mu.Unlock()
 		}
 	}
-	switch kind := rng.IntN(11); kind {
+	switch kind := rng.IntN(14); kind {
 	case 0, 1:
 		back := span(0.1, 6)
 		c.mu.Lock()
@@ -183,6 +184,10 @@
 	case 9:
 		c.rec.logf("trouble late reports and commands of %d machines", len(some))
 		set(func(w *worker) { w.late, w.lateOrders = 0.4, 0.5 })
+	case 11, 12, 13:
+		d, state, peers := span(2, 35), rng.IntN(3) > 0, rng.IntN(3) > 0
+		c.rec.logf("trouble %s is cut for %v, from the state service: %t, from its peers: %t", c.names[node], d, state, peers)
+		c.cutOff(node, state, peers, d)
 	case 10:
 		d, share := span(5, 30), 0.5
 		c.rec.logf("trouble late transactions for %v", d)
--- a/review/testdata/standin/cluster.go
+++ b/review/testdata/standin/cluster.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,7 +31,8 @@
 	names   []string
 	clients []string // addresses of client_listen
 	peers   []string
-	states  []string // address of the state service for each node
+	states  []string         // address of the state service for each node
+	links   map[[2]int]*link // between a node and a peer, and with -1 between a node and the state service; nil: direct
 
 	mu    sync.Mutex
 	procs []*exec.Cmd
@@ -102,7 +104,7 @@
 	seeds := []map[string]any{}
 	for k := range c.names {
 		if k != i {
-			seeds = append(seeds, map[string]any{"member": c.names[k], "zone": "tansonnhat", "addr": c.peers[k]})
+			seeds = append(seeds, map[string]any{"member": c.names[k], "zone": "tansonnhat", "addr": c.via(i, k, c.peers[k])})
 		}
 	}
 	teams := []map[string]any{}
@@ -120,7 +122,7 @@
 	}
 	s := map[string]any{
 		"member": c.names[i], "zone": "tansonnhat", "client_listen": c.clients[i], "peer_bind": c.peers[i], "seeds": seeds,
-		"external": map[string]any{"cloud": cloud, "state": c.states[i]},
+		"external": map[string]any{"cloud": cloud, "state": c.via(i, -1, c.states[i])},
 		"params": map[string]any{
 			"initial_size": len(c.names), "zones": halls, "clock_error_ms": 5.0, "teams": teams, "objectives": objectives,
 			"workers": map[string]any{"report_s": reportS, "lease_s": leaseS, "gang_wait_s": 40.0, "gang_peer_s": 4.0, "cancel_s": cancelS},
@@ -135,6 +137,24 @@
 	return s
 }
 
+// via returns the address of a link, if there are links, and else the address itself.
+func (c *cluster) via(from, to int, addr string) string {
+	if c.links == nil {
+		return addr
+	}
+	c.links[[2]int{from, to}] = newLink(addr)
+	return c.links[[2]int{from, to}].addr
+}
+
+// cutOff cuts a node from the state service, its peers or both.
+func (c *cluster) cutOff(node int, state, peers bool, d time.Duration) {
+	for ends, k := range c.links {
+		if ends[1] == -1 && ends[0] == node && state || ends[1] >= 0 && (ends[0] == node || ends[1] == node) && peers {
+			k.hold(d)
+		}
+	}
+}
+
 // begin writes the settings, starts all nodes and waits until one of them is ready.
 func (c *cluster) begin() {
 	cloud := serve(c.cloud)
@@ -169,7 +189,7 @@
 	cmd.Stderr, cmd.Stdout = log, log
 	cmd.Env = append(os.Environ(), "LOG_LEVEL="+logLevel())
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	if err := start(cmd); err != nil {
 		c.fail("cannot start a node: " + err.Error())
 	}
 	c.rec.logf("node   %s started", c.names[i])
@@ -193,6 +213,25 @@
 	}()
 }
 
+// starts passes commands to the one thread that starts them: a process with Pdeathsig ends with the thread that started it.
+var starts = func() chan func() {
+	requests := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range requests {
+			f()
+		}
+	}()
+	return requests
+}()
+
+// start starts a process that ends with this one.
+func start(cmd *exec.Cmd) error {
+	result := make(chan error)
+	starts <- func() { result <- cmd.Start() }
+	return <-result
+}
+
 func logLevel() string {
 	if l := os.Getenv("LOG_LEVEL"); l != "" {
 		return l
