--- a/review/testdata/standin/state.go
+++ b/review/testdata/standin/state.go
@@ -18,6 +18,11 @@
 	valueKB       = 8
 	txnOps        = 12
 	keptChanges   = 10000
+
+	// Of state.next, in the random plays with NEXT=1.
+	nextWriteRPS = 10
+	nextValueKB  = 4
+	nextTxnOps   = 6
 )
 
 type entry struct {
@@ -75,6 +80,7 @@
 	refused  map[int]time.Time // nodes that get 503 until then
 	requests *bucket
 	writes   *bucket
+	lowered  bool // the limits of state.next apply
 	// txnFault decides what happens to a transaction of a node.
 	txnFault func(node int, keys []string) txnFault
 }
@@ -289,6 +295,10 @@
 func (s *stateService) commit(node int, t *transaction) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	txnOps, valueKB := txnOps, valueKB
+	if s.lowered {
+		txnOps, valueKB = nextTxnOps, nextValueKB
+	}
 	if len(t.Then) > txnOps || len(t.When) > 4*txnOps {
 		return 400, errorBody{"too many changes"}
 	}
@@ -406,3 +416,11 @@
 		s.notify()
 	})
 }
+
+// lower brings the limits of state.next into force.
+func (s *stateService) lower() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lowered, s.writes = true, newBucket(nextWriteRPS, nextWriteRPS)
+	s.rec.logf("trouble the state service lowers its limits")
+}
