Autoscaler: launch for a job that no machine will have room for

Cause: launches follow the mean and the work of the waiting tasks in fractions of machines. A mean below 0.05 and a shortage below 0.01 machines are rounded off, the shortage counts CPUs that the task cannot use, and the mean only decays afterwards. Launches for constrained jobs need a machine that the job may not use, and round in the same way.

Change: the waiting need is a floor in whole machines, job by job: if no machine that the fleet has, boots or has requested will have room for a job's next task within two boot times, one that it may use is launched. Nothing is launched for what the fleet takes sooner. Why this works: it asks of each waiting job whether it has a machine at all, in every step, however small or old the estimate is.

--- a/internal/leader/autoscaler/helpers_test.go
+++ b/internal/leader/autoscaler/helpers_test.go
@@ -63,7 +63,7 @@
 		Events:    eventlog.New(),
 		ValueFits: client.ValueAlwaysFits,
 		InstanceType: func(name string) (fleet.InstanceType, bool) {
-			return fleet.InstanceType{Capacity: s.Type(name).Capacity}, true
+			return fleet.InstanceType{Capacity: s.Type(name).Capacity, BootTime: micros.FromSeconds(s.Type(name).BootTimeS)}, true
 		},
 		IsHandingOver: func() bool { return false },
 		OnTerminating: func(*state.Machine, string) {},
--- a/internal/leader/autoscaler/scaleout.go
+++ b/internal/leader/autoscaler/scaleout.go
@@ -9,7 +9,6 @@
 	"caperlatch/internal/cloud"
 	"caperlatch/internal/leader/state"
 	"caperlatch/internal/micros"
-	"caperlatch/placement"
 )
 
 // shortage is the number of CPUs that the types handled so far could not supply.
@@ -111,84 +110,3 @@
 	}
 	return launched
 }
-
-const (
-	// constrainedLaunchDelay is the time without a start of any task of a job after which machines are launched for
-	// that job alone.
-	constrainedLaunchDelay = 10 * micros.Second
-	// maxConstrainedLaunch is how many machines are launched for one job at a time.
-	maxConstrainedLaunch = 4
-)
-
-// offeringCount counts the machines of an offering.
-type offeringCount struct{ all, booting int }
-
-// launchForConstrainedJobs launches machines for jobs whose tasks do not start and whose constraints exclude some
-// machines of the fleet. The targets of the types count machines regardless of which jobs may use them, so without
-// this a constrained job would starve while machines are idle.
-func (s *Scaler) launchForConstrainedJobs(now micros.Micros) {
-	wall := micros.WallTime()
-	teams, awaitsReconciliation := s.TeamUsage(), s.AwaitsReconciliation()
-	counts := s.countByOffering()
-	for _, j := range s.Jobs {
-		if awaitsReconciliation(j) || teams[j.Spec.Team].CountAllowed(j.Need, 1) == 0 {
-			continue // the job waits for reconciliation or for its team's quota, so more machines would not help it
-		}
-		if j.StartableTasks(now) > 0 && now-j.SeenAt >= constrainedLaunchDelay && wall-j.LastStart >= constrainedLaunchDelay {
-			s.launchForConstrainedJob(j, counts, now)
-		}
-	}
-}
-
-// countByOffering counts the machines of the fleet by offering.
-func (s *Scaler) countByOffering() map[state.Offering]offeringCount {
-	counts := map[state.Offering]offeringCount{}
-	for _, m := range s.Fleet.Sorted {
-		n := counts[m.Offering]
-		n.all++
-		if !m.Instance.Running && !m.Instance.Terminating {
-			n.booting++
-		}
-		counts[m.Offering] = n
-	}
-	return counts
-}
-
-// launchForConstrainedJob launches machines of the cheapest suitable offering for a job, if the job's constraints
-// exclude some machines of the fleet.
-func (s *Scaler) launchForConstrainedJob(j *state.Job, counts map[state.Offering]offeringCount, now micros.Micros) {
-	candidate := placementJob(j)
-	unusable, booting := 0, 0
-	for o, n := range counts {
-		if candidate.CanStartOn(o.Type, o.Zone, o.Spot) {
-			booting += n.booting
-		} else {
-			unusable += n.all
-		}
-	}
-	if unusable == 0 {
-		return // the targets of the types cover the job
-	}
-	for _, o := range s.OfferingsFor(j) {
-		if !candidate.CanStartOn(o.Type, o.Zone, o.Spot) {
-			continue // the job's other tasks restrict it to another zone
-		}
-		if s.Fleet.HasOpenIntent(o) {
-			return // wait for the response first
-		}
-		count := int(ceilMachines(float64(j.StartableTasks(now))*s.types[o.Type].Fraction(j.Need))) - booting
-		if count > 0 && s.Fleet.HasCapacity(o, now) && s.Term.IsExclusive() {
-			s.Fleet.Launch(o, min(count, maxConstrainedLaunch))
-			return
-		}
-	}
-}
-
-// placementJob returns the part of a job that placement needs to decide where its next task can start.
-func placementJob(j *state.Job) placement.Job {
-	return placement.Job{
-		Constraints:  j.Constraints(),
-		Request:      placement.Request{TotalTasks: j.Spec.Tasks},
-		TasksPerZone: j.AttemptsPerZone,
-	}
-}
--- a/internal/leader/autoscaler/scaler.go
+++ b/internal/leader/autoscaler/scaler.go
@@ -88,7 +88,7 @@
 		uncovered = s.scaleType(t, supply[t.Name], need[t.Name], uncovered, now)
 	}
 	s.launchOnDemand(types, uncovered.onDemand, now)
-	s.launchForConstrainedJobs(now)
+	s.launchForWaitingJobs(s.newRoomForecast(replaced, now), now)
 	s.launchForGangs(now)
 }
 
--- a/internal/sim/fake/cloud.go
+++ b/internal/sim/fake/cloud.go
@@ -25,6 +25,9 @@
 	Zones             []string       // nil: zone a only
 	MaxMachines       int            // maximum in all zones together; 0: unlimited
 	MaxMachinesByZone map[string]int // maximum by zone; a zone without an entry is unlimited
+	// HasCapacity reports whether the cloud has capacity for the machines of a launch request; nil: it always has. It
+	// is called with the cloud's lock held.
+	HasCapacity func(request wire.LaunchRequest) bool
 
 	// RuntimeOf returns the runtime of a task, in seconds. It is called with locks held.
 	RuntimeOf func(task string) float64
@@ -108,7 +111,7 @@
 		return
 	}
 	ids, repeated := c.machinesByRequest[q.RequestID]
-	if !repeated && c.isFull(q.Zone) {
+	if !repeated && (c.isFull(q.Zone) || c.HasCapacity != nil && !c.HasCapacity(q)) {
 		respond(w, http.StatusServiceUnavailable, wire.ErrorResponse{Message: "no capacity"})
 		return
 	}
