Autoscaler: launch for a gang that long tasks leave no room for

What callers saw: a small gang beside tasks that hold their machines for an hour is accepted and waits for the hour; nothing is launched, though the cloud has capacity.

Machines that are late to boot, silent beyond their leases or to be replaced count no more, as for other jobs. Why this works: the forecast that tells whether a job has a machine at all is now asked for gangs as well.

--- a/internal/leader/autoscaler/gangs.go
+++ b/internal/leader/autoscaler/gangs.go
@@ -6,17 +6,19 @@
 	"caperlatch/internal/leader/state"
 	"caperlatch/internal/micros"
 	"caperlatch/internal/zone"
+	"caperlatch/placement"
 )
 
 // gangLaunchDelay is how long a gang that lost a task before it had started waits for free capacity, until a
 // machine is launched for it.
 const gangLaunchDelay = 2 * micros.Second
 
-// launchForGangs launches machines for gangs that would not fit even if the fleet were empty. The targets of
-// the types count machines, and a gang may need more machines at once, or more in one zone, than its work
-// alone requires. For a gang of which some tasks are on machines already, only free capacity counts, because these
-// tasks occupy their machines in vain until all tasks of the gang run.
-func (s *Scaler) launchForGangs(now micros.Micros) {
+// launchForGangs launches machines for gangs that would not fit even if the fleet were empty, and for those that have
+// waited for constrainedLaunchDelay and will not fit soon. The targets of the types count machines, and a
+// gang may need more machines at once, or more in one zone, than its work alone requires. For a gang of which some tasks
+// are on machines already, only free capacity counts, because these tasks occupy their machines in vain until all tasks
+// of the gang run.
+func (s *Scaler) launchForGangs(forecast *roomForecast, now micros.Micros) {
 	teams, awaitsReconciliation := s.TeamUsage(), s.AwaitsReconciliation()
 	for _, j := range state.Gangs(s.Jobs) {
 		if awaitsReconciliation(j) || !s.Term.IsExclusive() {
@@ -27,8 +29,8 @@
 			j.Gang.NoCapacitySince = 0
 			continue
 		}
-		capacity := s.countGangCapacity(j, wanted)
-		if capacity.total >= wanted {
+		capacity := s.countGangCapacity(j, wanted, forecast)
+		if capacity.total() >= wanted {
 			j.Gang.NoCapacitySince = 0
 			continue
 		}
@@ -48,12 +50,12 @@
 	if !ok || t == nil {
 		return
 	}
-	missing := min(wanted-capacity.total, capacity.maxInZone(best.Zone)-capacity.perZone[best.Zone])
+	missing := min(wanted-capacity.total(), capacity.maxInZone(best.Zone)-capacity.perZone[best.Zone])
 	if j.Spec.SingleZone {
 		missing = wanted - capacity.perZone[best.Zone]
 	}
 	perMachine := t.Capacity.CountFitting(j.Need, missing)
-	slog.Debug("launching machines for a gang", "job", j.Spec.ID, "tasks", wanted, "room", capacity.total, "instance_type", best.Type, "zone", best.Zone)
+	slog.Debug("launching machines for a gang", "job", j.Spec.ID, "tasks", wanted, "room", capacity.total(), "instance_type", best.Type, "zone", best.Zone)
 	s.Fleet.Launch(best, (missing+perMachine-1)/max(1, perMachine))
 }
 
@@ -78,41 +80,66 @@
 
 // gangCapacity is the capacity of the fleet for one gang, in tasks.
 type gangCapacity struct {
-	job     *state.Job
-	wanted  int
-	running map[string]int // tasks of the gang on machines, by zone
-	perZone map[string]int // further tasks that fit, by zone
-	total   int            // further tasks that fit on machines that the gang may use together
+	job    *state.Job
+	wanted int
+	// hasWaited is set if no task of the gang has started for a while.
+	hasWaited bool
+	running   map[string]int // tasks of the gang on machines, by zone
+	perZone   map[string]int // further tasks that fit, by zone
 }
 
-// countGangCapacity counts how many tasks of a gang, up to wanted, fit on the fleet. If some tasks of the gang are on
-// machines already, only free resources count. Otherwise, the whole capacity of each machine counts.
-func (s *Scaler) countGangCapacity(j *state.Job, wanted int) gangCapacity {
-	capacity := gangCapacity{job: j, wanted: wanted, running: map[string]int{}, perZone: map[string]int{}}
+// countGangCapacity counts how many tasks of a gang, up to wanted, fit on the fleet.
+func (s *Scaler) countGangCapacity(j *state.Job, wanted int, forecast *roomForecast) gangCapacity {
+	capacity := gangCapacity{
+		job:       j,
+		wanted:    wanted,
+		hasWaited: hasWaited(j, forecast.now),
+		running:   map[string]int{},
+		perZone:   map[string]int{},
+	}
 	for _, a := range j.Attempts {
 		capacity.running[a.Machine.Offering.Zone]++
 	}
-	for _, m := range s.Fleet.Sorted {
-		o := m.Offering
-		t := s.types[o.Type]
-		if t == nil || m.Instance.Terminating || m.DrainReason != "" || !j.MayRunOn(o) {
-			continue
-		}
-		free := t.Capacity
-		if len(j.Attempts) > 0 {
-			free = m.Free
+	for _, room := range forecast.offerings {
+		capacity.addMachines(room.running, forecast)
+		capacity.addMachines(room.booting, forecast)
+	}
+	return capacity
+}
+
+// addMachines adds the capacity of machines of one offering.
+func (c *gangCapacity) addMachines(machines []*state.Machine, forecast *roomForecast) {
+	for _, m := range machines {
+		zone := m.Offering.Zone
+		if !c.job.MayRunOn(m.Offering) {
+			return
 		}
-		n := free.CountFitting(j.Need, capacity.maxInZone(o.Zone)-capacity.perZone[o.Zone])
-		capacity.perZone[o.Zone] += n
-		capacity.total += n
+		c.perZone[zone] += c.freeOn(m, forecast).CountFitting(c.job.Need, c.maxInZone(zone)-c.perZone[zone])
 	}
-	if j.Spec.SingleZone {
-		capacity.total = 0
-		for _, n := range capacity.perZone {
-			capacity.total = max(capacity.total, n)
+}
+
+// freeOn returns the resources of a machine that count for the gang: the free ones if some of its tasks are on machines
+// already, those that will be free soon if it has waited for long, and else all of them.
+func (c *gangCapacity) freeOn(m *state.Machine, forecast *roomForecast) placement.Resources {
+	switch {
+	case len(c.job.Attempts) > 0:
+		return m.Free
+	case c.hasWaited:
+		return forecast.freeSoonOn(m)
+	}
+	return forecast.scaler.types[m.Offering.Type].Capacity
+}
+
+// total returns how many further tasks of the gang fit on machines that it may use together.
+func (c *gangCapacity) total() (total int) {
+	for _, n := range c.perZone {
+		if c.job.Spec.SingleZone {
+			total = max(total, n)
+		} else {
+			total += n
 		}
 	}
-	return capacity
+	return total
 }
 
 // maxInZone returns how many further tasks of the gang may run in a zone.
--- a/internal/leader/autoscaler/scaler.go
+++ b/internal/leader/autoscaler/scaler.go
@@ -88,8 +88,9 @@
 		uncovered = s.scaleType(t, supply[t.Name], need[t.Name], uncovered, now)
 	}
 	s.launchOnDemand(types, uncovered.onDemand, now)
-	s.launchForWaitingJobs(s.newRoomForecast(replaced, now), now)
-	s.launchForGangs(now)
+	forecast := s.newRoomForecast(replaced, now)
+	s.launchForWaitingJobs(forecast, now)
+	s.launchForGangs(forecast, now)
 }
 
 // Supply counts the machines of one type that are expected to be available.
--- a/internal/leader/autoscaler/waiting_jobs.go
+++ b/internal/leader/autoscaler/waiting_jobs.go
@@ -17,7 +17,6 @@
 // launchForWaitingJobs launches machines for the jobs that the targets of the types do not cover: constrained jobs,
 // and jobs that no machine of the fleet will have room for soon. It leaves out gangs, see launchForGangs.
 func (s *Scaler) launchForWaitingJobs(forecast *roomForecast, now micros.Micros) {
-	wall := micros.WallTime()
 	teams, awaitsReconciliation := s.TeamUsage(), s.AwaitsReconciliation()
 	counts := s.countByOffering()
 	var unschedulable []*state.Job
@@ -25,7 +24,7 @@
 		if awaitsReconciliation(j) || teams[j.Spec.Team].CountAllowed(j.Need, 1) == 0 || j.StartableTasks(now) == 0 {
 			continue // the job waits for reconciliation, its team's quota or a backoff, so more machines would not help it
 		}
-		if now-j.SeenAt >= constrainedLaunchDelay && wall-j.LastStart >= constrainedLaunchDelay {
+		if hasWaited(j, now) {
 			s.launchForConstrainedJob(j, counts, now)
 		}
 		if !j.IsGang() && forecast.findMachine(j, s.Workload.IsDelayTolerant(j)) == nil {
@@ -77,6 +76,11 @@
 	maxConstrainedLaunch = 4
 )
 
+// hasWaited reports whether no task of a job has started for constrainedLaunchDelay.
+func hasWaited(j *state.Job, now micros.Micros) bool {
+	return now-j.SeenAt >= constrainedLaunchDelay && micros.WallTime()-j.LastStart >= constrainedLaunchDelay
+}
+
 // offeringCount counts the machines of an offering.
 type offeringCount struct{ all, booting int }
 
--- a/tests/cluster/small_jobs_test.go
+++ b/tests/cluster/small_jobs_test.go
@@ -54,6 +54,7 @@
 	{name: "all nodes end", disturb: (*smallJobCluster).restartAllNodes},
 	{name: "no free CPU", prepare: (*smallJobCluster).startLargeTask},
 	{name: "lowest priority, no free CPU", submission: map[string]any{"rank": "idle"}, prepare: (*smallJobCluster).startLargeTask},
+	{name: "gang, no free CPU", submission: gangOf(2), prepare: (*smallJobCluster).startLargeTask},
 	{name: "no free memory", submission: map[string]any{"memory_gb": 16.0}, prepare: (*smallJobCluster).startLongTask},
 	{name: "after the fleet has become empty", prepare: (*smallJobCluster).emptyFleet},
 	{name: "lost zone", submission: map[string]any{"hall": "b"}, prepare: (*smallJobCluster).loseZoneB, disturb: (*smallJobCluster).healLater},
