Autoscaler: a machine that boots for a waiting job is not idle

What callers saw: a lone job on an instance type that takes over 57 s to boot never ran, or ran after several machines: each was terminated as "not needed" while it booted, and paid for a minute.

Cause: the machine that boots for a job ends the shortage of the waiting tasks, and is not busy. With the mean decayed the target is 0, and a booting machine counts as idle since its launch. Change: a booting machine is not idle while a waiting job relies on it, because no running machine will have room for the job. Why this works: the machines that waiting tasks need then include those already under way. Late and stuck boots are replaced as before.

Result: TestSlowBootIsNotIdle passes: one, one and two machines, none terminated.

--- a/internal/leader/autoscaler/gangs.go
+++ b/internal/leader/autoscaler/gangs.go
@@ -88,7 +88,8 @@
 	perZone   map[string]int // further tasks that fit, by zone
 }
 
-// countGangCapacity counts how many tasks of a gang, up to wanted, fit on the fleet.
+// countGangCapacity counts how many tasks of a gang, up to wanted, fit on the fleet. If the booting machines are needed
+// for that, they are not terminated meanwhile.
 func (s *Scaler) countGangCapacity(j *state.Job, wanted int, forecast *roomForecast) gangCapacity {
 	capacity := gangCapacity{
 		job:       j,
@@ -102,20 +103,32 @@
 	}
 	for _, room := range forecast.offerings {
 		capacity.addMachines(room.running, forecast)
-		capacity.addMachines(room.booting, forecast)
+	}
+	if capacity.total() >= wanted {
+		return capacity
+	}
+	for _, room := range forecast.offerings {
+		for _, m := range capacity.addMachines(room.booting, forecast) {
+			s.awaited[m] = true
+		}
 	}
 	return capacity
 }
 
-// addMachines adds the capacity of machines of one offering.
-func (c *gangCapacity) addMachines(machines []*state.Machine, forecast *roomForecast) {
+// addMachines adds the capacity of machines of one offering, and returns those that have room for a task of the gang.
+func (c *gangCapacity) addMachines(machines []*state.Machine, forecast *roomForecast) (used []*state.Machine) {
 	for _, m := range machines {
 		zone := m.Offering.Zone
 		if !c.job.MayRunOn(m.Offering) {
-			return
+			return used
+		}
+		n := c.freeOn(m, forecast).CountFitting(c.job.Need, c.maxInZone(zone)-c.perZone[zone])
+		c.perZone[zone] += n
+		if n > 0 {
+			used = append(used, m)
 		}
-		c.perZone[zone] += c.freeOn(m, forecast).CountFitting(c.job.Need, c.maxInZone(zone)-c.perZone[zone])
 	}
+	return used
 }
 
 // freeOn returns the resources of a machine that count for the gang: the free ones if some of its tasks are on machines
--- a/internal/leader/autoscaler/scalein.go
+++ b/internal/leader/autoscaler/scalein.go
@@ -107,9 +107,10 @@
 	}
 }
 
-// isIdle reports whether a machine has been unused for so long that it may be terminated.
+// isIdle reports whether a machine has been unused for so long that it may be terminated. A booting machine that a
+// waiting job relies on is not idle.
 func (s *Scaler) isIdle(m *state.Machine, t *TypeModel, now micros.Micros) bool {
-	return len(m.Attempts) == 0 && len(m.PlannedStarts) == 0 && !m.Pool.IsSet() &&
+	return len(m.Attempts) == 0 && len(m.PlannedStarts) == 0 && !m.Pool.IsSet() && !s.awaited[m] &&
 		m.TasksKnown() && !m.Instance.Terminating && m.DrainReason == "" &&
 		now-m.Instance.LaunchedAt > minBilledTime-billingMargin &&
 		now-m.Instance.IdleSince > s.IdleTimeout(t, m.Offering.Spot)
--- a/internal/leader/autoscaler/scaler.go
+++ b/internal/leader/autoscaler/scaler.go
@@ -58,6 +58,8 @@
 	typesVersion int      // incremented with each list of types
 
 	pools map[state.PoolKind]*Pool
+	// awaited holds the booting machines without which a waiting job would have no machine, as of the latest step.
+	awaited map[*state.Machine]bool
 	// meansRaised is set when RaiseMeans has compared the means with the load on the machines, once after a
 	// failover.
 	meansRaised bool
@@ -66,9 +68,10 @@
 // New returns an autoscaler that knows no instance types yet.
 func New(c Config) *Scaler {
 	return &Scaler{
-		Config: c,
-		types:  map[string]*TypeModel{},
-		pools:  map[state.PoolKind]*Pool{},
+		Config:  c,
+		types:   map[string]*TypeModel{},
+		pools:   map[state.PoolKind]*Pool{},
+		awaited: map[*state.Machine]bool{},
 	}
 }
 
@@ -89,6 +92,7 @@
 	}
 	s.launchOnDemand(types, uncovered.onDemand, now)
 	forecast := s.newRoomForecast(replaced, now)
+	clear(s.awaited)
 	s.launchForWaitingJobs(forecast, now)
 	s.launchForGangs(forecast, now)
 }
--- a/internal/leader/autoscaler/waiting_jobs.go
+++ b/internal/leader/autoscaler/waiting_jobs.go
@@ -27,7 +27,7 @@
 		if hasWaited(j, now) {
 			s.launchForConstrainedJob(j, counts, now)
 		}
-		if !j.IsGang() && forecast.findMachine(j, s.Workload.IsDelayTolerant(j)) == nil {
+		if !j.IsGang() && !s.hasMachine(j, forecast) {
 			unschedulable = append(unschedulable, j)
 		}
 	}
@@ -39,6 +39,16 @@
 	}
 }
 
+// hasMachine reports whether a machine of the fleet will have room for the next task of a job soon. If that machine is
+// booting, it is not terminated meanwhile.
+func (s *Scaler) hasMachine(j *state.Job, forecast *roomForecast) bool {
+	m := forecast.findMachine(j, s.Workload.IsDelayTolerant(j))
+	if m != nil && !m.Instance.Running {
+		s.awaited[m] = true
+	}
+	return m != nil
+}
+
 // launchForUnschedulableJob launches one machine of the cheapest suitable offering for a job, on-demand only if no spot
 // machine is available. It launches none while a launch that may serve the job is unanswered.
 func (s *Scaler) launchForUnschedulableJob(j *state.Job, now micros.Micros) {
--- a/internal/leader/autoscaler/waiting_jobs_test.go
+++ b/internal/leader/autoscaler/waiting_jobs_test.go
@@ -119,3 +119,41 @@
 		})
 	}
 }
+
+// TestSlowBootIsNotIdle guards against a small job that never runs because the machine that boots for it counts as idle
+// and is terminated once the minimum billed time is over, again and again.
+func TestSlowBootIsNotIdle(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kind  wire.JobKind
+		tasks int
+		want  int // machines
+	}{
+		{"array", wire.KindArray, 1, 1},
+		{"gang on one machine", wire.KindGang, 2, 1},
+		{"gang on two machines", wire.KindGang, 8, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTest(t, 0, typeSlowM4)
+				j := newJob("j-000001", c.kind, c.tasks)
+				j.Spec.EstimatedRuntimeS, j.Spec.Class = 0.001, "small"
+				submit(s, j)
+				for range 100 {
+					s.Step(micros.Now())
+					answerLaunches(s)
+					time.Sleep(time.Second)
+				}
+				terminating := 0
+				for _, m := range s.Fleet.Sorted {
+					if m.Instance.Terminating {
+						terminating++
+					}
+				}
+				if terminating > 0 || len(s.Fleet.Sorted) != c.want {
+					t.Errorf("%d machines, %d of them terminated, while a job waits for their boot; want %d and none terminated", len(s.Fleet.Sorted), terminating, c.want)
+				}
+			})
+		})
+	}
+}
