Autoscaler: an aged delay-tolerant job gets an on-demand machine without spot ones

What callers saw: a job of lowest priority that allows spot machines stays pending for as long as the cloud refuses these; an idle cluster runs nothing.

Cause: a delay-tolerant job is not worth on-demand machines, without an end to that. The scheduler ends it once the job has aged, after two minutes without a start; the autoscaler did not know of aging and launched none. Change: HasAged moves from the scheduler to package workload, and both ask it. For an aged job that no machine will have room for, one on-demand machine is launched if no spot machine is to be had. Why this works: both now agree on when such a job may use an on-demand machine.

--- a/internal/leader/autoscaler.go
+++ b/internal/leader/autoscaler.go
@@ -18,6 +18,7 @@
 		Workload:             l.workload,
 		Jobs:                 l.jobs,
 		HeartbeatInterval:    l.heartbeatInterval,
+		TermStartedAt:        l.startedAtWall,
 		TeamUsage:            l.worstCaseTeamUsage,
 		AwaitsReconciliation: l.awaitsReconciliation,
 		ReplacedMachines:     l.zones.ReplacedMachines,
--- a/internal/leader/autoscaler/scaler.go
+++ b/internal/leader/autoscaler/scaler.go
@@ -35,6 +35,8 @@
 	Jobs map[string]*state.Job
 	// HeartbeatInterval is the usual time between two heartbeats of a worker.
 	HeartbeatInterval micros.Micros
+	// TermStartedAt is the wall-clock time at which the term started.
+	TermStartedAt micros.Micros
 	// TeamUsage returns, for each team, its limit and the most that it may be using now.
 	TeamUsage func() map[string]*placement.Team
 	// AwaitsReconciliation returns a function that reports whether no task of a job may be started yet,
--- a/internal/leader/autoscaler/waiting_jobs.go
+++ b/internal/leader/autoscaler/waiting_jobs.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"caperlatch/internal/leader/state"
+	"caperlatch/internal/leader/workload"
 	"caperlatch/internal/micros"
 	"caperlatch/placement"
 )
@@ -17,6 +18,7 @@
 // launchForWaitingJobs launches machines for the jobs that the targets of the types do not cover: constrained jobs,
 // and jobs that no machine of the fleet will have room for soon. It leaves out gangs, see launchForGangs.
 func (s *Scaler) launchForWaitingJobs(forecast *roomForecast, now micros.Micros) {
+	wall := micros.WallTime()
 	teams, awaitsReconciliation := s.TeamUsage(), s.AwaitsReconciliation()
 	counts := s.countByOffering()
 	var unschedulable []*state.Job
@@ -27,7 +29,7 @@
 		if hasWaited(j, now) {
 			s.launchForConstrainedJob(j, counts, now)
 		}
-		if !j.IsGang() && !s.hasMachine(j, forecast) {
+		if !j.IsGang() && !s.hasMachine(j, forecast, wall) {
 			unschedulable = append(unschedulable, j)
 		}
 	}
@@ -35,29 +37,34 @@
 		return cmp.Or(cmp.Compare(a.SubmittedAt, b.SubmittedAt), cmp.Compare(a.Spec.ID, b.Spec.ID))
 	})
 	for _, j := range unschedulable {
-		s.launchForUnschedulableJob(j, now)
+		s.launchForUnschedulableJob(j, now, wall)
 	}
 }
 
 // hasMachine reports whether a machine of the fleet will have room for the next task of a job soon. If that machine is
 // booting, it is not terminated meanwhile.
-func (s *Scaler) hasMachine(j *state.Job, forecast *roomForecast) bool {
-	m := forecast.findMachine(j, s.Workload.IsDelayTolerant(j))
+func (s *Scaler) hasMachine(j *state.Job, forecast *roomForecast, wall micros.Micros) bool {
+	m := forecast.findMachine(j, s.rejectsOnDemand(j, wall))
 	if m != nil && !m.Instance.Running {
 		s.awaited[m] = true
 	}
 	return m != nil
 }
 
+// rejectsOnDemand reports whether a job is not worth on-demand machines. A delay-tolerant job is, once it has aged.
+func (s *Scaler) rejectsOnDemand(j *state.Job, wall micros.Micros) bool {
+	return s.Workload.IsDelayTolerant(j) && !workload.HasAged(j, s.TermStartedAt, wall)
+}
+
 // launchForUnschedulableJob launches one machine of the cheapest suitable offering for a job, on-demand only if no spot
 // machine is available. It launches none while a launch that may serve the job is unanswered.
-func (s *Scaler) launchForUnschedulableJob(j *state.Job, now micros.Micros) {
+func (s *Scaler) launchForUnschedulableJob(j *state.Job, now, wall micros.Micros) {
 	if !s.Term.IsExclusive() || s.hasRequested(j) {
 		return
 	}
 	candidate := placementJob(j)
 	for _, spot := range []bool{true, false} {
-		if !spot && s.Workload.IsDelayTolerant(j) {
+		if !spot && s.rejectsOnDemand(j, wall) {
 			return
 		}
 		for _, o := range s.OfferingsFor(j) {
--- a/internal/leader/scheduler/queue.go
+++ b/internal/leader/scheduler/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"caperlatch/internal/leader/state"
+	"caperlatch/internal/leader/workload"
 	"caperlatch/internal/micros"
 	"caperlatch/placement"
 )
@@ -32,16 +33,12 @@
 	q.minNeed = placement.MinNeed(q.waiting)
 }
 
-// A job ages if it has waited for a start for longer than agingThreshold and none of its tasks is on a machine. About
-// 1/agingDivisor of its waiting tasks then goes before all other jobs. Only a part of the tasks does, so that aging
-// remains an exception.
+// agingDivisor determines how many waiting tasks of an aged job go before all other jobs: about one in that many. Only a
+// part of the tasks does, so that aging remains an exception.
 //
 // Without aging, a lasting overload could keep the largest jobs, which are deferred or delayed by other jobs, from ever
 // starting, and jobs that are already late from ever ending.
-const (
-	agingThreshold = 120 * micros.Second
-	agingDivisor   = 16
-)
+const agingDivisor = 16
 
 // immediateStartLimit is the longest expected delay until a gang starts for which the gang is assigned to machines at
 // once. If the delay is longer, the gang is assigned to these machines only after it has waited for as long as the
@@ -76,7 +73,7 @@
 			continue
 		}
 		w := s.placementJob(j, count, withinGuarantee[j], wall)
-		if s.hasAged(j, wall) {
+		if workload.HasAged(j, s.TermStartedAt, wall) {
 			if rest := s.splitAgedJob(w, j); rest != nil {
 				entries = append(entries, queueEntry{rest, j})
 			}
@@ -141,15 +138,6 @@
 	return waiting
 }
 
-// hasAged reports whether a job has aged (see agingThreshold). A job that is being probed does not age.
-func (s *Scheduler) hasAged(j *state.Job, wall micros.Micros) bool {
-	since := max(j.SubmittedAt, j.LastStart)
-	if j.DoneCount > 0 {
-		since = max(since, s.TermStartedAt) // starts of earlier terms are unknown
-	}
-	return len(j.Attempts) == 0 && wall-since > agingThreshold && !j.IsProbing()
-}
-
 // splitAgedJob marks some of an aged job's waiting tasks to go before all other jobs. It returns the job's other
 // waiting tasks as a separate entry, which keeps the job's usual place in the queue, or nil if there are none. A gang
 // or a job with zone rules is not split: all its waiting tasks go first.
--- a/internal/leader/workload/objectives.go
+++ b/internal/leader/workload/objectives.go
@@ -13,8 +13,20 @@
 	defaultStartLimit = 60 * micros.Second
 	// distantDeadline is the start deadline, counted from submission, of a job that can no longer meet any objective.
 	distantDeadline = 365 * 24 * 3600 * micros.Second
+	// agingThreshold is how long a job must have waited for a start to be aged.
+	agingThreshold = 120 * micros.Second
 )
 
+// HasAged reports whether a job has waited for a start for longer than agingThreshold, with none of its tasks on a
+// machine. A job that is being probed does not age. termStartedAt and wall are wall-clock times.
+func HasAged(j *state.Job, termStartedAt, wall micros.Micros) bool {
+	since := max(j.SubmittedAt, j.LastStart)
+	if j.DoneCount > 0 {
+		since = max(since, termStartedAt) // starts of earlier terms are unknown
+	}
+	return len(j.Attempts) == 0 && wall-since > agingThreshold && !j.IsProbing()
+}
+
 // IsDelayTolerant reports whether a job can do without on-demand machines: it allows spot machines and has the lowest
 // priority, no deadline, and no objective for its class. On-demand machines cost about three times as much as spot
 // machines, which is more than such a job is worth.
--- a/tests/cluster/small_jobs_test.go
+++ b/tests/cluster/small_jobs_test.go
@@ -46,6 +46,7 @@
 	{name: "no spot machines allowed", submission: map[string]any{"standby": false}},
 	{name: "almost no CPU, no spot machines allowed, beside one", submission: map[string]any{"standby": false, "vcpus": 0.001, "memory_gb": 0.001}, prepare: (*smallJobCluster).startLongTask},
 	{name: "no spot capacity", prepare: (*smallJobCluster).refuseSpot},
+	{name: "lowest priority without spot capacity", submission: map[string]any{"rank": "idle"}, prepare: (*smallJobCluster).refuseSpot},
 	{name: "no capacity for minutes", submission: map[string]any{"expect_s": 20.0}, prepare: (*smallJobCluster).refuseAll, disturb: (*smallJobCluster).offerAllLater},
 	{name: "gang, no capacity for minutes", submission: gangOf(2), prepare: (*smallJobCluster).refuseAll, disturb: (*smallJobCluster).offerAllLater},
 	{name: "cloud unavailable for minutes", prepare: (*smallJobCluster).failCloudRequests, disturb: (*smallJobCluster).healLater},
@@ -64,7 +65,8 @@
 func gangOf(tasks int) map[string]any { return map[string]any{"shape": wire.KindGang, "pieces": tasks} }
 
 const (
-	// smallJobTimeout is the time within which a job must be done once there is no more trouble.
+	// smallJobTimeout is the time within which a job must be done once there is no more trouble. An aged job that spot
+	// machines could run gets an on-demand machine after two minutes.
 	smallJobTimeout = 3 * time.Minute
 	// troubleTime is the duration of a trouble. It exceeds the window over which demand is measured.
 	troubleTime = 2 * time.Minute
