Autoscaler: waiting memory counts as work

What callers saw: an array of tasks without CPUs that waited for longer than its demand took to decay, as without capacity for minutes, ran on one machine after the other.

Cause: the work of waiting tasks was CPUs times time; memory and GPUs counted in the mean alone, which decays. Change: waiting and running tasks count the CPUs that they make unavailable to others like them, by their largest share of a machine. Why this works: that is the share by which the mean counts them, so both parts of the target agree.

--- a/internal/leader/autoscaler/backlog.go
+++ b/internal/leader/autoscaler/backlog.go
@@ -86,7 +86,7 @@
 			b.planned[j]++
 		}
 		for _, a := range m.Attempts {
-			r := staffing.RunningWork{CPUs: a.Job.Spec.CPUs, RemainingS: s.Workload.RemainingRuntime(a, now)}
+			r := staffing.RunningWork{CPUs: t.occupiedCPUs(a.Job.Need), RemainingS: s.Workload.RemainingRuntime(a, now)}
 			b.running = append(b.running, r)
 			if a.Job.Priority > 0 {
 				b.nonPreemptible = append(b.nonPreemptible, r)
@@ -148,11 +148,11 @@
 // addJob adds n waiting tasks of a job to the backlog, as work for the given type.
 func (s *Scaler) addJob(b *backlog, j *state.Job, t *TypeModel, n int, wall micros.Micros) {
 	b.minBootS = math.Min(b.minBootS, t.BootTimeS)
-	runtime := s.Workload.ExpectedRuntime(j.Spec)
-	work := float64(n) * j.Spec.CPUs * runtime
+	runtime, cpus := s.Workload.ExpectedRuntime(j.Spec), t.occupiedCPUs(j.Need)
+	work := float64(n) * cpus * runtime
 	if perMachine := t.Capacity.CountFitting(j.Need, n+1); j.IsGang() && perMachine > 0 && perMachine <= n {
 		// The gang occupies entire machines at once, including the CPUs on them that its tasks leave unused.
-		work += float64(n/perMachine) * (t.CPUs - float64(perMachine)*j.Spec.CPUs) * runtime
+		work += float64(n/perMachine) * (t.CPUs - float64(perMachine)*cpus) * runtime
 	}
 	deadlines := s.Workload.StartDeadlines(j, false, wall)
 	dueInS := (deadlines.Next - wall).Seconds()
--- a/internal/leader/autoscaler/types.go
+++ b/internal/leader/autoscaler/types.go
@@ -87,6 +87,10 @@
 	return fraction
 }
 
+// occupiedCPUs returns how many of a machine's CPUs one task makes unavailable to others like it. For a task that needs
+// mainly memory or GPUs, these are more than it uses.
+func (t *TypeModel) occupiedCPUs(need placement.Resources) float64 { return t.Fraction(need) * t.CPUs }
+
 // Price returns the hourly price of a machine of the type.
 func (t *TypeModel) Price(spot bool) float64 {
 	if spot {
--- a/internal/leader/autoscaler/waiting_jobs_test.go
+++ b/internal/leader/autoscaler/waiting_jobs_test.go
@@ -157,3 +157,22 @@
 		})
 	}
 }
+
+// TestBacklogOfMemory guards against an array of tasks without CPUs that runs on one machine after the other: its backlog
+// counted as no work, so that no launch followed once the demand had decayed. Tasks that take the same share of a machine
+// need equally many machines, whichever resource it is.
+func TestBacklogOfMemory(t *testing.T) {
+	launched := map[string]int{}
+	for resource, need := range map[string][2]float64{"CPUs": {4, 1}, "memory": {0, 16}} {
+		s := newTest(t, 0, typeSlowM4)
+		j := newJob("j-000001", wire.KindArray, 20)
+		j.Spec.CPUs, j.Spec.MemoryGB = need[0], need[1]
+		j.Need.CPU, j.Need.Memory = state.CeilMilli(need[0]), state.CeilMilli(need[1])
+		s.Jobs[j.Spec.ID] = j // without AddDemand, as if its demand had decayed
+		s.Step(micros.Now())
+		launched[resource] = countLaunched(s)
+	}
+	if launched["memory"] != launched["CPUs"] || launched["CPUs"] < 2 {
+		t.Errorf("%v machines launched, want the same number for both, and several", launched)
+	}
+}
