Staffing: tasks that are estimated to take no time do not keep machines

What callers saw: after a job whose tasks are estimated at 0 s with an image of 0 GB, the fleet does not shrink until 20 tasks have finished or the leader changes.

Cause: a mean service time of 0 was taken for an unknown service rate, with which the mean of the staffing model does not decay. Evidence: TestTargetOfInstantTasks before: mean 5.00 and target 11, five minutes after the job. TestServiceTimeOfInstantTasks: 5 machines a minute after the last arrival. Change: a service time counts as at least a millisecond. Why this works: the service rate is finite and known, so the mean decays.

Result: both tests pass. No other service time changes.

--- a/internal/leader/autoscaler/model_test.go
+++ b/internal/leader/autoscaler/model_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"caperlatch/internal/leader/state"
+	"caperlatch/internal/micros"
 	"caperlatch/internal/wire"
 )
 
@@ -34,3 +37,23 @@
 		}
 	}
 }
+
+// TestTargetOfInstantTasks guards against machines that are kept for ever once tasks that are estimated to take no time
+// have ended.
+func TestTargetOfInstantTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTest(t, 0, typeSlowM4)
+		j := newJob("j-000001", wire.KindArray, 20)
+		j.Spec.EstimatedRuntimeS = 0
+		submit(s, j)
+		j.Ended = true
+		delete(s.Jobs, j.Spec.ID)
+		for range 300 {
+			s.Step(micros.Now())
+			time.Sleep(time.Second)
+		}
+		if mean, target := s.Type("m4").Mean, s.Type("m4").Target; mean > minMean || target > 0 {
+			t.Errorf("mean %.2f, target %d five minutes after a job of tasks without duration, want none", mean, target)
+		}
+	})
+}
--- a/staffing/service_time.go
+++ b/staffing/service_time.go
@@ -6,6 +6,9 @@
 // estimates.
 const MinFinishedTasks = 20
 
+// minServiceS is the shortest service time, in seconds. With 0, the service rate would be infinite.
+const minServiceS = 0.001
+
 // serviceTimeDecay is the factor by which the weight of older work decreases with each new job, regardless of its
 // number of tasks.
 const serviceTimeDecay = 0.99
@@ -17,13 +20,15 @@
 }
 
 // ObserveEstimate counts a job's service time, in seconds, as estimated by its owner. weight is the job's work, in
-// machines.
-func (s *ServiceTime) ObserveEstimate(weight, seconds float64) { s.estimated.add(weight, seconds, 1) }
+// machines. Service times below minServiceS count as minServiceS.
+func (s *ServiceTime) ObserveEstimate(weight, seconds float64) {
+	s.estimated.add(weight, math.Max(minServiceS, seconds), 1)
+}
 
 // ObserveFinished counts the service time, in seconds, of a finished task. weight is the share of a machine that
-// the task took, and jobTasks is the number of tasks of its job.
+// the task took, and jobTasks is the number of tasks of its job. Service times below minServiceS count as minServiceS.
 func (s *ServiceTime) ObserveFinished(weight, seconds float64, jobTasks int) {
-	s.measured.add(weight, seconds, 1/math.Max(1, float64(jobTasks)))
+	s.measured.add(weight, math.Max(minServiceS, seconds), 1/math.Max(1, float64(jobTasks)))
 }
 
 // Rate returns the service rate μ, per second, or 0 if it is unknown. It uses the owners' estimates until
--- a/staffing/service_time_test.go
+++ b/staffing/service_time_test.go
@@ -16,3 +16,14 @@
 		}
 	}
 }
+
+// TestServiceTimeOfInstantTasks guards against machines that are kept for ever for tasks that are estimated to take no
+// time: their service rate counted as unknown, so that the mean did not decay.
+func TestServiceTimeOfInstantTasks(t *testing.T) {
+	var s ServiceTime
+	s.ObserveEstimate(5, 0)
+	mean := StepMean(5, 0, s.Rate(0), 60)
+	if !near(mean, 0) {
+		t.Errorf("mean of %v machines a minute after the last arrival of tasks without duration, want 0", mean)
+	}
+}
