Scheduler: plan again while any task waits, also without a queue

Of 350 tiny tasks 300 are started, and no more.

Cause: a plan is made on request, or each second while jobs are queued. A job in a backoff is not queued and nothing requests a plan when that ends; a planned start that is dropped, or never sent, is not queued either. Change: each plan sets the latest time of the next while any task waits: the end of its job's backoff, and three heartbeat intervals in any case, at most once a second. A full response requests a plan. Why this works: no waiting task depends on an unrelated event any more, whatever took it out of the queue.

--- a/internal/leader/commands.go
+++ b/internal/leader/commands.go
@@ -43,10 +43,14 @@
 }
 
 // appendPlannedStarts assigns the tasks that are planned for a machine and appends their start commands. It discards
-// planned starts that are not possible any more or exceed maxCommands.
+// planned starts that are not possible any more or exceed maxCommands; the latter are planned again.
 func (l *Leader) appendPlannedStarts(m *state.Machine, commands []wire.Command, now micros.Micros) []wire.Command {
 	for _, j := range m.PlannedStarts {
-		if len(commands) >= maxCommands || j.Ended || j.StartableTasks(now) == 0 || !m.Free.Fits(j.Need) || !l.canStartTask(j, m) {
+		if len(commands) >= maxCommands {
+			l.scheduler.RequestPlan()
+			break
+		}
+		if j.Ended || j.StartableTasks(now) == 0 || !m.Free.Fits(j.Need) || !l.canStartTask(j, m) {
 			continue
 		}
 		index, ok := j.TakeWaitingTask()
--- a/internal/leader/scheduler/queue.go
+++ b/internal/leader/scheduler/queue.go
@@ -57,17 +57,19 @@
 	job     *state.Job
 }
 
-// newQueue builds the queue of the jobs that may start tasks now. It splits aged jobs, defers jobs if not all can start
-// on time, and points reservations to the new queue entries. A job for which AwaitsReconciliation reports true is left
-// out.
+// newQueue builds the queue of the jobs that may start tasks now, and sets the latest time of the next plan. It splits
+// aged jobs, defers jobs if not all can start on time, and points reservations to the new queue entries. A job for which
+// AwaitsReconciliation reports true is left out.
 func (s *Scheduler) newQueue(now micros.Micros) queue {
 	teams := s.TeamUsage()
 	awaitsReconciliation := s.AwaitsReconciliation()
 	withinGuarantee := s.Workload.JobsWithinGuarantee(s.Jobs)
 	wall := micros.WallTime()
 	entries := make([]queueEntry, 0, len(s.Jobs))
+	s.nextPlanAt = 0
 	for _, j := range s.Jobs {
 		s.ReviewQuarantine(j, now)
+		s.planBy(j, now)
 		count := j.StartableTasks(now)
 		if count <= 0 || awaitsReconciliation(j) {
 			continue
--- a/internal/leader/scheduler/scheduler.go
+++ b/internal/leader/scheduler/scheduler.go
@@ -74,6 +74,7 @@
 	PlannedAt     micros.Micros
 	planDuration  micros.Micros // how long the latest plan took
 	planRequested bool          // RequestPlan was called after the latest plan
+	nextPlanAt    micros.Micros // latest time of the next plan, because tasks wait; 0 if none do
 
 	queue           queue                         // as of the latest plan
 	respondingTo    *state.Machine                // machine whose heartbeat is being answered, nil if none
@@ -104,15 +105,17 @@
 // RequestPlan requests a new plan because something that plans depend on has changed.
 func (s *Scheduler) RequestPlan() { s.planRequested = true }
 
-// PlanIfNeeded makes a new plan if one was requested and minPlanInterval has passed, or if jobs are queued and
-// maxPlanInterval has passed. In either case, at least planTimeDivisor times the duration of the latest plan must have
-// passed as well. respondingTo is the machine whose heartbeat is being answered, nil if there is none.
+// PlanIfNeeded makes a new plan if one was requested and minPlanInterval has passed, or if maxPlanInterval has passed and
+// jobs are queued or tasks that are not queued have waited for long enough; see planBy. In each case, at least
+// planTimeDivisor times the duration of the latest plan must have passed as well. respondingTo is the machine whose
+// heartbeat is being answered, nil if there is none.
 func (s *Scheduler) PlanIfNeeded(respondingTo *state.Machine, now micros.Micros) {
 	elapsed := now - s.PlannedAt
 	if elapsed < planTimeDivisor*s.planDuration {
 		return
 	}
-	isDue := s.planRequested && elapsed >= minPlanInterval || len(s.queue.jobs) > 0 && elapsed >= maxPlanInterval
+	tasksWait := len(s.queue.jobs) > 0 || s.nextPlanAt != 0 && now >= s.nextPlanAt
+	isDue := s.planRequested && elapsed >= minPlanInterval || tasksWait && elapsed >= maxPlanInterval
 	if !isDue {
 		return
 	}
@@ -124,6 +127,26 @@
 	s.planDuration = s.PlannedAt - now
 }
 
+// planBy sets the latest time of the next plan according to a job, unless an earlier time is set. A task that waits is
+// not always queued: its start may be planned but never sent, and its job may be in a backoff or limited to a few tasks,
+// which nothing but time or a heartbeat ends. So a plan is made when the backoff ends, and in any case once a machine
+// that was to start the task would be too late with its heartbeat.
+func (s *Scheduler) planBy(j *state.Job, now micros.Micros) {
+	if j.WaitingTasks() == 0 {
+		return
+	}
+	at := now + maxHeartbeatAge*s.HeartbeatInterval
+	if now < j.BackoffUntil {
+		at = min(at, j.BackoffUntil)
+	}
+	if s.nextPlanAt == 0 || at < s.nextPlanAt {
+		s.nextPlanAt = at
+	}
+}
+
+// QueuedJobs returns the number of jobs with startable tasks that are not planned.
+func (s *Scheduler) QueuedJobs() int { return len(s.queue.jobs) }
+
 // Plan decides which tasks the next response to each machine starts, which running tasks are stopped to make room, and
 // which machines are reserved for gangs. It first discards the planned starts that have not been sent, because only
 // sent starts are binding. While another node may lead, it plans nothing.
--- a/internal/leader/scheduler/scheduler_test.go
+++ b/internal/leader/scheduler/scheduler_test.go
@@ -211,3 +211,51 @@
 		}
 	}
 }
+
+// TestPlanWhileTasksWait guards against a task that waits for ever beside a machine with room, because its job was not
+// queued and nothing requested another plan. It checks how long after a plan the next one is made without a request.
+func TestPlanWhileTasksWait(t *testing.T) {
+	const second = micros.Second
+	const never = 0
+	for _, c := range []struct {
+		name string
+		set  func(s *Scheduler, j *state.Job, m *state.Machine, now micros.Micros) // before the plan
+		want micros.Micros
+	}{
+		{"no task waits", func(_ *Scheduler, j *state.Job, m *state.Machine, now micros.Micros) {
+			runTask(j, m, now)
+			runTask(j, m, now)
+			runTask(j, m, now)
+		}, never},
+		{"queued", func(_ *Scheduler, _ *state.Job, m *state.Machine, _ micros.Micros) { m.DrainReason = "test" }, maxPlanInterval},
+		{"a backoff", func(_ *Scheduler, j *state.Job, _ *state.Machine, now micros.Micros) { j.BackoffUntil = now + 2*second }, 2 * second},
+		{"a backoff of less than an interval", func(_ *Scheduler, j *state.Job, _ *state.Machine, now micros.Micros) {
+			j.BackoffUntil = now + second/2
+		}, maxPlanInterval},
+		{"planned, and not sent", func(*Scheduler, *state.Job, *state.Machine, micros.Micros) {}, maxHeartbeatAge * testHeartbeatInterval},
+		{"a probe runs", func(_ *Scheduler, j *state.Job, m *state.Machine, now micros.Micros) {
+			j.Failures.Quarantined = true
+			runTask(j, m, now)
+			runTask(j, m, now)
+		}, maxHeartbeatAge * testHeartbeatInterval},
+		{"awaits reconciliation", func(s *Scheduler, _ *state.Job, _ *state.Machine, _ micros.Micros) {
+			s.AwaitsReconciliation = func() func(*state.Job) bool { return func(*state.Job) bool { return true } }
+		}, maxHeartbeatAge * testHeartbeatInterval},
+	} {
+		s, _ := newTestScheduler(t)
+		now := micros.Now()
+		j := addJob(s, arrayJobSpec("j-000001", 3))
+		c.set(s, j, addMachine(s, "i-1", now), now)
+		s.Plan(now)
+		s.PlannedAt = now
+		got := micros.Micros(never)
+		for after := micros.Micros(0); after < 60*second && got == never; after += second / 10 {
+			if s.PlanIfNeeded(nil, now+after); s.PlannedAt != now {
+				got = after
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: next plan after %v, want %v", c.name, got.Duration(), c.want.Duration())
+		}
+	}
+}
--- a/internal/leader/summary.go
+++ b/internal/leader/summary.go
@@ -38,6 +38,8 @@
 	slog.Debug("summary",
 		"jobs", len(l.jobs),
 		"startable_jobs", startableJobs,
+		"queued_jobs", l.scheduler.QueuedJobs(),
+		"plan_age", (now - l.scheduler.PlannedAt).Duration(),
 		"waiting_tasks", waitingTasks,
 		"tasks_by_state", tasksByState,
 		"used_cpus", usedCPU/1000,
