Quarantine: a probed job is released when its tasks outlive the failures

What callers saw: of a job whose first tasks failed while its only machine was faulty for seconds, two tasks run and the others wait beside room until one of these has succeeded.

Cause: such a job is probed with two tasks at a time until one succeeds; only a quarantined job was released by a task that runs for much longer than those that failed. Evidence: TestJobIsStartedOnQuietCluster, "tasks fail", before: 2 of 10 tasks run 90 s after the trouble. Change: ReviewJob ends the probing of both by the same evidence. Why this works: a task that outlives the failures shows that the job does not fail everywhere, quarantined or not.

Result: all ten run; the tests of quarantine, failures and quiet clusters pass.

--- a/internal/leader/quarantine/quarantine.go
+++ b/internal/leader/quarantine/quarantine.go
@@ -229,14 +229,18 @@
 	slog.Info("job quarantined", "job", j.Spec.ID, "class", j.Spec.Class, "machines", machines)
 }
 
-// ReviewJob releases a job from quarantine if one of its tasks has run much longer than those that failed. When many
-// machines are faulty at once, a good job may fail on three of them in its first second.
+// ReviewJob ends the probing of a job, and its quarantine if there is one, if one of its tasks has run much longer than
+// those that failed. When many machines are faulty at once, a good job may fail on three of them in its first second. When
+// its only machine is faulty for a while, a good job may fail there several times.
 func (q *Quarantine) ReviewJob(j *state.Job, now micros.Micros) {
-	if j.Failures.Quarantined && j.OutlivesFailures() {
+	if !j.IsProbing() || !j.OutlivesFailures() {
+		return
+	}
+	if j.Failures.Quarantined {
 		slog.Info("job released from quarantine", "job", j.Spec.ID)
-		clearBackoff(j)
 		q.Demand.RestoreDemand(j, now)
 	}
+	clearBackoff(j)
 }
 
 // evaluateMachine quarantines a machine if there is enough evidence that it is faulty: minGoodJobFailures,
--- a/tests/cluster/quiet_cluster_test.go
+++ b/tests/cluster/quiet_cluster_test.go
@@ -23,6 +23,7 @@
 
 var quietClusterScenarios = []quietClusterScenario{
 	{name: "task fails twice", job: tinyJob(1), failFor: 8 * time.Second},
+	{name: "tasks fail", job: tinyJob(10), failFor: 8 * time.Second},
 	{name: "task fails once", job: tinyJob(1), failFor: time.Second},
 	{name: "more tasks than a response starts", job: tinyJob(350)},
 }
