Placement: a machine holds no more tasks than its heartbeat can list

Cause: only CPUs and memory limit the tasks on a machine. Its heartbeat lists all of them, and exited ones until their results are stored and they are cleared; above 64 KiB each node answers 400, the lease ends, and the worker kills all. Change: the number of tasks is a resource like CPUs and memory, 500 on a machine; exited tasks take places while heartbeats list them. Why this works: the heartbeat of 500 tasks fits, whatever their IDs and states (TestHeartbeatOfFullMachine), and each placement, preemption and target counts resources already.

--- a/internal/leader/autoscaler/pools.go
+++ b/internal/leader/autoscaler/pools.go
@@ -10,6 +10,7 @@
 
 	"caperlatch/internal/leader/state"
 	"caperlatch/internal/micros"
+	"caperlatch/internal/wire"
 	"caperlatch/staffing"
 )
 
@@ -70,7 +71,7 @@
 		return
 	}
 	t := s.types[p.kind.Type]
-	perMachine := t.Capacity.CountFitting(j.Need, maxTasksPerMachine) / j.Spec.Tasks
+	perMachine := t.Capacity.CountFitting(j.Need, wire.MaxTasksPerMachine) / j.Spec.Tasks
 	size := 1 / float64(max(1, perMachine))
 	pullTimeS := t.PullTimeS(j.Spec.ImageSizeGB)
 	p.serviceTime.ObserveEstimate(size, s.Workload.ExpectedRuntime(j.Spec)+pullTimeS)
--- a/internal/leader/autoscaler/types.go
+++ b/internal/leader/autoscaler/types.go
@@ -35,9 +35,6 @@
 	nextReviewAt     micros.Micros
 }
 
-// maxTasksPerMachine is more tasks than fit on any machine.
-const maxTasksPerMachine = 1 << 20
-
 // minPullGBPerS keeps the pull time of an image finite if the rate is 0. minCPUs keeps numbers of machines finite that
 // result from dividing by CPUs.
 const (
@@ -65,6 +62,7 @@
 			CPU:    state.FloorMilli(offered.CPUs),
 			GPU:    state.FloorMilli(offered.GPUs),
 			Memory: state.FloorMilli(offered.MemoryGB),
+			Tasks:  wire.MaxTasksPerMachine,
 		}
 	}
 }
@@ -79,7 +77,13 @@
 // takes the largest fraction.
 func (t *TypeModel) Fraction(need placement.Resources) float64 {
 	fraction := 0.0
-	for _, r := range [...]struct{ need, capacity int64 }{{need.CPU, t.Capacity.CPU}, {need.GPU, t.Capacity.GPU}, {need.Memory, t.Capacity.Memory}} {
+	capacity := t.Capacity
+	for _, r := range [...]struct{ need, capacity int64 }{
+		{need.CPU, capacity.CPU},
+		{need.GPU, capacity.GPU},
+		{need.Memory, capacity.Memory},
+		{need.Tasks, capacity.Tasks},
+	} {
 		if r.capacity > 0 {
 			fraction = math.Max(fraction, float64(r.need)/float64(r.capacity))
 		}
@@ -143,7 +147,7 @@
 	var priced []pricedOffering
 	for _, name := range s.typeNames {
 		t := s.types[name]
-		if t.Capacity.CountFitting(j.Need, maxTasksPerMachine) == 0 {
+		if t.Capacity.CountFitting(j.Need, wire.MaxTasksPerMachine) == 0 {
 			continue
 		}
 		for _, zone := range t.Zones {
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -24,9 +24,14 @@
 	}
 	l.liveness.CheckDelivery(m, listed, now)
 	m.Delivery.FollowUps = m.Delivery.FollowUps[:0]
+	exited := 0
 	for i := range h.Tasks {
 		l.observeTask(m, &h.Tasks[i], now)
+		if h.Tasks[i].State == wire.TaskExited {
+			exited++
+		}
 	}
+	m.RecordExitedTasks(exited)
 	for taskID, a := range m.Attempts {
 		// A worker has one heartbeat in flight and drops late responses. The response to an earlier heartbeat started
 		// the task. If this newer heartbeat does not list the task, the worker will never execute that start.
--- a/internal/leader/state/job.go
+++ b/internal/leader/state/job.go
@@ -94,7 +94,7 @@
 		SubmittedAt:         r.SubmittedAt,
 		SeenAt:              micros.Now(),
 		MayHaveEarlierTasks: mayHaveEarlierTasks,
-		Need:                placement.Resources{CPU: CeilMilli(s.CPUs), GPU: CeilMilli(s.GPUs), Memory: CeilMilli(s.MemoryGB)},
+		Need:                placement.Resources{CPU: CeilMilli(s.CPUs), GPU: CeilMilli(s.GPUs), Memory: CeilMilli(s.MemoryGB), Tasks: 1},
 		Priority:            wire.PriorityRank(s.Priority),
 		Done:                newBitset(s.Tasks),
 		StoredDone:          newBitset(s.Tasks),
--- a/internal/leader/state/machine.go
+++ b/internal/leader/state/machine.go
@@ -30,11 +30,12 @@
 	Quarantine     QuarantineState
 	ZoneReturn     ZoneReturn
 
-	// Assignments. Free is the machine's capacity less the needs of all attempts, so it changes only when an attempt is
-	// attached or detached.
+	// Assignments. Free is the machine's capacity less the needs of all attempts and the places of the exited tasks, so it
+	// changes only when an attempt is attached or detached, and by RecordExitedTasks.
 	Attempts      map[string]*Attempt // by task ID
 	StoppingCount int                 // number of attempts whose stop was sent
 	Free          placement.Resources
+	ExitedTasks   int    // exited tasks that the latest heartbeat lists
 	PlannedStarts []*Job // one entry for each start that the next heartbeat response carries
 
 	Images   ImageCache
@@ -190,3 +191,10 @@
 func (m *Machine) ResetZoneReturn() {
 	m.ZoneReturn = ZoneReturn{IncarnationBefore: m.Heartbeat.Incarnation, SequenceBefore: m.Heartbeat.Sequence, ZoneBoundOnly: m.ZoneReturn.ZoneBoundOnly}
 }
+
+// RecordExitedTasks records how many exited tasks the latest heartbeat lists. A worker lists them until it gets a clear
+// command, so until then they take the places of other tasks.
+func (m *Machine) RecordExitedTasks(count int) {
+	m.Free.Tasks -= int64(count - m.ExitedTasks)
+	m.ExitedTasks = count
+}
--- a/internal/leader/workload/quotas.go
+++ b/internal/leader/workload/quotas.go
@@ -10,13 +10,13 @@
 	"caperlatch/placement"
 )
 
-// unboundedMemory is more memory than any machine has. Quotas limit only CPUs and GPUs.
-const unboundedMemory = 1 << 60
+// unbounded is more memory, and more tasks, than a fleet has. Quotas limit only CPUs and GPUs.
+const unbounded = 1 << 60
 
 // SetTeam sets a team's quotas.
 func (w *Workload) SetTeam(t settings.Team) {
 	w.teams[t.Name] = Team{
-		Guaranteed: placement.Resources{CPU: state.FloorMilli(t.GuaranteedCPUs), GPU: state.FloorMilli(t.GuaranteedGPUs), Memory: unboundedMemory},
+		Guaranteed: placement.Resources{CPU: state.FloorMilli(t.GuaranteedCPUs), GPU: state.FloorMilli(t.GuaranteedGPUs), Memory: unbounded, Tasks: unbounded},
 		Limit:      placement.Resources{CPU: state.FloorMilli(t.MaxCPUs), GPU: state.FloorMilli(t.MaxGPUs)},
 	}
 }
--- a/internal/leader/workload/runtimes.go
+++ b/internal/leader/workload/runtimes.go
@@ -25,8 +25,8 @@
 
 // Team holds a team's quotas. A CPU or GPU value of 0 means that there is no guarantee or no limit.
 type Team struct {
-	Guaranteed placement.Resources // Memory is not bounded
-	Limit      placement.Resources // Memory is not bounded
+	Guaranteed placement.Resources // Memory and the number of tasks are not bounded
+	Limit      placement.Resources // Memory and the number of tasks are not bounded
 }
 
 // New returns the workload of a deployment, with no run times learned yet.
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -60,6 +60,10 @@
 	Tasks               []TaskStatus `json:"pieces"`   // all tasks on the machine, including exited ones until they are cleared
 }
 
+// MaxTasksPerMachine is the number of tasks, exited ones included, that a machine may hold. A heartbeat with all of them
+// is within MaxBodyBytes, however long their IDs are and whatever their states.
+const MaxTasksPerMachine = 500
+
 // TaskStatus is the status of one task in a heartbeat.
 type TaskStatus struct {
 	TaskID       string `json:"piece"`
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -134,7 +134,7 @@
 	if t == nil {
 		return limit
 	}
-	remaining := Resources{CPU: unlimited, GPU: unlimited, Memory: unlimited}
+	remaining := Resources{CPU: unlimited, GPU: unlimited, Memory: unlimited, Tasks: unlimited}
 	if t.Limit.CPU > 0 {
 		remaining.CPU = t.Limit.CPU - t.Used.CPU
 	}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -42,7 +42,7 @@
 func largestFree(machines []Machine, available []int) (largest Resources) {
 	for _, k := range available {
 		free := machines[k].Free
-		largest = Resources{max(largest.CPU, free.CPU), max(largest.GPU, free.GPU), max(largest.Memory, free.Memory)}
+		largest = Resources{max(largest.CPU, free.CPU), max(largest.GPU, free.GPU), max(largest.Memory, free.Memory), max(largest.Tasks, free.Tasks)}
 	}
 	return largest
 }
--- a/placement/resources.go
+++ b/placement/resources.go
@@ -4,18 +4,19 @@
 // overflow.
 const unlimited = 1 << 60
 
-// Resources are CPUs, GPUs and GB of memory. Each is in thousandths, so that sums are exact.
-type Resources struct{ CPU, GPU, Memory int64 }
+// Resources are CPUs, GPUs and GB of memory, each in thousandths, so that sums are exact, and a number of tasks, of which
+// a machine can hold a limited number.
+type Resources struct{ CPU, GPU, Memory, Tasks int64 }
 
 // Add returns r plus n times o.
 func (r Resources) Add(o Resources, n int64) Resources {
-	return Resources{r.CPU + n*o.CPU, r.GPU + n*o.GPU, r.Memory + n*o.Memory}
+	return Resources{r.CPU + n*o.CPU, r.GPU + n*o.GPU, r.Memory + n*o.Memory, r.Tasks + n*o.Tasks}
 }
 
 // CountFitting returns how many times need fits into r, at most limit.
 func (r Resources) CountFitting(need Resources, limit int) int {
 	n := int64(limit)
-	for _, p := range [...][2]int64{{r.CPU, need.CPU}, {r.GPU, need.GPU}, {r.Memory, need.Memory}} {
+	for _, p := range [...][2]int64{{r.CPU, need.CPU}, {r.GPU, need.GPU}, {r.Memory, need.Memory}, {r.Tasks, need.Tasks}} {
 		if p[1] > 0 {
 			n = min(n, p[0]/p[1])
 		}
@@ -29,9 +30,10 @@
 // MinNeed returns, for each resource, the least that a task of any of the jobs needs. A machine with less free can
 // start none of them.
 func MinNeed(jobs []*Job) Resources {
-	minimum := Resources{unlimited, unlimited, unlimited}
+	minimum := Resources{unlimited, unlimited, unlimited, unlimited}
 	for _, j := range jobs {
-		minimum = Resources{min(minimum.CPU, j.Need.CPU), min(minimum.GPU, j.Need.GPU), min(minimum.Memory, j.Need.Memory)}
+		need := j.Need
+		minimum = Resources{min(minimum.CPU, need.CPU), min(minimum.GPU, need.GPU), min(minimum.Memory, need.Memory), min(minimum.Tasks, need.Tasks)}
 	}
 	return minimum
 }
