--- a/tests/cluster/small_jobs_test.go
+++ b/tests/cluster/small_jobs_test.go
@@ -204,15 +204,20 @@
 	c.submitJob(job)
 	c.awaitStatus("j-000007", wire.JobDone, smallJobTimeout)
 	var dropped counter
-	c.setFault(func(from string, r *http.Request) fake.Fault {
+	c.setFault(c.dropZoneB(&dropped))
+	time.Sleep(2 * time.Second)
+	if dropped.count("dropped") == 0 {
+		c.t.Fatal("no message of zone b was dropped")
+	}
+}
+
+// dropZoneB returns a fault function that drops all messages of the machines in zone b.
+func (c *smallJobCluster) dropZoneB(dropped *counter) func(string, *http.Request) fake.Fault {
+	return func(from string, r *http.Request) fake.Fault {
 		if c.rules.ZoneOf(machineOf(from)) == "b" || c.rules.ZoneOf(machineOf(r.URL.Host)) == "b" {
 			dropped.add("dropped")
 			return fake.DroppedRequest
 		}
 		return fake.NoFault
-	})
-	time.Sleep(2 * time.Second)
-	if dropped.count("dropped") == 0 {
-		c.t.Fatal("no message of zone b was dropped")
 	}
 }
