Tests: the new tests of quiet clusters do not race with the fake cloud

Cause: they changed fields of the fake cloud while nodes or workers could read them; go test -race reported it for the list of zones.

Change: Cloud.Configure changes the fields with the cloud's lock held, before any machine is launched; failures of tasks are switched by an atomic flag.

--- a/internal/leader/autoscaler/waiting_jobs_test.go
+++ b/internal/leader/autoscaler/waiting_jobs_test.go
@@ -53,6 +53,7 @@
 func TestLaunchOnlyWithoutRoomSoon(t *testing.T) {
 	soon, later := 2*typeSlowM4.BootTimeS-20, 2*typeSlowM4.BootTimeS+20
 	unchanged := func(*state.Job) {}
+	gang := func(j *state.Job) { j.Spec.Kind, j.SeenAt = wire.KindGang, micros.Now()-60*micros.Second }
 	for _, c := range []struct {
 		name     string
 		machines int
@@ -92,6 +93,8 @@
 		}, 1, func(j *state.Job) { j.Priority = 0 }, 1},
 		{"larger than any machine", 1, func(s *Scaler) { occupy(s, wire.KindArray, 1, later) }, 1, func(j *state.Job) { j.Spec.CPUs, j.Need.CPU = 8, 8000 }, 1},
 		{"more memory than any machine", 1, func(s *Scaler) { occupy(s, wire.KindArray, 1, later) }, 1, func(j *state.Job) { j.Spec.MemoryGB, j.Need.Memory = 20, 20000 }, 1},
+		{"a gang, room soon", 3, func(s *Scaler) { occupy(s, wire.KindArray, 4, soon) }, 1, gang, 0},
+		{"a gang, room late", 3, func(s *Scaler) { occupy(s, wire.KindArray, 4, later) }, 1, gang, 1},
 		{"waits for a backoff", 0, func(*Scaler) {}, 1, func(j *state.Job) { j.BackoffUntil = micros.Now() + 60*micros.Second }, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/sim/fake/cloud.go
+++ b/internal/sim/fake/cloud.go
@@ -137,6 +137,14 @@
 // machineFormat is the format of machine IDs.
 const machineFormat = "i-%06d"
 
+// Configure changes the configuration between two requests to the cloud. Fields that workers read must not be changed
+// once a machine was launched.
+func (c *Cloud) Configure(change func(config *CloudConfig)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.CloudConfig)
+}
+
 // SetMaxMachines changes MaxMachines; it may be called while the cloud serves requests.
 func (c *Cloud) SetMaxMachines(n int) {
 	c.mu.Lock()
--- a/tests/cluster/many_tiny_tasks_test.go
+++ b/tests/cluster/many_tiny_tasks_test.go
@@ -42,8 +42,10 @@
 	const jobs, tasks = 12, 100
 	c := newCluster(t)
 	defer c.close()
-	c.cloud.RuntimeOf = func(string) float64 { return s.runtimeS }
-	c.cloud.SetMaxMachines(s.machines)
+	c.cloud.Configure(func(config *fake.CloudConfig) {
+		config.RuntimeOf = func(string) float64 { return s.runtimeS }
+		config.MaxMachines = s.machines
+	})
 	time.Sleep(3 * time.Second)
 	var ids []string
 	for n := range jobs {
--- a/tests/cluster/quiet_cluster_soak_test.go
+++ b/tests/cluster/quiet_cluster_soak_test.go
@@ -63,8 +63,7 @@
 		runtimeS:        map[string]float64{},
 	}
 	defer r.close()
-	r.cloud.RuntimeOf = r.runtimeOf
-	r.cloud.TaskFails = r.fails
+	r.cloud.Configure(func(config *fake.CloudConfig) { config.RuntimeOf, config.TaskFails = r.runtimeOf, r.fails })
 	if r.random.IntN(2) == 0 {
 		r.occupyMachine()
 	}
@@ -112,7 +111,9 @@
 func (r *soakRun) occupyMachine() {
 	job := testJob("j-000009", 1)
 	job["vcpus"] = pick(r.random, 1.0, 3.0, 4.0)
+	r.mu.Lock()
 	r.runtimeS["j-000009"] = (10 * time.Hour).Seconds()
+	r.mu.Unlock()
 	r.submitAndAwaitRunning(job)
 }
 
--- a/tests/cluster/quiet_cluster_test.go
+++ b/tests/cluster/quiet_cluster_test.go
@@ -1,11 +1,12 @@
 package cluster
 
 import (
-	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"caperlatch/internal/sim/fake"
 	"caperlatch/internal/wire"
 )
 
@@ -48,23 +49,22 @@
 func (s quietClusterScenario) run(t *testing.T) {
 	c := newCluster(t)
 	defer c.close()
-	c.cloud.RuntimeOf = func(string) float64 { return time.Hour.Seconds() }
+	var failing atomic.Bool
+	var failures counter
+	c.cloud.Configure(func(config *fake.CloudConfig) {
+		config.RuntimeOf = func(string) float64 { return time.Hour.Seconds() }
+		config.TaskFails = func(string, string) bool { return failing.Load() && failures.add("failed") > 0 }
+	})
 	c.submitAndAwaitRunning(testJob("j-000009", 1))
 	time.Sleep(2 * time.Minute) // until other machines have been terminated and the demand has decayed
 	if n := len(c.cloud.Workers()); n != 1 {
 		t.Fatalf("%d machines, want 1", n)
 	}
-	troubleEnds, failures := time.Now().Add(s.failFor), 0
-	c.cloud.TaskFails = func(task, _ string) bool {
-		fails := strings.HasPrefix(task, "j-000001/") && time.Now().Before(troubleEnds)
-		if fails {
-			failures++
-		}
-		return fails
-	}
+	failing.Store(s.failFor > 0)
+	time.AfterFunc(s.failFor, func() { failing.Store(false) })
 	c.submitJob(s.job)
-	time.Sleep(time.Until(troubleEnds) + maxWaitBesideRoom)
-	if s.failFor > 0 && failures == 0 {
+	time.Sleep(s.failFor + maxWaitBesideRoom)
+	if s.failFor > 0 && failures.count("failed") == 0 {
 		t.Error("no task failed")
 	}
 	if got, want := c.runningTasks("j-000001"), s.job["pieces"]; got != want {
--- a/tests/cluster/small_jobs_test.go
+++ b/tests/cluster/small_jobs_test.go
@@ -113,16 +113,19 @@
 		s.Params.Zones = zones
 		s.Params.Objectives = []settings.Objective{{Kind: settings.ObjectiveWait, Class: "objective", WithinS: 5, Share: 0.9}}
 	})}
-	c.cloud.Zones, c.rules.InstanceTypes[0].Zones = zones, zones
-	c.cloud.HasCapacity = func(request wire.LaunchRequest) bool {
-		return !c.refusesAll.Load() && !(request.Spot && c.refusesSpot.Load())
-	}
-	c.cloud.RuntimeOf = func(task string) float64 {
-		if strings.HasPrefix(task, "j-000009/") {
-			return time.Hour.Seconds()
+	c.rules.InstanceTypes[0].Zones = zones
+	c.cloud.Configure(func(config *fake.CloudConfig) {
+		config.Zones = zones
+		config.HasCapacity = func(request wire.LaunchRequest) bool {
+			return !c.refusesAll.Load() && !(request.Spot && c.refusesSpot.Load())
 		}
-		return 5
-	}
+		config.RuntimeOf = func(task string) float64 {
+			if strings.HasPrefix(task, "j-000009/") {
+				return time.Hour.Seconds()
+			}
+			return 5
+		}
+	})
 	time.Sleep(3 * time.Second)
 	return c
 }
