--- a/tests/cluster/many_tiny_tasks_test.go
+++ b/tests/cluster/many_tiny_tasks_test.go
@@ -54,9 +54,15 @@
 		job["id"] = ids[n]
 		c.submitJob(job)
 	}
-	for c.cloud.Starts() == 0 {
+	for range 600 { // a minute
+		if c.cloud.Starts() > 0 {
+			break
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	if c.cloud.Starts() == 0 {
+		t.Fatal("no task was started within a minute")
+	}
 	c.setFault(func(_ string, r *http.Request) fake.Fault {
 		if r.URL.Path == "/txn" && s.unstored > 0 {
 			return fake.ServiceUnavailable
