--- a/review/testdata/stage/cloud.go
+++ b/review/testdata/stage/cloud.go
@@ -451,3 +451,17 @@
 		t.until = time.Now()
 	}
 }
+
+// startsOf returns how often a task was started.
+func (cl *cloud) startsOf(task string) int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.starts[task]
+}
+
+// violations returns the rules that were broken.
+func (cl *cloud) violations() []string {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return slices.Clone(cl.broken)
+}
