Review case 6: an unknown field overrides the field that differs in capitals

Cause: the decoding mode of internal/wire matches map keys without regard to capitals, and of several such keys the first one wins.

Change: the case in review/6 submits a job that allows one zone and no spot machine, with two additional fields, Hall and Standby, before all others.

--- a/review/testdata/stage/main.go
+++ b/review/testdata/stage/main.go
@@ -23,6 +23,7 @@
 // cases lists the cases by name.
 var cases = map[string]func(c *cluster, trouble bool) (int, error){
 	"history": runHistory,
+	"fields":  runFields,
 	"faulty":  runFaulty,
 }
 
