--- a/review/testdata/stage/history.go
+++ b/review/testdata/stage/history.go
@@ -13,14 +13,15 @@
 
 // Times of the case "history".
 const (
-	historyJobs  = 20_000           // less than a day of the brief's 14.9 jobs a minute
-	restartDelay = 5 * time.Second  // "back about 5 s after an end"
-	startPause   = 2 * time.Second  // between the first starts, in which the state service admits a burst again
-	answerLimit  = 75 * time.Second // "a job about which no question is answered for 75 s counts as forgotten"
+	historyJobs   = 100_000          // under five days of the brief's 14.9 jobs a minute
+	restartDelay  = 5 * time.Second  // "back about 5 s after an end"
+	restartSpread = time.Second      // between the returns of two controllers
+	startPause    = 2 * time.Second  // between the first starts, in which the state service admits a burst again
+	answerLimit   = 75 * time.Second // "a job about which no question is answered for 75 s counts as forgotten"
 )
 
-// runHistory ends all controllers at once, on a state service that holds the final states of a day's jobs, and asks
-// about an accepted job from when all of them have been started again.
+// runHistory ends all controllers at once, on a state service that holds the final states of some days' jobs, and starts
+// them again a second apart. It asks about an accepted job from when all of them have been started again.
 func runHistory(c *cluster, trouble bool) (int, error) {
 	jobs := historyJobs
 	if n, err := strconv.Atoi(os.Getenv("JOBS")); err == nil {
@@ -55,9 +56,12 @@
 		for i := range c.nodes {
 			c.kill(i)
 		}
-		time.Sleep(restartDelay)
 		c.state.takeCounts()
+		time.Sleep(restartDelay - restartSpread)
 		for i := range c.nodes {
+			if i > 0 {
+				time.Sleep(restartSpread)
+			}
 			if err := c.start(i); err != nil {
 				return failed, err
 			}
