Review case 5: a gang whose image takes two thirds of gang_wait_s never runs

Cause: a rule of the protocol (must run) is broken without any failure: an attempt of a gang is ended once its first task has waited for two thirds of gang_wait_s, though the other one is about to have its image, and the next attempt begins that fetch again. Change: claim and script; the stand-in of the workers fetches images, gives fetches up, and runs gangs.

--- a/review/testdata/stage/cloud.go
+++ b/review/testdata/stage/cloud.go
@@ -21,6 +21,9 @@
 	capacity int // machines of each type, zone and kind
 	bootS    float64
 	faulty   int // the first machines, which fail every task that they start
+	// fetchShares are the shares of their types' rates at which machines fetch images, in the order of the machines' first
+	// fetches; the last one is that of all further machines. Without any, machines have all images.
+	fetchShares []float64
 }
 
 // cloud is a stand-in of the cloud and of its workers.
@@ -159,7 +162,7 @@
 func (cl *cloud) launch(q wire.LaunchRequest) string {
 	cl.next++
 	m := &worker{cloud: cl, id: fmt.Sprintf("i-%06d", cl.next), launch: q, rentedAt: time.Now(), shift: 1, faulty: cl.next <= cl.faulty, gone: make(chan struct{}),
-		changed: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+		images: map[string]time.Time{}, changed: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	m.address, _ = cl.cluster.serve(http.HandlerFunc(m.commands)) // without an address, direct commands are lost
 	cl.machines[m.id] = m
 	go m.run()
@@ -202,12 +205,15 @@
 	renewedAt time.Time // when the last answered report was sent
 	tasks     []*task
 	nodeIndex int
+
+	fetchGBPerS float64              // rate at which the machine fetches images, 0 before its first fetch
+	images      map[string]time.Time // when the machine has an image, by name
 }
 
 // task is a task on a machine.
 type task struct {
 	wire.TaskStatus
-	until time.Time // when it is done
+	until time.Time // when it is done, or when it gives up the wait for its gang
 }
 
 // end takes the machine away; mu must be held.
@@ -293,8 +299,10 @@
 		m.renewedAt = now
 		m.change()
 	}
+	m.fetch(now)
+	m.cloud.stepGangs(now)
 	for _, t := range m.tasks {
-		if t.State != wire.TaskRunning || now.Before(t.until) {
+		if t.State != wire.TaskRunning || now.Before(t.until) || m.cloud.isGang(t) {
 			continue
 		}
 		t.State, t.ExitReason = wire.TaskExited, wire.ExitDone
@@ -418,10 +426,10 @@
 	}
 }
 
-// start starts a task; mu must be held.
+// start accepts a start; mu must be held.
 func (m *worker) start(c wire.Command) {
 	cl := m.cloud
-	t := &task{TaskStatus: wire.TaskStatus{TaskID: c.TaskID, Attempt: c.Attempt, State: wire.TaskRunning}}
+	t := &task{TaskStatus: wire.TaskStatus{TaskID: c.TaskID, Attempt: c.Attempt, State: wire.TaskPullingImage}}
 	m.tasks = append(m.tasks, t)
 	id, _, _ := strings.Cut(c.TaskID, "/")
 	job := cl.jobs[id]
@@ -435,20 +443,75 @@
 	case cl.ended[c.TaskID]:
 		t.State, t.ExitReason = wire.TaskExited, wire.ExitDone
 		return
+	case len(cl.fetchShares) == 0:
+		m.begin(t, job)
+		return
+	}
+	if m.fetchGBPerS == 0 {
+		m.fetchGBPerS = cl.nextFetchRate(m.launch.InstanceType)
 	}
-	cl.cluster.record.printf("%s (%s in %s, spot %t): %s try %d starts", m.id, m.launch.InstanceType, m.launch.Zone, m.launch.Spot, c.TaskID, c.Attempt)
-	if other := cl.onTask[c.TaskID]; other != "" {
-		cl.violate("ran_twice: %s starts on %s while it is on %s", c.TaskID, m.id, other)
+	if _, known := m.images[job.Image]; !known {
+		took := time.Duration(job.ImageSizeGB / m.fetchGBPerS * float64(time.Second))
+		m.images[job.Image] = time.Now().Add(took)
+		cl.cluster.record.printf("%s: %s try %d begins to fetch %s, for %.1f s", m.id, c.TaskID, c.Attempt, job.Image, took.Seconds())
+	}
+	m.fetch(time.Now())
+}
+
+// nextFetchRate returns the rate of a machine that fetches its first image; mu must be held.
+func (cl *cloud) nextFetchRate(instanceType string) float64 {
+	share := cl.fetchShares[0]
+	if len(cl.fetchShares) > 1 {
+		cl.fetchShares = cl.fetchShares[1:]
+	}
+	i := slices.IndexFunc(cl.types, func(t wire.InstanceType) bool { return t.Name == instanceType })
+	return cl.types[i].ImagePullGBPerS * share
+}
+
+// fetch begins the tasks whose images are there, and gives up the fetches that no task waits for; mu must be held.
+func (m *worker) fetch(now time.Time) {
+	waited := map[string]bool{}
+	for _, t := range m.tasks {
+		if t.State != wire.TaskPullingImage {
+			continue
+		}
+		job := m.cloud.jobOf(t)
+		if now.Before(m.images[job.Image]) {
+			waited[job.Image] = true
+			continue
+		}
+		m.begin(t, job)
+		m.change()
+	}
+	for name, ready := range m.images {
+		if now.Before(ready) && !waited[name] {
+			m.cloud.cluster.record.printf("%s: gives up the fetch of %s, %.1f s before its end", m.id, name, ready.Sub(now).Seconds())
+			delete(m.images, name)
+		}
+	}
+}
+
+// begin begins a task that has its image; mu must be held.
+func (m *worker) begin(t *task, job *wire.Job) {
+	cl := m.cloud
+	cl.cluster.record.printf("%s (%s in %s, spot %t): %s try %d starts", m.id, m.launch.InstanceType, m.launch.Zone, m.launch.Spot, t.TaskID, t.Attempt)
+	if other := cl.onTask[t.TaskID]; other != "" {
+		cl.violate("ran_twice: %s starts on %s while it is on %s", t.TaskID, m.id, other)
 	}
 	if job.Zone != "" && job.Zone != m.launch.Zone || m.launch.Spot && !job.AllowSpot ||
 		len(job.InstanceTypes) > 0 && !slices.Contains(job.InstanceTypes, m.launch.InstanceType) {
-		cl.violate("wrong_place: %s starts on %s (%s in %s, spot %t)", c.TaskID, m.id, m.launch.InstanceType, m.launch.Zone, m.launch.Spot)
+		cl.violate("wrong_place: %s starts on %s (%s in %s, spot %t)", t.TaskID, m.id, m.launch.InstanceType, m.launch.Zone, m.launch.Spot)
 	}
-	cl.onTask[c.TaskID] = m.id
-	cl.starts[c.TaskID]++
-	t.until = time.Now().Add(time.Duration(cl.runS[id] * float64(time.Second)))
-	if m.faulty {
+	cl.onTask[t.TaskID] = m.id
+	cl.starts[t.TaskID]++
+	t.State = wire.TaskRunning
+	t.until = time.Now().Add(time.Duration(cl.runS[job.ID] * float64(time.Second)))
+	switch {
+	case m.faulty:
 		t.until = time.Now()
+	case job.Kind == wire.KindGang:
+		t.State = wire.TaskWaitingForGang
+		t.until = time.Now().Add(time.Duration(cl.cluster.params.Workers.GangAssemblyTimeoutS * float64(time.Second)))
 	}
 }
 
--- a/review/testdata/stage/main.go
+++ b/review/testdata/stage/main.go
@@ -25,6 +25,7 @@
 	"history": runHistory,
 	"fields":  runFields,
 	"faulty":  runFaulty,
+	"image":   runImage,
 }
 
 func main() {
