Wire: a field counts only under its own name

The CBOR library's default takes a key that differs from a field's name in case only, and of several keys for one field the first. All decoding goes through internal/wire, which now matches names exactly.

--- a/internal/wire/encoding.go
+++ b/internal/wire/encoding.go
@@ -44,6 +44,9 @@
 		// JSONSize could not encode a list of maps, so ReadBody rejected every body with such a list that was large
 		// enough to be measured, for example a heartbeat with 200 tasks.
 		DefaultMapType: reflect.TypeFor[map[string]any](),
+		// A field counts only under its own name. By default, the library also takes a key that differs from a field's
+		// name in case only, so that an unknown field would replace the field.
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
 	}.DecMode())
 	encoder = mustMode(cbor.EncOptions{}.EncMode())
 )
@@ -63,8 +66,8 @@
 // Marshal encodes a body or a stored value.
 func Marshal(v any) ([]byte, error) { return encoder.Marshal(v) }
 
-// Unmarshal decodes all of b into v. It ignores unknown fields. If v points to a struct, a body that is not a map is an
-// error.
+// Unmarshal decodes all of b into v. It ignores unknown fields, those that differ from a known one in case only among
+// them. If v points to a struct, a body that is not a map is an error.
 func Unmarshal(b []byte, v any) error { return decoder.Unmarshal(b, v) }
 
 // NewEncoder returns an encoder that writes a stream of values to w.
