Wire: unknown fields may nest to 1024 levels

A message with an unknown field that nests deeper than 16 levels was rejected as a whole, a submission with 400, though unknown fields must be ignored. Before, TestUnknownFieldsOfAnyValue failed for 20 and for 1000 levels.

--- a/internal/wire/encoding.go
+++ b/internal/wire/encoding.go
@@ -30,7 +30,8 @@
 
 // Decoder limits. They are far above what any message of the protocol or between nodes needs.
 const (
-	maxNestedLevels  = 16
+	// maxNestedLevels also applies to unknown fields. A body could nest deeper, but would then take megabytes of stack.
+	maxNestedLevels  = 1024
 	maxArrayElements = 1 << 18
 	maxMapPairs      = 1 << 16
 )
--- a/internal/wire/encoding_test.go
+++ b/internal/wire/encoding_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"math"
 	"strings"
 	"testing"
@@ -51,3 +52,54 @@
 		}
 	}
 }
+
+// nestedLists returns the CBOR encoding of lists that are nested to the given number of levels.
+func nestedLists(levels int) RawMessage {
+	const listOfOne, emptyList = "\x81", "\x80"
+	return RawMessage(strings.Repeat(listOfOne, levels-1) + emptyList)
+}
+
+// TestUnknownFieldsOfAnyValue guards against a message that is rejected because of the value of an unknown field. Each
+// value is in an unknown field of a submission and of a heartbeat.
+func TestUnknownFieldsOfAnyValue(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		value RawMessage
+	}{
+		{"null", RawMessage{0xf6}},
+		{"undefined", RawMessage{0xf7}},
+		{"a simple value without meaning", RawMessage{0xf8, 0xff}},
+		{"NaN", RawMessage{0xf9, 0x7e, 0x00}},
+		{"infinity", RawMessage{0xf9, 0x7c, 0x00}},
+		{"an integer over 64 bits", append(RawMessage{0xc2, 0x49}, bytes.Repeat([]byte{0xff}, 9)...)},
+		{"an unknown tag", RawMessage{0xd9, 0xff, 0x00, 0x01}},
+		{"text that is not UTF-8", RawMessage{0x61, 0xff}},
+		{"a map whose keys are numbers, one of them twice", RawMessage{0xa2, 0x01, 0x01, 0x01, 0x02}},
+		{"a list of unknown length", RawMessage{0x9f, 0x01, 0xff}},
+		{"lists on 20 levels", nestedLists(20)},
+		{"lists on 1000 levels", nestedLists(1000)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			submission := validSubmission()
+			submission["colour"] = c.value
+			if _, err := ParseJob(marshal(t, submission)); err != nil {
+				t.Errorf("submission: got error %v, want none", err)
+			}
+			body := marshal(t, map[string]any{"host": "i-000001", "colour": c.value, "shift": 1})
+			var heartbeat Heartbeat
+			if err := Unmarshal(body, &heartbeat); err != nil || heartbeat.MachineID != "i-000001" || heartbeat.Incarnation != 1 {
+				t.Errorf("heartbeat: got %+v, error %v, want its fields and no error", heartbeat, err)
+			}
+		})
+	}
+}
+
+// marshal encodes a value, or fails the test.
+func marshal(t *testing.T, v any) []byte {
+	t.Helper()
+	b, err := Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
