Wire: NaN in an unknown field does not make a body too large

The size limit is measured as JSON, which has no NaN and no infinity; a body over 10.9 KB with one of them in any field, also an unknown one, was rejected as over the limit of 64 KiB. Such values now count as null; a known field with one is still rejected by name. Before, TestReadBody failed in its two cases with values that JSON lacks.

--- a/internal/wire/encoding.go
+++ b/internal/wire/encoding.go
@@ -87,6 +87,31 @@
 	return len(b)
 }
 
+// decodedJSONSize returns the size in bytes, as JSON, of a value that was decoded without a type. Values that JSON cannot
+// represent count as null: they may be in unknown fields, which must not make a message invalid.
+func decodedJSONSize(v any) int {
+	const brackets, separator = len("[]"), len(",")
+	switch v := v.(type) {
+	case map[string]any:
+		size := brackets
+		for key, value := range v {
+			size += JSONSize(key) + len(":") + decodedJSONSize(value) + separator
+		}
+		return max(brackets, size-separator)
+	case []any:
+		size := brackets
+		for _, element := range v {
+			size += decodedJSONSize(element) + separator
+		}
+		return max(brackets, size-separator)
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return len("null")
+	}
+	return len(b)
+}
+
 // ErrBodyTooLarge means that a body is larger than MaxBodyBytes.
 var ErrBodyTooLarge = errors.New("body over the limit")
 
@@ -106,7 +131,7 @@
 	}
 	if buf.Len() > MaxBodyBytes/maxJSONCharsPerByte {
 		var v map[string]any
-		if err := Unmarshal(buf.Bytes(), &v); err == nil && JSONSize(v) > MaxBodyBytes {
+		if err := Unmarshal(buf.Bytes(), &v); err == nil && decodedJSONSize(v) > MaxBodyBytes {
 			return nil, ErrBodyTooLarge
 		}
 	}
--- a/internal/wire/encoding_test.go
+++ b/internal/wire/encoding_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -45,6 +46,9 @@
 		{"just under the limit as CBOR", text(MaxBodyBytes - 100), true},
 		{"over the limit as CBOR", text(MaxBodyBytes), false},
 		{"over the limit as JSON only", string(b), false},
+		{"over the limit as JSON only, with a value that JSON lacks", string(marshal(t, map[string]any{"x": floats, "y": math.NaN()})), false},
+		{"a value that JSON lacks", string(marshal(t, map[string]any{"x": strings.Repeat("a", MaxBodyBytes/2), "y": math.NaN()})), true},
+		{"a list with values that JSON lacks", string(marshal(t, map[string]any{"x": slices.Repeat([]float64{math.Inf(1)}, 6000)})), true},
 	}
 	for _, c := range cases {
 		if _, err := ReadBody(strings.NewReader(c.body)); (err == nil) != c.ok {
@@ -103,3 +107,18 @@
 	}
 	return b
 }
+
+// TestDecodedJSONSize checks that the size of a decoded value is that of its JSON, with null for what JSON lacks.
+func TestDecodedJSONSize(t *testing.T) {
+	for _, c := range []struct{ value, inJSON any }{
+		{map[string]any{}, map[string]any{}},
+		{[]any{}, []any{}},
+		{map[string]any{"a": []any{1, "<", nil, true}, "b": map[string]any{"c": 1.5}}, map[string]any{"a": []any{1, "<", nil, true}, "b": map[string]any{"c": 1.5}}},
+		{[]any{math.NaN(), math.Inf(-1)}, []any{nil, nil}},
+		{map[string]any{"x": []any{math.NaN()}}, map[string]any{"x": []any{nil}}},
+	} {
+		if got, want := decodedJSONSize(c.value), JSONSize(c.inJSON); got != want {
+			t.Errorf("size of %v: got %d, want %d", c.value, got, want)
+		}
+	}
+}
