Wire: a submission with a field twice is malformed

Of a field that a submission had twice the first value counted, and a map with a number for a key was accepted. Both are no valid maps keyed by text, and which value a user meant cannot be told: a job could be placed by the other one. They now get 400; unknown fields may be repeated. A repeated submission is still answered by its ID alone.

--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -35,7 +35,8 @@
 }
 
 // ParseSubmissionID returns the job ID of a submission, or "" if it has no valid one. It does not validate the rest,
-// because the response to a submission whose job ID is already in use does not depend on the rest.
+// because the response to a submission whose job ID is already in use does not depend on the rest. If the ID is
+// repeated, the first one counts.
 func ParseSubmissionID(body []byte) string {
 	var s struct {
 		ID string `json:"id"`
@@ -46,20 +47,14 @@
 	return s.ID
 }
 
-// The major type of a CBOR value is in the top three bits of its first byte.
-const (
-	cborMap        = 5
-	majorTypeShift = 5
-)
-
 // ParseJob decodes and validates a submission. Its error texts are sent to the user with status 400.
 func ParseJob(body []byte) (Job, error) {
 	var s submission
 	if err := Unmarshal(body, &s); err != nil {
 		return Job{}, fmt.Errorf("not a job description: %w", err)
 	}
-	if len(body) == 0 || body[0]>>majorTypeShift != cborMap {
-		return Job{}, errors.New("not a map")
+	if err := checkSubmissionKeys(body); err != nil {
+		return Job{}, err
 	}
 	job, err := s.job()
 	if err != nil {
