Settings: a TOML key counts only under its own name, and unknown keys are logged

The TOML library takes a key that differs from a field's name in case only for the field, as the CBOR library did: MEMBER replaced member. Settings files ignore such a key now, and a node names the keys that it does not know in one warning; fault files of the lab, where unknown keys are errors, reject it.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,7 +11,9 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -86,10 +88,11 @@
 	return Parse(content)
 }
 
-// Parse decodes and validates the content of a TOML file. Unknown fields are ignored.
+// Parse decodes and validates the content of a TOML file. Unknown fields are ignored, and named in a log message.
 func Parse(content []byte) (*Settings, error) {
 	var s Settings
-	if err := toml.Unmarshal(content, &s); err != nil {
+	unknown, err := decodeTOML(content, &s)
+	if err != nil {
 		var decodeErr *toml.DecodeError
 		if errors.As(err, &decodeErr) {
 			row, _ := decodeErr.Position()
@@ -100,5 +103,8 @@
 	if err := s.check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if len(unknown) > 0 {
+		slog.Warn("settings file has unknown keys, ignoring them", "keys", strings.Join(unknown, " "))
+	}
 	return &s, nil
 }
--- a/internal/sim/lab/faults.go
+++ b/internal/sim/lab/faults.go
@@ -9,6 +9,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"caperlatch/internal/settings"
 	"caperlatch/internal/sim/harness"
 )
 
@@ -63,6 +64,14 @@
 	if err := decoder.Decode(&document); err != nil {
 		return nil, decodeError(file, err)
 	}
+	// The decoder takes keys that differ from a field's name in case only for the field.
+	unknown, err := settings.UnknownKeys(content, &document)
+	if err != nil {
+		return nil, decodeError(file, err)
+	}
+	if len(unknown) > 0 {
+		return nil, &FaultError{file, findKey(content, unknown[0]), unknown[0], "is unknown"}
+	}
 	for i := range document.Faults {
 		if field, problem := document.Faults[i].check(nodes, zones); problem != "" {
 			return nil, &FaultError{file, findLine(content, i, field), field, problem}
@@ -118,6 +127,17 @@
 	return err == nil && node >= 0 && node < nodes && name == fmt.Sprintf(harness.MemberFormat, node)
 }
 
+// findKey returns the number of the first line that sets a key, which may be preceded by the names of its tables.
+func findKey(content []byte, key string) int {
+	name := key[strings.LastIndex(key, ".")+1:]
+	for i, line := range strings.Split(string(content), "\n") {
+		if found, _, isSet := strings.Cut(line, "="); isSet && strings.Trim(found, " \t\"'") == name {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 // faultTableHeader is the line that begins a fault in a fault file.
 const faultTableHeader = "[[fault]]"
 
--- a/internal/sim/lab/faults_test.go
+++ b/internal/sim/lab/faults_test.go
@@ -25,6 +25,8 @@
 		{"syntax error", kill + "[[fault]\n", 0, 6, ""},
 		{"field of wrong type", "[[fault]]\nat_s = \"soon\"\n", 0, 2, "fault.at_s"},
 		{"unknown field", kill + "\nwhen = 3\n", 0, 7, "fault.when"},
+		{"field in other capitals", kill + "\nFor_s = 3.0\n", 0, 7, "fault.For_s"},
+		{"field in capitals, quoted", "[[fault]]\n\"KIND\" = \"kill\"\n", 0, 2, "fault.KIND"},
 		{"unknown kind", kill + "[[fault]]\nkind = \"explode\"\nat_s = 1\n", 0, 7, "kind"},
 		{"missing kind", kill + "[[fault]]\nat_s = 1\n", 0, 6, "kind"},
 		{"negative start time", "[[fault]]\nkind = \"state_down\"\nfor_s = 1.0\nat_s = -1.0", 0, 4, "at_s"},
