Heartbeats without a machine or an incarnation are malformed

A heartbeat whose host or shift was missing, for example given as Host, was handled as one of a machine without a name or of incarnation 0, which the protocol does not have. It gets 400 now, at the leader and at nodes that forward to it. Before, TestParseHeartbeat had nothing to call; wire.Unmarshal accepts its cases without machine or incarnation, and null.

--- a/internal/api/heartbeats.go
+++ b/internal/api/heartbeats.go
@@ -74,14 +74,14 @@
 
 // respondAsLeader handles a heartbeat on the node that leads, or redirects the worker to its forwarder.
 func (h *heartbeatHandler) respondAsLeader(c echo.Context, leader Leader, body []byte) error {
-	var heartbeat wire.Heartbeat
-	if err := wire.Unmarshal(body, &heartbeat); err != nil {
+	heartbeat, err := wire.ParseHeartbeat(body)
+	if err != nil {
 		return respondError(c, http.StatusBadRequest, err)
 	}
 	if forwarder := h.router.ForwarderFor(heartbeat.MachineID); forwarder != "" && !h.redirects.recordUnlessReturned(heartbeat.MachineID) {
 		return respondRedirect(c, forwarder)
 	}
-	response, err := leader.HandleHeartbeat(&heartbeat)
+	response, err := leader.HandleHeartbeat(heartbeat)
 	if err != nil {
 		return respondError(c, http.StatusServiceUnavailable, err)
 	}
@@ -95,8 +95,8 @@
 		return respondError(c, http.StatusServiceUnavailable, errNoLeader)
 	}
 	if !h.router.CanForward() && !h.router.ExpectsSuccessor() {
-		var heartbeat wire.Heartbeat
-		if err := wire.Unmarshal(body, &heartbeat); err != nil {
+		heartbeat, err := wire.ParseHeartbeat(body)
+		if err != nil {
 			return respondError(c, http.StatusBadRequest, err)
 		}
 		// A worker that has returned could not reach the leader either, so forwarding is tried nevertheless.
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -1,6 +1,9 @@
 package wire
 
-import "slices"
+import (
+	"errors"
+	"slices"
+)
 
 // States of tasks in heartbeats. A task of a gang that has pulled its image reports TaskWaitingForGang until the other
 // tasks of its attempt have pulled theirs. A task whose gang has lost another task, or which is being stopped together
@@ -60,6 +63,22 @@
 	Tasks               []TaskStatus `json:"pieces"`   // all tasks on the machine, including exited ones until they are cleared
 }
 
+// errIncompleteHeartbeat means that a heartbeat does not tell its machine or its incarnation.
+var errIncompleteHeartbeat = errors.New("host or shift is missing")
+
+// ParseHeartbeat decodes a heartbeat. A heartbeat without its machine or its incarnation is invalid, since incarnations
+// begin at 1; a missing list of tasks counts as empty.
+func ParseHeartbeat(body []byte) (*Heartbeat, error) {
+	var h Heartbeat
+	if err := Unmarshal(body, &h); err != nil {
+		return nil, err
+	}
+	if h.MachineID == "" || h.Incarnation == 0 {
+		return nil, errIncompleteHeartbeat
+	}
+	return &h, nil
+}
+
 // MaxTasksPerMachine is the number of tasks, exited ones included, that a machine may hold. A heartbeat with all of them
 // is within MaxBodyBytes, however long their IDs are and whatever their states.
 const MaxTasksPerMachine = 500
--- a/internal/wire/heartbeat_test.go
+++ b/internal/wire/heartbeat_test.go
@@ -51,3 +51,26 @@
 		t.Errorf("heartbeat of %d tasks: %d bytes, want at most %d", len(h.Tasks), size, MaxBodyBytes)
 	}
 }
+
+// TestParseHeartbeat guards against a heartbeat that is handled though it does not tell its machine or its incarnation,
+// for example because these are in fields of other names.
+func TestParseHeartbeat(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		body any
+		ok   bool
+	}{
+		{"complete", map[string]any{"host": "i-000001", "shift": 1, "tick": 0, "pieces": []any{}}, true},
+		{"with unknown fields of similar names", map[string]any{"host": "i-000001", "shift": 1, "Host": 7, "SHIFT": "x", "Pieces": 3}, true},
+		{"without its machine", map[string]any{"Host": "i-000001", "shift": 1}, false},
+		{"without its incarnation", map[string]any{"host": "i-000001", "Shift": 1}, false},
+		{"null", nil, false},
+		{"not a map", []int{1}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if h, err := ParseHeartbeat(marshal(t, c.body)); (err == nil) != c.ok || c.ok && h.MachineID != "i-000001" {
+				t.Errorf("got %+v, error %v, want an error: %v", h, err, !c.ok)
+			}
+		})
+	}
+}
--- a/leadership.go
+++ b/leadership.go
@@ -66,11 +66,11 @@
 	if localLeader == nil {
 		return nil, leader.ErrCannotRespond
 	}
-	var heartbeat wire.Heartbeat
-	if err := wire.Unmarshal(encoded, &heartbeat); err != nil {
+	heartbeat, err := wire.ParseHeartbeat(encoded)
+	if err != nil {
 		return nil, fmt.Errorf("report: %w", err)
 	}
-	response, err := localLeader.HandleHeartbeat(&heartbeat)
+	response, err := localLeader.HandleHeartbeat(heartbeat)
 	if err != nil {
 		return nil, err
 	}
