--- a/internal/settings/elements_test.go
+++ b/internal/settings/elements_test.go
@@ -21,6 +21,9 @@
 		want string
 	}{
 		{"unknown element", tuning, "<caperlatch><staffing><y>1</y></staffing></caperlatch>", "tuning: element y is unknown, misplaced or repeated"},
+		{"element in capitals", tuning, "<caperlatch><staffing><Z>1</Z></staffing></caperlatch>", "tuning: element Z is unknown, misplaced or repeated"},
+		{"element in capitals beside the known one", tuning, "<caperlatch><staffing><z>1</z><REVIEW_S>31</REVIEW_S></staffing></caperlatch>", "tuning: element REVIEW_S is unknown, misplaced or repeated"},
+		{"section in capitals", features, "<caperlatch><Zones/></caperlatch>", "features: element Zones is unknown, misplaced or repeated"},
 		{"wrong root element", tuning, "<staffing/>", "tuning: element staffing is unknown, misplaced or repeated"},
 		{"section within a section", features, "<caperlatch><zones><standby/></zones></caperlatch>", "features: element standby is unknown, misplaced or repeated"},
 		{"repeated section", features, "<caperlatch><zones/><zones/></caperlatch>", "features: element zones is unknown, misplaced or repeated"},
