Stand-ins: a seeded share of their messages has unknown fields

Users, workers, cloud and state service of the simulated clusters, and of the lab, add fields that the protocol does not have to a fifth of their messages: names that differ from known ones in case only, other values, NaN, large integers and deep lists. Stored values stay as they are.

--- a/internal/sim/fake/cloud.go
+++ b/internal/sim/fake/cloud.go
@@ -17,6 +17,8 @@
 	Net       *Network
 	Rules     *checker.Rules // receives the launches of machines, and the starts and exits of tasks
 	NodeHosts []string       // hosts of the controllers
+	// UnknownFields adds unknown fields to the messages of workers; nil: none.
+	UnknownFields *UnknownFields
 
 	HeartbeatIntervalS float64 // time between two heartbeats of a worker, in seconds
 	LeaseDurationS     float64 // duration of a worker's lease, in seconds
@@ -130,7 +132,7 @@
 	c.Rules.ObserveLaunch(id, q)
 	worker := startWorker(c, id, q)
 	c.machines[id] = worker
-	c.Net.Handle(worker.address, worker)
+	c.Net.Handle(worker.address, c.UnknownFields.Handler(worker))
 	return id
 }
 
--- a/internal/sim/fake/worker.go
+++ b/internal/sim/fake/worker.go
@@ -78,14 +78,14 @@
 		launch:         launch,
 		ctx:            ctx,
 		cancel:         cancel,
-		client:         &http.Client{Transport: c.Net.From(id)},
+		client:         &http.Client{Transport: c.UnknownFields.Transport(c.Net.From(id))},
 		changed:        make(chan struct{}, 1),
 		incarnation:    1,
 		leaseRenewedAt: time.Now(),
 		images:         map[string]bool{},
 	}
 	if c.ServeWorker != nil {
-		w.address = c.ServeWorker(w)
+		w.address = c.ServeWorker(c.UnknownFields.Handler(w))
 	}
 	return w
 }
--- a/internal/sim/harness/in_process_cluster.go
+++ b/internal/sim/harness/in_process_cluster.go
@@ -66,14 +66,27 @@
 		incarnations: make([]int, nodes),
 	}
 	c.Net.SetFault(c.faultOf)
-	c.Users, c.Cloud = newUsersAndCloud(c.Net, nodes, s, runtimeOf)
-	c.Net.Handle(StateHost, c.State)
-	c.Net.Handle(CloudHost, c.Cloud)
+	unknownFields := NewUnknownFields()
+	c.Users, c.Cloud = newUsersAndCloud(c.Net, nodes, s, runtimeOf, unknownFields)
+	c.Net.Handle(StateHost, unknownFields.Handler(c.State))
+	c.Net.Handle(CloudHost, unknownFields.Handler(c.Cloud))
 	return c
 }
 
-// newUsersAndCloud returns the users and the cloud for a cluster with the given number of nodes.
-func newUsersAndCloud(n *fake.Network, nodes int, s *settings.Settings, runtimeOf func(task string) float64) (Users, *fake.Cloud) {
+// Seed of the unknown fields in messages of the fakes and the users, and the share of the messages that may have some.
+const (
+	unknownFieldsSeed  = 1
+	unknownFieldsShare = 0.2
+)
+
+// NewUnknownFields returns the source of unknown fields in the messages of the fakes and the users of a cluster.
+func NewUnknownFields() *fake.UnknownFields {
+	return fake.NewUnknownFields(unknownFieldsSeed, unknownFieldsShare)
+}
+
+// newUsersAndCloud returns the users and the cloud for a cluster with the given number of nodes. unknownFields is nil if
+// their messages have no unknown fields.
+func newUsersAndCloud(n *fake.Network, nodes int, s *settings.Settings, runtimeOf func(task string) float64, unknownFields *fake.UnknownFields) (Users, *fake.Cloud) {
 	limits := map[string]float64{}
 	for _, team := range s.Params.Teams {
 		limits[team.Name] = team.MaxCPUs
@@ -84,7 +97,7 @@
 	}
 	workers := s.Params.Workers
 	rules := checker.NewRules(workers.CancellationTimeout().Duration(), limits, fake.InstanceTypes().Types)
-	users := Users{Client: &http.Client{Transport: n.From("user")}, Rules: rules, Nodes: nodes}
+	users := Users{Client: &http.Client{Transport: unknownFields.Transport(n.From("user"))}, Rules: rules, Nodes: nodes}
 	return users, fake.NewCloud(fake.CloudConfig{
 		Net:                n,
 		Rules:              rules,
@@ -92,6 +105,7 @@
 		HeartbeatIntervalS: workers.HeartbeatIntervalS,
 		LeaseDurationS:     workers.LeaseDurationS,
 		RuntimeOf:          runtimeOf,
+		UnknownFields:      unknownFields,
 	})
 }
 
--- a/internal/sim/harness/process_cluster.go
+++ b/internal/sim/harness/process_cluster.go
@@ -29,6 +29,9 @@
 	Nodes     int                       // number of nodes
 	Dir       string                    // directory for settings files and logs
 	RuntimeOf func(task string) float64 // returns the runtime of a task, in seconds
+	// UnknownFields adds unknown fields to the messages of the fakes and the users; nil: none. Nodes of earlier versions
+	// may take some of them for known ones.
+	UnknownFields *fake.UnknownFields
 	// OnUnexpectedExit, unless it is nil, is called when a process exits although the cluster did not kill it and
 	// ExpectExit was not called. log is the path of its log.
 	OnUnexpectedExit func(node int, log string, err error)
@@ -87,10 +90,10 @@
 		c.Net.Handle(nodeHost(i), proxy(addrs.Client))
 		c.killFuncs[i] = func() {}
 	}
-	c.Users, c.Cloud = newUsersAndCloud(c.Net, config.Nodes, config.Settings(0), config.RuntimeOf)
+	c.Users, c.Cloud = newUsersAndCloud(c.Net, config.Nodes, config.Settings(0), config.RuntimeOf, config.UnknownFields)
 	c.Cloud.ServeWorker = c.serve
-	c.serve(c.State)
-	c.serve(c.Cloud)
+	c.serve(config.UnknownFields.Handler(c.State))
+	c.serve(config.UnknownFields.Handler(c.Cloud))
 	return c, nil
 }
 
--- a/internal/sim/lab/lab.go
+++ b/internal/sim/lab/lab.go
@@ -118,9 +118,10 @@
 			s, _ := nodeSettings(node, l.options.Nodes) // New has checked that there is no error
 			return s
 		},
-		Nodes:     l.options.Nodes,
-		Dir:       l.options.Dir,
-		RuntimeOf: l.runtimeOf,
+		Nodes:         l.options.Nodes,
+		Dir:           l.options.Dir,
+		RuntimeOf:     l.runtimeOf,
+		UnknownFields: harness.NewUnknownFields(),
 		OnUnexpectedExit: func(node int, log string, err error) {
 			l.reportFailure(fmt.Errorf(harness.MemberFormat+" exited unexpectedly (%w), see its log %s", node, err, log))
 		},
