--- a/internal/leader/failover.go
+++ b/internal/leader/failover.go
@@ -100,6 +100,9 @@
 		}
 	}
 	m.Reconciliation.Knowledge = state.TasksHandedOver
+	// The tasks are those of this incarnation. A late copy of a heartbeat from an earlier one must not be the first that
+	// this term records: the next heartbeat of the present incarnation would then seem to prove that the tasks are gone.
+	m.Heartbeat.Incarnation = known.Incarnation
 	m.Lease.RenewedAt = l.startedAt
 	for _, a := range attempts {
 		if a.Job.Ended {
--- a/internal/sim/fake/network.go
+++ b/internal/sim/fake/network.go
@@ -52,6 +52,10 @@
 // FaultFunc returns the fault to inject into a request from a sender.
 type FaultFunc func(from string, r *http.Request) Fault
 
+// CopiesFunc returns the delays after which copies of a request from a sender arrive at the request's host, in addition
+// to the request itself and whatever becomes of it. Nobody receives the responses to the copies.
+type CopiesFunc func(from string, r *http.Request, body []byte) []time.Duration
+
 // Network is an HTTP network within one process: it passes each request to the handler of its host.
 type Network struct {
 	delayed sync.WaitGroup // handlers that run independently of their sender
@@ -59,6 +63,8 @@
 	mu                    sync.Mutex // guards the fields below
 	handlers              map[string]http.Handler
 	fault                 FaultFunc      // nil: no faults
+	copies                CopiesFunc     // nil: no copies
+	deliveredCopies       int            // number of copies that a handler has handled
 	workerCalls           map[string]int // number of requests to workers in progress, by sender
 	maxWorkerCalls        int            // the highest value that any entry of workerCalls has had
 	delayedRequests       int            // number of delayed and duplicated requests so far
@@ -85,6 +91,21 @@
 	n.fault = f
 }
 
+// SetCopies sets the function that returns the copies of each request; nil: no copies. f is called without a lock, and
+// concurrently for several requests.
+func (n *Network) SetCopies(f CopiesFunc) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.copies = f
+}
+
+// DeliveredCopies returns the number of copies of requests that were handled.
+func (n *Network) DeliveredCopies() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.deliveredCopies
+}
+
 // DelayedStartResponses returns the number of responses with start commands that were delayed.
 func (n *Network) DelayedStartResponses() int {
 	n.mu.Lock()
@@ -115,7 +136,7 @@
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	n := t.network
 	n.mu.Lock()
-	handler, chooseFault := n.handlers[r.URL.Host], n.fault
+	handler, chooseFault, copiesOf := n.handlers[r.URL.Host], n.fault, n.copies
 	if isWorkerHost(r.URL.Host) {
 		n.workerCalls[t.sender]++
 		n.maxWorkerCalls = max(n.maxWorkerCalls, n.workerCalls[t.sender])
@@ -135,9 +156,30 @@
 	if err != nil {
 		return nil, err
 	}
+	if copiesOf != nil {
+		for _, delay := range copiesOf(t.sender, r, body) {
+			n.deliverCopy(r, body, delay)
+		}
+	}
 	return n.deliver(&call{handler, r, body}, fault)
 }
 
+// deliverCopy passes a copy of a request, after a delay, to whatever handler its host then has.
+func (n *Network) deliverCopy(r *http.Request, body []byte, delay time.Duration) {
+	n.delayed.Go(func() {
+		time.Sleep(delay)
+		n.mu.Lock()
+		handler := n.handlers[r.URL.Host]
+		if handler != nil {
+			n.deliveredCopies++
+		}
+		n.mu.Unlock()
+		if handler != nil {
+			(&call{handler, r, body}).handle(context.Background())
+		}
+	})
+}
+
 // endWorkerCall records that a request of a sender to a worker has ended.
 func (n *Network) endWorkerCall(sender string) {
 	n.mu.Lock()
--- a/internal/sim/fake/worker.go
+++ b/internal/sim/fake/worker.go
@@ -43,6 +43,7 @@
 	changed chan struct{} // capacity 1: signals that the next heartbeat is to be sent soon
 
 	mu             sync.Mutex // guards the fields below
+	restarts       int        // number of restarts so far
 	incarnation    uint64
 	sequence       uint64
 	fencingToken   uint64 // the highest fencing token seen
@@ -135,6 +136,43 @@
 	})
 }
 
+// RestartMode says with which incarnation, sequence and fencing token a worker begins after a restart.
+type RestartMode int
+
+// The modes of restarts. The protocol does not say which of them occurs.
+const (
+	// RestartWithNextIncarnation begins the incarnation after the last one and keeps the sequence and the token.
+	RestartWithNextIncarnation RestartMode = iota
+	// RestartFromScratch begins as a new worker does, in incarnation 1 without a token.
+	RestartFromScratch
+	// RestartWithNewLease begins as a new worker does, but in the incarnation after the last one.
+	RestartWithNewLease
+)
+
+// Restart ends the worker with all tasks, and starts it again at once under the same machine ID. It receives no response
+// to a heartbeat from before. Restart does nothing if the machine hangs or is terminated.
+func (w *Worker) Restart(mode RestartMode) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.resumed != nil || w.ctx.Err() != nil {
+		return
+	}
+	w.step()
+	incarnation := w.incarnation
+	w.expireLease(time.Now())
+	w.restarts++
+	w.images = map[string]bool{}
+	if mode != RestartWithNextIncarnation {
+		w.sequence, w.fencingToken = 0, 0
+	}
+	if mode == RestartFromScratch {
+		w.incarnation = 1
+	} else {
+		w.incarnation = incarnation + 1
+	}
+	w.notifyChange()
+}
+
 // awaitResumed blocks while the machine hangs.
 func (w *Worker) awaitResumed() {
 	for {
@@ -249,7 +287,7 @@
 func (w *Worker) sendHeartbeat(ctx context.Context) bool {
 	w.mu.Lock()
 	w.step()
-	h := w.heartbeat()
+	h, restarts := w.heartbeat(), w.restarts
 	node := w.cloud.NodeHosts[w.nodeIndex%len(w.cloud.NodeHosts)]
 	w.mu.Unlock()
 	sentAt := time.Now()
@@ -260,6 +298,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.restarts != restarts {
+		return true // the process that waited for the response has ended
+	}
 	switch {
 	case code == http.StatusOK:
 		w.handleResponse(body, h.Incarnation, sentAt)
