Heartbeats: a later incarnation with a lower token is from before a restart

A machine whose worker is back in incarnation 1 without a token got tasks from the next leader; a late copy of a heartbeat from before, of a higher incarnation, then released them, and they ran on two machines. A worker keeps the highest token it has seen, so such a heartbeat is older than what the worker has shown since, and is now stale.

Without the fix TestHeartbeatsFromBeforeRestart fails in 2 of 4 cases.

--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -77,10 +77,14 @@
 }
 
 // isStaleHeartbeat reports whether a heartbeat is no newer than the machine's latest one. The worker no longer waits
-// for the response to a stale heartbeat.
+// for the response to a stale heartbeat. A later incarnation with a lower fencing token than the worker has shown is
+// from before the worker was restarted and began with the first incarnation again.
 func isStaleHeartbeat(m *state.Machine, h *wire.Heartbeat) bool {
 	latest := &m.Heartbeat
-	return h.Incarnation < latest.Incarnation || h.Incarnation == latest.Incarnation && h.Sequence <= latest.Sequence
+	if h.Incarnation != latest.Incarnation {
+		return h.Incarnation < latest.Incarnation || h.FencingToken < latest.FencingToken
+	}
+	return h.Sequence <= latest.Sequence
 }
 
 // endEarlierIncarnation releases the tasks of a worker's earlier incarnation if a heartbeat is from a later one.
@@ -103,6 +107,7 @@
 func (l *Leader) recordHeartbeat(m *state.Machine, h *wire.Heartbeat, now micros.Micros) {
 	m.Heartbeat.Incarnation, m.Heartbeat.Sequence, m.Instance.Address = h.Incarnation, h.Sequence, h.Address
 	l.zones.CheckReportedZone(m, h.Zone)
+	m.Heartbeat.FencingToken = max(m.Heartbeat.FencingToken, h.FencingToken)
 	m.Heartbeat.ReceivedAt = now
 	m.Lease.RenewedAt = now
 	m.Heartbeat.InterruptionAt = 0
--- a/internal/leader/heartbeat_test.go
+++ b/internal/leader/heartbeat_test.go
@@ -136,3 +136,38 @@
 		}
 	}
 }
+
+// TestHeartbeatsFromBeforeRestart guards against a task that is started a second time because its machine was restarted,
+// began with the first incarnation again, and a late copy of a heartbeat from before seems to be of a later incarnation.
+// Only a heartbeat that has this term's fencing token, as the worker has shown it, proves that the tasks are gone.
+func TestHeartbeatsFromBeforeRestart(t *testing.T) {
+	for _, c := range []struct {
+		name                      string
+		incarnation, fencingToken uint64
+		released                  bool
+	}{
+		{"a copy from an earlier term", 2, testToken - 1, false},
+		{"a copy from before the worker's first response", 3, 0, false},
+		{"a copy of the same incarnation from an earlier term", 1, testToken - 1, false},
+		{"a later incarnation in this term", 2, testToken, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, _ := newTestLeader(t)
+			m, j := l.fleet.Machines["i-1"], l.jobs["j-000001"]
+			for sequence := uint64(1); len(m.Attempts) == 0 && sequence < 5; sequence++ {
+				l.scheduler.PlannedAt = 0
+				if _, err := l.HandleHeartbeat(heartbeat(sequence, testToken)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			started := len(j.Attempts)
+			m.StartBackoffUntil = l.startedAt + 3600*micros.Second
+			h := heartbeat(90, c.fencingToken)
+			h.Incarnation = c.incarnation
+			_, _ = l.HandleHeartbeat(h) // whether it gets a response does not matter
+			if started == 0 || (len(j.Attempts) == 0) != c.released {
+				t.Errorf("%d tasks started, of which %d are assigned after the heartbeat; want some, and all of them to be assigned: %t", started, len(j.Attempts), !c.released)
+			}
+		})
+	}
+}
--- a/internal/leader/state/machine.go
+++ b/internal/leader/state/machine.go
@@ -77,6 +77,7 @@
 type HeartbeatState struct {
 	Incarnation     uint64
 	Sequence        uint64        // sequence number within the incarnation
+	FencingToken    uint64        // the highest token that the worker has shown in this term; it never falls on a worker
 	ReceivedAt      micros.Micros // when the latest heartbeat that was newer than its predecessor arrived
 	FromCurrentTerm bool          // the worker sent it after receiving this term's fencing token
 	InterruptionAt  micros.Micros // when the cloud reclaims the machine, 0 without an interruption notice
--- a/internal/leader/taskquery/taskquery.go
+++ b/internal/leader/taskquery/taskquery.go
@@ -207,6 +207,7 @@
 	counts.Responded++
 	q.ByZone[m.Offering.Zone] = counts
 	m.Reconciliation.QueriedSequence = status.Sequence
+	m.Heartbeat.FencingToken = status.FencingToken
 	// The machine is alive, and from now on no response of an earlier term can renew its lease.
 	m.Heartbeat.ReceivedAt, m.Lease.RenewedAt = now, now
 	q.OnStatus(m, status, now)
