Task queries: a later incarnation begins with no sequence

A query that showed a later incarnation kept the sequence of the latest heartbeat, which may be a late copy from an earlier incarnation. A worker whose sequence begins anew with its incarnation was then refused until the sequence had passed that of the copy, or its lease had ended. Sequences count within an incarnation, as the field says. Before, the new case of TestTaskQuery failed.

--- a/internal/leader/taskquery/taskquery.go
+++ b/internal/leader/taskquery/taskquery.go
@@ -199,7 +199,9 @@
 	if m.TasksConfirmed() || q.Fleet.Machines[m.ID] != m || q.IsSuperseded() || status.Incarnation < m.Heartbeat.Incarnation {
 		return
 	}
-	m.Heartbeat.Incarnation = status.Incarnation
+	if status.Incarnation > m.Heartbeat.Incarnation {
+		m.Heartbeat.Incarnation, m.Heartbeat.Sequence = status.Incarnation, 0
+	}
 	if status.FencingToken != q.FencingToken {
 		return
 	}
