--- a/tests/cluster/repeated_messages_test.go
+++ b/tests/cluster/repeated_messages_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// repeatsVariable is the number of seeds, and repeatsFirstVariable the first one.
+	// repeatsVariable and repeatsFirstVariable name the environment variables with the number of seeds and the first one.
 	repeatsVariable      = "CAPERLATCH_REPEATS"
 	repeatsFirstVariable = "CAPERLATCH_REPEATS_FIRST"
 	repeatsSeeds         = 40
@@ -130,6 +130,9 @@
 	if request.Method == http.MethodGet {
 		return nil
 	}
+	if isCommand(request) {
+		r.checkNoStart(body)
+	}
 	random := rand.New(rand.NewPCG(r.hashOf(from, request.URL.String(), string(body)), 0))
 	share := 0.1
 	if isHeartbeat(request) || isCommand(request) {
@@ -141,6 +144,19 @@
 	return delays
 }
 
+// checkNoStart checks that a request to a worker's address starts nothing: the worker would carry out a copy of it.
+func (r *repeatsRun) checkNoStart(body []byte) {
+	var request wire.CommandRequest
+	if err := wire.Unmarshal(body, &request); err != nil {
+		r.t.Errorf("a request to a worker cannot be decoded: %v", err)
+	}
+	for _, c := range request.Commands {
+		if c.Verb == wire.VerbStart {
+			r.t.Errorf("the start of %s is sent directly to a worker, want it in a response to a heartbeat only", c.TaskID)
+		}
+	}
+}
+
 // copyDelay returns the delay of a copy: up to 2 s, up to a lease, or up to maxLeases.
 func copyDelay(random *rand.Rand) time.Duration {
 	lease := time.Duration(leaseDurationS * float64(time.Second))
