--- a/internal/sim/harness/process_cluster.go
+++ b/internal/sim/harness/process_cluster.go
@@ -32,6 +32,8 @@
 	// UnknownFields adds unknown fields to the messages of the fakes and the users; nil: none. Nodes of earlier versions
 	// may take some of them for known ones.
 	UnknownFields *fake.UnknownFields
+	// Copies returns the copies of each request to a node or a fake; nil: there are none.
+	Copies fake.CopiesFunc
 	// OnUnexpectedExit, unless it is nil, is called when a process exits although the cluster did not kill it and
 	// ExpectExit was not called. log is the path of its log.
 	OnUnexpectedExit func(node int, log string, err error)
@@ -51,7 +53,8 @@
 	Args      []string        // command-line arguments of each process, before --config
 	Addresses []NodeAddresses // by node
 
-	config ProcessConfig
+	config   ProcessConfig
+	repeater *fake.Repeater // nil: requests to the fakes have no copies
 	// servers are those of the state service and of the cloud, followed by those of the workers, which are added with
 	// the cloud's lock held.
 	servers []*httptest.Server
@@ -91,6 +94,10 @@
 		c.killFuncs[i] = func() {}
 	}
 	c.Users, c.Cloud = newUsersAndCloud(c.Net, config.Nodes, config.Settings(0), config.RuntimeOf, config.UnknownFields)
+	if config.Copies != nil {
+		c.Net.SetCopies(config.Copies)
+		c.repeater = fake.NewRepeater(config.Copies)
+	}
 	c.Cloud.ServeWorker = c.serve
 	c.serve(config.UnknownFields.Handler(c.State))
 	c.serve(config.UnknownFields.Handler(c.Cloud))
@@ -133,6 +140,9 @@
 // serve serves a handler on loopback until Close, and returns the address. For workers, it is called with the cloud's
 // lock held; for the state service and the cloud, before any worker exists.
 func (c *ProcessCluster) serve(h http.Handler) string {
+	if c.repeater != nil {
+		h = c.repeater.Handler(h)
+	}
 	server := httptest.NewServer(h)
 	c.servers = append(c.servers, server)
 	return strings.TrimPrefix(server.URL, "http://")
@@ -259,10 +269,15 @@
 		c.Kill(i)
 	}
 	c.starter.close()
+	c.Net.SetCopies(nil)
 	c.Cloud.Close()
 	for _, s := range c.servers {
 		s.CloseClientConnections()
 		s.Close()
 	}
+	if c.repeater != nil {
+		c.repeater.Wait()
+		c.Net.WaitDelayed()
+	}
 	c.State.Close()
 }
--- a/tests/cluster/rolling_upgrade_test.go
+++ b/tests/cluster/rolling_upgrade_test.go
@@ -304,9 +304,15 @@
 
 // newScaledProcessCluster prepares a cluster of processes for a deployment of the given scale. It starts no node.
 func newScaledProcessCluster(t *testing.T, nodes int, dir string, scale clusterScale) *processCluster {
+	return newConfiguredProcessCluster(t, nodes, dir, scale, func(*harness.ProcessConfig) {})
+}
+
+// newConfiguredProcessCluster prepares a cluster of processes like newScaledProcessCluster, after configure has changed its
+// configuration.
+func newConfiguredProcessCluster(t *testing.T, nodes int, dir string, scale clusterScale, configure func(*harness.ProcessConfig)) *processCluster {
 	c := &cluster{t: t, size: nodes}
 	var p *harness.ProcessCluster
-	p, err := harness.NewProcessCluster(harness.ProcessConfig{
+	config := harness.ProcessConfig{
 		Settings: func(node int) *settings.Settings { return scale.settings(node, nodes) },
 		Nodes:    nodes,
 		Dir:      dir,
@@ -319,7 +325,9 @@
 		OnUnexpectedExit: func(_ int, log string, err error) {
 			t.Errorf("the process with log %s exited unexpectedly: %v", log, err)
 		},
-	})
+	}
+	configure(&config)
+	p, err := harness.NewProcessCluster(config)
 	if err != nil {
 		t.Fatal(err)
 	}
