--- a/internal/leader/gang_loss_test.go
+++ b/internal/leader/gang_loss_test.go
@@ -23,8 +23,9 @@
 		return func(_ *testing.T, l *Leader, m *state.Machine) {
 			h := &wire.Heartbeat{MachineID: m.ID, Address: m.Instance.Address, InstanceType: "m4", Zone: "a", Incarnation: 1, Sequence: m.Heartbeat.Sequence + 1, FencingToken: testToken}
 			edit(h)
-			if _, err := l.HandleHeartbeat(h); err != nil && h.Sequence > m.Heartbeat.Sequence && !contradictsToken(m, h) {
-				t.Errorf("heartbeat of %s: unexpected error: %v", h.MachineID, err)
+			stale := h.Sequence <= m.Heartbeat.Sequence || contradictsToken(m, h)
+			if _, err := l.HandleHeartbeat(h); (err != nil) != stale {
+				t.Errorf("heartbeat of %s: error %v, want one: %t", h.MachineID, err, stale)
 			}
 		}
 	}
--- a/internal/leader/task_queries_test.go
+++ b/internal/leader/task_queries_test.go
@@ -68,8 +68,9 @@
 				t.Errorf("%s: query with fencing token %d and %d commands, want token %d and no commands", c.name, request.FencingToken, len(request.Commands), uint64(testToken))
 			}
 			if c.during != nil {
-				if _, err := l.HandleHeartbeat(c.during); err != nil && c.during.Incarnation >= m.Heartbeat.Incarnation {
-					t.Errorf("%s: heartbeat during the query: unexpected error: %v", c.name, err)
+				stale := c.during.Incarnation < m.Heartbeat.Incarnation
+				if _, err := l.HandleHeartbeat(c.during); (err != nil) != stale {
+					t.Errorf("%s: heartbeat during the query: error %v, want one: %t", c.name, err, stale)
 				}
 			}
 			return c.worker(request)
